--- /dev/null
+++ b/include/filbertrack/base_result.h
@@ -0,0 +1,78 @@
+#pragma once
+
+/// Numbered result codes, the error type and what is known of a request that
+/// was refused. docs/RESULT_CODES.md is tested against ResultCodeTable().
+
+#include <span>
+#include <string>
+#include <string_view>
+
+#include <tl/expected.hpp>
+
+namespace filbertrack {
+
+/// Every way an operation of filbertrack can end. The number is stable: it
+/// stands in response bodies, in logs and, below 100, as an exit code.
+enum class ResultCode : int {
+  kOk = 0,
+  kInternal = 1,
+  kUsage = 2,
+  kSettingsInvalid = 3,
+  kConflict = 4,
+  kStoreUnavailable = 5,
+  kNotInForce = 6,
+  kResourceInvalid = 7,
+  kNotFound = 8,
+  kUnauthorized = 100,
+  kUnknownModel = 101,
+  kBodyTooLarge = 102,
+  kBadRequest = 103,
+  kDeadlinePassed = 104,
+  kOverEntitlement = 105,
+  kOverloaded = 106,
+  kNoServingGroup = 107,
+  kUpstreamFailed = 108,
+  kAttemptRefused = 109,
+  kStreamInterrupted = 110,
+  kKeyInProgress = 111,
+  kKeyOutcomeUnknown = 112,
+  kKeyReused = 113,
+  kKeyAnswerGone = 114,
+  kKeyStoreUnavailable = 115,
+  kDraining = 116,
+  kCallerGone = 117,
+};
+
+/// One row of the table of result codes.
+struct ResultCodeRow {
+  ResultCode code;
+  std::string_view name;
+  int http_status;  ///< 0 where the code never answers a caller.
+  std::string_view meaning;
+};
+
+std::span<const ResultCodeRow> ResultCodeTable();
+const ResultCodeRow& ResultCodeInfo(ResultCode code);
+
+/// What is known of a refused request. `kNotRun` is a proof, never a guess: no
+/// byte that could start the work left this host, or the backend server said
+/// that it did not start it.
+enum class Outcome { kNotRun, kUnknown, kRan };
+
+std::string_view OutcomeName(Outcome outcome);
+
+/// An error a caller or operator can act on: `message` is a sentence that
+/// quotes the offending value and says what is allowed.
+struct Error {
+  ResultCode code = ResultCode::kInternal;
+  std::string message;
+};
+
+template <typename T>
+using Result = tl::expected<T, Error>;
+
+inline tl::unexpected<Error> Fail(ResultCode code, std::string message) {
+  return tl::unexpected<Error>(Error{code, std::move(message)});
+}
+
+}  // namespace filbertrack
--- /dev/null
+++ b/include/filbertrack/controller.h
@@ -0,0 +1,77 @@
+#pragma once
+
+/// The control loops of one entry host: takes the leases of fabric domains that
+/// nobody holds, and keeps the groups of those it holds as declared. All it
+/// decides is in the domains' objects, so any other controller can go on.
+
+#include <map>
+#include <memory>
+#include <string>
+
+#include "filbertrack/config_follower.h"
+#include "filbertrack/groups_assign.h"
+#include "filbertrack/groups_lease.h"
+#include "filbertrack/groups_plan.h"
+#include "filbertrack/http_client.h"
+#include "filbertrack/http_server.h"
+#include "filbertrack/member_watch.h"
+#include "filbertrack/settings.h"
+#include "filbertrack/store_watch.h"
+
+namespace filbertrack {
+
+SettingsSchema ControllerSchema();
+
+class Controller {
+ public:
+  Controller(EventLoop& loop, const Settings& settings);
+  ~Controller();
+
+  Result<Address> Listen();
+
+  /// Gives the leases back, so that successors need not wait, then stops the
+  /// loop.
+  void Stop();
+
+ private:
+  struct Domain;
+
+  void OnObjects();
+  void ReadDomains();
+  void ReadState(Domain& domain, const StoredObject& object);
+  void WatchHosts();
+  void Pass();
+  void PassDomain(Domain& domain);
+  void TakeLease(Domain& domain);
+  void Act(Domain& domain, TimePoint now);
+  void Write(Domain& domain, DomainState next);
+  void OnWritten(const std::string& name,
+                 const std::string& text,
+                 TimePoint began,
+                 const StoreAnswer& answer);
+  void ReadBack(const std::string& name,
+                const std::string& text,
+                TimePoint began);
+  void SendOrders(Domain& domain, const std::vector<MemberOrder>& orders);
+  void SendOrder(Domain& domain, const std::string& host, std::string body);
+  std::string StatusText() const;
+
+  EventLoop& m_loop;
+  Settings m_settings;
+  std::string m_node;
+  LeasePolicy m_lease_policy;
+  PlanPolicy m_plan_policy;
+  ObjectCache m_cache;
+  StoreClient m_store;
+  std::unique_ptr<StoreWatch> m_watch;
+  ConfigFollower m_config;
+  MemberWatch m_members;
+  HttpClient m_http;
+  std::map<std::string, std::unique_ptr<Domain>, std::less<>> m_domains;
+  std::unique_ptr<Timer> m_pass_timer;
+  std::unique_ptr<HttpServer> m_admin_server;
+  std::unique_ptr<Timer> m_stop_timer;
+  bool m_stopping = false;
+};
+
+}  // namespace filbertrack
--- /dev/null
+++ b/include/filbertrack/event_loop.h
@@ -0,0 +1,65 @@
+#pragma once
+
+/// The one event loop of a process, on libevent, and its timers. The loop's
+/// adapters read the clock here and hand the time to the decisions.
+
+#include <functional>
+#include <memory>
+
+#include "filbertrack/base_time.h"
+
+struct event;
+struct event_base;
+
+namespace filbertrack {
+
+/// Present time on the monotonic clock.
+TimePoint MonotonicNow();
+
+/// A timer; destroying it cancels it.
+class Timer {
+ public:
+  Timer(event_base* base,
+        Duration interval,
+        bool repeats,
+        std::function<void()> action);
+  ~Timer();
+  Timer(const Timer&) = delete;
+  Timer& operator=(const Timer&) = delete;
+
+ private:
+  static void OnFire(int fd, short what, void* self);
+
+  std::function<void()> m_action;
+  event* m_event;
+};
+
+class EventLoop {
+ public:
+  EventLoop();
+  ~EventLoop();
+  EventLoop(const EventLoop&) = delete;
+  EventLoop& operator=(const EventLoop&) = delete;
+
+  event_base* base() const { return m_base; }
+
+  std::unique_ptr<Timer> Every(Duration interval, std::function<void()> action);
+  std::unique_ptr<Timer> After(Duration delay, std::function<void()> action);
+
+  /// Runs `action` once from the loop, after the present callback returned.
+  void Post(std::function<void()> action);
+
+  /// Calls `action` on SIGTERM and SIGINT.
+  void OnStopSignal(std::function<void()> action);
+
+  void Run();
+  void Stop();
+
+ private:
+  event_base* m_base;
+  event* m_terminate = nullptr;
+  event* m_interrupt = nullptr;
+  std::function<void()> m_stop_action;
+};
+
+}  // namespace filbertrack
--- /dev/null
+++ b/include/filbertrack/request_retry_budget.h
@@ -0,0 +1,37 @@
+#pragma once
+
+/// A budget for retries: each first attempt earns a part of a retry. When many
+/// requests fail together, retries stay a small share of the load and cannot
+/// turn one failure into an overload.
+
+#include "filbertrack/base_time.h"
+
+namespace filbertrack {
+
+struct RetryBudgetPolicy {
+  double earned_per_request = 0.2;
+  double most_saved = 50;
+  /// Earned without load, so that a quiet host may retry at all.
+  double earned_per_second = 1;
+};
+
+class RetryBudget {
+ public:
+  RetryBudget(RetryBudgetPolicy policy, TimePoint now)
+      : m_policy(policy), m_saved(policy.most_saved), m_updated(now) {}
+
+  void OnRequest(TimePoint now);
+
+  /// Spends one retry; false where none is left.
+  bool TrySpend(TimePoint now);
+
+ private:
+  void Earn(double amount);
+  void Refresh(TimePoint now);
+
+  RetryBudgetPolicy m_policy;
+  double m_saved;
+  TimePoint m_updated;
+};
+
+}  // namespace filbertrack
--- /dev/null
+++ b/include/filbertrack/request_sse.h
@@ -0,0 +1,41 @@
+#pragma once
+
+/// Splits a stream of server-sent events as it arrives in pieces.
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace filbertrack {
+
+/// One event. Only what the relay needs is kept apart.
+struct SseEvent {
+  std::optional<uint64_t> id;
+  std::string data;
+  bool done = false;  ///< The closing "[DONE]".
+};
+
+class SseSplitter {
+ public:
+  /// Takes the next bytes; returns the events that they complete. Bytes of an
+  /// event over `kMostEventBytes` make the stream invalid.
+  std::vector<SseEvent> Push(std::string_view bytes);
+
+  /// Whether bytes of an unfinished event are held.
+  bool has_rest() const { return !m_rest.empty(); }
+
+  bool valid() const { return m_valid; }
+
+  static constexpr size_t kMostEventBytes = 256 * 1024;
+
+ private:
+  std::string m_rest;
+  bool m_valid = true;
+};
+
+/// The text of an event as it goes to a caller.
+std::string FormatSseEvent(const SseEvent& event);
+
+}  // namespace filbertrack
--- /dev/null
+++ b/include/filbertrack/settings.h
@@ -0,0 +1,106 @@
+#pragma once
+
+/// INI settings with declared keys. A file is checked whole before a process
+/// starts: an unknown section or key, a wrong type or a value out of range is
+/// an error that names the file, the section, the key, the value and what is
+/// allowed.
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <tuple>
+#include <variant>
+#include <vector>
+
+#include "filbertrack/base_result.h"
+#include "filbertrack/base_time.h"
+
+namespace filbertrack {
+
+/// The address of a TCP endpoint; `host` is a numeric IP address.
+struct Address {
+  std::string host;
+  uint16_t port = 0;
+
+  std::string ToString() const { return host + ":" + std::to_string(port); }
+  bool operator==(const Address&) const = default;
+  bool operator<(const Address& other) const {
+    return std::tie(host, port) < std::tie(other.host, other.port);
+  }
+};
+
+Result<Address> ParseAddress(std::string_view text);
+
+struct IntegerKey {
+  int64_t fallback;
+  int64_t lowest;
+  int64_t highest;
+};
+/// Written with a unit: 250ms, 4s, 10m.
+struct DurationKey {
+  Duration fallback;
+  Duration lowest;
+  Duration highest;
+};
+struct TextKey {
+  std::string fallback;
+  bool required = false;
+  std::vector<std::string> allowed;  ///< Empty: any text.
+};
+struct AddressKey {
+  std::string fallback;  ///< Empty: the key is required.
+};
+/// Addresses separated by commas; may be empty.
+struct AddressListKey {};
+
+using KeyType =
+    std::variant<IntegerKey, DurationKey, TextKey, AddressKey, AddressListKey>;
+
+/// One declared key.
+struct KeyRow {
+  std::string section;
+  std::string key;
+  KeyType type;
+  std::string meaning;
+};
+
+/// Values of one checked file. Reading a key that the schema does not declare
+/// is a fault of the program and ends it.
+class Settings {
+ public:
+  using Value =
+      std::variant<int64_t, Duration, std::string, std::vector<Address>>;
+
+  int64_t Integer(std::string_view section, std::string_view key) const;
+  Duration Time(std::string_view section, std::string_view key) const;
+  const std::string& Text(std::string_view section, std::string_view key) const;
+  const Address& At(std::string_view section, std::string_view key) const;
+  const std::vector<Address>& Addresses(std::string_view section,
+                                        std::string_view key) const;
+
+  void Put(const std::string& section, const std::string& key, Value value);
+
+ private:
+  const Value& Find(std::string_view section, std::string_view key) const;
+
+  std::map<std::string, Value, std::less<>> m_values;
+};
+
+/// The declared keys of one program.
+class SettingsSchema {
+ public:
+  explicit SettingsSchema(std::vector<KeyRow> rows) : m_rows(std::move(rows)) {}
+
+  Result<Settings> ReadFile(const std::string& path) const;
+  Result<Settings> ParseText(const std::string& text,
+                             const std::string& origin) const;
+
+  /// A reference of every key, one a line, for --help-settings.
+  std::string Describe() const;
+
+ private:
+  std::vector<KeyRow> m_rows;
+};
+
+}  // namespace filbertrack
--- /dev/null
+++ b/source/admission_bucket.cc
@@ -0,0 +1,55 @@
+#include "filbertrack/admission_bucket.h"
+
+#include <algorithm>
+
+namespace filbertrack {
+
+namespace {
+
+constexpr Duration kLongestWait = Seconds(60);
+
+}  // namespace
+
+TokenBucket::TokenBucket(double per_second, double burst, TimePoint now)
+    : m_per_second(per_second),
+      m_burst(std::max(1.0, burst)),
+      m_tokens(m_burst),
+      m_updated(now) {}
+
+void TokenBucket::SetRate(double per_second, double burst, TimePoint now) {
+  m_tokens = TokensAt(now);
+  m_updated = now;
+  m_per_second = per_second;
+  m_burst = std::max(1.0, burst);
+  m_tokens = std::min(m_tokens, m_burst);
+}
+
+bool TokenBucket::TryTake(TimePoint now) {
+  m_tokens = TokensAt(now);
+  m_updated = now;
+  if (m_tokens < 1) {
+    return false;
+  }
+  m_tokens -= 1;
+  return true;
+}
+
+Duration TokenBucket::UntilNext(TimePoint now) const {
+  const double missing = 1 - TokensAt(now);
+  if (missing <= 0) {
+    return Duration(0);
+  }
+  if (m_per_second <= 0) {
+    return kLongestWait;
+  }
+  const auto wait =
+      Duration(static_cast<int64_t>(missing / m_per_second * 1e6));
+  return std::min(wait, kLongestWait);
+}
+
+double TokenBucket::TokensAt(TimePoint now) const {
+  return std::min(m_burst,
+                  m_tokens + ToSeconds(now - m_updated) * m_per_second);
+}
+
+}  // namespace filbertrack
--- /dev/null
+++ b/source/config_resources.cc
@@ -0,0 +1,330 @@
+#include "filbertrack/config_resources.h"
+
+#include <algorithm>
+#include <set>
+
+#include <nlohmann/json.hpp>
+
+#include "filbertrack/base_hash.h"
+
+namespace filbertrack {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr size_t kSha256HexDigits = 64;
+constexpr double kMostRequestsPerSecond = 1e6;
+
+/// Reads the fields of one resource and remembers the first fault.
+class FieldReader {
+ public:
+  FieldReader(std::string resource, const Json& fields)
+      : m_resource(std::move(resource)), m_fields(fields) {
+    if (!fields.is_object()) {
+      Fault("", fields, "an object of fields");
+    }
+  }
+
+  std::string Text(const std::string& field, const std::string& fallback) {
+    const Json* value = Take(field);
+    if (value == nullptr) {
+      return fallback;
+    }
+    if (!value->is_string()) {
+      Fault(field, *value, "a text");
+      return fallback;
+    }
+    return value->get<std::string>();
+  }
+
+  double Number(const std::string& field,
+                double fallback,
+                double lowest,
+                double highest) {
+    const Json* value = Take(field);
+    if (value == nullptr) {
+      return fallback;
+    }
+    if (!value->is_number() || value->get<double>() < lowest ||
+        value->get<double>() > highest) {
+      Fault(field, *value,
+            "a number from " + Json(lowest).dump() + " to " +
+                Json(highest).dump());
+      return fallback;
+    }
+    return value->get<double>();
+  }
+
+  int Integer(const std::string& field, int fallback, int lowest, int highest) {
+    const Json* value = Take(field);
+    if (value == nullptr) {
+      return fallback;
+    }
+    if (!value->is_number_integer() || value->get<int64_t>() < lowest ||
+        value->get<int64_t>() > highest) {
+      Fault(field, *value,
+            "an integer from " + std::to_string(lowest) + " to " +
+                std::to_string(highest));
+      return fallback;
+    }
+    return value->get<int>();
+  }
+
+  std::vector<std::string> Texts(const std::string& field) {
+    std::vector<std::string> texts;
+    const Json* value = Take(field);
+    if (value == nullptr) {
+      return texts;
+    }
+    if (!value->is_array()) {
+      Fault(field, *value, "a list of texts");
+      return texts;
+    }
+    for (const Json& entry : *value) {
+      if (!entry.is_string()) {
+        Fault(field, entry, "a text");
+        return texts;
+      }
+      texts.push_back(entry.get<std::string>());
+    }
+    return texts;
+  }
+
+  /// The raw list of a field; empty where it is absent.
+  Json List(const std::string& field) {
+    const Json* value = Take(field);
+    if (value == nullptr) {
+      return Json::array();
+    }
+    if (!value->is_array()) {
+      Fault(field, *value, "a list");
+      return Json::array();
+    }
+    return *value;
+  }
+
+  void Fault(const std::string& field,
+             const Json& value,
+             const std::string& allowed) {
+    if (!m_fault.empty()) {
+      return;
+    }
+    m_fault = "The resource '" + m_resource + "', field '" + field +
+              "', has the value " +
+              value.dump(-1, ' ', false, Json::error_handler_t::replace) +
+              "; allowed is " + allowed + ".";
+  }
+
+  /// The first fault, an unknown field included; empty where all is well.
+  std::string Finish() {
+    if (!m_fault.empty() || !m_fields.is_object()) {
+      return m_fault;
+    }
+    for (const auto& [field, value] : m_fields.items()) {
+      if (!m_taken.contains(field)) {
+        Fault(field, value, "no such field");
+      }
+    }
+    return m_fault;
+  }
+
+ private:
+  const Json* Take(const std::string& field) {
+    m_taken.insert(field);
+    if (!m_fields.is_object() || !m_fields.contains(field)) {
+      return nullptr;
+    }
+    return &m_fields[field];
+  }
+
+  std::string m_resource;
+  const Json& m_fields;
+  std::set<std::string> m_taken;
+  std::string m_fault;
+};
+
+Service ReadService(const std::string& name, FieldReader& reader) {
+  Service service;
+  service.name = name;
+  const std::string type = reader.Text("type", "model");
+  if (type != "model" && type != "plain") {
+    reader.Fault("type", type, "model or plain");
+  }
+  service.type = type == "plain" ? ServiceType::kPlain : ServiceType::kModel;
+  service.downtime_weight = reader.Number("downtime_weight", 0.5, 0, 1);
+  service.max_in_flight = reader.Integer("max_in_flight", 64, 1, 100000);
+  for (const std::string& text : reader.Texts("backend_servers")) {
+    const Result<Address> address = ParseAddress(text);
+    if (!address) {
+      reader.Fault("backend_servers", text, "an IP address with a port");
+      continue;
+    }
+    service.backend_servers.push_back(*address);
+  }
+  return service;
+}
+
+ServingGroup ReadServingGroup(const std::string& name, FieldReader& reader) {
+  ServingGroup group;
+  group.name = name;
+  group.service = reader.Text("service", "");
+  group.model_version = reader.Text("model_version", "");
+  group.last_good_version = reader.Text("last_good_version", "");
+  group.adapters = reader.Texts("adapters");
+  group.replicas = reader.Integer("replicas", 1, 0, 1000);
+  group.members_per_replica = reader.Integer("members_per_replica", 1, 1, 64);
+  group.spares_per_domain = reader.Integer("spares_per_domain", 0, 0, 64);
+  return group;
+}
+
+Workspace ReadWorkspace(const std::string& name, FieldReader& reader) {
+  Workspace workspace;
+  workspace.name = name;
+  workspace.key_sha256 = reader.Text("key_sha256", "");
+  if (workspace.key_sha256.size() != kSha256HexDigits) {
+    reader.Fault("key_sha256", workspace.key_sha256,
+                 "the 64 hexadecimal digits of the key's SHA-256");
+  }
+  workspace.priority = reader.Integer("priority", 1, 0, 9);
+  for (const Json& row : reader.List("entitlements")) {
+    FieldReader fields("workspace/" + name + " entitlement", row);
+    Entitlement entitlement;
+    entitlement.service = fields.Text("service", "");
+    entitlement.requests_per_second =
+        fields.Number("requests_per_second", 0, 0, kMostRequestsPerSecond);
+    const std::string fault = fields.Finish();
+    if (!fault.empty()) {
+      std::string allowed = "a list of entitlements: ";
+      allowed += fault;
+      reader.Fault("entitlements", row, allowed);
+    }
+    workspace.entitlements.push_back(entitlement);
+  }
+  return workspace;
+}
+
+/// Checks what one resource says of another.
+std::string FindDanglingName(const Resources& resources) {
+  const auto lacks_service = [&resources](const std::string& name) {
+    return !resources.services.contains(name);
+  };
+  const auto fault = [](const std::string& resource, const std::string& field,
+                        const std::string& value) {
+    return "The resource '" + resource + "', field '" + field + "', names '" +
+           value + "', which this change does not declare.";
+  };
+  for (const auto& [name, version] : resources.model_versions) {
+    if (lacks_service(version.service)) {
+      return fault("model_version/" + name, "service", version.service);
+    }
+  }
+  for (const auto& [name, adapter] : resources.adapters) {
+    if (lacks_service(adapter.service)) {
+      return fault("adapter/" + name, "service", adapter.service);
+    }
+  }
+  for (const auto& [name, group] : resources.serving_groups) {
+    const std::string resource = "serving_group/" + name;
+    if (lacks_service(group.service)) {
+      return fault(resource, "service", group.service);
+    }
+    if (!resources.model_versions.contains(group.model_version)) {
+      return fault(resource, "model_version", group.model_version);
+    }
+    if (!group.last_good_version.empty() &&
+        !resources.model_versions.contains(group.last_good_version)) {
+      return fault(resource, "last_good_version", group.last_good_version);
+    }
+    for (const std::string& adapter : group.adapters) {
+      if (!resources.adapters.contains(adapter)) {
+        return fault(resource, "adapters", adapter);
+      }
+    }
+  }
+  for (const auto& [name, workspace] : resources.workspaces) {
+    for (const Entitlement& entitlement : workspace.entitlements) {
+      if (lacks_service(entitlement.service)) {
+        return fault("workspace/" + name, "entitlements", entitlement.service);
+      }
+    }
+  }
+  return "";
+}
+
+}  // namespace
+
+Result<Resources> ParseResources(const Json& set) {
+  Resources resources;
+  if (!set.is_object()) {
+    return Fail(ResultCode::kResourceInvalid,
+                "The set of resources must be an object from kind/name to "
+                "fields.");
+  }
+  for (const auto& [id, fields] : set.items()) {
+    const size_t slash = id.find('/');
+    const std::string kind = id.substr(0, slash);
+    const std::string name =
+        slash == std::string::npos ? "" : id.substr(slash + 1);
+    if (name.empty()) {
+      return Fail(ResultCode::kResourceInvalid,
+                  "The resource '" + id + "' must be written as kind/name.");
+    }
+    FieldReader reader(id, fields);
+    if (kind == "service") {
+      resources.services[name] = ReadService(name, reader);
+    } else if (kind == "model_version") {
+      resources.model_versions[name] = {
+          name, reader.Text("service", ""),
+          static_cast<int64_t>(reader.Number("weight_bytes", 0, 0, 1e15))};
+    } else if (kind == "adapter") {
+      resources.adapters[name] = {name, reader.Text("service", "")};
+    } else if (kind == "serving_group") {
+      resources.serving_groups[name] = ReadServingGroup(name, reader);
+    } else if (kind == "workspace") {
+      resources.workspaces[name] = ReadWorkspace(name, reader);
+    } else {
+      return Fail(ResultCode::kResourceInvalid,
+                  "The resource '" + id + "' has the kind '" + kind +
+                      "'; allowed are service, model_version, adapter, "
+                      "serving_group and workspace.");
+    }
+    const std::string fault = reader.Finish();
+    if (!fault.empty()) {
+      return Fail(ResultCode::kResourceInvalid, fault);
+    }
+  }
+  const std::string dangling = FindDanglingName(resources);
+  if (!dangling.empty()) {
+    return Fail(ResultCode::kResourceInvalid, dangling);
+  }
+  return resources;
+}
+
+const Workspace* FindWorkspaceByKey(const Resources& resources,
+                                    std::string_view key_sha256) {
+  // Every workspace is compared, so that the time does not tell which one
+  // matched or how far a wrong key came.
+  const Workspace* found = nullptr;
+  for (const auto& [name, workspace] : resources.workspaces) {
+    if (ConstantTimeEqual(workspace.key_sha256, key_sha256)) {
+      found = &workspace;
+    }
+  }
+  return found;
+}
+
+ModelTarget FindModel(const Resources& resources, std::string_view model) {
+  const auto service = resources.services.find(model);
+  if (service != resources.services.end()) {
+    return {&service->second, ""};
+  }
+  const auto adapter = resources.adapters.find(model);
+  if (adapter == resources.adapters.end()) {
+    return {};
+  }
+  const auto base = resources.services.find(adapter->second.service);
+  return {&base->second, adapter->first};
+}
+
+}  // namespace filbertrack
--- /dev/null
+++ b/source/event_loop.cc
@@ -0,0 +1,103 @@
+#include "filbertrack/event_loop.h"
+
+#include <csignal>
+#include <utility>
+
+#include <event2/event.h>
+
+namespace filbertrack {
+
+namespace {
+
+timeval ToTimeval(Duration duration) {
+  return {static_cast<time_t>(duration / Seconds(1)),
+          static_cast<suseconds_t>((duration % Seconds(1)).count())};
+}
+
+void RunPosted(int, short, void* argument) {
+  const std::unique_ptr<std::function<void()>> action(
+      static_cast<std::function<void()>*>(argument));
+  (*action)();
+}
+
+}  // namespace
+
+TimePoint MonotonicNow() {
+  return std::chrono::time_point_cast<Duration>(
+      std::chrono::steady_clock::now());
+}
+
+Timer::Timer(event_base* base,
+             Duration interval,
+             bool repeats,
+             std::function<void()> action)
+    : m_action(std::move(action)),
+      m_event(event_new(base,
+                        -1,
+                        static_cast<short>(repeats ? EV_PERSIST : 0),
+                        &Timer::OnFire,
+                        this)) {
+  const timeval delay = ToTimeval(interval);
+  event_add(m_event, &delay);
+}
+
+Timer::~Timer() {
+  event_free(m_event);
+}
+
+void Timer::OnFire(int, short, void* self) {
+  // The action may destroy this timer, so it runs from a copy.
+  const std::function<void()> action = static_cast<Timer*>(self)->m_action;
+  action();
+}
+
+EventLoop::EventLoop() : m_base(event_base_new()) {
+  // A peer that closes its socket while we write must cost this process an
+  // error on that socket, not its life.
+  std::signal(SIGPIPE, SIG_IGN);
+}
+
+EventLoop::~EventLoop() {
+  if (m_terminate != nullptr) {
+    event_free(m_terminate);
+    event_free(m_interrupt);
+  }
+  event_base_free(m_base);
+}
+
+std::unique_ptr<Timer> EventLoop::Every(Duration interval,
+                                        std::function<void()> action) {
+  return std::make_unique<Timer>(m_base, interval, true, std::move(action));
+}
+
+std::unique_ptr<Timer> EventLoop::After(Duration delay,
+                                        std::function<void()> action) {
+  return std::make_unique<Timer>(m_base, delay, false, std::move(action));
+}
+
+void EventLoop::Post(std::function<void()> action) {
+  const timeval at_once{0, 0};
+  event_base_once(m_base, -1, EV_TIMEOUT, RunPosted,
+                  new std::function<void()>(std::move(action)), &at_once);
+}
+
+void EventLoop::OnStopSignal(std::function<void()> action) {
+  m_stop_action = std::move(action);
+  const auto run = [](int, short, void* self) {
+    static_cast<EventLoop*>(self)->m_stop_action();
+  };
+  m_terminate = evsignal_new(m_base, SIGTERM, run, this);
+  m_interrupt = evsignal_new(m_base, SIGINT, run, this);
+  event_add(m_terminate, nullptr);
+  event_add(m_interrupt, nullptr);
+}
+
+void EventLoop::Run() {
+  event_base_dispatch(m_base);
+}
+
+void EventLoop::Stop() {
+  event_base_loopbreak(m_base);
+}
+
+}  // namespace filbertrack
--- /dev/null
+++ b/source/groups_assign.cc
@@ -0,0 +1,126 @@
+#include "filbertrack/groups_assign.h"
+
+#include <algorithm>
+
+namespace filbertrack {
+
+namespace {
+
+constexpr double kSparesAreUsedBelow = 0.5;
+
+bool HoldsPlace(const Group& group) {
+  return group.phase != GroupPhase::kBroken &&
+         group.drain_goal != DrainGoal::kDissolve;
+}
+
+/// Serving groups in the order in which they get hosts: those whose downtime
+/// weighs most first.
+std::vector<const ServingGroup*> InOrder(const Resources& resources) {
+  std::vector<const ServingGroup*> order;
+  for (const auto& [name, group] : resources.serving_groups) {
+    order.push_back(&group);
+  }
+  std::stable_sort(
+      order.begin(), order.end(),
+      [&resources](const auto* left, const auto* right) {
+        return resources.services.at(left->service).downtime_weight >
+               resources.services.at(right->service).downtime_weight;
+      });
+  return order;
+}
+
+struct FreeHostCount {
+  std::string_view domain;
+  int free = 0;
+};
+
+FreeHostCount* MostFree(std::vector<FreeHostCount>& counts, int needed) {
+  FreeHostCount* best = nullptr;
+  for (FreeHostCount& count : counts) {
+    if (count.free >= needed && (best == nullptr || count.free > best->free)) {
+      best = &count;
+    }
+  }
+  return best;
+}
+
+bool NeedsChange(const Group& group, const ServingGroup& declared) {
+  return group.model_version != declared.model_version ||
+         group.adapters != declared.adapters;
+}
+
+}  // namespace
+
+Assignment AssignReplicas(const Resources& resources,
+                          const DomainSummaries& domains) {
+  Assignment wanted;
+  std::vector<FreeHostCount> free;
+  for (const auto& [name, domain] : domains) {
+    free.push_back({name, domain.state.free_hosts});
+  }
+  for (const ServingGroup* declared : InOrder(resources)) {
+    int missing = declared->replicas;
+    for (const auto& [name, domain] : domains) {
+      for (const Group& group : domain.state.groups) {
+        if (missing > 0 && group.serving_group == declared->name &&
+            HoldsPlace(group)) {
+          ++wanted[name][declared->name];
+          --missing;
+        }
+      }
+    }
+    const bool keeps_spares =
+        resources.services.at(declared->service).downtime_weight >=
+        kSparesAreUsedBelow;
+    const int reserve = keeps_spares ? declared->spares_per_domain : 0;
+    while (missing > 0) {
+      FreeHostCount* place =
+          MostFree(free, declared->members_per_replica + reserve);
+      if (place == nullptr) {
+        break;
+      }
+      ++wanted[std::string(place->domain)][declared->name];
+      place->free -= declared->members_per_replica;
+      --missing;
+    }
+    // What fits nowhere else stays wanted where it broke, so that it is
+    // repaired when hosts come back.
+    for (const auto& [name, domain] : domains) {
+      for (const Group& group : domain.state.groups) {
+        if (missing > 0 && group.serving_group == declared->name &&
+            group.phase == GroupPhase::kBroken) {
+          ++wanted[name][declared->name];
+          --missing;
+        }
+      }
+    }
+  }
+  return wanted;
+}
+
+std::vector<std::string> MayRoll(const Resources& resources,
+                                 const DomainSummaries& domains,
+                                 std::string_view domain) {
+  std::vector<std::string> names;
+  for (const auto& [name, declared] : resources.serving_groups) {
+    bool all_serve = true;
+    std::string_view first_old;
+    for (const auto& [place, summary] : domains) {
+      for (const Group& group : summary.state.groups) {
+        if (group.serving_group != name) {
+          continue;
+        }
+        all_serve = all_serve && group.phase == GroupPhase::kServing;
+        if (first_old.empty() && NeedsChange(group, declared)) {
+          first_old = place;
+        }
+      }
+    }
+    if (all_serve && first_old == domain) {
+      names.push_back(name);
+    }
+  }
+  return names;
+}
+
+}  // namespace filbertrack
--- /dev/null
+++ b/source/groups_evidence.cc
@@ -0,0 +1,116 @@
+#include "filbertrack/groups_evidence.h"
+
+#include <algorithm>
+#include <array>
+
+#include <nlohmann/json.hpp>
+
+namespace filbertrack {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr auto kPhaseNames =
+    std::to_array<std::string_view>({"idle", "loading", "ready", "failed"});
+
+MemberPhase PhaseFromName(const std::string& name) {
+  for (size_t i = 0; i < kPhaseNames.size(); ++i) {
+    if (kPhaseNames[i] == name) {
+      return static_cast<MemberPhase>(i);
+    }
+  }
+  // A phase this version does not know takes no requests.
+  return MemberPhase::kIdle;
+}
+
+Json ReportToJson(const MemberReport& report) {
+  return {{"host", report.host},
+          {"incarnation", report.incarnation},
+          {"group", report.group},
+          {"epoch", report.epoch},
+          {"fence", report.fence},
+          {"phase", kPhaseNames[static_cast<size_t>(report.phase)]},
+          {"model_version", report.model_version},
+          {"running", report.running},
+          {"queued", report.queued},
+          {"slots", report.slots},
+          {"prefill_us", report.prefill.count()},
+          {"token_us", report.token_interval.count()},
+          {"cached", report.cached_prefixes}};
+}
+
+MemberReport ReportFromJson(const Json& value) {
+  MemberReport report;
+  report.host = value.at("host");
+  report.incarnation = value.at("incarnation");
+  report.group = value.at("group");
+  report.epoch = value.at("epoch");
+  report.fence = value.at("fence");
+  report.phase = PhaseFromName(value.at("phase"));
+  report.model_version = value.at("model_version");
+  report.running = value.at("running");
+  report.queued = value.at("queued");
+  report.slots = value.at("slots");
+  report.prefill = Duration(value.at("prefill_us").get<int64_t>());
+  report.token_interval = Duration(value.at("token_us").get<int64_t>());
+  report.cached_prefixes = value.at("cached").get<std::vector<std::string>>();
+  return report;
+}
+
+}  // namespace
+
+Result<BeatLine> ParseBeatLine(std::string_view line) {
+  try {
+    const Json value = Json::parse(line);
+    BeatLine beat;
+    beat.engine_clock_us = value.at("t");
+    if (value.contains("r")) {
+      beat.report = ReportFromJson(value.at("r"));
+    }
+    return beat;
+  } catch (const Json::exception& error) {
+    return Fail(
+        ResultCode::kBadRequest,
+        std::string("A line of an engine cannot be read: ") + error.what());
+  }
+}
+
+std::string FormatBeatLine(const BeatLine& beat) {
+  Json value = {{"t", beat.engine_clock_us}};
+  if (beat.report) {
+    value["r"] = ReportToJson(*beat.report);
+  }
+  return value.dump() + "\n";
+}
+
+void MemberEvidence::OnConnect(TimePoint asked_at) {
+  m_asked_at = asked_at;
+  m_clock_offset.reset();
+}
+
+void MemberEvidence::OnBeat(const BeatLine& beat) {
+  m_connected = true;
+  if (beat.report) {
+    m_report = beat.report;
+  }
+  // A reader that was paused finds old lines in its socket and would take a
+  // dead member for a live one if it counted from their arrival. The first line
+  // cannot be older than the question it answers, and the engine's clock gives
+  // the time between lines; so every line's age is known to within the time
+  // that the first answer took, whenever it is read. The reader asks anew every
+  // few minutes, which bounds what the two clocks drift apart.
+  const Duration engine_clock(beat.engine_clock_us);
+  if (!m_clock_offset) {
+    m_clock_offset = m_asked_at.time_since_epoch() - engine_clock;
+  }
+  const TimePoint sent(engine_clock + *m_clock_offset);
+  m_alive_at = std::max(m_alive_at.value_or(sent), sent);
+}
+
+void MemberEvidence::OnDisconnected() {
+  m_connected = false;
+  m_alive_at.reset();
+}
+
+}  // namespace filbertrack
--- /dev/null
+++ b/source/main_filbertctl.cc
@@ -0,0 +1,326 @@
+/// filbertctl: the operator's command.
+
+#include <chrono>
+#include <cstdio>
+#include <fstream>
+#include <iostream>
+
+#include <CLI/CLI.hpp>
+#include <nlohmann/json.hpp>
+
+#include "filbertrack/groups_plan.h"
+#include "filbertrack/operator_client.h"
+
+namespace filbertrack {
+namespace {
+
+using Json = nlohmann::json;
+
+struct CommandLine {
+  std::string settings_path;
+  bool json = false;
+  std::string file;
+  std::string reason;
+  bool dry_run = false;
+  bool wait = false;
+  int64_t wait_seconds = 10;
+  uint64_t generation = 0;
+  size_t most = 20;
+  bool explain = false;
+};
+
+int Report(const Error& error) {
+  std::fprintf(stderr, "filbertctl: %s\n", error.message.c_str());
+  return static_cast<int>(error.code);
+}
+
+Result<Json> ReadChange(const std::string& path) {
+  std::ifstream stream(path);
+  if (!stream) {
+    return Fail(ResultCode::kUsage, "The file '" + path + "' cannot be read.");
+  }
+  Json change = Json::parse(stream, nullptr, false);
+  if (change.is_discarded()) {
+    return Fail(ResultCode::kResourceInvalid,
+                "The file '" + path + "' is not valid JSON.");
+  }
+  return change;
+}
+
+int64_t WallTimeMs() {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+             std::chrono::system_clock::now().time_since_epoch())
+      .count();
+}
+
+void PrintChange(const ChangeResult& result,
+                 std::string_view verb,
+                 const CommandLine& line) {
+  if (line.json) {
+    std::cout << Json({{"result", verb},
+                       {"generation", result.generation},
+                       {"changed", result.changed}})
+                     .dump()
+              << "\n";
+    return;
+  }
+  for (const std::string& row : result.changed) {
+    std::cout << row << "\n";
+  }
+  if (result.changed.empty()) {
+    std::cout << "nothing differs\n";
+  } else {
+    std::cout << verb << ": generation " << result.generation << "\n";
+  }
+}
+
+int RunApply(OperatorClient& client,
+             const Settings& settings,
+             const CommandLine& line) {
+  const Result<Json> change = ReadChange(line.file);
+  if (!change) {
+    return Report(change.error());
+  }
+  if (line.dry_run) {
+    const Result<ChangeResult> preview = client.Preview(*change);
+    if (!preview) {
+      return Report(preview.error());
+    }
+    PrintChange(*preview, "would become", line);
+    return 0;
+  }
+  const Result<ChangeResult> applied = client.Apply(
+      {*change, settings.Text("operator", "name"), line.reason, WallTimeMs()});
+  if (!applied) {
+    return Report(applied.error());
+  }
+  PrintChange(*applied, "accepted", line);
+  if (line.wait && !applied->changed.empty()) {
+    const Result<bool> in_force =
+        client.WaitInForce(applied->generation, Seconds(line.wait_seconds));
+    if (!in_force) {
+      return Report(in_force.error());
+    }
+    if (!line.json) {
+      std::cout << "in force on every entry host\n";
+    }
+  }
+  return 0;
+}
+
+int RunGet(OperatorClient& client) {
+  const Result<StoredConfig> config = client.ReadConfig();
+  if (!config) {
+    return Report(config.error());
+  }
+  std::cout << config->set.resources.dump(2) << "\n";
+  return 0;
+}
+
+int RunWait(OperatorClient& client, const CommandLine& line) {
+  const Result<bool> in_force =
+      client.WaitInForce(line.generation, Seconds(line.wait_seconds));
+  return in_force ? 0 : Report(in_force.error());
+}
+
+int RunHistory(OperatorClient& client, const CommandLine& line) {
+  const Result<std::vector<ChangeRecord>> records = client.History(line.most);
+  if (!records) {
+    return Report(records.error());
+  }
+  for (const ChangeRecord& record : *records) {
+    if (line.json) {
+      std::cout << Json({{"generation", record.generation},
+                         {"change_id", record.change_id},
+                         {"author", record.author},
+                         {"reason", record.reason},
+                         {"wall_time_ms", record.wall_time_ms},
+                         {"changed", record.changed}})
+                       .dump()
+                << "\n";
+      continue;
+    }
+    std::cout << record.generation << "  " << record.author << "  "
+              << record.reason << "\n";
+    for (const std::string& row : record.changed) {
+      std::cout << "    " << row << "\n";
+    }
+  }
+  return 0;
+}
+
+Json DecisionRow(const DomainReport& report, const DecisionRecord& record) {
+  return {{"domain", report.domain},
+          {"number", record.number},
+          {"wall_time_ms", record.wall_time_ms},
+          {"controller", record.controller},
+          {"action", record.action},
+          {"group", record.group},
+          {"epoch", record.epoch},
+          {"evidence", record.evidence}};
+}
+
+void PrintDecisions(const DomainReport& report, bool json) {
+  for (const DecisionRecord& record : report.state.decisions) {
+    if (json) {
+      std::cout << DecisionRow(report, record).dump() << "\n";
+    } else {
+      std::cout << "    " << record.action << " " << record.group << " epoch "
+                << record.epoch << " by " << record.controller << ": "
+                << record.evidence << "\n";
+    }
+  }
+}
+
+void PrintDomain(const DomainReport& report, const CommandLine& line) {
+  const int stranded = StrandedAccelerators(report.state, report.hosts);
+  if (line.json) {
+    Json groups = Json::array();
+    for (const Group& group : report.state.groups) {
+      groups.push_back({{"id", group.id},
+                        {"serving_group", group.serving_group},
+                        {"epoch", group.epoch},
+                        {"phase", GroupPhaseName(group.phase)},
+                        {"model_version", group.model_version},
+                        {"members", group.members}});
+    }
+    std::cout << Json({{"domain", report.domain},
+                       {"data_centre", report.hosts.data_centre},
+                       {"holder", report.state.lease.holder},
+                       {"stranded_accelerators", stranded},
+                       {"groups", groups}})
+                     .dump()
+              << "\n";
+    return;
+  }
+  std::cout << report.domain << "  (" << report.hosts.data_centre
+            << ", controller " << report.state.lease.holder
+            << ", stranded accelerators " << stranded << ")\n";
+  for (const Group& group : report.state.groups) {
+    std::cout << "  " << group.id << "  " << GroupPhaseName(group.phase)
+              << "  epoch " << group.epoch << "  " << group.model_version
+              << " ";
+    for (const std::string& member : group.members) {
+      std::cout << " " << member;
+    }
+    std::cout << "\n";
+  }
+}
+
+int RunStatus(OperatorClient& client, const CommandLine& line) {
+  const Result<std::vector<DomainReport>> reports = client.ReadDomains();
+  if (!reports) {
+    return Report(reports.error());
+  }
+  for (const DomainReport& report : *reports) {
+    PrintDomain(report, line);
+    if (line.explain) {
+      PrintDecisions(report, line.json);
+    }
+  }
+  for (const EntryHostReport& host : client.AskEntryHosts()) {
+    if (line.json) {
+      std::cout << Json({{"entry_host", host.address.ToString()},
+                         {"reachable", host.reachable},
+                         {"ready", host.ready},
+                         {"generation", host.generation}})
+                       .dump()
+                << "\n";
+    } else {
+      std::cout << "entry host " << host.address.ToString() << "  "
+                << (host.ready       ? "ready"
+                    : host.reachable ? "not ready"
+                                     : "unreachable")
+                << "  generation " << host.generation << "\n";
+    }
+  }
+  return 0;
+}
+
+int RunAudit(OperatorClient& client, const CommandLine& line) {
+  const int history = RunHistory(client, line);
+  if (history != 0) {
+    return history;
+  }
+  const Result<std::vector<DomainReport>> reports = client.ReadDomains();
+  if (!reports) {
+    return Report(reports.error());
+  }
+  for (const DomainReport& report : *reports) {
+    if (!line.json) {
+      std::cout << "decisions in " << report.domain << "\n";
+    }
+    PrintDecisions(report, line.json);
+  }
+  return 0;
+}
+
+int RunCommand(const std::string& command, const CommandLine& line) {
+  const Result<Settings> settings =
+      OperatorSchema().ReadFile(line.settings_path);
+  if (!settings) {
+    return Report(settings.error());
+  }
+  OperatorClient client(*settings);
+  if (command == "apply") {
+    return RunApply(client, *settings, line);
+  }
+  if (command == "get") {
+    return RunGet(client);
+  }
+  if (command == "wait") {
+    return RunWait(client, line);
+  }
+  if (command == "history") {
+    return RunHistory(client, line);
+  }
+  if (command == "status") {
+    return RunStatus(client, line);
+  }
+  return RunAudit(client, line);
+}
+
+void DeclareCommands(CLI::App& app, CommandLine& line) {
+  app.add_option("-s,--settings", line.settings_path, "The INI settings file.")
+      ->required();
+  app.add_flag("--json", line.json, "Print JSON lines.");
+  CLI::App* apply = app.add_subcommand("apply", "Apply a change as a whole.");
+  apply->add_option("-f,--file", line.file, "JSON file with the change.")
+      ->required();
+  apply->add_option("--reason", line.reason, "Why; shown by history.");
+  apply->add_flag("--dry-run", line.dry_run, "Only show what would differ.");
+  apply->add_flag("--wait", line.wait, "Wait until it is in force.");
+  apply->add_option("--seconds", line.wait_seconds, "Longest wait.");
+  app.add_subcommand("get", "Print the declared resources.");
+  CLI::App* wait =
+      app.add_subcommand("wait", "Wait until a generation is in force.");
+  wait->add_option("generation", line.generation, "The generation.")
+      ->required();
+  wait->add_option("--seconds", line.wait_seconds, "Longest wait.");
+  CLI::App* history = app.add_subcommand("history", "List accepted changes.");
+  history->add_option("--most", line.most, "So many, newest first.");
+  CLI::App* status =
+      app.add_subcommand("status", "Show domains, groups and entry hosts.");
+  status->add_flag("--explain", line.explain, "Show why groups changed.");
+  app.add_subcommand("audit", "Show changes by operators and by the fleet.");
+  app.require_subcommand(1);
+}
+
+}  // namespace
+}  // namespace filbertrack
+
+int main(int argc, char** argv) {
+  CLI::App app("Changes and shows what filbertrack serves.", "filbertctl");
+  filbertrack::CommandLine line;
+  app.set_version_flag("--version", "filbertctl " FILBERTRACK_VERSION);
+  filbertrack::DeclareCommands(app, line);
+  try {
+    app.parse(argc, argv);
+  } catch (const CLI::ParseError& error) {
+    return app.exit(error) == 0
+               ? 0
+               : static_cast<int>(filbertrack::ResultCode::kUsage);
+  }
+  return filbertrack::RunCommand(app.get_subcommands().front()->get_name(),
+                                 line);
+}
--- /dev/null
+++ b/source/request_machine.cc
@@ -0,0 +1,197 @@
+#include "filbertrack/request_machine.h"
+
+namespace filbertrack {
+
+namespace {
+
+using Actions = std::vector<RequestAction>;
+
+constexpr int kFirstServerError = 500;
+
+/// Handles one event. Each overload is one row of the transition table.
+class Step {
+ public:
+  Step(RequestState& state, const RequestPolicy& policy, TimePoint now)
+      : m_state(state), m_policy(policy), m_now(now) {}
+
+  Actions operator()(const TargetChosen&) {
+    ++m_state.attempts;
+    m_state.attempt_open = true;
+    m_state.attempt_relays = false;
+    m_state.attempt_token = m_state.next_token;
+    return {};
+  }
+
+  Actions operator()(const NoTarget& event) { return GiveUp(event.code); }
+
+  Actions operator()(const AttemptHead& event) {
+    if (!m_state.attempt_open) {
+      return {};
+    }
+    if (!event.request_id_matches) {
+      // Another request's answer on this connection, as after a late answer on
+      // a reused one. The caller would read somebody else's text; the attempt
+      // ends as if its connection had broken.
+      return EndAttempt(true);
+    }
+    if (event.says_not_run) {
+      return EndAttempt(false);
+    }
+    if (!m_state.traits.pass_any_status && event.status >= kFirstServerError) {
+      return EndAttempt(true);
+    }
+    m_state.attempt_relays = true;
+    return {};
+  }
+
+  Actions operator()(const AttemptToken& event) {
+    if (!m_state.attempt_open || !m_state.attempt_relays) {
+      return {};
+    }
+    if (event.event.done) {
+      m_state.attempt_open = false;
+      m_state.ended = true;
+      return {CloseAttempt{}, FinishStream{}};
+    }
+    const uint64_t token = event.event.id.value_or(m_state.attempt_token);
+    m_state.attempt_token = token + 1;
+    if (token < m_state.next_token) {
+      // The engine began before the place it was asked to resume from; the
+      // caller has this token.
+      return {};
+    }
+    if (token > m_state.next_token) {
+      // A token is missing. Forwarding on would give the caller a text with a
+      // hole in it.
+      return EndAttempt(true);
+    }
+    ++m_state.next_token;
+    m_state.answer_started = true;
+    SseEvent forwarded = event.event;
+    forwarded.id = token;
+    return {ForwardToken{std::move(forwarded)}};
+  }
+
+  Actions operator()(const AttemptComplete&) {
+    if (!m_state.attempt_open) {
+      return {};
+    }
+    if (m_state.traits.shape == AnswerShape::kTokenStream ||
+        !m_state.attempt_relays) {
+      // A stream is whole only with its closing event.
+      return EndAttempt(true);
+    }
+    m_state.attempt_open = false;
+    m_state.ended = true;
+    return {CloseAttempt{}, ForwardAnswer{}};
+  }
+
+  Actions operator()(const AttemptFailed& event) {
+    if (!m_state.attempt_open) {
+      return {};
+    }
+    return EndAttempt(event.bytes_may_have_left);
+  }
+
+  Actions operator()(const TargetLost&) {
+    if (!m_state.attempt_open) {
+      return {};
+    }
+    return EndAttempt(true);
+  }
+
+  Actions operator()(const DeadlinePassed&) {
+    return GiveUp(ResultCode::kDeadlinePassed);
+  }
+
+  Actions operator()(const CallerLeft&) {
+    Actions actions;
+    Close(actions);
+    m_state.ended = true;
+    return actions;
+  }
+
+ private:
+  void Close(Actions& actions) {
+    if (m_state.attempt_open) {
+      actions.emplace_back(CloseAttempt{});
+      m_state.attempt_open = false;
+    }
+  }
+
+  /// Ends an attempt without an answer and decides whether there is another.
+  Actions EndAttempt(bool may_have_run) {
+    Actions actions;
+    actions.emplace_back(CloseAttempt{true});
+    m_state.attempt_open = false;
+    if (may_have_run) {
+      m_state.known = Outcome::kUnknown;
+    }
+    if (m_now >= m_state.traits.deadline) {
+      return Append(std::move(actions), GiveUp(ResultCode::kDeadlinePassed));
+    }
+    if (may_have_run && !m_state.traits.idempotent) {
+      return Append(std::move(actions), GiveUp(ResultCode::kUpstreamFailed));
+    }
+    if (m_state.attempts >= m_policy.most_attempts) {
+      return Append(std::move(actions),
+                    GiveUp(m_state.known == Outcome::kNotRun
+                               ? ResultCode::kAttemptRefused
+                               : ResultCode::kUpstreamFailed));
+    }
+    actions.emplace_back(SeekTarget{true, m_state.next_token});
+    return actions;
+  }
+
+  /// The final answer, at once: holding it back would only keep the caller
+  /// from asking elsewhere.
+  Actions GiveUp(ResultCode code) {
+    Actions actions;
+    // An attempt that is stopped now may have run; only one that was never
+    // open, or was refused by the backend server, is known not to have.
+    if (m_state.attempt_open) {
+      m_state.known = Outcome::kUnknown;
+    }
+    Close(actions);
+    m_state.ended = true;
+    if (m_state.answer_started) {
+      actions.emplace_back(BreakStream{code});
+    } else {
+      actions.emplace_back(Refuse{code, m_state.known});
+    }
+    return actions;
+  }
+
+  static Actions Append(Actions first, Actions second) {
+    for (RequestAction& action : second) {
+      first.push_back(std::move(action));
+    }
+    return first;
+  }
+
+  RequestState& m_state;
+  const RequestPolicy& m_policy;
+  TimePoint m_now;
+};
+
+}  // namespace
+
+Actions StartRequest(RequestState& state, TimePoint now) {
+  if (now >= state.traits.deadline) {
+    state.ended = true;
+    return {Refuse{ResultCode::kDeadlinePassed, Outcome::kNotRun}};
+  }
+  return {SeekTarget{}};
+}
+
+Actions StepRequest(RequestState& state,
+                    const RequestEvent& event,
+                    const RequestPolicy& policy,
+                    TimePoint now) {
+  if (state.ended) {
+    return {};
+  }
+  return std::visit(Step(state, policy, now), event);
+}
+
+}  // namespace filbertrack
--- /dev/null
+++ b/source/request_retry_budget.cc
@@ -0,0 +1,30 @@
+#include "filbertrack/request_retry_budget.h"
+
+#include <algorithm>
+
+namespace filbertrack {
+
+void RetryBudget::OnRequest(TimePoint now) {
+  Refresh(now);
+  Earn(m_policy.earned_per_request);
+}
+
+bool RetryBudget::TrySpend(TimePoint now) {
+  Refresh(now);
+  if (m_saved < 1) {
+    return false;
+  }
+  m_saved -= 1;
+  return true;
+}
+
+void RetryBudget::Earn(double amount) {
+  m_saved = std::min(m_policy.most_saved, m_saved + amount);
+}
+
+void RetryBudget::Refresh(TimePoint now) {
+  Earn(ToSeconds(now - m_updated) * m_policy.earned_per_second);
+  m_updated = now;
+}
+
+}  // namespace filbertrack
--- /dev/null
+++ b/source/routing_choice.cc
@@ -0,0 +1,236 @@
+#include "filbertrack/routing_choice.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include "filbertrack/base_hash.h"
+
+namespace filbertrack {
+
+namespace {
+
+constexpr double kSmoothing = 0.2;
+/// A target's slowness falls back towards 1 only through requests; it never
+/// rises past this, so that some requests still reach it and can show that it
+/// has recovered.
+constexpr double kMostSlowness = 20;
+constexpr Duration kLeastServiceTime = Milliseconds(10);
+constexpr double kFirstShare = 0.1;
+
+double Smooth(double before, double measured) {
+  return before + kSmoothing * (measured - before);
+}
+
+/// Work at the target as far as this host can tell: what it reported, and what
+/// this host has sent since.
+int EstimatedLoad(const RouteCandidate& candidate) {
+  const int reported = candidate.load.running + candidate.load.queued;
+  return std::max(reported + candidate.history.sent_since_report,
+                  candidate.history.in_flight);
+}
+
+/// The part of its capacity that a target may use: it grows after a return, so
+/// that a cold target does not take the whole backlog at once.
+double SlowStartShare(const RouteCandidate& candidate,
+                      const PredictedFirstToken& policy,
+                      TimePoint now) {
+  const double age = ToSeconds(now - candidate.history.serving_since);
+  return std::clamp(age / ToSeconds(policy.slow_start), kFirstShare, 1.0);
+}
+
+bool HasRoom(const RouteCandidate& candidate,
+             const PredictedFirstToken& policy,
+             TimePoint now) {
+  const double room = candidate.load.slots * (1 + policy.queue_share) *
+                      SlowStartShare(candidate, policy, now);
+  return EstimatedLoad(candidate) < std::max(1.0, std::floor(room));
+}
+
+bool IsPaused(const TargetHistory& history,
+              const PredictedFirstToken& policy,
+              TimePoint now) {
+  if (history.failures == 0) {
+    return false;
+  }
+  const int doublings = std::min(history.failures - 1, 16);
+  const Duration pause =
+      std::min(policy.failure_pause * (1 << doublings), policy.longest_pause);
+  return now < history.last_failure + pause;
+}
+
+std::vector<size_t> ServingTargets(std::span<const RouteCandidate> candidates,
+                                   const RouteQuery& query,
+                                   const RouteLimits& limits,
+                                   TimePoint now) {
+  std::vector<size_t> serving;
+  for (size_t i = 0; i < candidates.size(); ++i) {
+    const RouteTarget& target = candidates[i].target;
+    const bool has_adapter =
+        query.adapter.empty() || target.adapters.contains(query.adapter);
+    if (target.service == query.service && has_adapter && !target.leaving &&
+        IsWhole(target, limits, now) && !query.excluded.contains(target.id)) {
+      serving.push_back(i);
+    }
+  }
+  return serving;
+}
+
+/// The target that the prompt's prefix hashes to: all entry hosts agree on it
+/// without speaking, so that its cache sees all requests of the prefix.
+size_t HomeOfPrefix(std::span<const RouteCandidate> candidates,
+                    const std::vector<size_t>& serving,
+                    std::string_view prefix) {
+  return *std::max_element(
+      serving.begin(), serving.end(), [&](size_t left, size_t right) {
+        return RendezvousWeight(prefix, candidates[left].target.id) <
+               RendezvousWeight(prefix, candidates[right].target.id);
+      });
+}
+
+std::vector<size_t> DrawCandidates(std::span<const RouteCandidate> candidates,
+                                   std::vector<size_t> open,
+                                   const RouteQuery& query,
+                                   const PredictedFirstToken& policy,
+                                   std::mt19937_64& random) {
+  std::vector<size_t> drawn;
+  if (!query.prefix.empty()) {
+    drawn.push_back(HomeOfPrefix(candidates, open, query.prefix));
+  }
+  std::shuffle(open.begin(), open.end(), random);
+  const size_t count =
+      std::min(open.size(), static_cast<size_t>(policy.random_candidates));
+  drawn.insert(drawn.end(), open.begin(),
+               open.begin() + static_cast<ptrdiff_t>(count));
+  return drawn;
+}
+
+Duration ShortestServiceTime(std::span<const RouteCandidate> candidates,
+                             const std::vector<size_t>& serving) {
+  Duration shortest = Seconds(1);
+  for (const size_t i : serving) {
+    const Duration time = candidates[i].history.service_time /
+                          std::max(1, candidates[i].load.slots);
+    shortest = std::min(shortest, std::max(time, kLeastServiceTime));
+  }
+  return shortest;
+}
+
+RouteDecision ChooseInTurn(RoundRobin& policy,
+                           const std::vector<size_t>& serving) {
+  return RouteChoice{serving[policy.next++ % serving.size()], Duration(0)};
+}
+
+RouteDecision ChoosePredicted(const PredictedFirstToken& policy,
+                              std::span<const RouteCandidate> candidates,
+                              const std::vector<size_t>& serving,
+                              const RouteQuery& query,
+                              TimePoint now,
+                              std::mt19937_64& random) {
+  std::vector<size_t> open;
+  for (const size_t i : serving) {
+    if (HasRoom(candidates[i], policy, now) &&
+        !IsPaused(candidates[i].history, policy, now)) {
+      open.push_back(i);
+    }
+  }
+  const RouteDenial busy{RouteRefusal::kAllBusy,
+                         ShortestServiceTime(candidates, serving)};
+  if (open.empty()) {
+    return busy;
+  }
+  RouteChoice best;
+  bool found = false;
+  for (const size_t i :
+       DrawCandidates(candidates, open, query, policy, random)) {
+    const Duration predicted = PredictFirstToken(candidates[i], query, policy);
+    if (!found || predicted < best.predicted) {
+      best = {i, predicted};
+      found = true;
+    }
+  }
+  if (now + best.predicted > query.deadline) {
+    return busy;
+  }
+  return best;
+}
+
+}  // namespace
+
+bool IsWhole(const RouteTarget& target,
+             const RouteLimits& limits,
+             TimePoint now) {
+  if (!target.needs_evidence) {
+    return true;
+  }
+  return target.whole_at && now - *target.whole_at <= limits.evidence_bound;
+}
+
+Duration PredictFirstToken(const RouteCandidate& candidate,
+                           const RouteQuery& query,
+                           const PredictedFirstToken& policy) {
+  const LoadReport& load = candidate.load;
+  const bool cached =
+      !query.prefix.empty() && load.cached_prefixes.contains(query.prefix);
+  const double prefill =
+      ToSeconds(load.prefill) * (cached ? policy.cached_prefill_share : 1);
+  const int slots = std::max(1, load.slots);
+  const int work = EstimatedLoad(candidate);
+  const double service_time =
+      ToSeconds(std::max(candidate.history.service_time, kLeastServiceTime));
+  const double waiting = std::max(0, work + 1 - slots) * service_time / slots;
+  // Prefills of one target share its processors.
+  const double sharing = 1 + static_cast<double>(work) / slots;
+  const Duration distance = candidate.target.data_centre == query.data_centre
+                                ? Duration(0)
+                                : policy.other_data_centre_cost;
+  const double seconds =
+      (prefill * sharing + waiting) * candidate.history.slowness;
+  return distance + Duration(static_cast<int64_t>(seconds * 1e6));
+}
+
+RouteDecision ChooseRoute(RoutePolicy& policy,
+                          std::span<const RouteCandidate> candidates,
+                          const RouteQuery& query,
+                          const RouteLimits& limits,
+                          TimePoint now,
+                          std::mt19937_64& random) {
+  const std::vector<size_t> serving =
+      ServingTargets(candidates, query, limits, now);
+  if (serving.empty()) {
+    return RouteDenial{RouteRefusal::kNoneServing, Seconds(1)};
+  }
+  if (auto* in_turn = std::get_if<RoundRobin>(&policy)) {
+    return ChooseInTurn(*in_turn, serving);
+  }
+  return ChoosePredicted(std::get<PredictedFirstToken>(policy), candidates,
+                         serving, query, now, random);
+}
+
+void LearnFirstToken(TargetHistory& history,
+                     Duration predicted,
+                     Duration measured) {
+  const double floor = ToSeconds(kLeastServiceTime);
+  const double expected =
+      std::max(floor, ToSeconds(predicted) / history.slowness);
+  const double ratio = std::max(floor, ToSeconds(measured)) / expected;
+  history.slowness =
+      std::clamp(Smooth(history.slowness, ratio), 1.0, kMostSlowness);
+  history.failures = 0;
+}
+
+void LearnServiceTime(TargetHistory& history, Duration measured) {
+  if (history.service_time == Duration(0)) {
+    history.service_time = measured;
+    return;
+  }
+  history.service_time = Duration(static_cast<int64_t>(
+      Smooth(static_cast<double>(history.service_time.count()),
+             static_cast<double>(measured.count()))));
+}
+
+void LearnFailure(TargetHistory& history, TimePoint now) {
+  ++history.failures;
+  history.last_failure = now;
+}
+
+}  // namespace filbertrack
--- /dev/null
+++ b/source/store_client.cc
@@ -0,0 +1,146 @@
+#include "filbertrack/store_client.h"
+
+#include <nlohmann/json.hpp>
+
+namespace filbertrack {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr size_t kIdleConnections = 4;
+constexpr int kStatusOk = 200;
+constexpr int kStatusNotFound = 404;
+constexpr int kStatusConflict = 412;
+
+StoredObject ReadObject(const Json& value) {
+  return {value.at("key"), value.at("value"), value.at("version")};
+}
+
+StoreAnswer ReadAnswer(int status, const std::string& body) {
+  StoreAnswer answer;
+  if (status == kStatusNotFound) {
+    answer.status = StoreStatus::kNotFound;
+    return answer;
+  }
+  if (status == kStatusConflict) {
+    answer.status = StoreStatus::kConflict;
+    return answer;
+  }
+  if (status != kStatusOk) {
+    return answer;
+  }
+  try {
+    answer.object = ReadObject(Json::parse(body));
+    answer.status = StoreStatus::kOk;
+  } catch (const Json::exception&) {
+    // A body that cannot be read tells nothing of the outcome.
+    answer.status = StoreStatus::kUnavailable;
+  }
+  return answer;
+}
+
+WatchAnswer ReadWatch(int status, const std::string& body) {
+  WatchAnswer answer;
+  if (status != kStatusOk) {
+    return answer;
+  }
+  try {
+    const Json value = Json::parse(body);
+    answer.revision = value.at("revision");
+    for (const Json& object : value.at("objects")) {
+      answer.objects.push_back(ReadObject(object));
+    }
+    answer.status = StoreStatus::kOk;
+  } catch (const Json::exception&) {
+    answer = WatchAnswer();
+  }
+  return answer;
+}
+
+}  // namespace
+
+struct StoreClient::Pending {
+  std::unique_ptr<HttpCall> call;
+  std::unique_ptr<Timer> timer;
+  std::string body;
+  std::function<void(int, std::string)> done;
+};
+
+StoreClient::StoreClient(EventLoop& loop,
+                         Address address,
+                         Duration timeout,
+                         Duration watch_wait)
+    : m_loop(loop),
+      m_address(std::move(address)),
+      m_timeout(timeout),
+      m_watch_wait(watch_wait),
+      m_http(loop, kIdleConnections) {}
+
+void StoreClient::Get(const std::string& key,
+                      std::function<void(StoreAnswer)> done) {
+  HttpCallRequest request;
+  request.target = "/v1/objects/" + key;
+  Start(std::move(request), m_timeout,
+        [key, done = std::move(done)](int status, const std::string& body) {
+          StoreAnswer answer = ReadAnswer(status, body);
+          answer.object.key = key;
+          done(std::move(answer));
+        });
+}
+
+void StoreClient::Put(const std::string& key,
+                      std::string value,
+                      uint64_t expected_version,
+                      std::function<void(StoreAnswer)> done) {
+  HttpCallRequest request;
+  request.method = HttpMethod::kPut;
+  request.target = "/v1/objects/" + key;
+  request.headers = {{"If-Match", std::to_string(expected_version)}};
+  request.body = std::move(value);
+  Start(std::move(request), m_timeout,
+        [done = std::move(done)](int status, const std::string& body) {
+          done(ReadAnswer(status, body));
+        });
+}
+
+void StoreClient::Watch(const std::string& prefix,
+                        uint64_t revision,
+                        std::function<void(WatchAnswer)> done) {
+  HttpCallRequest request;
+  request.target = "/v1/watch?prefix=" + prefix +
+                   "&since=" + std::to_string(revision) +
+                   "&wait_ms=" + std::to_string(ToMilliseconds(m_watch_wait));
+  Start(std::move(request), m_watch_wait + m_timeout,
+        [done = std::move(done)](int status, const std::string& body) {
+          done(ReadWatch(status, body));
+        });
+}
+
+void StoreClient::Start(HttpCallRequest request,
+                        Duration timeout,
+                        std::function<void(int, std::string)> done) {
+  ++m_calls;
+  auto pending = std::make_shared<Pending>();
+  pending->done = std::move(done);
+  m_pending.push_back(pending);
+  const auto entry = std::prev(m_pending.end());
+  const auto finish = [this, entry](int status) {
+    const std::shared_ptr<Pending> ended = *entry;
+    m_pending.erase(entry);
+    ended->timer.reset();
+    ended->call.reset();
+    ended->done(status, std::move(ended->body));
+  };
+  HttpCallEvents events;
+  events.on_bytes = [pending = pending.get()](std::string_view bytes) {
+    pending->body += bytes;
+  };
+  events.on_end = finish;
+  events.on_failure = [finish](bool) { finish(0); };
+  pending->timer = m_loop.After(timeout, [finish] { finish(0); });
+  pending->call =
+      m_http.Start(m_address, std::move(request), std::move(events));
+}
+
+}  // namespace filbertrack
--- /dev/null
+++ b/tests/request_test.cc
@@ -0,0 +1,293 @@
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include "filbertrack/base_hash.h"
+#include "filbertrack/request_intake.h"
+#include "filbertrack/request_machine.h"
+#include "filbertrack/request_retry_budget.h"
+#include "filbertrack/request_sse.h"
+
+namespace filbertrack {
+namespace {
+
+const TimePoint kStart{Seconds(1000)};
+const RequestPolicy kPolicy;
+
+RequestState MakeRequest(bool idempotent, AnswerShape shape) {
+  RequestState state;
+  state.traits = {idempotent, shape, false, kStart + Seconds(10)};
+  return state;
+}
+
+template <typename Action>
+const Action* FindAction(const std::vector<RequestAction>& actions) {
+  for (const RequestAction& action : actions) {
+    if (const auto* found = std::get_if<Action>(&action)) {
+      return found;
+    }
+  }
+  return nullptr;
+}
+
+std::vector<RequestAction> Feed(RequestState& state,
+                                const RequestEvent& event) {
+  return StepRequest(state, event, kPolicy, kStart);
+}
+
+SseEvent Token(uint64_t id) {
+  return {id, "token " + std::to_string(id), false};
+}
+
+TEST_CASE("a non-idempotent request is not sent again once a byte left") {
+  // The caller sees 502 with outcome unknown. The connection breaks after the
+  // request was written; the backend server may have run it, so a second send
+  // could run it twice.
+  RequestState state = MakeRequest(false, AnswerShape::kWhole);
+  StartRequest(state, kStart);
+  Feed(state, TargetChosen{});
+  const auto actions = Feed(state, AttemptFailed{true});
+  const auto* refusal = FindAction<Refuse>(actions);
+  REQUIRE(refusal != nullptr);
+  CHECK(refusal->outcome == Outcome::kUnknown);
+  CHECK(FindAction<SeekTarget>(actions) == nullptr);
+}
+
+TEST_CASE("a non-idempotent request goes elsewhere if no byte left") {
+  // The caller sees a whole answer. The first backend server refuses the
+  // connection, so it cannot have run anything.
+  RequestState state = MakeRequest(false, AnswerShape::kWhole);
+  StartRequest(state, kStart);
+  Feed(state, TargetChosen{});
+  const auto actions = Feed(state, AttemptFailed{false});
+  CHECK(FindAction<SeekTarget>(actions) != nullptr);
+  CHECK(state.known == Outcome::kNotRun);
+}
+
+TEST_CASE("an answer with another request's name never reaches the caller") {
+  // The caller sees its own answer, from a second attempt. A reused connection
+  // delivers a late answer first; its name gives it away.
+  RequestState state = MakeRequest(true, AnswerShape::kWhole);
+  StartRequest(state, kStart);
+  Feed(state, TargetChosen{});
+  const auto actions = Feed(state, AttemptHead{200, false, false});
+  CHECK(FindAction<SeekTarget>(actions) != nullptr);
+  CHECK(FindAction<ForwardAnswer>(Feed(state, AttemptComplete{})) == nullptr);
+}
+
+TEST_CASE("a stream that cannot go on is broken, not finished") {
+  // The caller sees an error event and a connection that closes without the
+  // closing event. The group dies after two tokens and no other one serves.
+  RequestState state = MakeRequest(true, AnswerShape::kTokenStream);
+  StartRequest(state, kStart);
+  Feed(state, TargetChosen{});
+  Feed(state, AttemptHead{200, true, false});
+  Feed(state, AttemptToken{Token(0)});
+  Feed(state, AttemptToken{Token(1)});
+  const auto* seek = FindAction<SeekTarget>(Feed(state, TargetLost{}));
+  REQUIRE(seek != nullptr);
+  const auto actions = Feed(state, NoTarget{ResultCode::kNoServingGroup});
+  CHECK(FindAction<BreakStream>(actions) != nullptr);
+  CHECK(FindAction<FinishStream>(actions) == nullptr);
+}
+
+TEST_CASE("a stream that ends without its closing event is not whole") {
+  // The caller gets the rest from another group. The engine closes its answer
+  // in good order in the middle, as one that is stopped does.
+  RequestState state = MakeRequest(true, AnswerShape::kTokenStream);
+  StartRequest(state, kStart);
+  Feed(state, TargetChosen{});
+  Feed(state, AttemptHead{200, true, false});
+  Feed(state, AttemptToken{Token(0)});
+  const auto actions = Feed(state, AttemptComplete{});
+  const auto* seek = FindAction<SeekTarget>(actions);
+  REQUIRE(seek != nullptr);
+  CHECK(seek->resume_from == 1);
+}
+
+TEST_CASE("refusals: the deadline passes while an attempt is open") {
+  // The caller sees 504 with outcome unknown: the engine may be running it.
+  RequestState state = MakeRequest(true, AnswerShape::kWhole);
+  StartRequest(state, kStart);
+  Feed(state, TargetChosen{});
+  const auto actions = Feed(state, DeadlinePassed{});
+  REQUIRE(FindAction<Refuse>(actions) != nullptr);
+  CHECK(FindAction<Refuse>(actions)->outcome == Outcome::kUnknown);
+  CHECK(FindAction<CloseAttempt>(actions) != nullptr);
+}
+
+/// Any event, with token numbers near the ones in play.
+RequestEvent ArbitraryEvent() {
+  switch (*rc::gen::inRange(0, 9)) {
+    case 0:
+      return TargetChosen{};
+    case 1:
+      return NoTarget{ResultCode::kOverloaded};
+    case 2:
+      return AttemptHead{*rc::gen::element(200, 200, 200, 409, 500),
+                         *rc::gen::element(true, true, true, false),
+                         *rc::gen::element(false, false, false, true)};
+    case 3:
+    case 4: {
+      SseEvent event = Token(*rc::gen::inRange<uint64_t>(0, 6));
+      event.done = *rc::gen::inRange(0, 8) == 0;
+      return AttemptToken{event};
+    }
+    case 5:
+      return AttemptComplete{};
+    case 6:
+      return AttemptFailed{*rc::gen::arbitrary<bool>()};
+    case 7:
+      return TargetLost{};
+    default:
+      return *rc::gen::inRange(0, 10) == 0 ? RequestEvent(CallerLeft{})
+                                           : RequestEvent(TargetLost{});
+  }
+}
+
+TEST_CASE("property: tokens reach the caller once each, in order, one end") {
+  REQUIRE(rc::check("stream resume", [] {
+    RequestState state =
+        MakeRequest(*rc::gen::arbitrary<bool>(), AnswerShape::kTokenStream);
+    StartRequest(state, kStart);
+    uint64_t next = 0;
+    int ends = 0;
+    bool open = false;
+    const int steps = *rc::gen::inRange(1, 60);
+    for (int i = 0; i < steps; ++i) {
+      const RequestEvent event = ArbitraryEvent();
+      // The driver chooses a target only when it was asked to.
+      if (std::holds_alternative<TargetChosen>(event) && open) {
+        continue;
+      }
+      for (const RequestAction& action : Feed(state, event)) {
+        if (const auto* token = std::get_if<ForwardToken>(&action)) {
+          RC_ASSERT(token->event.id == next);
+          RC_ASSERT(ends == 0);
+          ++next;
+        }
+        ends += std::holds_alternative<FinishStream>(action) ||
+                std::holds_alternative<Refuse>(action) ||
+                std::holds_alternative<BreakStream>(action);
+      }
+      open = state.attempt_open;
+    }
+    RC_ASSERT(ends <= 1);
+  }));
+}
+
+TEST_CASE("property: not-run is said only if no attempt may have run") {
+  REQUIRE(rc::check("outcome", [] {
+    const bool idempotent = *rc::gen::arbitrary<bool>();
+    RequestState state = MakeRequest(idempotent, AnswerShape::kWhole);
+    StartRequest(state, kStart);
+    bool may_have_run = false;
+    int runs = 0;
+    for (int i = 0; i < 30 && !state.ended; ++i) {
+      const RequestEvent event = ArbitraryEvent();
+      if (std::holds_alternative<TargetChosen>(event) && state.attempt_open) {
+        continue;
+      }
+      const bool was_open = state.attempt_open;
+      const auto* failed = std::get_if<AttemptFailed>(&event);
+      const auto* head = std::get_if<AttemptHead>(&event);
+      const bool proved_not_run =
+          (failed != nullptr && !failed->bytes_may_have_left) ||
+          (head != nullptr && head->request_id_matches && head->says_not_run);
+      const auto actions = Feed(state, event);
+      if (was_open && !state.attempt_open && !proved_not_run) {
+        may_have_run = true;
+        ++runs;
+      }
+      if (const auto* refusal = FindAction<Refuse>(actions)) {
+        RC_ASSERT(refusal->outcome != Outcome::kNotRun || !may_have_run);
+      }
+    }
+    RC_ASSERT(idempotent || runs <= 1);
+  }));
+}
+
+TEST_CASE("property: the splitter gives the same events however bytes come") {
+  REQUIRE(rc::check("sse", [] {
+    const auto texts = *rc::gen::container<std::vector<std::string>>(
+        rc::gen::nonEmpty(rc::gen::container<std::string>(
+            rc::gen::elementOf(std::string("ab{}\": ")))));
+    std::string bytes;
+    for (size_t i = 0; i < texts.size(); ++i) {
+      bytes += FormatSseEvent({i, texts[i], false});
+    }
+    SseSplitter whole;
+    const std::vector<SseEvent> expected = whole.Push(bytes);
+    RC_ASSERT(expected.size() == texts.size());
+    SseSplitter split;
+    std::vector<SseEvent> got;
+    while (!bytes.empty()) {
+      const auto size = *rc::gen::inRange<size_t>(1, bytes.size() + 1);
+      for (SseEvent& event : split.Push(bytes.substr(0, size))) {
+        got.push_back(std::move(event));
+      }
+      bytes.erase(0, size);
+    }
+    RC_ASSERT(got.size() == expected.size());
+    for (size_t i = 0; i < got.size(); ++i) {
+      RC_ASSERT(got[i].data == expected[i].data);
+      RC_ASSERT(got[i].id == expected[i].id);
+    }
+  }));
+}
+
+TEST_CASE("property: no bytes crash the reading of a caller's request") {
+  Resources resources;
+  resources.workspaces["w"] = {"w", Sha256Hex("k"), 1, {}};
+  resources.services["m"] = Service{"m", ServiceType::kModel, 0.5, {}, 1};
+  REQUIRE(rc::check("intake", [&resources] {
+    const auto alphabet =
+        std::string("{}[]\":,\\ mmodelsagestream0129\xff\x80\n");
+    const auto body =
+        *rc::gen::container<std::string>(rc::gen::elementOf(alphabet));
+    RawRequest raw;
+    raw.is_post = true;
+    raw.target = kChatPath;
+    raw.authorization = "Bearer k";
+    raw.body = body;
+    const auto request =
+        ReadCallerRequest(raw, resources, IntakePolicy(), kStart);
+    RC_ASSERT(!request || request->service == "m");
+  }));
+}
+
+TEST_CASE("a body that nests without end is refused, not parsed") {
+  // The caller sees 400. A parser that recursed on it would end the process and
+  // every other request on it.
+  Resources resources;
+  resources.workspaces["w"] = {"w", Sha256Hex("k"), 1, {}};
+  RawRequest raw;
+  raw.is_post = true;
+  raw.target = kChatPath;
+  raw.authorization = "Bearer k";
+  const std::string body = "{\"a\":" + std::string(200000, '[');
+  raw.body = body;
+  const auto request =
+      ReadCallerRequest(raw, resources, IntakePolicy(), kStart);
+  REQUIRE(!request);
+  CHECK(request.error().code == ResultCode::kBadRequest);
+}
+
+TEST_CASE("retries are a bounded part of the load") {
+  // Callers see errors instead of a storm: while everything fails, a hundred
+  // requests in one moment may cause 50 + 20 retries, not 300.
+  RetryBudget budget(RetryBudgetPolicy(), kStart);
+  int spent = 0;
+  for (int i = 0; i < 100; ++i) {
+    budget.OnRequest(kStart);
+    for (int attempt = 0; attempt < 3; ++attempt) {
+      spent += budget.TrySpend(kStart) ? 1 : 0;
+    }
+  }
+  CHECK(spent <= 70);
+  CHECK(!budget.TrySpend(kStart));
+  CHECK(budget.TrySpend(kStart + Seconds(2)));
+}
+
+}  // namespace
+}  // namespace filbertrack
