groups: keep renewals of leases out of the domains' objects

Cause: every renewal rewrote the domain's object and would have gone to each of its watchers; at 60 domains and 2 s that is 30 changes a second to every node. Change: a controller renews one heartbeat object; a term tells a holder that was paused past its lease that it must win each domain again. Tests of placement, repair, leases and evidence, with an engine and a store as fakes at the interface.

--- a/include/filbertrack/controller.h
+++ b/include/filbertrack/controller.h
@@ -42,16 +42,28 @@
   void WatchHosts();
   void Pass();
   void PassDomain(Domain& domain);
-  void TakeLease(Domain& domain);
   void Act(Domain& domain, TimePoint now);
+
+  bool MayActOn(const Domain& domain) const;
+  bool HoldsAny() const;
+  void Heartbeat();
+  void OnHeartbeat(uint64_t version, TimePoint began, bool written);
+  Duration RankDelay(const Domain& domain) const;
+  void Challenge(Domain& domain);
+  void ReadHolder(Domain& domain);
+  void TakeLease(Domain& domain);
+
   void Write(Domain& domain, DomainState next);
   void OnWritten(const std::string& name,
                  const std::string& text,
-                 TimePoint began,
+                 uint64_t term,
                  const StoreAnswer& answer);
-  void ReadBack(const std::string& name,
-                const std::string& text,
-                TimePoint began);
+  /// Takes over what the store has; the domain is verified for `term` if that
+  /// is what this controller wrote.
+  void TakeOver(const std::string& name,
+                const StoredObject& object,
+                const std::string& own_text,
+                uint64_t term);
   void SendOrders(Domain& domain, const std::vector<MemberOrder>& orders);
   void SendOrder(Domain& domain, const std::string& host, std::string body);
   std::string StatusText() const;
@@ -59,6 +71,11 @@
   EventLoop& m_loop;
   Settings m_settings;
   std::string m_node;
+  std::string m_incarnation;
+  LeaseKeeper m_keeper;
+  uint64_t m_heartbeat_version = 0;
+  uint64_t m_heartbeats = 0;
+  bool m_heartbeat_writing = false;
   LeasePolicy m_lease_policy;
   PlanPolicy m_plan_policy;
   ObjectCache m_cache;
--- a/include/filbertrack/groups_state.h
+++ b/include/filbertrack/groups_state.h
@@ -77,7 +77,6 @@
 struct DomainState {
   DomainLease lease;
   uint64_t last_epoch = 0;
-  uint64_t renewals = 0;
   int free_hosts = 0;
   std::vector<Group> groups;
   /// Versions that failed here; a rollout does not try them again.
--- a/source/config_resources.cc
+++ b/source/config_resources.cc
@@ -187,17 +187,16 @@
                  "the 64 hexadecimal digits of the key's SHA-256");
   }
   workspace.priority = reader.Integer("priority", 1, 0, 9);
+  const std::string resource = "workspace/" + name + " entitlement";
   for (const Json& row : reader.List("entitlements")) {
-    FieldReader fields("workspace/" + name + " entitlement", row);
+    FieldReader fields(resource, row);
     Entitlement entitlement;
     entitlement.service = fields.Text("service", "");
     entitlement.requests_per_second =
         fields.Number("requests_per_second", 0, 0, kMostRequestsPerSecond);
     const std::string fault = fields.Finish();
     if (!fault.empty()) {
-      std::string allowed = "a list of entitlements: ";
-      allowed += fault;
-      reader.Fault("entitlements", row, allowed);
+      reader.Fault("entitlements", row, "a list of entitlements: " + fault);
     }
     workspace.entitlements.push_back(entitlement);
   }
--- a/source/controller.cc
+++ b/source/controller.cc
@@ -1,5 +1,6 @@
 #include "filbertrack/controller.h"
 
+#include <algorithm>
 #include <chrono>
 
 #include <nlohmann/json.hpp>
@@ -19,6 +20,9 @@
 constexpr Duration kStopLimit = Seconds(2);
 /// Challengers for one lease spread over this much of its duration.
 constexpr double kRankSpread = 0.3;
+constexpr uint64_t kRankSteps = 1000;
+/// Controllers of other data centres wait this part of the duration longer.
+constexpr double kFarDelay = 1;
 
 int64_t WallTimeMs() {
   return std::chrono::duration_cast<std::chrono::milliseconds>(
@@ -47,7 +51,11 @@
 struct Controller::Domain {
   DomainHosts hosts;
   DomainState state;
-  LeaseView lease;
+  uint64_t version = 0;
+  TimePoint lease_seen;
+  DomainHold hold;
+  HolderView holder;
+  bool reading_holder = false;
   HostViews views;
   struct PhaseSeen {
     uint64_t epoch = 0;
@@ -66,6 +74,7 @@
     : m_loop(loop),
       m_settings(settings),
       m_node(settings.Text("node", "name")),
+      m_incarnation(RandomId()),
       m_store(loop,
               settings.At("store", "address"),
               settings.Time("store", "timeout"),
@@ -126,7 +135,7 @@
     std::unique_ptr<Domain>& domain = m_domains[name];
     if (domain == nullptr) {
       domain = std::make_unique<Domain>();
-      domain->lease.version_first_seen = now;
+      domain->lease_seen = now;
     }
     domain->hosts = *hosts;
     const StoredObject* state =
@@ -139,7 +148,7 @@
 
 void Controller::ReadState(Domain& domain, const StoredObject& object) {
   const TimePoint now = MonotonicNow();
-  if (object.version <= domain.lease.version) {
+  if (object.version <= domain.version) {
     return;
   }
   const Result<DomainState> state = ParseDomainState(object.value);
@@ -147,15 +156,12 @@
     Log(LogLevel::kError, "state-refused", {{"why", state.error().message}});
     return;
   }
-  domain.state = *state;
-  domain.lease.version = object.version;
-  domain.lease.version_first_seen = now;
-  if (state->lease != domain.lease.lease) {
-    domain.lease.lease = state->lease;
-    if (state->lease.holder != m_node) {
-      domain.lease.own_write_began.reset();
-    }
+  if (state->lease != domain.state.lease) {
+    domain.lease_seen = now;
   }
+  domain.state = *state;
+  domain.version = object.version;
+  domain.hold.lease = state->lease;
   std::map<std::string, Domain::PhaseSeen> seen;
   for (const Group& group : domain.state.groups) {
     const Domain::PhaseSeen present{group.epoch, group.phase};
@@ -170,11 +176,14 @@
   domain.phase_seen = std::move(seen);
 }
 
+bool Controller::MayActOn(const Domain& domain) const {
+  return MayAct(domain.hold, m_node, m_keeper, m_lease_policy, MonotonicNow());
+}
+
 void Controller::WatchHosts() {
-  const TimePoint now = MonotonicNow();
   std::map<std::string, Address, std::less<>> hosts;
   for (const auto& [name, domain] : m_domains) {
-    if (!MayAct(domain->lease, m_node, m_lease_policy, now)) {
+    if (!MayActOn(*domain)) {
       continue;
     }
     for (const PlatformHost& host : domain->hosts.hosts) {
@@ -188,28 +197,119 @@
   for (auto& [name, domain] : m_domains) {
     PassDomain(*domain);
   }
+  if (HoldsAny() && m_keeper.ShouldRenew(m_lease_policy, MonotonicNow())) {
+    Heartbeat();
+  }
+}
+
+bool Controller::HoldsAny() const {
+  return std::any_of(m_domains.begin(), m_domains.end(),
+                     [this](const auto& row) {
+                       return row.second->hold.lease.holder == m_node;
+                     });
+}
+
+/// Renews the one object that tells that this controller lives. Its value
+/// changes every time, so that its own text shows whether a write whose answer
+/// was lost took effect.
+void Controller::Heartbeat() {
+  if (m_heartbeat_writing || m_stopping) {
+    return;
+  }
+  m_heartbeat_writing = true;
+  const TimePoint began = MonotonicNow();
+  const std::string key = std::string(kHeartbeatPrefix) + m_node;
+  const std::string text = m_incarnation + " " + std::to_string(++m_heartbeats);
+  m_store.Put(key, text, m_heartbeat_version,
+              [this, key, text, began](const StoreAnswer& answer) {
+                if (answer.status == StoreStatus::kOk) {
+                  OnHeartbeat(answer.object.version, began, true);
+                  return;
+                }
+                m_store.Get(key, [this, text, began](const StoreAnswer& read) {
+                  const bool known = read.status == StoreStatus::kOk;
+                  OnHeartbeat(known ? read.object.version : m_heartbeat_version,
+                              began, known && read.object.value == text);
+                });
+              });
+}
+
+void Controller::OnHeartbeat(uint64_t version, TimePoint began, bool written) {
+  m_heartbeat_writing = false;
+  m_heartbeat_version = version;
+  if (written) {
+    m_keeper.OnWritten(began, m_lease_policy, MonotonicNow());
+  }
+}
+
+Duration Controller::RankDelay(const Domain& domain) const {
+  const double rank =
+      static_cast<double>(RendezvousWeight(domain.hosts.domain, m_node) %
+                          kRankSteps) /
+      kRankSteps;
+  // Controllers beside the domain's hosts go first.
+  const bool near =
+      domain.hosts.data_centre == m_settings.Text("node", "data_centre");
+  const double part = (near ? 0 : kFarDelay) + rank * kRankSpread;
+  return Duration(static_cast<int64_t>(
+      part * static_cast<double>(m_lease_policy.duration.count())));
 }
 
 void Controller::PassDomain(Domain& domain) {
   if (domain.writing || m_stopping) {
     return;
   }
+  if (MayActOn(domain)) {
+    Act(domain, MonotonicNow());
+    return;
+  }
+  domain.acting_since.reset();
+  Challenge(domain);
+}
+
+void Controller::Challenge(Domain& domain) {
   const TimePoint now = MonotonicNow();
-  const double rank =
-      static_cast<double>(RendezvousWeight(domain.hosts.domain, m_node) %
-                          1000) /
-      1000;
-  const auto rank_delay = Duration(static_cast<int64_t>(
-      rank * kRankSpread *
-      static_cast<double>(m_lease_policy.duration.count())));
-  if (MayTake(domain.lease, m_node, m_lease_policy, rank_delay, now)) {
-    domain.acting_since.reset();
-    TakeLease(domain);
-  } else if (MayAct(domain.lease, m_node, m_lease_policy, now)) {
-    Act(domain, now);
-  } else {
-    domain.acting_since.reset();
+  const std::string& holder = domain.state.lease.holder;
+  const bool held_by_other = !holder.empty() && holder != m_node;
+  if (held_by_other && !domain.reading_holder &&
+      (domain.holder.holder != holder ||
+       now >= domain.holder.last_read + m_lease_policy.renew_every)) {
+    ReadHolder(domain);
+    return;
+  }
+  // A restarted controller finds its own name in the lease. It waits like any
+  // other, because an order of its earlier process may still be on its way.
+  const bool may_take =
+      holder == m_node
+          ? now >= domain.lease_seen + m_lease_policy.order_life
+          : MayTake(domain.state.lease, domain.lease_seen, domain.holder,
+                    m_lease_policy, RankDelay(domain), now);
+  if (!may_take) {
+    return;
   }
+  if (!m_keeper.IsHeld(m_lease_policy, now)) {
+    Heartbeat();
+    return;
+  }
+  TakeLease(domain);
+}
+
+void Controller::ReadHolder(Domain& domain) {
+  domain.reading_holder = true;
+  const std::string holder = domain.state.lease.holder;
+  m_store.Get(
+      std::string(kHeartbeatPrefix) + holder,
+      [this, name = domain.hosts.domain, holder](const StoreAnswer& answer) {
+        Domain& read = *m_domains.find(name)->second;
+        read.reading_holder = false;
+        // No answer tells nothing: a store that is down must not make
+        // a live holder look dead.
+        if (answer.status == StoreStatus::kOk ||
+            answer.status == StoreStatus::kNotFound) {
+          ObserveHolder(read.holder, holder, answer.object.version,
+                        MonotonicNow());
+        }
+      });
 }
 
 void Controller::TakeLease(Domain& domain) {
@@ -271,8 +371,7 @@
     Write(domain, std::move(next));
     return;
   }
-  if (ShouldRenew(domain.lease, m_node, m_lease_policy, now) ||
-      free != domain.state.free_hosts) {
+  if (free != domain.state.free_hosts) {
     DomainState next = domain.state;
     next.free_hosts = free;
     Write(domain, std::move(next));
@@ -281,57 +380,52 @@
 
 void Controller::Write(Domain& domain, DomainState next) {
   domain.writing = true;
-  ++next.renewals;
   const std::string name = domain.hosts.domain;
   const std::string text = ToJson(next).dump();
-  const TimePoint began = MonotonicNow();
-  m_store.Put(std::string(kDomainStatePrefix) + name, text,
-              domain.lease.version,
-              [this, name, text, began](const StoreAnswer& answer) {
-                OnWritten(name, text, began, answer);
+  const uint64_t term = m_keeper.term();
+  m_store.Put(std::string(kDomainStatePrefix) + name, text, domain.version,
+              [this, name, text, term](const StoreAnswer& answer) {
+                OnWritten(name, text, term, answer);
               });
 }
 
 void Controller::OnWritten(const std::string& name,
                            const std::string& text,
-                           TimePoint began,
+                           uint64_t term,
                            const StoreAnswer& answer) {
-  Domain& domain = *m_domains.find(name)->second;
   if (answer.status == StoreStatus::kOk) {
-    domain.writing = false;
-    const StoredObject written{std::string(kDomainStatePrefix) + name, text,
-                               answer.object.version};
-    m_cache.Offer(written);
-    ReadState(domain, written);
-    domain.lease.own_write_began = began;
-    WatchHosts();
+    TakeOver(
+        name,
+        {std::string(kDomainStatePrefix) + name, text, answer.object.version},
+        text, term);
     return;
   }
-  // A conflict may be our own write whose answer was lost and which a retry of
-  // the connection repeated; an unavailable store may have taken it. The object
-  // itself tells.
-  ReadBack(name, text, began);
-}
-
-void Controller::ReadBack(const std::string& name,
-                          const std::string& text,
-                          TimePoint began) {
+  // A store that gave no answer may have taken the write, and a conflict may be
+  // with that very write. The object itself tells.
   m_store.Get(std::string(kDomainStatePrefix) + name,
-              [this, name, text, began](const StoreAnswer& answer) {
-                Domain& domain = *m_domains.find(name)->second;
-                domain.writing = false;
-                if (answer.status != StoreStatus::kOk) {
-                  return;
-                }
-                m_cache.Offer(answer.object);
-                ReadState(domain, answer.object);
-                if (answer.object.value == text) {
-                  domain.lease.own_write_began = began;
-                  WatchHosts();
+              [this, name, text, term](const StoreAnswer& read) {
+                if (read.status == StoreStatus::kOk) {
+                  TakeOver(name, read.object, text, term);
+                } else {
+                  m_domains.find(name)->second->writing = false;
                 }
               });
 }
 
+void Controller::TakeOver(const std::string& name,
+                          const StoredObject& object,
+                          const std::string& own_text,
+                          uint64_t term) {
+  Domain& domain = *m_domains.find(name)->second;
+  domain.writing = false;
+  m_cache.Offer(object);
+  ReadState(domain, object);
+  if (object.value == own_text) {
+    domain.hold.verified_term = term;
+    WatchHosts();
+  }
+}
+
 void Controller::SendOrders(Domain& domain,
                             const std::vector<MemberOrder>& orders) {
   for (const MemberOrder& order : orders) {
@@ -358,7 +452,7 @@
   // Asked on the clock right before the send: a controller that was paused
   // since its decision may have lost the lease, and an engine that ignores
   // fencing numbers would obey it.
-  if (!MayAct(domain.lease, m_node, m_lease_policy, MonotonicNow())) {
+  if (!MayActOn(domain)) {
     return;
   }
   HttpCallRequest request;
@@ -384,8 +478,7 @@
   m_stopping = true;
   const TimePoint now = MonotonicNow();
   for (auto& [name, domain] : m_domains) {
-    if (!domain->writing &&
-        MayAct(domain->lease, m_node, m_lease_policy, now)) {
+    if (!domain->writing && MayActOn(*domain)) {
       DomainState next = domain->state;
       next.lease.holder.clear();
       Write(*domain, std::move(next));
@@ -404,15 +497,13 @@
 }
 
 std::string Controller::StatusText() const {
-  const TimePoint now = MonotonicNow();
   Json domains = Json::object();
   for (const auto& [name, domain] : m_domains) {
-    domains[name] = {
-        {"holder", domain->lease.lease.holder},
-        {"held", MayAct(domain->lease, m_node, m_lease_policy, now)},
-        {"fence", domain->lease.lease.fence},
-        {"stranded_accelerators",
-         StrandedAccelerators(domain->state, domain->hosts)}};
+    domains[name] = {{"holder", domain->state.lease.holder},
+                     {"held", MayActOn(*domain)},
+                     {"fence", domain->state.lease.fence},
+                     {"stranded_accelerators",
+                      StrandedAccelerators(domain->state, domain->hosts)}};
   }
   return Json({{"node", m_node},
                {"generation", m_config.set().generation},
--- a/source/groups_lease.cc
+++ b/source/groups_lease.cc
@@ -2,48 +2,68 @@
 
 namespace filbertrack {
 
-bool MayAct(const LeaseView& view,
-            std::string_view self,
-            const LeasePolicy& policy,
-            TimePoint now) {
-  if (view.lease.holder != self || !view.own_write_began) {
-    return false;
+void LeaseKeeper::OnWritten(TimePoint began,
+                            const LeasePolicy& policy,
+                            TimePoint now) {
+  if (!IsHeld(policy, now)) {
+    ++m_term;
   }
-  return now < *view.own_write_began + policy.duration;
+  m_write_began = began;
+}
+
+bool LeaseKeeper::IsHeld(const LeasePolicy& policy, TimePoint now) const {
+  return m_write_began && now < *m_write_began + policy.duration;
+}
+
+bool LeaseKeeper::ShouldRenew(const LeasePolicy& policy, TimePoint now) const {
+  return !m_write_began || now >= *m_write_began + policy.renew_every;
 }
 
-bool ShouldRenew(const LeaseView& view,
-                 std::string_view self,
-                 const LeasePolicy& policy,
-                 TimePoint now) {
-  // A restarted holder finds its own name in the lease without a write of its
-  // own; it must take the lease like any other, with a new fence.
-  if (view.lease.holder != self || !view.own_write_began) {
-    return false;
+void ObserveHolder(HolderView& view,
+                   std::string_view holder,
+                   uint64_t version,
+                   TimePoint now) {
+  if (view.holder != holder || view.version != version) {
+    view.holder = holder;
+    view.version = version;
+    view.first_seen = now;
   }
-  return now >= *view.own_write_began + policy.renew_every;
+  view.last_read = now;
 }
 
-bool MayTake(const LeaseView& view,
-             std::string_view self,
+bool MayAct(const DomainHold& hold,
+            std::string_view self,
+            const LeaseKeeper& keeper,
+            const LeasePolicy& policy,
+            TimePoint now) {
+  // The term tells a holder that was paused past its lease and then renewed its
+  // heartbeat that the domain may be another's by now: it has to win the
+  // domain's object again, with a new fence.
+  return hold.lease.holder == self && hold.verified_term == keeper.term() &&
+         keeper.IsHeld(policy, now);
+}
+
+bool MayTake(const DomainLease& lease,
+             TimePoint lease_seen,
+             const HolderView& view,
              const LeasePolicy& policy,
              Duration rank_delay,
              TimePoint now) {
-  if (MayAct(view, self, policy, now)) {
-    return false;
-  }
-  if (view.version == 0) {
-    return now >= view.version_first_seen + rank_delay;
+  if (lease.fence == 0) {
+    return now >= lease_seen + rank_delay;
   }
-  if (view.lease.holder.empty()) {
+  if (lease.holder.empty()) {
     // Given back; the last order before that may still be on its way.
-    return now >= view.version_first_seen + policy.order_life + rank_delay;
+    return now >= lease_seen + policy.order_life + rank_delay;
   }
   // The holder may send its last order just before its lease ends, and the
   // order may travel for order_life. An engine that ignores fencing numbers
-  // would obey it, so the successor waits until it has arrived.
-  return now >= view.version_first_seen + policy.duration + policy.order_life +
-                    rank_delay;
+  // would obey it, so the successor waits until it has arrived. The heartbeat
+  // must have been read after that time: an older reading tells nothing of a
+  // renewal since.
+  const TimePoint earliest =
+      view.first_seen + policy.duration + policy.order_life + rank_delay;
+  return view.holder == lease.holder && view.last_read >= earliest;
 }
 
 }  // namespace filbertrack
--- a/source/groups_state.cc
+++ b/source/groups_state.cc
@@ -116,7 +116,6 @@
   return {{"holder", state.lease.holder},
           {"fence", state.lease.fence},
           {"last_epoch", state.last_epoch},
-          {"renewals", state.renewals},
           {"free_hosts", state.free_hosts},
           {"groups", groups},
           {"failed_versions", state.failed_versions},
@@ -129,7 +128,6 @@
     DomainState state;
     state.lease = {value.at("holder"), value.at("fence")};
     state.last_epoch = value.at("last_epoch");
-    state.renewals = value.at("renewals");
     state.free_hosts = value.at("free_hosts");
     for (const Json& group : value.at("groups")) {
       state.groups.push_back(GroupFromJson(group));
--- /dev/null
+++ b/tests/groups_test.cc
@@ -0,0 +1,543 @@
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <set>
+
+#include <nlohmann/json.hpp>
+
+#include "filbertrack/groups_assign.h"
+#include "filbertrack/groups_evidence.h"
+#include "filbertrack/groups_lease.h"
+#include "filbertrack/groups_plan.h"
+
+namespace filbertrack {
+namespace {
+
+const TimePoint kStart{Seconds(1000)};
+const PlanPolicy kPolicy;
+
+/// Engines of one domain, at the interface that the planner sees: they obey
+/// orders at once and report.
+class FakeDomain {
+ public:
+  explicit FakeDomain(int hosts) {
+    m_hosts.domain = "d";
+    for (int i = 0; i < hosts; ++i) {
+      m_hosts.hosts.push_back({"h" + std::to_string(i), {}, 8, false});
+      MemberReport report;
+      report.host = m_hosts.hosts.back().name;
+      report.incarnation = "1";
+      m_engines[report.host] = {report, true};
+    }
+    m_resources.services["m"] = Service{"m", ServiceType::kModel, 0.9, {}, 1};
+    m_resources.model_versions["v1"] = {"v1", "m", 1};
+    m_resources.model_versions["v2"] = {"v2", "m", 1};
+    ServingGroup group;
+    group.name = "g";
+    group.service = "m";
+    group.model_version = "v1";
+    group.replicas = 2;
+    group.members_per_replica = 3;
+    m_resources.serving_groups["g"] = group;
+    m_wanted = {{"g", 2}};
+  }
+
+  void Kill(const std::string& host) { m_engines.at(host).alive = false; }
+  void Revive(const std::string& host) {
+    Engine& engine = m_engines.at(host);
+    engine.alive = true;
+    engine.report.group.clear();
+    engine.report.epoch = 0;
+    engine.report.phase = MemberPhase::kIdle;
+    engine.report.incarnation += "+";
+  }
+
+  /// A controller without memory, as a successor is.
+  void ForgetViews() {
+    m_views.clear();
+    m_phase_since.clear();
+  }
+
+  /// One pass: observe, plan, write, and obey. Returns the action written.
+  std::string Pass() {
+    m_now += Milliseconds(500);
+    for (auto& [host, engine] : m_engines) {
+      MemberEvidence evidence;
+      evidence.OnConnect(m_now);
+      BeatLine beat;
+      beat.report = engine.report;
+      evidence.OnBeat(beat);
+      if (!engine.alive) {
+        evidence.OnDisconnected();
+      }
+      ObserveHost(m_views[host], evidence, kPolicy, m_now);
+    }
+    const PlanInput input{m_state,  m_hosts,    m_views,      m_resources,
+                          m_wanted, m_may_roll, m_phase_since};
+    Plan plan = PlanDomain(input, kPolicy, m_now);
+    for (const MemberOrder& order : plan.orders) {
+      Obey(order);
+    }
+    if (!plan.change) {
+      return "";
+    }
+    for (const Group& group : plan.change->next.groups) {
+      const Group* before = nullptr;
+      for (const Group& known : m_state.groups) {
+        before = known.id == group.id ? &known : before;
+      }
+      if (before == nullptr || *before != group) {
+        m_phase_since[group.id] = m_now;
+      }
+    }
+    m_state = plan.change->next;
+    return plan.change->record.action;
+  }
+
+  int CountServing() const {
+    int serving = 0;
+    for (const Group& group : m_state.groups) {
+      serving += group.phase == GroupPhase::kServing ? 1 : 0;
+    }
+    return serving;
+  }
+
+  /// No host in two groups, each group of full size, a serving one whole when
+  /// it was written.
+  bool IsSound() const {
+    std::set<std::string> seen;
+    for (const Group& group : m_state.groups) {
+      if (group.members.size() != 3) {
+        return false;
+      }
+      for (const std::string& host : group.members) {
+        if (!seen.insert(host).second) {
+          return false;
+        }
+      }
+    }
+    return true;
+  }
+
+  DomainState m_state;
+  DomainHosts m_hosts;
+  Resources m_resources;
+  std::map<std::string, int> m_wanted;
+  std::vector<std::string> m_may_roll;
+  std::string m_bad_version;
+  TimePoint m_now = kStart;
+
+ private:
+  struct Engine {
+    MemberReport report;
+    bool alive = true;
+  };
+
+  void Obey(const MemberOrder& order) {
+    if (const auto* leave = std::get_if<LeaveOrder>(&order)) {
+      MemberReport& report = m_engines.at(leave->host).report;
+      report.group.clear();
+      report.phase = MemberPhase::kIdle;
+      return;
+    }
+    const auto& join = std::get<JoinOrder>(order);
+    Engine& engine = m_engines.at(join.host);
+    if (!engine.alive) {
+      return;
+    }
+    engine.report.group = join.group.id;
+    engine.report.epoch = join.group.epoch;
+    engine.report.phase = join.group.model_version == m_bad_version
+                              ? MemberPhase::kFailed
+                              : MemberPhase::kReady;
+  }
+
+  std::map<std::string, Engine> m_engines;
+  HostViews m_views;
+  std::map<std::string, TimePoint> m_phase_since;
+};
+
+void PassUntilQuiet(FakeDomain& domain, int most = 40) {
+  for (int i = 0; i < most; ++i) {
+    domain.Pass();
+  }
+}
+
+TEST_CASE("a lost member is replaced by a spare, the others stay") {
+  // Callers see the group gone for one load. A host dies; a free one takes its
+  // place in a new epoch.
+  FakeDomain domain(7);
+  PassUntilQuiet(domain);
+  REQUIRE(domain.CountServing() == 2);
+  const Group before = domain.m_state.groups[0];
+  domain.Kill(before.members[1]);
+  PassUntilQuiet(domain);
+  const Group& after = domain.m_state.groups[0];
+  CHECK(domain.CountServing() == 2);
+  CHECK(after.epoch > before.epoch);
+  CHECK(after.members[0] == before.members[0]);
+  CHECK(after.members[1] != before.members[1]);
+}
+
+TEST_CASE(
+    "without a spare a group breaks, and reloads when its member is back") {
+  // Callers see refusals, never half an answer. The only host that could help
+  // is the lost one itself.
+  FakeDomain domain(6);
+  PassUntilQuiet(domain);
+  const std::string victim = domain.m_state.groups[0].members[2];
+  domain.Kill(victim);
+  PassUntilQuiet(domain);
+  CHECK(domain.CountServing() == 1);
+  CHECK(domain.m_state.groups[0].phase == GroupPhase::kBroken);
+  domain.Revive(victim);
+  PassUntilQuiet(domain);
+  CHECK(domain.CountServing() == 2);
+}
+
+TEST_CASE("a member that flaps costs one repair, not one a flap") {
+  // Callers see one short gap. A host's engine dies and returns again and
+  // again; after the first loss it is a spare that has not settled.
+  FakeDomain domain(7);
+  PassUntilQuiet(domain);
+  const std::string victim = domain.m_state.groups[0].members[0];
+  int repairs = 0;
+  for (int flap = 0; flap < 10; ++flap) {
+    domain.Kill(victim);
+    repairs += domain.Pass() == "replace-member" ? 1 : 0;
+    repairs += domain.Pass() == "replace-member" ? 1 : 0;
+    domain.Revive(victim);
+    repairs += domain.Pass() == "replace-member" ? 1 : 0;
+    repairs += domain.Pass() == "replace-member" ? 1 : 0;
+  }
+  CHECK(repairs == 1);
+}
+
+TEST_CASE("a host that was lost just now takes no place until it has settled") {
+  // Callers of the group would wait for a second repair at once. The only free
+  // host flapped a moment ago; the group waits for it to hold out.
+  FakeDomain domain(7);
+  PassUntilQuiet(domain);
+  const std::string flapping = domain.m_state.groups[0].members[0];
+  domain.Kill(flapping);
+  PassUntilQuiet(domain);
+  domain.Revive(flapping);
+  domain.Kill(domain.m_state.groups[0].members[0]);
+  CHECK(domain.Pass() == "break");
+  TimePoint broken = domain.m_now;
+  while (domain.Pass() != "replace-member") {
+    REQUIRE(domain.m_now < broken + kPolicy.settle * 2);
+  }
+  CHECK(domain.m_now - broken >= kPolicy.settle);
+}
+
+TEST_CASE("an engine that obeyed an old order is called back") {
+  // Callers are not served by the group until it is whole again. A paused
+  // controller's order reaches an engine that ignores fencing numbers, and the
+  // engine leaves its group without its host being lost.
+  FakeDomain domain(6);
+  PassUntilQuiet(domain);
+  const std::string host = domain.m_state.groups[0].members[1];
+  const uint64_t epoch = domain.m_state.groups[0].epoch;
+  domain.Revive(host);
+  CHECK(domain.Pass() == "reload");
+  PassUntilQuiet(domain);
+  CHECK(domain.CountServing() == 2);
+  CHECK(domain.m_state.groups[0].epoch > epoch);
+}
+
+TEST_CASE("a bad version goes back by itself and is not tried again") {
+  // Callers keep the capacity of the other replica. Version v2 is declared and
+  // fails to load on the first replica that tries it.
+  FakeDomain domain(6);
+  PassUntilQuiet(domain);
+  ServingGroup& declared = domain.m_resources.serving_groups["g"];
+  declared.model_version = "v2";
+  declared.last_good_version = "v1";
+  domain.m_bad_version = "v2";
+  domain.m_may_roll = {"g"};
+  int drains = 0;
+  int fewest = 2;
+  for (int i = 0; i < 60; ++i) {
+    drains += domain.Pass() == "drain" ? 1 : 0;
+    domain.m_may_roll.clear();
+    if (domain.CountServing() == 2) {
+      domain.m_may_roll = {"g"};
+    }
+    fewest = std::min(fewest, domain.CountServing());
+  }
+  CHECK(domain.CountServing() == 2);
+  CHECK(domain.m_state.groups[0].model_version == "v1");
+  CHECK(domain.m_state.failed_versions == std::vector<std::string>{"v2"});
+  CHECK(drains == 1);
+  CHECK(fewest == 1);
+}
+
+TEST_CASE("a group leaves a host that the platform takes away, in good order") {
+  // Callers in flight finish: the group drains before it changes members.
+  FakeDomain domain(7);
+  PassUntilQuiet(domain);
+  const std::string leaving = domain.m_state.groups[0].members[0];
+  for (PlatformHost& host : domain.m_hosts.hosts) {
+    host.leaving = host.name == leaving;
+  }
+  CHECK(domain.Pass() == "drain");
+  CHECK(domain.m_state.groups[0].phase == GroupPhase::kDraining);
+  PassUntilQuiet(domain);
+  CHECK(domain.CountServing() == 2);
+  CHECK(FindGroupOfHost(domain.m_state, leaving) == nullptr);
+}
+
+TEST_CASE("property: whatever dies, no host is in two groups, and it heals") {
+  REQUIRE(rc::check("plan", [] {
+    FakeDomain domain(*rc::gen::inRange(6, 10));
+    const int steps = *rc::gen::inRange(10, 80);
+    std::set<std::string> dead;
+    for (int i = 0; i < steps; ++i) {
+      const auto host =
+          "h" + std::to_string(*rc::gen::inRange(
+                    0, static_cast<int>(domain.m_hosts.hosts.size())));
+      switch (*rc::gen::inRange(0, 6)) {
+        case 0:
+          domain.Kill(host);
+          dead.insert(host);
+          break;
+        case 1:
+          domain.Revive(host);
+          dead.erase(host);
+          break;
+        case 2:
+          domain.ForgetViews();
+          break;
+        default:
+          domain.Pass();
+      }
+      RC_ASSERT(domain.IsSound());
+    }
+    for (const std::string& host : dead) {
+      domain.Revive(host);
+    }
+    PassUntilQuiet(domain, 80);
+    RC_ASSERT(domain.CountServing() == 2);
+    RC_ASSERT(domain.IsSound());
+  }));
+}
+
+TEST_CASE(
+    "a controller that dies after any step has a successor that ends it") {
+  // Callers see both replicas in the end. The controller dies after each write
+  // in turn, from forming to serving and through a repair.
+  for (int deaths = 0; deaths < 12; ++deaths) {
+    FakeDomain domain(7);
+    for (int i = 0; i < deaths; ++i) {
+      domain.Pass();
+    }
+    domain.ForgetViews();
+    PassUntilQuiet(domain);
+    REQUIRE(domain.CountServing() == 2);
+    domain.Kill(domain.m_state.groups[1].members[0]);
+    for (int i = 0; i < deaths; ++i) {
+      domain.Pass();
+    }
+    domain.ForgetViews();
+    PassUntilQuiet(domain);
+    CHECK(domain.CountServing() == 2);
+    CHECK(domain.IsSound());
+  }
+}
+
+/// The store's side of a lease: versions and conditional updates.
+struct FakeStore {
+  std::map<std::string, uint64_t> heartbeat;
+  uint64_t version = 0;
+  DomainLease lease;
+  uint64_t lease_version = 0;
+};
+
+/// One controller at the interface of the lease rules, with a clock of its own.
+struct FakeController {
+  std::string name;
+  Duration clock_offset{0};
+  LeaseKeeper keeper;
+  DomainHold hold;
+  HolderView holder;
+  uint64_t lease_version = 0;
+  TimePoint lease_seen;
+};
+
+TEST_CASE(
+    "property: never two controllers that may act, one order life apart") {
+  // Pauses, lost answers and clocks of any offset; the store is the only thing
+  // shared.
+  REQUIRE(rc::check("lease", [] {
+    const LeasePolicy policy;
+    FakeStore store;
+    std::vector<FakeController> controllers;
+    for (int i = 0; i < 3; ++i) {
+      FakeController controller;
+      controller.name = "c" + std::to_string(i);
+      controller.clock_offset = Milliseconds(*rc::gen::inRange(0, 100000));
+      controllers.push_back(controller);
+    }
+    TimePoint true_now = kStart;
+    std::optional<TimePoint> last_act;
+    std::string last_actor;
+    for (int i = 0; i < 150; ++i) {
+      true_now += Milliseconds(*rc::gen::inRange(1, 4000));
+      FakeController& self = controllers[*rc::gen::inRange<size_t>(0, 3)];
+      const auto now = [&] { return true_now + self.clock_offset; };
+      const TimePoint began = now();
+      const bool paused = *rc::gen::inRange(0, 6) == 0;
+      switch (*rc::gen::inRange(0, 4)) {
+        case 0: {  // Heartbeat; the answer may be late.
+          store.heartbeat[self.name] = ++store.version;
+          true_now += paused ? Seconds(10) : Milliseconds(5);
+          self.keeper.OnWritten(began, policy, now());
+          break;
+        }
+        case 1: {  // Read the lease and the holder's heartbeat.
+          if (self.lease_version != store.lease_version) {
+            self.lease_version = store.lease_version;
+            self.hold.lease = store.lease;
+            self.lease_seen = now();
+          }
+          ObserveHolder(self.holder, store.lease.holder,
+                        store.heartbeat[store.lease.holder], now());
+          break;
+        }
+        case 2: {  // Take the domain if allowed; conditional on the version.
+          if (self.hold.lease.holder != self.name &&
+              self.keeper.IsHeld(policy, now()) &&
+              MayTake(self.hold.lease, self.lease_seen, self.holder, policy,
+                      Duration(0), now())) {
+            const uint64_t term = self.keeper.term();
+            true_now += paused ? Seconds(10) : Milliseconds(5);
+            if (store.lease_version == self.lease_version) {
+              store.lease = {self.name, store.lease.fence + 1};
+              store.lease_version = ++store.version;
+              self.lease_version = store.lease_version;
+              self.hold = {store.lease, term};
+              self.lease_seen = now();
+            }
+          }
+          break;
+        }
+        default:
+          break;
+      }
+      for (FakeController& controller : controllers) {
+        const TimePoint at = true_now + controller.clock_offset;
+        if (!MayAct(controller.hold, controller.name, controller.keeper, policy,
+                    at)) {
+          continue;
+        }
+        if (last_act && last_actor != controller.name) {
+          RC_ASSERT(true_now - *last_act >= policy.order_life);
+        }
+        last_act = true_now;
+        last_actor = controller.name;
+      }
+    }
+  }));
+}
+
+TEST_CASE("a domain is taken only after the holder's last order has arrived") {
+  // An engine that ignores fencing numbers would get two masters. The holder
+  // sends its last order as its lease ends.
+  const LeasePolicy policy;
+  const DomainLease lease{"old", 3};
+  HolderView view;
+  ObserveHolder(view, "old", 7, kStart);
+  const TimePoint lease_end = kStart + policy.duration;
+  const TimePoint order_arrived = lease_end + policy.order_life;
+  ObserveHolder(view, "old", 7, order_arrived - Milliseconds(1));
+  CHECK(!MayTake(lease, kStart, view, policy, Duration(0),
+                 order_arrived - Milliseconds(1)));
+  ObserveHolder(view, "old", 7, order_arrived);
+  CHECK(MayTake(lease, kStart, view, policy, Duration(0), order_arrived));
+}
+
+TEST_CASE(
+    "an old reading of the heartbeat is no proof that the holder is gone") {
+  // Two controllers would order the same engines. The challenger read the
+  // heartbeat once and then heard nothing, as while the store is down; the
+  // holder may have renewed it since.
+  const LeasePolicy policy;
+  HolderView view;
+  ObserveHolder(view, "old", 7, kStart);
+  CHECK(!MayTake({"old", 3}, kStart, view, policy, Duration(0),
+                 kStart + Seconds(3600)));
+}
+
+TEST_CASE("a line that waited in a buffer does not make a dead member live") {
+  // Callers would get answers of half a group. The reader is paused for ten
+  // seconds, the member dies after two; the reader wakes and finds lines.
+  MemberEvidence evidence;
+  evidence.OnConnect(kStart);
+  BeatLine beat;
+  beat.engine_clock_us = 7'000'000;
+  evidence.OnBeat(beat);
+  beat.engine_clock_us = 9'000'000;
+  evidence.OnBeat(beat);
+  CHECK(*evidence.alive_at() == kStart + Seconds(2));
+}
+
+TEST_CASE("property: no bytes crash the reading of a line or a stored value") {
+  REQUIRE(rc::check("values", [] {
+    const auto bytes = *rc::gen::container<std::string>(rc::gen::elementOf(
+        std::string("{}[]\":,trgroupsholderfence0123456789-\xff\x80 \n")));
+    ParseBeatLine(bytes);
+    ParseDomainState(bytes);
+    ParseDomainHosts("d", bytes);
+    DomainState state;
+    state.lease = {"c", 3};
+    state.groups.push_back({"d/1",
+                            "m",
+                            "g",
+                            1,
+                            GroupPhase::kServing,
+                            DrainGoal::kNone,
+                            "v1",
+                            {"a"},
+                            {"h0"}});
+    std::string text = ToJson(state).dump();
+    RC_ASSERT(ParseDomainState(text).value() == state);
+    text[*rc::gen::inRange<size_t>(0, text.size())] =
+        *rc::gen::elementOf(std::string("{}\":,9\xff"));
+    ParseDomainState(text);
+  }));
+}
+
+TEST_CASE("replicas of a dark domain are formed elsewhere, and stay there") {
+  // Callers of spectra are served from the other domain. All groups of domain a
+  // are broken; b has room.
+  Resources resources;
+  resources.services["m"] = Service{"m", ServiceType::kModel, 0.9, {}, 1};
+  ServingGroup declared;
+  declared.name = "g";
+  declared.service = "m";
+  declared.replicas = 1;
+  declared.members_per_replica = 2;
+  resources.serving_groups["g"] = declared;
+  DomainSummaries domains;
+  domains["a"].state.groups.push_back({"a/1",
+                                       "m",
+                                       "g",
+                                       1,
+                                       GroupPhase::kBroken,
+                                       DrainGoal::kNone,
+                                       "v1",
+                                       {},
+                                       {"x", "y"}});
+  domains["b"].state.free_hosts = 2;
+  Assignment wanted = AssignReplicas(resources, domains);
+  CHECK(wanted["a"]["g"] == 0);
+  CHECK(wanted["b"]["g"] == 1);
+  domains["b"].state.free_hosts = 0;
+  wanted = AssignReplicas(resources, domains);
+  CHECK(wanted["a"]["g"] == 1);
+}
+
+}  // namespace
+}  // namespace filbertrack
