--- a/include/filbertrack/admission_limits.h
+++ b/include/filbertrack/admission_limits.h
@@ -1,15 +1,14 @@
 #pragma once
 
 /// How many requests a second each workspace may send to each service through
-/// this entry host: the host's part of the entitlement, loans included.
+/// this entry host: a token bucket an entitlement, filled at the host's present
+/// part of it.
 
 #include <map>
-#include <string>
-#include <string_view>
-#include <utility>
 #include <variant>
 
 #include "filbertrack/admission_bucket.h"
+#include "filbertrack/admission_parts.h"
 #include "filbertrack/base_time.h"
 #include "filbertrack/config_resources.h"
 
@@ -23,41 +22,30 @@
 
 class AdmissionLimits {
  public:
-  /// `share` is this host's part of every entitlement, from 0 to 1.
-  void SetShare(const Resources& resources, double share, TimePoint now);
+  /// Takes over the declared entitlements; what is no longer declared is no
+  /// longer admitted.
+  void Declare(const Resources& resources, TimePoint now);
 
-  /// Adds to the host's part of one entitlement, in requests per second, what
-  /// it has borrowed less what it has lent.
-  void SetLoan(std::string_view workspace,
-               std::string_view service,
+  /// Sets what this host may use of one entitlement from now on.
+  void SetRate(const EntitlementKey& key,
                double requests_per_second,
                TimePoint now);
 
-  AdmissionDecision TryAdmit(std::string_view workspace,
-                             std::string_view service,
-                             TimePoint now);
+  AdmissionDecision TryAdmit(const EntitlementKey& key, TimePoint now);
 
-  /// Entitled requests per second over all hosts; the weight in fair queueing.
-  double EntitledRate(std::string_view workspace,
-                      std::string_view service) const;
+  /// Requests per second over all hosts; the weight in fair queueing.
+  double Entitled(const EntitlementKey& key) const;
 
-  /// This host's present rate, loans included.
-  double CurrentRate(std::string_view workspace,
-                     std::string_view service) const;
+  /// All declared entitlements, in requests per second over all hosts.
+  std::map<EntitlementKey, double> Declared() const;
 
  private:
   struct Limit {
     double entitled = 0;
-    double share = 0;
-    double loan = 0;
     TokenBucket bucket;
   };
-  using Key = std::pair<std::string, std::string>;
 
-  static void ApplyRate(Limit& limit, TimePoint now);
-  const Limit* Find(std::string_view workspace, std::string_view service) const;
-
-  std::map<Key, Limit> m_limits;
+  std::map<EntitlementKey, Limit> m_limits;
 };
 
 }  // namespace filbertrack
--- a/include/filbertrack/base_hash.h
+++ b/include/filbertrack/base_hash.h
@@ -18,6 +18,9 @@
 /// Lower-case hexadecimal SHA-256.
 std::string Sha256Hex(std::string_view bytes);
 
+/// The 32 bytes of HMAC-SHA256.
+std::string HmacSha256(std::string_view key, std::string_view bytes);
+
 /// Compares in a time that depends on the lengths only, so that the time of a
 /// refusal tells nothing about a workspace's key.
 bool ConstantTimeEqual(std::string_view left, std::string_view right);
--- a/include/filbertrack/base_result.h
+++ b/include/filbertrack/base_result.h
@@ -41,6 +41,7 @@
   kKeyStoreUnavailable = 115,
   kDraining = 116,
   kCallerGone = 117,
+  kMayBeBehind = 118,
 };
 
 /// One row of the table of result codes.
--- /dev/null
+++ b/include/filbertrack/exchange.h
@@ -0,0 +1,52 @@
+#pragma once
+
+/// What entry hosts tell each other, as plain functions over what each knows:
+/// objects of the store, membership, evidence about groups, and loans of
+/// entitlements. Every answer is dated by its question, so that neither a slow
+/// network nor a paused process makes old news look fresh.
+
+#include <string>
+#include <vector>
+
+#include "filbertrack/admission_parts.h"
+#include "filbertrack/fleet_view.h"
+#include "filbertrack/peer_message.h"
+#include "filbertrack/peer_table.h"
+#include "filbertrack/state_cache.h"
+
+namespace filbertrack {
+
+/// What one entry host knows.
+struct ExchangeState {
+  PeerTable& table;
+  ObjectCache& cache;
+  FleetView& fleet;
+  EntitlementParts& parts;
+  LoanPolicy loans;
+};
+
+/// The question to `peer`; `wanted` are keys that its last answer offered.
+ExchangeAsk MakeAsk(ExchangeState& state,
+                    const PeerState& peer,
+                    std::vector<std::string> wanted,
+                    TimePoint now);
+
+ExchangeAnswer AnswerAsk(ExchangeState& state,
+                         const ExchangeAsk& ask,
+                         TimePoint now);
+
+struct ExchangeEffect {
+  bool objects_changed = false;
+  /// Groups whose evidence changed.
+  std::vector<std::string> groups;
+  /// To be asked for next.
+  std::vector<std::string> wanted;
+};
+
+/// Takes over the answer to `ask`, which was asked at `asked_at`.
+ExchangeEffect ApplyAnswer(ExchangeState& state,
+                           const ExchangeAsk& ask,
+                           const ExchangeAnswer& answer,
+                           TimePoint asked_at);
+
+}  // namespace filbertrack
--- a/include/filbertrack/fleet_view.h
+++ b/include/filbertrack/fleet_view.h
@@ -13,6 +13,7 @@
 #include "filbertrack/config_resources.h"
 #include "filbertrack/groups_evidence.h"
 #include "filbertrack/groups_state.h"
+#include "filbertrack/peer_message.h"
 #include "filbertrack/routing_choice.h"
 #include "filbertrack/state_cache.h"
 
@@ -42,10 +43,19 @@
                        const MemberEvidence& evidence,
                        TimePoint now);
 
-  /// Evidence about a whole group that another process read.
-  void OnGroupEvidence(std::string_view group,
+  /// Evidence about a group that another process read: `whole` or with a member
+  /// missing at time `at`. The later word counts. True where it was news.
+  bool OnGroupEvidence(std::string_view group,
                        uint64_t epoch,
-                       TimePoint whole_at);
+                       bool whole,
+                       TimePoint at,
+                       int load);
+
+  /// Evidence about all groups that this process knows, in the order of ids.
+  std::vector<GroupEvidence> Evidence(TimePoint now) const;
+
+  /// Drops what was read of hosts that this process no longer watches.
+  void KeepMembers(const std::map<std::string, Address, std::less<>>& watched);
 
   const std::map<std::string, FleetGroup, std::less<>>& groups() const {
     return m_groups;
@@ -67,7 +77,10 @@
   void RebuildCandidates(TimePoint now);
   void AddPlainServers(std::vector<RouteCandidate>& candidates, TimePoint now);
   void AddGroups(std::vector<RouteCandidate>& candidates, TimePoint now);
-  void RefreshWhole(RouteCandidate& candidate, const Group& group);
+  void RefreshWhole(RouteCandidate& candidate,
+                    const Group& group,
+                    TimePoint now);
+  bool IsWatched(std::string_view group) const;
   RouteCandidate Known(const std::string& id, uint64_t epoch, TimePoint now);
 
   Resources m_resources;
--- a/include/filbertrack/gateway.h
+++ b/include/filbertrack/gateway.h
@@ -13,6 +13,7 @@
 #include "filbertrack/admission_queue.h"
 #include "filbertrack/config_follower.h"
 #include "filbertrack/fleet_view.h"
+#include "filbertrack/gateway_peers.h"
 #include "filbertrack/gateway_relay.h"
 #include "filbertrack/member_watch.h"
 #include "filbertrack/metrics.h"
@@ -34,6 +35,7 @@
 
   const Address& caller_address() const { return m_caller_address; }
   const Address& admin_address() const { return m_admin_address; }
+  const Address& peer_address() const { return m_peer_address; }
 
   /// Goes unready, serves on for the grace time and until nothing is in
   /// flight, then stops the loop.
@@ -60,8 +62,12 @@
 
   void OnObjects();
   void OnConfig();
+  /// Other entry hosts came or went: who watches what may change.
+  void OnMembership();
+  void RefreshRates();
   void OnEvidence(const std::string& host, const MemberEvidence& evidence);
   void WatchMembers();
+  void NotifyGroup(const std::string& group);
   /// Tells open requests that evidence about their targets changed.
   void NotifyRelays(std::span<const uint64_t> ids);
 
@@ -89,6 +95,8 @@
   HttpClient m_upstream;
   Metrics m_metrics;
   AdmissionLimits m_limits;
+  EntitlementParts m_parts;
+  std::unique_ptr<GatewayPeers> m_peers;
   RetryBudget m_retries;
   RoutePolicy m_route_policy;
   RouteLimits m_route_limits;
@@ -107,6 +115,8 @@
   std::unique_ptr<HttpServer> m_admin_server;
   Address m_caller_address;
   Address m_admin_address;
+  Address m_peer_address;
+  std::unique_ptr<Timer> m_rate_timer;
   std::unique_ptr<Timer> m_queue_timer;
   std::unique_ptr<Timer> m_drain_timer;
   bool m_draining = false;
--- /dev/null
+++ b/include/filbertrack/gateway_peers.h
@@ -0,0 +1,117 @@
+#pragma once
+
+/// The part of an entry host that speaks with others: membership, exchange of
+/// evidence and objects, loans, the division of entitlements, and whether this
+/// host may be behind the configuration.
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "filbertrack/admission_division.h"
+#include "filbertrack/config_generation.h"
+#include "filbertrack/exchange.h"
+#include "filbertrack/peer_link.h"
+#include "filbertrack/settings.h"
+#include "filbertrack/store_watch.h"
+
+namespace filbertrack {
+
+struct GatewayPeerEvents {
+  std::function<void()> on_objects;
+  std::function<void(const std::vector<std::string>& groups)> on_evidence;
+  /// Membership or the division changed: who watches what may have too.
+  std::function<void()> on_membership;
+  /// A question about idempotency keys from another entry host.
+  std::function<void(KeyedAsk ask, std::function<void(KeyedAnswer)> answer)>
+      on_keyed;
+};
+
+class GatewayPeers {
+ public:
+  GatewayPeers(EventLoop& loop,
+               const Settings& settings,
+               StoreClient& store,
+               ObjectCache& cache,
+               FleetView& fleet,
+               EntitlementParts& parts,
+               GatewayPeerEvents events);
+  ~GatewayPeers();
+
+  Result<Address> Listen();
+
+  PeerTable& table() { return m_table; }
+  const PeerTable& table() const { return m_table; }
+
+  /// The cache changed: the division may be a newer one.
+  void OnObjects();
+
+  void SetGeneration(uint64_t generation);
+  void SetLeaving();
+
+  /// This host's part of every entitlement.
+  double Share(TimePoint now) const;
+
+  /// Whether a configuration newer than this host's may have been accepted
+  /// without it having heard.
+  bool MayBeBehind(TimePoint now) const;
+
+  /// Asks the peer about idempotency keys; null where it did not answer.
+  void AskKeyed(const std::string& node,
+                const KeyedAsk& ask,
+                Duration timeout,
+                std::function<void(const KeyedAnswer* answer)> done);
+
+  const LoanPolicy& loan_policy() const { return m_loans; }
+
+ private:
+  struct Neighbour {
+    Address address;
+    std::unique_ptr<PeerClient> client;
+    std::vector<std::string> wanted;
+    TimePoint asked_at;
+  };
+
+  ExchangeState State();
+  void OnQuestion(std::string_view payload, const PeerServer::Answer& answer);
+  void Tick();
+  void AskNeighbours(TimePoint now);
+  void AskSeeds(TimePoint now);
+  void Ask(const std::string& name, const PeerState& peer, TimePoint now);
+  void OnAnswer(const std::string& name,
+                const ExchangeAsk& ask,
+                TimePoint asked_at,
+                const std::string* payload);
+  void Confirm(TimePoint now);
+  void ProbeStore(TimePoint now);
+  void KeepDivision(TimePoint now);
+  void WriteDivision(const std::vector<std::string>& live);
+
+  EventLoop& m_loop;
+  Settings m_settings;
+  StoreClient& m_store;
+  ObjectCache& m_cache;
+  FleetView& m_fleet;
+  EntitlementParts& m_parts;
+  GatewayPeerEvents m_events;
+  std::string m_key;
+  Duration m_interval;
+  PeerTable m_table;
+  DivisionKeeper m_division;
+  DivisionPolicy m_division_policy;
+  LoanPolicy m_loans;
+  std::unique_ptr<PeerServer> m_server;
+  std::map<std::string, Neighbour> m_neighbours;
+  std::map<std::string, std::unique_ptr<PeerClient>> m_keyed_clients;
+  std::unique_ptr<Timer> m_timer;
+  TimePoint m_seeds_asked;
+  TimePoint m_store_probed;
+  std::vector<std::string> m_live;
+  TimePoint m_live_since;
+  bool m_writing_division = false;
+  std::optional<TimePoint> m_config_confirmed_at;
+};
+
+}  // namespace filbertrack
--- a/include/filbertrack/routing_choice.h
+++ b/include/filbertrack/routing_choice.h
@@ -34,6 +34,8 @@
   /// All members were alive and in the group's epoch at this time; nullopt:
   /// never, or one is known to be missing. Plain servers have no evidence.
   std::optional<TimePoint> whole_at;
+  /// A member was known to be missing at this time.
+  TimePoint lost_at;
   bool needs_evidence = true;
   bool leaving = false;
 };
--- a/include/filbertrack/settings.h
+++ b/include/filbertrack/settings.h
@@ -9,27 +9,15 @@
 #include <map>
 #include <string>
 #include <string_view>
-#include <tuple>
 #include <variant>
 #include <vector>
 
+#include "filbertrack/base_address.h"
 #include "filbertrack/base_result.h"
 #include "filbertrack/base_time.h"
 
 namespace filbertrack {
 
-/// The address of a TCP endpoint; `host` is a numeric IP address.
-struct Address {
-  std::string host;
-  uint16_t port = 0;
-
-  std::string ToString() const { return host + ":" + std::to_string(port); }
-  bool operator==(const Address&) const = default;
-  bool operator<(const Address& other) const {
-    return std::tie(host, port) < std::tie(other.host, other.port);
-  }
-};
-
 Result<Address> ParseAddress(std::string_view text);
 
 struct IntegerKey {
@@ -47,6 +35,7 @@
   std::string fallback;
   bool required = false;
   std::vector<std::string> allowed;  ///< Empty: any text.
+  size_t least_bytes = 0;
 };
 struct AddressKey {
   std::string fallback;  ///< Empty: the key is required.
--- a/source/admission_limits.cc
+++ b/source/admission_limits.cc
@@ -1,9 +1,5 @@
 #include "filbertrack/admission_limits.h"
 
-#include <algorithm>
-#include <cmath>
-#include <variant>
-
 namespace filbertrack {
 
 namespace {
@@ -13,85 +9,55 @@
 
 }  // namespace
 
-void AdmissionLimits::SetShare(const Resources& resources,
-                               double share,
-                               TimePoint now) {
-  std::map<Key, Limit> limits;
+void AdmissionLimits::Declare(const Resources& resources, TimePoint now) {
+  std::map<EntitlementKey, Limit> limits;
   for (const auto& [name, workspace] : resources.workspaces) {
     for (const Entitlement& entitlement : workspace.entitlements) {
-      const Key key{name, entitlement.service};
+      const EntitlementKey key{name, entitlement.service};
       const auto known = m_limits.find(key);
-      Limit limit = known == m_limits.end()
-                        ? Limit{0, 0, 0, TokenBucket(0, 1, now)}
-                        : known->second;
-      const bool is_new = known == m_limits.end();
-      limit.entitled = entitlement.requests_per_second;
-      limit.share = limit.entitled * share;
-      if (is_new) {
-        limit.bucket =
-            TokenBucket(limit.share, limit.share * kBurstSeconds, now);
-      }
-      ApplyRate(limit, now);
-      limits.emplace(key, limit);
+      const TokenBucket bucket = known == m_limits.end()
+                                     ? TokenBucket(0, 1, now)
+                                     : known->second.bucket;
+      limits.emplace(key, Limit{entitlement.requests_per_second, bucket});
     }
   }
   m_limits = std::move(limits);
 }
 
-void AdmissionLimits::SetLoan(std::string_view workspace,
-                              std::string_view service,
+void AdmissionLimits::SetRate(const EntitlementKey& key,
                               double requests_per_second,
                               TimePoint now) {
-  const auto limit =
-      m_limits.find(Key{std::string(workspace), std::string(service)});
-  if (limit == m_limits.end() || limit->second.loan == requests_per_second) {
-    return;
+  const auto limit = m_limits.find(key);
+  if (limit != m_limits.end()) {
+    limit->second.bucket.SetRate(requests_per_second,
+                                 requests_per_second * kBurstSeconds, now);
   }
-  limit->second.loan = requests_per_second;
-  ApplyRate(limit->second, now);
 }
 
-AdmissionDecision AdmissionLimits::TryAdmit(std::string_view workspace,
-                                            std::string_view service,
+AdmissionDecision AdmissionLimits::TryAdmit(const EntitlementKey& key,
                                             TimePoint now) {
-  const auto found =
-      m_limits.find(Key{std::string(workspace), std::string(service)});
-  if (found == m_limits.end()) {
-    return OverEntitlement{kRetryWithoutPart};
-  }
-  Limit& limit = found->second;
-  if (limit.bucket.per_second() <= 0) {
+  const auto found = m_limits.find(key);
+  if (found == m_limits.end() || found->second.bucket.per_second() <= 0) {
     return OverEntitlement{kRetryWithoutPart};
   }
-  if (!limit.bucket.TryTake(now)) {
-    return OverEntitlement{limit.bucket.UntilNext(now)};
+  TokenBucket& bucket = found->second.bucket;
+  if (!bucket.TryTake(now)) {
+    return OverEntitlement{bucket.UntilNext(now)};
   }
   return Admitted{};
 }
 
-double AdmissionLimits::EntitledRate(std::string_view workspace,
-                                     std::string_view service) const {
-  const Limit* limit = Find(workspace, service);
-  return limit == nullptr ? 0 : limit->entitled;
-}
-
-double AdmissionLimits::CurrentRate(std::string_view workspace,
-                                    std::string_view service) const {
-  const Limit* limit = Find(workspace, service);
-  return limit == nullptr ? 0 : std::max(0.0, limit->share + limit->loan);
-}
-
-void AdmissionLimits::ApplyRate(Limit& limit, TimePoint now) {
-  const double rate = std::max(0.0, limit.share + limit.loan);
-  limit.bucket.SetRate(rate, rate * kBurstSeconds, now);
+double AdmissionLimits::Entitled(const EntitlementKey& key) const {
+  const auto found = m_limits.find(key);
+  return found == m_limits.end() ? 0 : found->second.entitled;
 }
 
-const AdmissionLimits::Limit* AdmissionLimits::Find(
-    std::string_view workspace,
-    std::string_view service) const {
-  const auto limit =
-      m_limits.find(Key{std::string(workspace), std::string(service)});
-  return limit == m_limits.end() ? nullptr : &limit->second;
+std::map<EntitlementKey, double> AdmissionLimits::Declared() const {
+  std::map<EntitlementKey, double> declared;
+  for (const auto& [key, limit] : m_limits) {
+    declared.emplace(key, limit.entitled);
+  }
+  return declared;
 }
 
 }  // namespace filbertrack
--- a/source/base_hash.cc
+++ b/source/base_hash.cc
@@ -3,6 +3,8 @@
 #include <array>
 
 #include <openssl/crypto.h>
+#include <openssl/evp.h>
+#include <openssl/hmac.h>
 #include <openssl/rand.h>
 #include <openssl/sha.h>
 #include <xxhash.h>
@@ -39,6 +41,15 @@
   return ToHex(digest.data(), digest.size());
 }
 
+std::string HmacSha256(std::string_view key, std::string_view bytes) {
+  std::array<unsigned char, SHA256_DIGEST_LENGTH> digest;
+  unsigned int size = 0;
+  HMAC(EVP_sha256(), key.data(), static_cast<int>(key.size()),
+       reinterpret_cast<const unsigned char*>(bytes.data()), bytes.size(),
+       digest.data(), &size);
+  return {reinterpret_cast<const char*>(digest.data()), size};
+}
+
 bool ConstantTimeEqual(std::string_view left, std::string_view right) {
   return left.size() == right.size() &&
          CRYPTO_memcmp(left.data(), right.data(), left.size()) == 0;
--- a/source/base_result.cc
+++ b/source/base_result.cc
@@ -54,6 +54,8 @@
      "The idempotency key cannot be recorded now, so nothing was run."},
     {kDraining, "draining", 503, "This entry host is stopping."},
     {kCallerGone, "caller-gone", 499, "The caller closed its connection."},
+    {kMayBeBehind, "may-be-behind", 503,
+     "This entry host may not have the configuration that is in force."},
 });
 
 }  // namespace
--- /dev/null
+++ b/source/exchange.cc
@@ -0,0 +1,186 @@
+#include "filbertrack/exchange.h"
+
+#include <algorithm>
+
+namespace filbertrack {
+
+namespace {
+
+/// The first byte of a group's evidence: its age in units, with this bit where
+/// a member is known to be missing.
+constexpr uint8_t kLostBit = 0x80;
+constexpr uint8_t kUnknownAge = 0x7f;
+constexpr int kMostLoadByte = 255;
+/// Answers carry at most this much of other's objects; the rest is asked next.
+constexpr size_t kMostObjectBytes = 1024 * 1024;
+
+std::vector<uint8_t> PackEvidence(const std::vector<GroupEvidence>& rows) {
+  std::vector<uint8_t> bytes;
+  bytes.reserve(rows.size() * 2);
+  for (const GroupEvidence& row : rows) {
+    const uint8_t age = PackAge(row.age, kEvidenceAgeUnit, kUnknownAge);
+    bytes.push_back(static_cast<uint8_t>(age | (row.whole ? 0 : kLostBit)));
+    bytes.push_back(static_cast<uint8_t>(std::min(row.load, kMostLoadByte)));
+  }
+  return bytes;
+}
+
+void ApplyEvidence(ExchangeState& state,
+                   const GroupEvidence& row,
+                   TimePoint asked_at,
+                   ExchangeEffect& effect) {
+  if (state.fleet.OnGroupEvidence(row.group, row.epoch, row.whole,
+                                  asked_at - row.age, row.load)) {
+    effect.groups.push_back(row.group);
+  }
+}
+
+void ApplyEvidenceBytes(ExchangeState& state,
+                        const std::vector<uint8_t>& bytes,
+                        TimePoint asked_at,
+                        ExchangeEffect& effect) {
+  std::vector<GroupEvidence> rows = state.fleet.Evidence(asked_at);
+  // The digests of the caches were equal when the answer was made; where ours
+  // has changed since, the rows no longer match and the next answer will.
+  if (bytes.size() != rows.size() * 2) {
+    return;
+  }
+  for (size_t i = 0; i < rows.size(); ++i) {
+    const uint8_t age = bytes[2 * i] & kUnknownAge;
+    if (age == kUnknownAge) {
+      continue;
+    }
+    rows[i].whole = (bytes[2 * i] & kLostBit) == 0;
+    rows[i].age = kEvidenceAgeUnit * age;
+    rows[i].load = bytes[2 * i + 1];
+    ApplyEvidence(state, rows[i], asked_at, effect);
+  }
+}
+
+void ApplyPeerAges(ExchangeState& state,
+                   const PeerState& from,
+                   const std::vector<uint8_t>& ages,
+                   TimePoint asked_at) {
+  // Equal digests mean the same names: the answerer's table without itself is
+  // ours without it, plus this host.
+  std::vector<std::string> names = {state.table.self().node};
+  for (const auto& [name, record] : state.table.records()) {
+    if (name != from.node) {
+      names.push_back(name);
+    }
+  }
+  std::sort(names.begin(), names.end());
+  if (names.size() != ages.size()) {
+    return;
+  }
+  for (size_t i = 0; i < names.size(); ++i) {
+    const auto record = state.table.records().find(names[i]);
+    if (ages[i] < 255 && record != state.table.records().end()) {
+      const PeerState known = record->second.state;
+      state.table.Learn(known, asked_at - kPeerAgeUnit * ages[i]);
+    }
+  }
+}
+
+void AddObjects(const ObjectCache& cache,
+                const std::vector<std::string>& wanted,
+                std::vector<StoredObject>& objects) {
+  size_t bytes = 0;
+  for (const std::string& key : wanted) {
+    const StoredObject* object = cache.Find(key);
+    if (object != nullptr && bytes < kMostObjectBytes) {
+      objects.push_back(*object);
+      bytes += object->value.size();
+    }
+  }
+}
+
+}  // namespace
+
+ExchangeAsk MakeAsk(ExchangeState& state,
+                    const PeerState& peer,
+                    std::vector<std::string> wanted,
+                    TimePoint now) {
+  ExchangeAsk ask;
+  ask.from = state.table.self();
+  ask.cache_digest = state.cache.Digest();
+  ask.table_digest = state.table.Digest();
+  ask.wanted_objects = std::move(wanted);
+  for (const EntitlementParts::Wish& wish :
+       state.parts.Wishes(peer.node, state.loans, now)) {
+    ask.loan_wishes.push_back(
+        {wish.key.first, wish.key.second, wish.requests_per_second});
+  }
+  return ask;
+}
+
+ExchangeAnswer AnswerAsk(ExchangeState& state,
+                         const ExchangeAsk& ask,
+                         TimePoint now) {
+  // A question proves only that its sender lived at some time: it may have
+  // waited on the way. So it makes the sender known, and not live.
+  state.table.Learn(ask.from, TimePoint());
+  ExchangeAnswer answer;
+  answer.from = state.table.self();
+  answer.cache_digest = state.cache.Digest();
+  AddObjects(state.cache, ask.wanted_objects, answer.objects);
+  const std::vector<GroupEvidence> evidence = state.fleet.Evidence(now);
+  if (ask.cache_digest == answer.cache_digest) {
+    answer.evidence_bytes = PackEvidence(evidence);
+  } else {
+    answer.inventory = state.cache.Inventory();
+    answer.evidence = evidence;
+  }
+  const bool same_table = ask.table_digest == state.table.Digest();
+  for (const auto& [name, record] : state.table.records()) {
+    const Duration age = now - record.alive_at;
+    if (same_table) {
+      answer.peer_ages.push_back(PackAge(age, kPeerAgeUnit, 255));
+    } else {
+      answer.peers.push_back({record.state, std::min(age, Seconds(3600))});
+    }
+  }
+  for (const LoanWish& wish : ask.loan_wishes) {
+    const double granted =
+        state.parts.Grant(ask.from.node, {wish.workspace, wish.service},
+                          wish.requests_per_second, state.loans, now);
+    if (granted > 0) {
+      answer.loans.push_back({wish.workspace, wish.service, granted});
+    }
+  }
+  return answer;
+}
+
+ExchangeEffect ApplyAnswer(ExchangeState& state,
+                           const ExchangeAsk& ask,
+                           const ExchangeAnswer& answer,
+                           TimePoint asked_at) {
+  ExchangeEffect effect;
+  const bool same_table = ask.table_digest == state.table.Digest();
+  state.table.Learn(answer.from, asked_at);
+  for (const PeerNews& news : answer.peers) {
+    state.table.Learn(news.state, asked_at - news.age);
+  }
+  if (same_table && answer.peers.empty()) {
+    ApplyPeerAges(state, answer.from, answer.peer_ages, asked_at);
+  }
+  for (const StoredObject& object : answer.objects) {
+    effect.objects_changed =
+        state.cache.Offer(object) || effect.objects_changed;
+  }
+  effect.wanted = state.cache.Missing(answer.inventory);
+  if (answer.inventory.empty() && !effect.objects_changed &&
+      answer.cache_digest == state.cache.Digest()) {
+    ApplyEvidenceBytes(state, answer.evidence_bytes, asked_at, effect);
+  }
+  for (const GroupEvidence& row : answer.evidence) {
+    ApplyEvidence(state, row, asked_at, effect);
+  }
+  for (const LoanWish& loan : answer.loans) {
+    state.parts.OnGranted(answer.from.node, {loan.workspace, loan.service},
+                          loan.requests_per_second, state.loans, asked_at);
+  }
+  return effect;
+}
+
+}  // namespace filbertrack
--- a/source/fleet_view.cc
+++ b/source/fleet_view.cc
@@ -6,6 +6,9 @@
 
 namespace {
 
+/// Older than any bound.
+constexpr Duration kUnknownEvidenceAge = Seconds(60);
+
 LoadReport ReadLoad(const MemberReport& report, TimePoint now) {
   LoadReport load;
   load.running = report.running;
@@ -91,19 +94,69 @@
     candidate->load = ReadLoad(member.report, now);
     candidate->history.sent_since_report = 0;
   }
-  RefreshWhole(*candidate, group);
+  RefreshWhole(*candidate, group, now);
   return group.id;
 }
 
-void FleetView::OnGroupEvidence(std::string_view group,
+bool FleetView::OnGroupEvidence(std::string_view group,
                                 uint64_t epoch,
-                                TimePoint whole_at) {
+                                bool whole,
+                                TimePoint at,
+                                int load) {
   RouteCandidate* candidate = FindCandidate(group);
   if (candidate == nullptr || candidate->target.epoch != epoch) {
-    return;
+    return false;
+  }
+  RouteTarget& target = candidate->target;
+  if (at <= std::max(target.whole_at.value_or(TimePoint()), target.lost_at)) {
+    return false;
+  }
+  if (!whole) {
+    target.whole_at.reset();
+    target.lost_at = at;
+    return true;
+  }
+  target.whole_at = at;
+  if (!IsWatched(group)) {
+    candidate->load.running = load;
+    candidate->load.queued = 0;
+    candidate->history.sent_since_report = 0;
   }
-  std::optional<TimePoint>& known = candidate->target.whole_at;
-  known = std::max(known.value_or(whole_at), whole_at);
+  return true;
+}
+
+std::vector<GroupEvidence> FleetView::Evidence(TimePoint now) const {
+  std::vector<GroupEvidence> rows;
+  for (const auto& [id, located] : m_groups) {
+    GroupEvidence row{id, located.group.epoch, true, kUnknownEvidenceAge, 0};
+    const auto index = m_index.find(id);
+    if (index != m_index.end()) {
+      const RouteCandidate& candidate = m_candidates[index->second];
+      const RouteTarget& target = candidate.target;
+      row.whole = target.whole_at.has_value() || target.lost_at == TimePoint();
+      if (target.whole_at) {
+        row.age = now - *target.whole_at;
+      } else if (target.lost_at != TimePoint()) {
+        row.age = now - target.lost_at;
+      }
+      row.load = candidate.load.running + candidate.load.queued;
+    }
+    rows.push_back(std::move(row));
+  }
+  return rows;
+}
+
+void FleetView::KeepMembers(
+    const std::map<std::string, Address, std::less<>>& watched) {
+  std::erase_if(m_members, [&watched](const auto& entry) {
+    return !watched.contains(entry.first);
+  });
+}
+
+bool FleetView::IsWatched(std::string_view group) const {
+  const auto located = m_groups.find(group);
+  return located != m_groups.end() &&
+         m_members.contains(located->second.group.members.front());
 }
 
 RouteCandidate* FleetView::FindCandidate(std::string_view id) {
@@ -174,12 +227,14 @@
     candidate.target.adapters = {group.adapters.begin(), group.adapters.end()};
     candidate.target.address = located.addresses.front();
     candidate.target.leaving = group.phase == GroupPhase::kDraining;
-    RefreshWhole(candidate, group);
+    RefreshWhole(candidate, group, now);
     candidates.push_back(std::move(candidate));
   }
 }
 
-void FleetView::RefreshWhole(RouteCandidate& candidate, const Group& group) {
+void FleetView::RefreshWhole(RouteCandidate& candidate,
+                             const Group& group,
+                             TimePoint now) {
   std::optional<TimePoint> oldest;
   for (const std::string& host : group.members) {
     const auto member = m_members.find(host);
@@ -191,6 +246,7 @@
         state.report.epoch != group.epoch ||
         state.report.phase != MemberPhase::kReady) {
       candidate.target.whole_at.reset();
+      candidate.target.lost_at = now;
       return;
     }
     oldest = std::min(oldest.value_or(*state.alive_at), *state.alive_at);
--- a/source/gateway.cc
+++ b/source/gateway.cc
@@ -14,7 +14,9 @@
 using Json = nlohmann::json;
 
 constexpr size_t kIdleUpstreamConnections = 64;
+constexpr Duration kRateInterval = Milliseconds(100);
 constexpr Duration kQueueInterval = Milliseconds(10);
+constexpr std::string_view kWatcherItem = "store watcher";
 constexpr Duration kDrainCheckInterval = Milliseconds(20);
 /// Evidence that stays away for so many bounds ends the attempt.
 constexpr int kGiveUpBounds = 3;
@@ -61,9 +63,21 @@
       static_cast<int>(settings.Integer("routing", "most_attempts"));
   m_watch = std::make_unique<StoreWatch>(loop, m_store, m_cache,
                                          [this] { OnObjects(); });
-  m_watch->SetPrefixes({std::string(kConfigRootKey),
-                        std::string(kDomainStatePrefix),
-                        std::string(kPlatformHostsPrefix)});
+  GatewayPeerEvents events;
+  events.on_objects = [this] { OnObjects(); };
+  events.on_evidence = [this](const std::vector<std::string>& groups) {
+    for (const std::string& group : groups) {
+      NotifyGroup(group);
+    }
+  };
+  events.on_membership = [this] { OnMembership(); };
+  events.on_keyed = [](const KeyedAsk&,
+                       const std::function<void(KeyedAnswer)>& answer) {
+    answer(KeyedAnswer());
+  };
+  m_peers = std::make_unique<GatewayPeers>(loop, settings, m_store, m_cache,
+                                           m_fleet, m_parts, std::move(events));
+  m_rate_timer = loop.Every(kRateInterval, [this] { RefreshRates(); });
   m_queue_timer = loop.Every(kQueueInterval, [this] { DrainQueues(); });
 }
 
@@ -91,6 +105,11 @@
   if (!admin) {
     return tl::unexpected<Error>(admin.error());
   }
+  const Result<Address> peers = m_peers->Listen();
+  if (!peers) {
+    return tl::unexpected<Error>(peers.error());
+  }
+  m_peer_address = *peers;
   m_caller_address = *callers;
   m_admin_address = *admin;
   return true;
@@ -117,6 +136,10 @@
         "code=\"" + std::to_string(static_cast<int>(code)) + "\"");
     SendRefusal(*exchange, code, Outcome::kNotRun, request_id, retry_after);
   };
+  if (m_peers->MayBeBehind(now)) {
+    refuse(ResultCode::kMayBeBehind, Seconds(1));
+    return;
+  }
   if (!request) {
     Log(LogLevel::kInfo, "request-refused",
         {{"request", request_id}, {"why", request.error().message}});
@@ -127,8 +150,9 @@
     refuse(ResultCode::kKeyStoreUnavailable, Seconds(1));
     return;
   }
-  const AdmissionDecision admission =
-      m_limits.TryAdmit(request->workspace, request->service, now);
+  const EntitlementKey entitlement{request->workspace, request->service};
+  m_parts.OnDemand(entitlement, m_peers->loan_policy(), now);
+  const AdmissionDecision admission = m_limits.TryAdmit(entitlement, now);
   if (const auto* over = std::get_if<OverEntitlement>(&admission)) {
     refuse(ResultCode::kOverEntitlement, over->retry_after);
     return;
@@ -224,7 +248,7 @@
   waiting.id = relay.id();
   waiting.workspace = request.workspace;
   waiting.priority = request.priority;
-  waiting.weight = m_limits.EntitledRate(request.workspace, request.service);
+  waiting.weight = m_limits.Entitled({request.workspace, request.service});
   waiting.deadline = request.deadline;
   if (denial.reason == RouteRefusal::kNoneServing) {
     waiting.deadline = std::min(
@@ -348,6 +372,7 @@
 
 void Gateway::OnObjects() {
   m_config.Follow();
+  m_peers->OnObjects();
   m_fleet.ReadDomains(m_cache, MonotonicNow());
   WatchMembers();
   std::vector<uint64_t> open;
@@ -357,6 +382,33 @@
   NotifyRelays(open);
 }
 
+void Gateway::OnMembership() {
+  // Few hosts of a data centre watch the store and the others hear from them,
+  // so that watches grow with data centres. A host that hears nobody finds
+  // itself the first and watches for itself.
+  const auto watchers =
+      static_cast<size_t>(m_settings.Integer("peers", "watchers"));
+  const bool watches = m_peers->table().IsChosen(
+      kWatcherItem, m_settings.Text("node", "data_centre"), watchers,
+      MonotonicNow());
+  m_watch->SetPrefixes(
+      watches ? std::vector<std::string>{std::string(kConfigRootKey),
+                                         std::string(kDomainStatePrefix),
+                                         std::string(kPlatformHostsPrefix),
+                                         std::string(kDivisionKey)}
+              : std::vector<std::string>());
+  WatchMembers();
+}
+
+void Gateway::RefreshRates() {
+  const TimePoint now = MonotonicNow();
+  const double share = m_peers->Share(now);
+  for (const auto& [key, entitled] : m_limits.Declared()) {
+    m_parts.SetBase(key, entitled * share);
+    m_limits.SetRate(key, m_parts.Usable(key, now), now);
+  }
+}
+
 void Gateway::NotifyRelays(std::span<const uint64_t> ids) {
   for (const uint64_t id : ids) {
     if (Relay* relay = FindRelay(id)) {
@@ -368,12 +420,20 @@
 void Gateway::OnConfig() {
   const TimePoint now = MonotonicNow();
   m_fleet.SetResources(m_config.resources(), now);
-  m_limits.SetShare(m_config.resources(), 1, now);
+  m_limits.Declare(m_config.resources(), now);
+  m_peers->SetGeneration(m_config.set().generation);
+  RefreshRates();
 }
 
 void Gateway::WatchMembers() {
+  const auto monitors =
+      static_cast<size_t>(m_settings.Integer("peers", "monitors"));
+  const TimePoint now = MonotonicNow();
   std::map<std::string, Address, std::less<>> members;
   for (const auto& [id, located] : m_fleet.groups()) {
+    if (!m_peers->table().IsChosen(id, "", monitors, now)) {
+      continue;
+    }
     for (size_t i = 0; i < located.addresses.size(); ++i) {
       if (located.addresses[i].port != 0) {
         members[located.group.members[i]] = located.addresses[i];
@@ -381,21 +441,27 @@
     }
   }
   m_members.SetMembers(members);
+  m_fleet.KeepMembers(members);
 }
 
 void Gateway::OnEvidence(const std::string& host,
                          const MemberEvidence& evidence) {
-  const std::string group = m_fleet.OnMember(host, evidence, MonotonicNow());
+  NotifyGroup(m_fleet.OnMember(host, evidence, MonotonicNow()));
+}
+
+void Gateway::NotifyGroup(const std::string& group) {
   const auto relays = m_relays_of_target.find(group);
-  if (relays == m_relays_of_target.end()) {
-    return;
+  if (relays != m_relays_of_target.end()) {
+    const std::vector<uint64_t> ids(relays->second.begin(),
+                                    relays->second.end());
+    NotifyRelays(ids);
   }
-  const std::vector<uint64_t> ids(relays->second.begin(), relays->second.end());
-  NotifyRelays(ids);
 }
 
 bool Gateway::IsReady() const {
-  return !m_draining && m_config.set().generation > 0;
+  const TimePoint now = MonotonicNow();
+  return !m_draining && m_config.set().generation > 0 &&
+         !m_peers->MayBeBehind(now) && m_peers->Share(now) > 0;
 }
 
 void Gateway::OnAdmin(HttpExchange& exchange) {
@@ -427,6 +493,12 @@
                        {"draining", m_draining},
                        {"generation", m_config.set().generation},
                        {"in_flight", m_relays.size()},
+                       {"peers", m_peers->table().Live(now)},
+                       {"share", m_peers->Share(now)},
+                       {"peer_bytes_in", ProcessPeerTraffic().bytes_in},
+                       {"peer_bytes_out", ProcessPeerTraffic().bytes_out},
+                       {"member_bytes", m_members.bytes_read()},
+                       {"members_watched", m_members.size()},
                        {"store_calls", m_store.calls()},
                        {"store_healthy", m_watch->healthy()},
                        {"groups", targets},
@@ -439,6 +511,7 @@
     return;
   }
   m_draining = true;
+  m_peers->SetLeaving();
   Log(LogLevel::kInfo, "draining", {{"in_flight", m_relays.size()}});
   m_drain_timer = m_loop.After(m_settings.Time("drain", "grace"), [this] {
     m_caller_server->StopListening();
--- /dev/null
+++ b/source/gateway_peers.cc
@@ -0,0 +1,380 @@
+#include "filbertrack/gateway_peers.h"
+
+#include <algorithm>
+#include <chrono>
+#include <set>
+
+#include <nlohmann/json.hpp>
+
+#include "filbertrack/log.h"
+
+namespace filbertrack {
+
+namespace {
+
+constexpr Duration kSeedInterval = Seconds(1);
+/// The store is asked when the peers' word is older than this.
+constexpr Duration kProbeAfter = Milliseconds(1000);
+constexpr Duration kProbeInterval = Milliseconds(500);
+/// Membership must stand this long before the entitlements are divided anew.
+constexpr Duration kDivisionSettle = Seconds(2);
+/// A connection to a peer that is no longer asked is closed after this.
+constexpr Duration kNeighbourIdle = Seconds(5);
+constexpr Duration kAskTimeout = Seconds(1);
+
+uint64_t WallTimeMs() {
+  return static_cast<uint64_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(
+          std::chrono::system_clock::now().time_since_epoch())
+          .count());
+}
+
+PeerState SelfState(const Settings& settings) {
+  PeerState self;
+  self.node = settings.Text("node", "name");
+  self.incarnation = WallTimeMs();
+  self.data_centre = settings.Text("node", "data_centre");
+  return self;
+}
+
+PeerPolicy TablePolicy(const Settings& settings) {
+  PeerPolicy policy;
+  policy.neighbours =
+      static_cast<size_t>(settings.Integer("peers", "neighbours"));
+  return policy;
+}
+
+}  // namespace
+
+GatewayPeers::GatewayPeers(EventLoop& loop,
+                           const Settings& settings,
+                           StoreClient& store,
+                           ObjectCache& cache,
+                           FleetView& fleet,
+                           EntitlementParts& parts,
+                           GatewayPeerEvents events)
+    : m_loop(loop),
+      m_settings(settings),
+      m_store(store),
+      m_cache(cache),
+      m_fleet(fleet),
+      m_parts(parts),
+      m_events(std::move(events)),
+      m_key(settings.Text("peers", "key")),
+      m_interval(settings.Time("peers", "interval")),
+      m_table(SelfState(settings), TablePolicy(settings)),
+      m_division(settings.Text("node", "name")) {
+  m_division_policy.loan_time = m_loans.loan_time;
+  m_timer = loop.Every(m_interval, [this] { Tick(); });
+}
+
+GatewayPeers::~GatewayPeers() = default;
+
+Result<Address> GatewayPeers::Listen() {
+  m_server = std::make_unique<PeerServer>(
+      m_loop, m_key,
+      [this](std::string_view payload, const PeerServer::Answer& answer) {
+        OnQuestion(payload, answer);
+      });
+  const Address& wanted = m_settings.At("peers", "listen");
+  Address bound;
+  if (!m_server->Listen(wanted, &bound)) {
+    return Fail(ResultCode::kInternal,
+                "The address '" + wanted.ToString() +
+                    "' of section [peers], key 'listen', cannot be listened "
+                    "on; it must be free and of this host.");
+  }
+  m_table.self().address = bound;
+  return bound;
+}
+
+ExchangeState GatewayPeers::State() {
+  return {m_table, m_cache, m_fleet, m_parts, m_loans};
+}
+
+void GatewayPeers::OnQuestion(std::string_view payload,
+                              const PeerServer::Answer& answer) {
+  const Result<PeerMessage> message = DecodePeerMessage(payload);
+  if (!message) {
+    Log(LogLevel::kWarning, "peer-refused", {{"why", message.error().message}});
+    return;
+  }
+  if (const auto* ask = std::get_if<ExchangeAsk>(&*message)) {
+    ExchangeState state = State();
+    answer(EncodePeerMessage(AnswerAsk(state, *ask, MonotonicNow())));
+  } else if (const auto* keyed = std::get_if<KeyedAsk>(&*message)) {
+    m_events.on_keyed(*keyed, [answer](const KeyedAnswer& verdicts) {
+      answer(EncodePeerMessage(verdicts));
+    });
+  }
+}
+
+void GatewayPeers::Tick() {
+  const TimePoint now = MonotonicNow();
+  AskNeighbours(now);
+  AskSeeds(now);
+  m_table.Forget(now);
+  Confirm(now);
+  ProbeStore(now);
+  KeepDivision(now);
+}
+
+void GatewayPeers::AskNeighbours(TimePoint now) {
+  std::erase_if(m_neighbours, [now](const auto& entry) {
+    return now - entry.second.asked_at > kNeighbourIdle;
+  });
+  for (const PeerState& peer : m_table.Neighbours(now)) {
+    Ask(peer.node, peer, now);
+  }
+}
+
+void GatewayPeers::AskSeeds(TimePoint now) {
+  if (now - m_seeds_asked < kSeedInterval) {
+    return;
+  }
+  m_seeds_asked = now;
+  std::map<std::string, Address> silent;
+  std::set<Address> heard;
+  const std::vector<std::string> live = m_table.Live(now);
+  for (const auto& [name, record] : m_table.records()) {
+    if (std::binary_search(live.begin(), live.end(), name)) {
+      heard.insert(record.state.address);
+    } else if (!record.state.leaving) {
+      // Known by its question only, or silent for a while.
+      silent.emplace(name, record.state.address);
+    }
+  }
+  for (const Address& seed : m_settings.Addresses("peers", "seeds")) {
+    if (!heard.contains(seed) && !(seed == m_table.self().address)) {
+      silent.emplace("seed " + seed.ToString(), seed);
+    }
+  }
+  for (const auto& [name, address] : silent) {
+    PeerState peer;
+    peer.address = address;
+    Ask(name, peer, now);
+  }
+}
+
+void GatewayPeers::Ask(const std::string& name,
+                       const PeerState& peer,
+                       TimePoint now) {
+  Neighbour& neighbour = m_neighbours[name];
+  if (neighbour.client == nullptr || !(neighbour.address == peer.address)) {
+    neighbour.address = peer.address;
+    neighbour.client =
+        std::make_unique<PeerClient>(m_loop, m_key, peer.address);
+  }
+  if (neighbour.client->busy()) {
+    return;
+  }
+  neighbour.asked_at = now;
+  ExchangeState state = State();
+  ExchangeAsk ask = MakeAsk(state, peer, std::move(neighbour.wanted), now);
+  neighbour.wanted.clear();
+  std::string payload = EncodePeerMessage(ask);
+  neighbour.client->Ask(
+      std::move(payload), kAskTimeout,
+      [this, name, ask = std::move(ask), now](const std::string* answer) {
+        OnAnswer(name, ask, now, answer);
+      });
+}
+
+void GatewayPeers::OnAnswer(const std::string& name,
+                            const ExchangeAsk& ask,
+                            TimePoint asked_at,
+                            const std::string* payload) {
+  if (payload == nullptr) {
+    return;
+  }
+  const Result<PeerMessage> message = DecodePeerMessage(*payload);
+  const ExchangeAnswer* answer =
+      message ? std::get_if<ExchangeAnswer>(&*message) : nullptr;
+  if (answer == nullptr) {
+    Log(LogLevel::kWarning, "peer-refused",
+        {{"peer", name}, {"why", "the answer cannot be read"}});
+    return;
+  }
+  ExchangeState state = State();
+  ExchangeEffect effect = ApplyAnswer(state, ask, *answer, asked_at);
+  const auto neighbour = m_neighbours.find(name);
+  if (neighbour != m_neighbours.end()) {
+    neighbour->second.wanted = std::move(effect.wanted);
+  }
+  if (effect.objects_changed) {
+    m_events.on_objects();
+  }
+  if (!effect.groups.empty()) {
+    m_events.on_evidence(effect.groups);
+  }
+}
+
+void GatewayPeers::OnObjects() {
+  const StoredObject* object = m_cache.Find(kDivisionKey);
+  if (object == nullptr) {
+    return;
+  }
+  const Result<Division> division = ParseDivision(object->value);
+  if (!division) {
+    Log(LogLevel::kError, "division-refused",
+        {{"why", division.error().message}});
+    return;
+  }
+  m_division.OnDivision(*division, MonotonicNow());
+  m_table.self().division = m_division.division().epoch;
+}
+
+void GatewayPeers::SetGeneration(uint64_t generation) {
+  m_table.self().generation = generation;
+}
+
+void GatewayPeers::SetLeaving() {
+  m_table.self().leaving = true;
+}
+
+double GatewayPeers::Share(TimePoint now) const {
+  return m_division.Share(m_division_policy, now);
+}
+
+void GatewayPeers::Confirm(TimePoint now) {
+  const Division& division = m_division.division();
+  const size_t half = (division.nodes.size() + 1) / 2;
+  const auto confirmed = ConfirmedAt(m_table, division.nodes, half, now,
+                                     [&division](const PeerState& peer) {
+                                       return peer.division == division.epoch;
+                                     });
+  if (confirmed) {
+    m_division.OnConfirmed(*confirmed);
+  }
+  const auto most_left = ConfirmedAt(m_table, division.previous_nodes,
+                                     division.previous_nodes.size() / 2 + 1,
+                                     now, [&division](const PeerState& peer) {
+                                       return peer.division >= division.epoch;
+                                     });
+  if (most_left) {
+    m_division.OnMostLeft(m_division_policy, now);
+  }
+  const uint64_t own = m_table.self().generation;
+  const auto not_behind = ConfirmedAt(
+      m_table, division.nodes, half, now,
+      [own](const PeerState& peer) { return peer.generation <= own; });
+  if (not_behind) {
+    m_config_confirmed_at =
+        std::max(m_config_confirmed_at.value_or(*not_behind), *not_behind);
+  }
+}
+
+bool GatewayPeers::MayBeBehind(TimePoint now) const {
+  return !m_config_confirmed_at ||
+         now - *m_config_confirmed_at > m_division_policy.confirm_within;
+}
+
+void GatewayPeers::ProbeStore(TimePoint now) {
+  // While peers confirm each other the store is left alone: a question a host
+  // and second would grow with the fleet.
+  const bool confirmed = m_config_confirmed_at &&
+                         now - *m_config_confirmed_at <= kProbeAfter &&
+                         m_division.Share(m_division_policy, now) > 0;
+  if (confirmed || now - m_store_probed < kProbeInterval) {
+    return;
+  }
+  m_store_probed = now;
+  const auto take = [this, asked_at = now](const StoreAnswer& answer,
+                                           const std::function<void()>& fresh) {
+    if (answer.status != StoreStatus::kOk) {
+      return;
+    }
+    if (m_cache.Offer(answer.object)) {
+      m_events.on_objects();
+    }
+    fresh();
+  };
+  m_store.Get(std::string(kDivisionKey),
+              [this, take, now](const StoreAnswer& answer) {
+                take(answer, [this, now] { m_division.OnConfirmed(now); });
+              });
+  m_store.Get(std::string(kConfigRootKey), [this, take,
+                                            now](const StoreAnswer& answer) {
+    take(answer, [this, &answer, now] {
+      const Result<ConfigRoot> root = ParseConfigRoot(answer.object.value);
+      if (root && root->generation <= m_table.self().generation) {
+        m_config_confirmed_at = now;
+      }
+    });
+  });
+}
+
+void GatewayPeers::KeepDivision(TimePoint now) {
+  std::vector<std::string> live = m_table.Live(now);
+  if (live != m_live) {
+    m_live = std::move(live);
+    m_live_since = now;
+    m_events.on_membership();
+    return;
+  }
+  if (now - m_live_since < kDivisionSettle || m_writing_division ||
+      m_live == m_division.division().nodes || m_live.empty() ||
+      !m_division.IsSettled(now) ||
+      !m_table.IsChosen(kDivisionKey, "", 1, now)) {
+    return;
+  }
+  WriteDivision(m_live);
+}
+
+void GatewayPeers::WriteDivision(const std::vector<std::string>& live) {
+  const StoredObject* object = m_cache.Find(kDivisionKey);
+  Division next;
+  next.epoch = m_division.division().epoch + 1;
+  next.nodes = live;
+  next.previous_nodes = m_division.division().nodes;
+  m_writing_division = true;
+  m_store.Put(std::string(kDivisionKey), FormatDivision(next),
+              object == nullptr ? 0 : object->version,
+              [this](const StoreAnswer& written) {
+                // Whatever came of it, the object tells.
+                m_store.Get(std::string(kDivisionKey),
+                            [this](const StoreAnswer& answer) {
+                              m_writing_division = false;
+                              if (answer.status == StoreStatus::kOk &&
+                                  m_cache.Offer(answer.object)) {
+                                m_events.on_objects();
+                              }
+                            });
+                if (written.status == StoreStatus::kOk) {
+                  Log(LogLevel::kInfo, "division-written",
+                      nlohmann::json::object());
+                }
+              });
+}
+
+void GatewayPeers::AskKeyed(
+    const std::string& node,
+    const KeyedAsk& ask,
+    Duration timeout,
+    std::function<void(const KeyedAnswer* answer)> done) {
+  const auto record = m_table.records().find(node);
+  if (record == m_table.records().end()) {
+    done(nullptr);
+    return;
+  }
+  std::unique_ptr<PeerClient>& client = m_keyed_clients[node];
+  if (client == nullptr || !client->IsTo(record->second.state.address)) {
+    client = std::make_unique<PeerClient>(m_loop, m_key,
+                                          record->second.state.address);
+  }
+  if (client->busy()) {
+    done(nullptr);
+    return;
+  }
+  client->Ask(EncodePeerMessage(ask), timeout,
+              [done = std::move(done)](const std::string* payload) {
+                if (payload == nullptr) {
+                  done(nullptr);
+                  return;
+                }
+                const Result<PeerMessage> message = DecodePeerMessage(*payload);
+                done(message ? std::get_if<KeyedAnswer>(&*message) : nullptr);
+              });
+}
+
+}  // namespace filbertrack
--- a/source/main_gateway.cc
+++ b/source/main_gateway.cc
@@ -22,9 +22,10 @@
         {{"why", listening.error().message}});
     return static_cast<int>(listening.error().code);
   }
-  std::printf("callers %s\nadmin %s\n",
+  std::printf("callers %s\nadmin %s\npeers %s\n",
               gateway.caller_address().ToString().c_str(),
-              gateway.admin_address().ToString().c_str());
+              gateway.admin_address().ToString().c_str(),
+              gateway.peer_address().ToString().c_str());
   std::fflush(stdout);
   loop.OnStopSignal([&gateway] { gateway.Drain(); });
   loop.Run();
--- a/source/settings.cc
+++ b/source/settings.cc
@@ -99,6 +99,10 @@
            FormatDuration(type.lowest) + " to " + FormatDuration(type.highest);
   }
   std::string operator()(const TextKey& type) const {
+    if (type.least_bytes > 0) {
+      return "a text of at least " + std::to_string(type.least_bytes) +
+             " bytes";
+    }
     if (type.allowed.empty()) {
       return "a text";
     }
@@ -142,7 +146,8 @@
   bool operator()(const TextKey& type) const {
     *value = text;
     if (type.allowed.empty()) {
-      return !type.required || !text.empty();
+      return (!type.required || !text.empty()) &&
+             text.size() >= type.least_bytes;
     }
     return std::find(type.allowed.begin(), type.allowed.end(), text) !=
            type.allowed.end();
--- /dev/null
+++ b/tests/admission_test.cc
@@ -0,0 +1,261 @@
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <set>
+
+#include "filbertrack/admission_division.h"
+#include "filbertrack/admission_limits.h"
+#include "filbertrack/admission_parts.h"
+#include "filbertrack/admission_queue.h"
+
+namespace filbertrack {
+namespace {
+
+const TimePoint kStart{Seconds(1000)};
+const EntitlementKey kKey{"officers", "spectra"};
+
+TEST_CASE(
+    "property: loans never make more than the whole, answers lost or late") {
+  // Two hosts ask each other at any time; each answer may be lost or arrive a
+  // second late. The sum in use stays within the two base parts.
+  REQUIRE(rc::check("loans", [] {
+    const LoanPolicy policy;
+    std::vector<EntitlementParts> hosts(2);
+    const std::vector<std::string> names = {"a", "b"};
+    struct Late {
+      size_t borrower;
+      double rate;
+      TimePoint asked_at;
+      TimePoint arrives;
+    };
+    std::vector<Late> late;
+    TimePoint now = kStart;
+    for (EntitlementParts& host : hosts) {
+      host.SetBase(kKey, 10);
+    }
+    for (int i = 0; i < 120; ++i) {
+      now += Milliseconds(*rc::gen::inRange(1, 400));
+      const auto self = *rc::gen::inRange<size_t>(0, 2);
+      const size_t other = 1 - self;
+      const int requests = *rc::gen::inRange(0, 20);
+      for (int request = 0; request < requests; ++request) {
+        hosts[self].OnDemand(kKey, policy, now);
+      }
+      for (const auto& wish : hosts[self].Wishes(names[other], policy, now)) {
+        const TimePoint asked_at = now;
+        const double rate = hosts[other].Grant(
+            names[self], kKey, wish.requests_per_second, policy, now);
+        switch (*rc::gen::inRange(0, 3)) {
+          case 0:
+            hosts[self].OnGranted(names[other], kKey, rate, policy, asked_at);
+            break;
+          case 1:
+            late.push_back({self, rate, asked_at,
+                            now + Milliseconds(*rc::gen::inRange(1, 1500))});
+            break;
+          default:
+            break;
+        }
+      }
+      for (size_t j = late.size(); j-- > 0;) {
+        if (late[j].arrives <= now) {
+          hosts[late[j].borrower].OnGranted(names[1 - late[j].borrower], kKey,
+                                            late[j].rate, policy,
+                                            late[j].asked_at);
+          late.erase(late.begin() + static_cast<ptrdiff_t>(j));
+        }
+      }
+      RC_ASSERT(hosts[0].Usable(kKey, now) + hosts[1].Usable(kKey, now) <=
+                20.000001);
+    }
+  }));
+}
+
+TEST_CASE("an unused part is lent, and comes back by age") {
+  // A caller whose requests all reach one entry host gets nearly the whole of
+  // its entitlement there, and the other host has its part back later.
+  const LoanPolicy policy;
+  EntitlementParts busy;
+  EntitlementParts idle;
+  busy.SetBase(kKey, 10);
+  idle.SetBase(kKey, 10);
+  for (int i = 0; i < 30; ++i) {
+    busy.OnDemand(kKey, policy, kStart);
+  }
+  const auto wishes = busy.Wishes("idle", policy, kStart);
+  REQUIRE(wishes.size() == 1);
+  const double rate =
+      idle.Grant("busy", kKey, wishes[0].requests_per_second, policy, kStart);
+  busy.OnGranted("idle", kKey, rate, policy, kStart);
+  CHECK(busy.Usable(kKey, kStart) == doctest::Approx(17.5));
+  const TimePoint later = kStart + policy.loan_time;
+  CHECK(busy.Usable(kKey, later) == doctest::Approx(10));
+  CHECK(idle.Usable(kKey, later) == doctest::Approx(10));
+}
+
+/// A host at the interface of the division rules.
+struct DividedHost {
+  explicit DividedHost(const std::string& name) : name(name), keeper(name) {}
+  std::string name;
+  DivisionKeeper keeper;
+  /// What it last heard of each host: epoch, and when that was true.
+  std::map<std::string, std::pair<uint64_t, TimePoint>> heard;
+};
+
+TEST_CASE(
+    "property: the parts in use never pass the whole, also in partitions") {
+  // Hosts come and go, messages are lost between any two, and the division is
+  // rewritten by whoever reaches the store.
+  REQUIRE(rc::check("division", [] {
+    const DivisionPolicy policy;
+    const std::vector<std::string> names = {"a", "b", "c", "d"};
+    std::vector<DividedHost> hosts(names.begin(), names.end());
+    Division stored{1, {"a", "b", "c"}, {}};
+    for (DividedHost& host : hosts) {
+      host.keeper.OnDivision(stored, kStart);
+    }
+    TimePoint now = kStart;
+    std::vector<bool> cut(4, false);
+    for (int i = 0; i < 150; ++i) {
+      now += Milliseconds(*rc::gen::inRange(10, 800));
+      if (*rc::gen::inRange(0, 8) == 0) {
+        const auto host = *rc::gen::inRange<size_t>(0, 4);
+        cut[host] = !cut[host];
+      }
+      const auto writer = *rc::gen::inRange<size_t>(0, 4);
+      const DivisionKeeper& knows = hosts[writer].keeper;
+      if (!cut[writer] && knows.IsSettled(now) &&
+          knows.division().epoch == stored.epoch) {
+        Division next;
+        next.epoch = stored.epoch + 1;
+        next.previous_nodes = stored.nodes;
+        for (const std::string& name : names) {
+          if (*rc::gen::arbitrary<bool>()) {
+            next.nodes.push_back(name);
+          }
+        }
+        if (!next.nodes.empty()) {
+          stored = next;
+        }
+      }
+      for (size_t self = 0; self < hosts.size(); ++self) {
+        DividedHost& host = hosts[self];
+        if (!cut[self] && *rc::gen::arbitrary<bool>()) {
+          host.keeper.OnDivision(stored, now);
+        }
+        for (size_t other = 0; other < hosts.size(); ++other) {
+          if (cut[self] == cut[other] && *rc::gen::arbitrary<bool>()) {
+            host.heard[names[other]] = {hosts[other].keeper.division().epoch,
+                                        now};
+          }
+        }
+        host.heard[host.name] = {host.keeper.division().epoch, now};
+        const Division& division = host.keeper.division();
+        std::vector<TimePoint> times;
+        for (const std::string& node : division.nodes) {
+          const auto word = host.heard.find(node);
+          if (word != host.heard.end() &&
+              word->second.first == division.epoch) {
+            times.push_back(word->second.second);
+          }
+        }
+        std::sort(times.rbegin(), times.rend());
+        const size_t half = (division.nodes.size() + 1) / 2;
+        if (times.size() >= half) {
+          host.keeper.OnConfirmed(times[half - 1]);
+        }
+        size_t left = 0;
+        for (const std::string& node : division.previous_nodes) {
+          const auto word = host.heard.find(node);
+          left +=
+              word != host.heard.end() && word->second.first >= division.epoch;
+        }
+        if (left * 2 > division.previous_nodes.size()) {
+          host.keeper.OnMostLeft(policy, now);
+        }
+      }
+      double sum = 0;
+      for (const DividedHost& host : hosts) {
+        sum += host.keeper.Share(policy, now);
+      }
+      RC_ASSERT(sum <= 1.000001);
+    }
+  }));
+}
+
+TEST_CASE("three of six hosts replaced at once while the store is down") {
+  // Callers of the other three are still served: at least half of the hosts
+  // confirm the division, and nobody can write a new one.
+  const DivisionPolicy policy;
+  DivisionKeeper keeper("a");
+  keeper.OnDivision({1, {"a", "b", "c", "d", "e", "f"}, {}}, kStart);
+  keeper.OnConfirmed(kStart + Seconds(60));
+  CHECK(keeper.Share(policy, kStart + Seconds(60)) == doctest::Approx(1.0 / 6));
+  CHECK(keeper.Share(policy, kStart + Seconds(64)) == 0);
+}
+
+TEST_CASE("a large workspace's backlog does not stand before a small one") {
+  // A clerk's one request is served second although a hundred of a large
+  // workspace came before it.
+  FairQueue queue(1000);
+  for (uint64_t id = 1; id <= 100; ++id) {
+    REQUIRE(queue.Push({id, "large", 1, 10, kStart + Seconds(60)}, kStart));
+  }
+  REQUIRE(queue.Push({999, "small", 1, 1, kStart + Seconds(60)}, kStart));
+  CHECK(queue.Pop(kStart)->workspace == "large");
+  CHECK(queue.Pop(kStart)->id == 999);
+}
+
+TEST_CASE("property: waiting workspaces are served by their weights") {
+  REQUIRE(rc::check("fair", [] {
+    const int heavy = *rc::gen::inRange(1, 8);
+    FairQueue queue(100000);
+    for (uint64_t id = 0; id < 400; ++id) {
+      queue.Push(
+          {id, "heavy", 1, static_cast<double>(heavy), kStart + Seconds(600)},
+          kStart);
+      queue.Push({1000 + id, "light", 1, 1, kStart + Seconds(600)}, kStart);
+    }
+    int served_heavy = 0;
+    const int rounds = (heavy + 1) * 20;
+    for (int i = 0; i < rounds; ++i) {
+      served_heavy += queue.Pop(kStart)->workspace == "heavy" ? 1 : 0;
+    }
+    RC_ASSERT(std::abs(served_heavy - heavy * 20) <= heavy + 1);
+  }));
+}
+
+TEST_CASE("a request that would wait past its deadline is refused at once") {
+  // The caller learns now that it should go elsewhere, not after its deadline.
+  FairQueue queue(1000);
+  TimePoint now = kStart;
+  for (uint64_t id = 0; id < 60; ++id) {
+    queue.Push({id, "w", 1, 1, now + Seconds(600)}, now);
+  }
+  for (int i = 0; i < 20; ++i) {
+    now += Milliseconds(100);
+    queue.Pop(now);
+  }
+  CHECK(!queue.Push({90, "w", 1, 1, now + Seconds(1)}, now));
+  CHECK(queue.Push({91, "w", 1, 1, now + Seconds(60)}, now));
+}
+
+TEST_CASE("a refusal says when a token will be there") {
+  Resources resources;
+  resources.workspaces["w"] = {"w", "", 1, {{"s", 2}}};
+  AdmissionLimits limits;
+  limits.Declare(resources, kStart);
+  const EntitlementKey key{"w", "s"};
+  CHECK(std::holds_alternative<OverEntitlement>(limits.TryAdmit(key, kStart)));
+  limits.SetRate(key, 2, kStart);
+  const TimePoint full = kStart + Seconds(10);
+  CHECK(std::holds_alternative<Admitted>(limits.TryAdmit(key, full)));
+  CHECK(std::holds_alternative<Admitted>(limits.TryAdmit(key, full)));
+  const auto decision = limits.TryAdmit(key, full);
+  REQUIRE(std::holds_alternative<OverEntitlement>(decision));
+  CHECK(std::get<OverEntitlement>(decision).retry_after == Milliseconds(500));
+}
+
+}  // namespace
+}  // namespace filbertrack
--- a/tools/demo.sh
+++ b/tools/demo.sh
@@ -39,13 +39,13 @@
 STORE=$(address_of store)
 start weights "$BIN/standins/standin-weights" --loads 8 --window-ms 500
 start portal "$BIN/standins/standin-engine" --plain --host portal
-for domain in fabric-1 fabric-2; do
-  start_engines "$domain" hall-${domain: -1} 1 5 --weights "$(address_of weights)" \
+for domain in fabric-a fabric-b; do
+  start_engines "$domain" hall-${domain##*-} 1 5 --weights "$(address_of weights)" \
     --load-ms 300 --prefill-ms 30 --token-ms 20
 done
 
 echo "== entry hosts"
-for n in 1 2 3; do start_entry_host "eh-$n" hall-a "[drain]\ngrace = 1s"; done
+for n in 1 2 3; do start_entry_host "eh-$n" "$([ $n = 3 ] && echo hall-b || echo hall-a)" "[drain]\ngrace = 1s"; done
 ADMINS=""
 for n in 1 2 3; do ADMINS+="${ADMINS:+,}$(admin_of "eh-$n-gateway")"; done
 printf '[operator]\nname = ruwan\n[store]\naddress = %s\n[entry_hosts]\nadmin = %s\n' \
@@ -69,6 +69,8 @@
 check "a dry run shows the difference" contains "$(ctl apply -f "$RUN/change.json" --dry-run)" "+workspace/officers"
 ctl apply -f "$RUN/change.json" --reason "first set" --wait
 check "the change is in force on every entry host" test $? -eq 0
+check "every entry host is ready" within 20 bash -c \
+  "[ \$('$BIN/source/filbertctl' -s '$RUN/ctl.ini' --json status | grep -c '\"ready\":true') -eq 3 ]"
 check "two whole groups serve" within 20 bash -c \
   "[ \$('$BIN/source/filbertctl' -s '$RUN/ctl.ini' --json status | grep -o '\"phase\":\"serving\"' | wc -l) -eq 2 ]"
 ctl status
--- a/tools/demo_lib.sh
+++ b/tools/demo_lib.sh
@@ -25,6 +25,7 @@
 
 address_of() { wait_line "$RUN/$1.out" . && head -1 "$RUN/$1.out"; }
 callers_of() { wait_line "$RUN/$1.out" callers && sed -n 's/^callers //p' "$RUN/$1.out"; }
+peers_of() { wait_line "$RUN/$1.out" peers && sed -n 's/^peers //p' "$RUN/$1.out"; }
 admin_of() { wait_line "$RUN/$1.out" admin && sed -n 's/^admin //p' "$RUN/$1.out"; }
 
 stop_all() {
@@ -59,11 +60,12 @@
 # start_entry_host NAME DATA_CENTRE [extra gateway settings]
 start_entry_host() {
   local name=$1 data_centre=$2 extra=${3:-} extra_controller=${4:-}
-  printf '[node]\nname = %s\ndata_centre = %s\n[callers]\nlisten = 127.0.0.1:0\n[admin]\nlisten = 127.0.0.1:0\n[store]\naddress = %s\n%b\n' \
-    "$name" "$data_centre" "$STORE" "$extra" >"$RUN/$name-gateway.ini"
+  printf '[node]\nname = %s\ndata_centre = %s\n[callers]\nlisten = 127.0.0.1:0\n[admin]\nlisten = 127.0.0.1:0\n[peers]\nlisten = 127.0.0.1:0\nkey = a key of the demo only\nseeds = %s\n[store]\naddress = %s\n%b\n' \
+    "$name" "$data_centre" "${SEEDS:-}" "$STORE" "$extra" >"$RUN/$name-gateway.ini"
   printf '[node]\nname = %s\ndata_centre = %s\n[admin]\nlisten = 127.0.0.1:0\n[store]\naddress = %s\n%b\n' \
     "$name" "$data_centre" "$STORE" "$extra_controller" >"$RUN/$name-controller.ini"
   start "$name-gateway" "$BIN/source/filbert-gateway" -s "$RUN/$name-gateway.ini"
+  SEEDS=${SEEDS:-$(peers_of "$name-gateway")}
   start "$name-controller" "$BIN/source/filbert-controller" -s "$RUN/$name-controller.ini"
 }
 
