routing: judge a target by its peers and by its own recent work

Change: ended work is subtracted, slowness counts relative to the quickest target, prefixes sent within the report's lag count as cached, and every target that reports the prefix is a candidate.

--- a/include/filbertrack/controller.h
+++ b/include/filbertrack/controller.h
@@ -64,6 +64,7 @@
                 const StoredObject& object,
                 const std::string& own_text,
                 uint64_t term);
+  static void LogGroups(const Domain& domain);
   void SendOrders(Domain& domain, const std::vector<MemberOrder>& orders);
   void SendOrder(Domain& domain, const std::string& host, std::string body);
   std::string StatusText() const;
--- a/include/filbertrack/fleet_view.h
+++ b/include/filbertrack/fleet_view.h
@@ -5,6 +5,7 @@
 /// with each of them.
 
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -27,6 +28,8 @@
   /// Addresses of the members, in the order of `group.members`; empty hosts
   /// are not on the platform's list.
   std::vector<Address> addresses;
+  /// The same as `group.members`, kept by requests that outlive the epoch.
+  std::shared_ptr<const std::vector<std::string>> members;
 };
 
 class FleetView {
--- a/include/filbertrack/gateway_relay.h
+++ b/include/filbertrack/gateway_relay.h
@@ -23,6 +23,14 @@
   uint64_t epoch = 0;
   Address address;
   Duration predicted{0};
+  /// Hosts of the group in this epoch; null for a plain service.
+  std::shared_ptr<const std::vector<std::string>> members;
+};
+
+/// When an attempt's answer was forwarded to the caller.
+struct ForwardSpan {
+  std::optional<TimePoint> first;
+  TimePoint last;
 };
 
 enum class EvidenceMode {
@@ -64,7 +72,8 @@
   virtual void AttemptEnded(uint64_t relay,
                             const AttemptTarget& target,
                             bool failed,
-                            Duration measured) = 0;
+                            Duration measured,
+                            const ForwardSpan& forwarded) = 0;
 
   /// The request is over; the relay is destroyed after this returns.
   virtual void Ended(uint64_t relay, RelayEnd end) = 0;
@@ -122,6 +131,7 @@
   void CloseAttempt(bool failed);
   void ForwardToken(const SseEvent& event);
   void ForwardAnswer();
+  void NoteForwarded();
   void Refuse(ResultCode code, Outcome outcome);
   void Finish(RelayEnd end);
 
@@ -140,6 +150,7 @@
   uint64_t m_resume_from = 0;
   TimePoint m_attempt_began;
   bool m_first_token_seen = false;
+  ForwardSpan m_forwarded;
   std::unique_ptr<HttpCall> m_call;
   SseSplitter m_splitter;
   int m_answer_status = 0;
--- a/include/filbertrack/gateway_router.h
+++ b/include/filbertrack/gateway_router.h
@@ -57,7 +57,8 @@
   void AttemptEnded(uint64_t relay,
                     const AttemptTarget& target,
                     bool failed,
-                    Duration measured) override;
+                    Duration measured,
+                    const ForwardSpan& forwarded) override;
   void Ended(uint64_t relay, RelayEnd end) override;
 
  private:
@@ -74,6 +75,9 @@
   void Enqueue(Relay& relay, const RouteDenial& denial);
   FairQueue& QueueFor(const std::string& name);
   void DrainQueues();
+  void LogForwarded(uint64_t relay,
+                    const AttemptTarget& target,
+                    const ForwardSpan& forwarded);
   void RefuseHopeless(FairQueue& queue, TimePoint now);
 
   EventLoop& m_loop;
--- a/include/filbertrack/log.h
+++ b/include/filbertrack/log.h
@@ -16,7 +16,11 @@
              const std::string& node,
              std::string_view lowest_level);
 
-/// Writes one line: time, level, program, node, event, and `fields`. Never
+/// Whether lines of this level are written; for lines that cost work to make.
+bool IsLogged(LogLevel level);
+
+/// Writes one line: wall time, level, program, node, event, the host's
+/// monotonic time in microseconds, and `fields`. Never
 /// pass a caller's key or a body in `fields`.
 void Log(LogLevel level, std::string_view event, const nlohmann::json& fields);
 
--- a/include/filbertrack/routing_choice.h
+++ b/include/filbertrack/routing_choice.h
@@ -53,14 +53,17 @@
 /// This host's own experience with a target.
 struct TargetHistory {
   int in_flight = 0;
-  /// Requests sent since the report that is in use was read.
-  int sent_since_report = 0;
+  /// Requests sent less requests ended since the report in use was read.
+  int change_since_report = 0;
   /// Measured over predicted time to first token, smoothed; 1 is as predicted.
   double slowness = 1;
   /// Smoothed time that a request occupies the target.
   Duration service_time{0};
   /// Start of slow start; the target's share grows from here.
   TimePoint serving_since;
+  /// Prefixes that this host sent there, and when; a report that was read
+  /// later than that tells whether they are still cached.
+  std::map<std::string, TimePoint, std::less<>> sent_prefixes;
   /// Failures in a row without a success between them.
   int failures = 0;
   TimePoint last_failure;
@@ -93,6 +96,9 @@
   /// Random candidates beside the one that the prefix hashes to.
   int random_candidates = 2;
   Duration other_data_centre_cost = Milliseconds(3);
+  /// Cache events come late by up to this; until then a prefix counts as cached
+  /// where it was sent.
+  Duration cache_report_lag = Seconds(1);
   /// Prefill with a cached prefix takes this part of a whole one.
   double cached_prefill_share = 0.15;
   Duration slow_start = Seconds(10);
@@ -121,6 +127,8 @@
 struct RouteChoice {
   size_t index = 0;
   Duration predicted{0};
+  /// The prediction without the target's slowness, for learning that.
+  Duration unscaled{0};
 };
 
 struct RouteDenial {
@@ -136,10 +144,11 @@
              const RouteLimits& limits,
              TimePoint now);
 
-/// Predicted time to first token.
+/// Predicted time to first token of a target that is as quick as it reports.
 Duration PredictFirstToken(const RouteCandidate& candidate,
                            const RouteQuery& query,
-                           const PredictedFirstToken& policy);
+                           const PredictedFirstToken& policy,
+                           TimePoint now);
 
 RouteDecision ChooseRoute(RoutePolicy& policy,
                           std::span<const RouteCandidate> candidates,
@@ -148,11 +157,17 @@
                           TimePoint now,
                           std::mt19937_64& random);
 
-/// Learns from a first token that took `measured` where `predicted` was said.
+/// Learns from a first token that took `measured` where the unscaled prediction
+/// was `predicted`.
 void LearnFirstToken(TargetHistory& history,
                      Duration predicted,
                      Duration measured);
 void LearnServiceTime(TargetHistory& history, Duration measured);
+/// Remembers a prefix that was sent; forgets old ones.
+void LearnSentPrefix(TargetHistory& history,
+                     const std::string& prefix,
+                     const PredictedFirstToken& policy,
+                     TimePoint now);
 void LearnFailure(TargetHistory& history, TimePoint now);
 
 }  // namespace filbertrack
--- a/source/controller.cc
+++ b/source/controller.cc
@@ -423,9 +423,22 @@
   if (object.value == own_text) {
     domain.hold.verified_term = term;
     WatchHosts();
+    LogGroups(domain);
   }
 }
 
+void Controller::LogGroups(const Domain& domain) {
+  if (!IsLogged(LogLevel::kDebug)) {
+    return;
+  }
+  Json groups = Json::array();
+  for (const Group& group : domain.state.groups) {
+    groups.push_back(group.members);
+  }
+  Log(LogLevel::kDebug, "groups",
+      {{"domain", domain.hosts.domain}, {"groups", groups}});
+}
+
 void Controller::SendOrders(Domain& domain,
                             const std::vector<MemberOrder>& orders) {
   for (const MemberOrder& order : orders) {
--- a/source/fleet_view.cc
+++ b/source/fleet_view.cc
@@ -26,7 +26,9 @@
 }
 
 FleetGroup Locate(const Group& group, const DomainHosts& hosts) {
-  FleetGroup located{group, hosts.domain, hosts.data_centre, {}};
+  FleetGroup located{group, hosts.domain, hosts.data_centre, {}, nullptr};
+  located.members =
+      std::make_shared<const std::vector<std::string>>(group.members);
   for (const std::string& member : group.members) {
     const PlatformHost* host = FindHost(hosts, member);
     located.addresses.push_back(host == nullptr ? Address() : host->address);
@@ -92,7 +94,7 @@
   const Group& group = m_groups.find(group_id->second)->second.group;
   if (reported && group.members.front() == host) {
     candidate->load = ReadLoad(member.report, now);
-    candidate->history.sent_since_report = 0;
+    candidate->history.change_since_report = 0;
   }
   RefreshWhole(*candidate, group, now);
   return group.id;
@@ -120,7 +122,7 @@
   if (!IsWatched(group)) {
     candidate->load.running = load;
     candidate->load.queued = 0;
-    candidate->history.sent_since_report = 0;
+    candidate->history.change_since_report = 0;
   }
   return true;
 }
--- a/source/gateway_relay.cc
+++ b/source/gateway_relay.cc
@@ -124,6 +124,7 @@
   m_target = target;
   m_attempt_began = MonotonicNow();
   m_first_token_seen = false;
+  m_forwarded = ForwardSpan();
   m_splitter = SseSplitter();
   m_answer_status = 0;
   m_answer_headers.clear();
@@ -278,7 +279,15 @@
     if (failed) {
       m_tried.insert(target.id);
     }
-    m_host.AttemptEnded(m_id, target, failed, MonotonicNow() - m_attempt_began);
+    m_host.AttemptEnded(m_id, target, failed, MonotonicNow() - m_attempt_began,
+                        m_forwarded);
+  }
+}
+
+void Relay::NoteForwarded() {
+  m_forwarded.last = MonotonicNow();
+  if (!m_forwarded.first) {
+    m_forwarded.first = m_forwarded.last;
   }
 }
 
@@ -289,6 +298,7 @@
                                   {"Cache-Control", "no-store"},
                                   {"Filbert-Request-Id", m_request_id}});
   }
+  NoteForwarded();
   m_exchange->Send(FormatSseEvent(event));
   if (m_exchange->UnsentBytes() > kMostUnsentBytes) {
     const std::shared_ptr<HttpExchange> exchange = m_exchange;
@@ -298,6 +308,7 @@
 }
 
 void Relay::ForwardAnswer() {
+  NoteForwarded();
   HttpHeaders headers = PassedHeaders(m_answer_headers);
   headers.emplace_back("Filbert-Request-Id", m_request_id);
   headers.emplace_back("Filbert-Outcome", OutcomeName(Outcome::kRan));
--- a/source/gateway_router.cc
+++ b/source/gateway_router.cc
@@ -127,8 +127,10 @@
   }
   const auto& choice = std::get<RouteChoice>(decision);
   const RouteTarget& target = m_fleet.candidates()[choice.index].target;
+  const auto group = m_fleet.groups().find(target.id);
   relay.TargetFound(
-      {target.id, target.epoch, target.address, choice.predicted});
+      {target.id, target.epoch, target.address, choice.unscaled,
+       group == m_fleet.groups().end() ? nullptr : group->second.members});
   return true;
 }
 
@@ -226,7 +228,13 @@
   m_relays_of_target[target.id].insert(relay);
   if (RouteCandidate* candidate = m_fleet.FindCandidate(target.id)) {
     ++candidate->history.in_flight;
-    ++candidate->history.sent_since_report;
+    ++candidate->history.change_since_report;
+    const Relay* started = FindRelay(relay);
+    const auto* predicted = std::get_if<PredictedFirstToken>(&m_route_policy);
+    if (started != nullptr && predicted != nullptr) {
+      LearnSentPrefix(candidate->history, started->request().prefix, *predicted,
+                      MonotonicNow());
+    }
   }
 }
 
@@ -240,13 +248,16 @@
 void GatewayRouter::AttemptEnded(uint64_t relay,
                                  const AttemptTarget& target,
                                  bool failed,
-                                 Duration measured) {
+                                 Duration measured,
+                                 const ForwardSpan& forwarded) {
   m_relays_of_target[target.id].erase(relay);
+  LogForwarded(relay, target, forwarded);
   RouteCandidate* candidate = m_fleet.FindCandidate(target.id);
   if (candidate == nullptr) {
     return;
   }
   candidate->history.in_flight = std::max(0, candidate->history.in_flight - 1);
+  --candidate->history.change_since_report;
   if (failed) {
     LearnFailure(candidate->history, MonotonicNow());
   } else {
@@ -255,6 +266,23 @@
   }
 }
 
+void GatewayRouter::LogForwarded(uint64_t relay,
+                                 const AttemptTarget& target,
+                                 const ForwardSpan& forwarded) {
+  const Relay* known = FindRelay(relay);
+  if (!IsLogged(LogLevel::kDebug) || known == nullptr || !forwarded.first ||
+      target.members == nullptr) {
+    return;
+  }
+  Log(LogLevel::kDebug, "forwarded",
+      {{"request", known->request_id()},
+       {"group", target.id},
+       {"epoch", target.epoch},
+       {"members", *target.members},
+       {"first_us", forwarded.first->time_since_epoch().count()},
+       {"last_us", forwarded.last.time_since_epoch().count()}});
+}
+
 void GatewayRouter::Ended(uint64_t id, RelayEnd end) {
   const auto entry = m_relays.find(id);
   if (entry == m_relays.end()) {
--- a/source/load_runner.cc
+++ b/source/load_runner.cc
@@ -6,6 +6,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "filbertrack/base_hash.h"
+
 namespace filbertrack {
 
 namespace {
@@ -55,6 +57,9 @@
   int attempt = 0;
   TimePoint due;
   std::string messages;
+  /// The request as the backend server names it, for all its tries.
+  std::string what;
+  bool idempotent = true;
   std::string request_id;
   std::string outcome;
   int code = 0;
@@ -112,6 +117,12 @@
   open.attempt = attempt;
   open.due = m_start + planned.at;
   open.messages = Messages(planned).dump();
+  const bool model =
+      planned.kind == LoadKind::kStream || planned.kind == LoadKind::kWhole;
+  open.what = model ? Sha256Hex(open.messages)
+                    : "/run/" + std::to_string(planned.number);
+  open.idempotent = model || (planned.kind == LoadKind::kPlain &&
+                              m_run.plain_idempotent == "true");
   ++to.summary.sent;
   const auto& hosts = to.targets.entry_hosts;
   const Address& host = hosts[to.next_host++ % hosts.size()];
@@ -262,10 +273,12 @@
                       {"attempt", attempt},
                       {"request", open.request_id},
                       {"result", result},
+                      {"what", open.what},
+                      {"idempotent", open.idempotent},
                       {"code", open.code},
                       {"tokens", open.next_token},
                       {"due_us", planned.at.count()},
-                      {"end_us", (MonotonicNow() - m_start).count()}})
+                      {"end_us", MonotonicNow().time_since_epoch().count()}})
                     .dump()
              << "\n";
   }
--- a/source/log.cc
+++ b/source/log.cc
@@ -21,6 +21,7 @@
 struct LogState {
   std::string program;
   std::string node;
+  LogLevel lowest = LogLevel::kInfo;
   logging::sources::severity_logger<LogLevel> logger;
 };
 
@@ -65,7 +66,12 @@
       logging::keywords::format = logging::expressions::stream
                                   << logging::expressions::smessage,
       logging::keywords::auto_flush = true);
-  logging::core::get()->set_filter(severity >= ParseLevel(lowest_level));
+  State().lowest = ParseLevel(lowest_level);
+  logging::core::get()->set_filter(severity >= State().lowest);
+}
+
+bool IsLogged(LogLevel level) {
+  return level >= State().lowest;
 }
 
 void Log(LogLevel level, std::string_view event, const nlohmann::json& fields) {
@@ -81,7 +87,10 @@
       {"level", LevelName(level)},
       {"program", State().program},
       {"node", State().node},
-      {"event", event}};
+      {"event", event},
+      {"at_us", std::chrono::duration_cast<std::chrono::microseconds>(
+                    std::chrono::steady_clock::now().time_since_epoch())
+                    .count()}};
   line.update(fields);
   logging::record_ostream stream(record);
   stream << line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
--- a/source/main_filbertctl.cc
+++ b/source/main_filbertctl.cc
@@ -57,7 +57,8 @@
                  std::string_view verb,
                  const CommandLine& line) {
   if (line.json) {
-    std::cout << Json({{"result", verb},
+    std::cout << Json({{"event", "config-" + std::string(verb)},
+                       {"at_us", MonotonicNow().time_since_epoch().count()},
                        {"generation", result.generation},
                        {"changed", result.changed}})
                      .dump()
--- a/source/request_machine.cc
+++ b/source/request_machine.cc
@@ -83,7 +83,7 @@
     }
     m_state.attempt_open = false;
     m_state.ended = true;
-    return {CloseAttempt{}, ForwardAnswer{}};
+    return {ForwardAnswer{}, CloseAttempt{}};
   }
 
   Actions operator()(const AttemptFailed& event) {
--- a/source/routing_choice.cc
+++ b/source/routing_choice.cc
@@ -21,8 +21,8 @@
   return before + kSmoothing * (measured - before);
 }
 
-/// Work at the target as far as this host can tell: what it reported, and what
-/// this host has sent since.
+/// Work at the target as far as this host can tell: what it reported, and how
+/// this host's own part of it changed since.
 int EstimatedLoad(const RouteCandidate& candidate) {
   if (!candidate.target.needs_evidence) {
     // Plain servers report nothing, so nothing would ever take back what is
@@ -30,7 +30,7 @@
     return candidate.history.in_flight;
   }
   const int reported = candidate.load.running + candidate.load.queued;
-  return std::max(reported + candidate.history.sent_since_report,
+  return std::max(reported + candidate.history.change_since_report,
                   candidate.history.in_flight);
 }
 
@@ -63,6 +63,21 @@
   return now < history.last_failure + pause;
 }
 
+bool HasPrefix(const RouteCandidate& candidate,
+               std::string_view prefix,
+               const PredictedFirstToken& policy,
+               TimePoint now) {
+  if (prefix.empty()) {
+    return false;
+  }
+  if (candidate.load.cached_prefixes.contains(prefix)) {
+    return true;
+  }
+  const auto sent = candidate.history.sent_prefixes.find(prefix);
+  return sent != candidate.history.sent_prefixes.end() &&
+         now - sent->second < policy.cache_report_lag;
+}
+
 std::vector<size_t> ServingTargets(std::span<const RouteCandidate> candidates,
                                    const RouteQuery& query,
                                    const RouteLimits& limits,
@@ -96,11 +111,17 @@
                                    std::vector<size_t> open,
                                    const RouteQuery& query,
                                    const PredictedFirstToken& policy,
+                                   TimePoint now,
                                    std::mt19937_64& random) {
   std::vector<size_t> drawn;
   if (!query.prefix.empty()) {
     drawn.push_back(HomeOfPrefix(candidates, open, query.prefix));
   }
+  for (const size_t i : open) {
+    if (HasPrefix(candidates[i], query.prefix, policy, now)) {
+      drawn.push_back(i);
+    }
+  }
   std::shuffle(open.begin(), open.end(), random);
   const size_t count =
       std::min(open.size(), static_cast<size_t>(policy.random_candidates));
@@ -109,6 +130,17 @@
   return drawn;
 }
 
+/// The smallest slowness among targets. What slows all of them is load, which
+/// the prediction counts already; only what sets one apart makes a straggler.
+double UsualSlowness(std::span<const RouteCandidate> candidates,
+                     const std::vector<size_t>& open) {
+  double usual = kMostSlowness;
+  for (const size_t i : open) {
+    usual = std::min(usual, candidates[i].history.slowness);
+  }
+  return usual;
+}
+
 Duration ShortestServiceTime(std::span<const RouteCandidate> candidates,
                              const std::vector<size_t>& serving) {
   Duration shortest = Seconds(1);
@@ -122,7 +154,8 @@
 
 RouteDecision ChooseInTurn(RoundRobin& policy,
                            const std::vector<size_t>& serving) {
-  return RouteChoice{serving[policy.next++ % serving.size()], Duration(0)};
+  return RouteChoice{serving[policy.next++ % serving.size()], Duration(0),
+                     Duration(0)};
 }
 
 RouteDecision ChoosePredicted(const PredictedFirstToken& policy,
@@ -143,13 +176,18 @@
   if (open.empty()) {
     return busy;
   }
+  const double usual = UsualSlowness(candidates, open);
   RouteChoice best;
   bool found = false;
   for (const size_t i :
-       DrawCandidates(candidates, open, query, policy, random)) {
-    const Duration predicted = PredictFirstToken(candidates[i], query, policy);
+       DrawCandidates(candidates, open, query, policy, now, random)) {
+    const Duration unscaled =
+        PredictFirstToken(candidates[i], query, policy, now);
+    const double scale = candidates[i].history.slowness / usual;
+    const auto predicted = Duration(
+        static_cast<int64_t>(scale * static_cast<double>(unscaled.count())));
     if (!found || predicted < best.predicted) {
-      best = {i, predicted};
+      best = {i, predicted, unscaled};
       found = true;
     }
   }
@@ -172,10 +210,10 @@
 
 Duration PredictFirstToken(const RouteCandidate& candidate,
                            const RouteQuery& query,
-                           const PredictedFirstToken& policy) {
+                           const PredictedFirstToken& policy,
+                           TimePoint now) {
   const LoadReport& load = candidate.load;
-  const bool cached =
-      !query.prefix.empty() && load.cached_prefixes.contains(query.prefix);
+  const bool cached = HasPrefix(candidate, query.prefix, policy, now);
   const double prefill =
       ToSeconds(load.prefill) * (cached ? policy.cached_prefill_share : 1);
   const int slots = std::max(1, load.slots);
@@ -188,8 +226,7 @@
   const Duration distance = candidate.target.data_centre == query.data_centre
                                 ? Duration(0)
                                 : policy.other_data_centre_cost;
-  const double seconds =
-      (prefill * sharing + waiting) * candidate.history.slowness;
+  const double seconds = prefill * sharing + waiting;
   return distance + Duration(static_cast<int64_t>(seconds * 1e6));
 }
 
@@ -215,8 +252,7 @@
                      Duration predicted,
                      Duration measured) {
   const double floor = ToSeconds(kLeastServiceTime);
-  const double expected =
-      std::max(floor, ToSeconds(predicted) / history.slowness);
+  const double expected = std::max(floor, ToSeconds(predicted));
   const double ratio = std::max(floor, ToSeconds(measured)) / expected;
   history.slowness =
       std::clamp(Smooth(history.slowness, ratio), 1.0, kMostSlowness);
@@ -233,6 +269,19 @@
              static_cast<double>(measured.count()))));
 }
 
+void LearnSentPrefix(TargetHistory& history,
+                     const std::string& prefix,
+                     const PredictedFirstToken& policy,
+                     TimePoint now) {
+  if (prefix.empty()) {
+    return;
+  }
+  std::erase_if(history.sent_prefixes, [&policy, now](const auto& entry) {
+    return now - entry.second >= policy.cache_report_lag;
+  });
+  history.sent_prefixes[prefix] = now;
+}
+
 void LearnFailure(TargetHistory& history, TimePoint now) {
   ++history.failures;
   history.last_failure = now;
--- a/standins/standin_engine.cc
+++ b/standins/standin_engine.cc
@@ -39,6 +39,7 @@
   size_t cached_prefixes = 32;
   std::string weights;
   std::string bad_version;
+  bool history = false;
 };
 
 /// A request being answered.
@@ -287,9 +288,14 @@
 
   void RecordExecution(const std::string& id, const std::string& what) {
     m_executions.push_back(
-        {{"request", id},
+        {{"event", "executed"},
+         {"request", id},
          {"what", what},
+         {"server", m_options.host},
          {"at_us", MonotonicNow().time_since_epoch().count()}});
+    if (m_options.history) {
+      std::fprintf(stderr, "%s\n", m_executions.back().dump().c_str());
+    }
   }
 
   void StartQueued() {
@@ -434,6 +440,8 @@
   app.add_option("--weights", options.weights, "Address of the weight store.");
   app.add_option("--bad-version", options.bad_version,
                  "A version that fails to load.");
+  app.add_flag("--history", options.history,
+               "Write a line for each request that is begun.");
   CLI11_PARSE(app, argc, argv);
   return filbertrack::ServeStandin(
       options.listen, {}, [&options](filbertrack::EventLoop& loop) {
--- /dev/null
+++ b/tests/history_test.cc
@@ -0,0 +1,101 @@
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include <doctest/doctest.h>
+
+#include <functional>
+
+#include "filbertrack/history_check.h"
+
+namespace filbertrack {
+namespace {
+
+/// A run in which all statements hold.
+History GoodRun() {
+  History history;
+  history.members = {{"h2", true, 10'000'000}, {"h2", false, 30'000'000}};
+  history.groups = {{"d", {{"h1", "h2"}, {"h3", "h4"}}, 1'000'000}};
+  history.forwards = {
+      {"r1", "eh", "d/1", 1, {"h1", "h2"}, 5'000'000, 10'900'000},
+      {"r2", "eh", "d/2", 1, {"h3", "h4"}, 5'000'000, 25'000'000}};
+  history.executions = {{"r1", "w1", "h1", 5'000'000},
+                        {"r2", "w2", "h3", 5'000'000},
+                        {"r3", "w2", "h3", 6'000'000},
+                        {"r5", "w5", "portal", 6'000'000}};
+  history.callers = {{"r1", "w1", false, CallerResult::kWhole, 11'000'000},
+                     {"r2", "w2", true, CallerResult::kWhole, 25'000'000},
+                     {"r4", "w4", false, CallerResult::kNotRun, 7'000'000},
+                     {"r5", "w5", false, CallerResult::kUnknown, 7'000'000}};
+  history.leaves = {{"portal", 2'000'000}};
+  history.stopped = {{"eh", "r1", true}};
+  history.configs = {
+      {"", 2, 8'000'000}, {"eh", 1, 1'000'000}, {"eh", 2, 9'000'000}};
+  return history;
+}
+
+/// What was broken in the run, and the statement that it breaks.
+struct BrokenVariant {
+  Statement statement;
+  std::function<void(History&)> breaks;
+};
+
+TEST_CASE("a good run has no violation") {
+  CHECK(CheckHistory(GoodRun(), HistoryBounds()).empty());
+}
+
+TEST_CASE("each statement's broken variant is caught, and only as that") {
+  // Without this a checker that finds nothing would look like a system without
+  // faults. Each variant is one event that the statement forbids.
+  const std::vector<BrokenVariant> variants = {
+      {Statement::kWholeGroups,
+       [](History& run) { run.forwards[0].last = 11'100'000; }},
+      {Statement::kOneGroupPerHost,
+       [](History& run) { run.groups[0].groups[1][0] = "h1"; }},
+      {Statement::kOwnWholeAnswer,
+       [](History& run) { run.callers[1].result = CallerResult::kWrong; }},
+      {Statement::kNotRunIsTrue,
+       [](History& run) {
+         run.executions.push_back({"r4", "w4", "h1", 6'500'000});
+       }},
+      {Statement::kAtMostOnce,
+       [](History& run) {
+         run.executions.push_back({"r9", "w1", "h3", 6'500'000});
+       }},
+      {Statement::kLeavingGetsNoWork,
+       [](History& run) { run.executions[3].at = 7'500'000; }},
+      {Statement::kPlannedStopCutsNothing,
+       [](History& run) { run.stopped[0].whole = false; }},
+      {Statement::kConfigInForceAndKept,
+       [](History& run) {
+         run.configs.push_back({"eh", 1, 9'500'000});
+       }},
+      {Statement::kConfigInForceAndKept,
+       [](History& run) { run.configs[2].at = 12'500'000; }},
+  };
+  for (const BrokenVariant& variant : variants) {
+    History run = GoodRun();
+    variant.breaks(run);
+    const std::vector<Violation> violations =
+        CheckHistory(run, HistoryBounds());
+    REQUIRE(violations.size() == 1);
+    CHECK(violations[0].statement == variant.statement);
+    CHECK(!violations[0].events.empty());
+  }
+}
+
+TEST_CASE("lines of programs are read, others are passed over") {
+  History history;
+  const auto read = ReadHistory(
+      "{\"event\":\"member\",\"host\":\"h\",\"state\":\"down\",\"at_us\":5}\n"
+      "not a line of ours\n"
+      "{\"event\":\"draining\"}\n"
+      "{\"event\":\"config-in-force\",\"node\":\"e\",\"generation\":3,"
+      "\"at_us\":7}\n",
+      history);
+  REQUIRE(read);
+  CHECK(*read == 2);
+  CHECK(history.members[0].down);
+  CHECK(history.configs[0].generation == 3);
+  CHECK(!ReadHistory("{\"event\":\"member\"}\n", history));
+}
+
+}  // namespace
+}  // namespace filbertrack
