--- a/standins/standin_engine.cc
+++ b/standins/standin_engine.cc
@@ -167,6 +167,8 @@
       m_report.group.clear();
       m_report.epoch = 0;
       m_report.phase = MemberPhase::kIdle;
+      // An engine process outside a group holds no weights.
+      m_report.model_version.clear();
     } else {
       m_report.group = order.value("group", "");
       m_report.epoch = order.value("epoch", uint64_t{0});
--- a/tools/check.sh
+++ b/tools/check.sh
@@ -8,5 +8,6 @@
 bash tools/build.sh build -DFILBERTRACK_WERROR=ON
 mapfile -t files < <(git ls-files '*.cc' '*.h')
 clang-format --dry-run --Werror "${files[@]}"
+bash tools/check_layers.sh
 bash tools/lint.sh
 ctest --test-dir build --output-on-failure
--- /dev/null
+++ b/tools/check_layers.sh
@@ -0,0 +1,16 @@
+#!/usr/bin/env bash
+# Fails if a decision library includes an adapter, a system header for I/O, or
+# reads a clock.
+set -eu
+cd "$(dirname "$0")/.."
+adapters='event_loop|http_server|http_client|store_client|store_watch|member_watch|peer_link|config_follower|log|metrics|program|gateway[a-z_]*|controller|operator_client|load_runner'
+bad=0
+for file in source/{base,settings,state,config_g,config_r,groups,routing,fleet,admission,request,keyed,peer_f,peer_m,peer_t,exchange,history,load_p}*.{cc,h} \
+  include/filbertrack/{base,settings,state,config_g,config_r,groups,routing,fleet,admission,request,keyed,peer_f,peer_m,peer_t,exchange,history,load_p}*.h; do
+  [ -e "$file" ] || continue
+  if grep -nE "#include \"filbertrack/($adapters)\.h\"|#include <(event2|sys/socket|boost|websocketpp)|steady_clock::now|system_clock::now" "$file"; then
+    echo "$file: a decision library holds I/O or reads a clock"
+    bad=1
+  fi
+done
+exit $bad
--- a/tools/measure_faults.sh
+++ b/tools/measure_faults.sh
@@ -19,7 +19,8 @@
     ctl --json status 2>/dev/null |
       awk -v at="$(now_us)" '/"domain"/ {
         serving += gsub(/"phase":"serving"/, "&"); match($0, /"stranded_accelerators":[0-9]+/);
-        stranded += substr($0, RSTART + 24, RLENGTH - 24)} END {print at, serving + 0, stranded + 0}' >>"$1"
+        stranded += substr($0, RSTART + 24, RLENGTH - 24); domains++}
+        END {if (domains > 0) print at, serving + 0, stranded + 0}' >>"$1"
     sleep 0.1
   done
 }
@@ -29,9 +30,10 @@
 start store "$BIN/standins/standin-store"
 STORE=$(address_of store)
 start portal "$BIN/standins/standin-engine" --plain --host portal --plain-ms 20 --history
+start weights "$BIN/standins/standin-weights" --loads 2 --window-ms 1000
 for domain in a b; do
   start_engines "fabric-$domain" "dc-1" 1 9 --prefill-ms 30 --token-ms 20 \
-    --slots 16 --load-ms 2000 --history
+    --slots 16 --load-ms 1000 --weights "$(address_of weights)" --history
 done
 start_entry_hosts 3
 apply_resources 4 4 "$spares" "$weight" "$(address_of portal)"
