control: controllers read the store's objects from their gateway

Cause: each controller watched three prefixes of the store and read the heartbeat of every other holder each 2 s, so calls grew with entry hosts times domains; and caches kept every delta ever made.

--- a/include/filbertrack/config_generation.h
+++ b/include/filbertrack/config_generation.h
@@ -102,4 +102,10 @@
 /// a change that operators were told is in force.
 FollowStep FollowConfig(const ObjectCache& cache, const ConfigSet& own);
 
+/// Cached deltas and snapshots that nobody needs any more: those up to the
+/// snapshot that the cached root names. Without dropping them a process would
+/// grow by every change ever made. All hosts drop the same ones, so that their
+/// caches stay equal.
+std::vector<std::string> ObsoleteConfigKeys(const ObjectCache& cache);
+
 }  // namespace filbertrack
--- a/include/filbertrack/controller.h
+++ b/include/filbertrack/controller.h
@@ -9,6 +9,7 @@
 #include <string>
 
 #include "filbertrack/config_follower.h"
+#include "filbertrack/controller_feed.h"
 #include "filbertrack/groups_assign.h"
 #include "filbertrack/groups_lease.h"
 #include "filbertrack/groups_plan.h"
@@ -16,7 +17,7 @@
 #include "filbertrack/http_server.h"
 #include "filbertrack/member_watch.h"
 #include "filbertrack/settings.h"
-#include "filbertrack/store_watch.h"
+#include "filbertrack/store_client.h"
 
 namespace filbertrack {
 
@@ -81,7 +82,7 @@
   PlanPolicy m_plan_policy;
   ObjectCache m_cache;
   StoreClient m_store;
-  std::unique_ptr<StoreWatch> m_watch;
+  std::unique_ptr<ControllerFeed> m_feed;
   ConfigFollower m_config;
   MemberWatch m_members;
   HttpClient m_http;
--- /dev/null
+++ b/include/filbertrack/controller_feed.h
@@ -0,0 +1,42 @@
+#pragma once
+
+/// Where a controller has the store's objects from: the entry host's own
+/// gateway, asked as an observer, so that watches at the store do not grow with
+/// controllers. While the gateway does not answer, the controller watches the
+/// store itself: a fault of one program does not stop the other.
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "filbertrack/peer_link.h"
+#include "filbertrack/settings.h"
+#include "filbertrack/store_watch.h"
+
+namespace filbertrack {
+
+class ControllerFeed {
+ public:
+  ControllerFeed(EventLoop& loop,
+                 const Settings& settings,
+                 StoreClient& store,
+                 ObjectCache& cache,
+                 std::function<void()> on_change);
+  ~ControllerFeed();
+
+ private:
+  void Tick();
+  void OnAnswer(const std::string* payload);
+
+  EventLoop& m_loop;
+  ObjectCache& m_cache;
+  std::function<void()> m_on_change;
+  StoreWatch m_watch;
+  std::unique_ptr<PeerClient> m_gateway;
+  std::vector<std::string> m_wanted;
+  TimePoint m_last_answer;
+  std::unique_ptr<Timer> m_timer;
+};
+
+}  // namespace filbertrack
--- a/source/config_follower.cc
+++ b/source/config_follower.cc
@@ -10,6 +10,9 @@
     : m_store(store), m_cache(cache), m_on_adopted(std::move(on_adopted)) {}
 
 void ConfigFollower::Follow() {
+  for (const std::string& key : ObsoleteConfigKeys(m_cache)) {
+    m_cache.Forget(key);
+  }
   FollowStep step = FollowConfig(m_cache, m_set);
   if (const auto* need = std::get_if<NeedObject>(&step)) {
     Fetch(need->key);
--- a/source/config_generation.cc
+++ b/source/config_generation.cc
@@ -192,4 +192,28 @@
   return AdoptSet{std::move(base)};
 }
 
+std::vector<std::string> ObsoleteConfigKeys(const ObjectCache& cache) {
+  std::vector<std::string> keys;
+  const StoredObject* root_object = cache.Find(kConfigRootKey);
+  const Result<ConfigRoot> root = root_object == nullptr
+                                      ? Fail(ResultCode::kNotFound, "")
+                                      : ParseConfigRoot(root_object->value);
+  if (!root) {
+    return keys;
+  }
+  for (const StoredObject* object : cache.List(kConfigDeltaPrefix)) {
+    const std::string number = object->key.substr(kConfigDeltaPrefix.size());
+    if (std::strtoull(number.c_str(), nullptr, 10) <=
+        root->snapshot_generation) {
+      keys.push_back(object->key);
+    }
+  }
+  for (const StoredObject* object : cache.List(kConfigSnapshotPrefix)) {
+    if (object->key != root->snapshot_key) {
+      keys.push_back(object->key);
+    }
+  }
+  return keys;
+}
+
 }  // namespace filbertrack
--- a/source/controller.cc
+++ b/source/controller.cc
@@ -22,7 +22,7 @@
 constexpr double kRankSpread = 0.3;
 constexpr uint64_t kRankSteps = 1000;
 /// Controllers of other data centres wait this part of the duration longer.
-constexpr double kFarDelay = 1;
+constexpr double kFarDelay = 4;
 
 int64_t WallTimeMs() {
   return std::chrono::duration_cast<std::chrono::milliseconds>(
@@ -94,11 +94,8 @@
   m_plan_policy.settle = settings.Time("repair", "settle");
   m_plan_policy.drain_limit = settings.Time("repair", "drain_limit");
   m_plan_policy.drain_floor = settings.Time("repair", "drain_floor");
-  m_watch = std::make_unique<StoreWatch>(loop, m_store, m_cache,
-                                         [this] { OnObjects(); });
-  m_watch->SetPrefixes({std::string(kConfigRootKey),
-                        std::string(kDomainStatePrefix),
-                        std::string(kPlatformHostsPrefix)});
+  m_feed = std::make_unique<ControllerFeed>(loop, settings, m_store, m_cache,
+                                            [this] { OnObjects(); });
   m_pass_timer = loop.Every(kPassInterval, [this] { Pass(); });
 }
 
@@ -271,9 +268,13 @@
   const TimePoint now = MonotonicNow();
   const std::string& holder = domain.state.lease.holder;
   const bool held_by_other = !holder.empty() && holder != m_node;
-  if (held_by_other && !domain.reading_holder &&
-      (domain.holder.holder != holder ||
-       now >= domain.holder.last_read + m_lease_policy.renew_every)) {
+  // One reading when the holder is new, and one when its lease could have run
+  // out since; more would only load the store.
+  const TimePoint due = domain.holder.first_seen + m_lease_policy.duration +
+                        m_lease_policy.order_life + RankDelay(domain);
+  const bool is_new = domain.holder.holder != holder;
+  const bool is_due = now >= due && domain.holder.last_read < due;
+  if (held_by_other && !domain.reading_holder && (is_new || is_due)) {
     ReadHolder(domain);
     return;
   }
--- a/source/exchange.cc
+++ b/source/exchange.cc
@@ -124,6 +124,13 @@
   answer.from = state.table.self();
   answer.cache_digest = state.cache.Digest();
   AddObjects(state.cache, ask.wanted_objects, answer.objects);
+  if (ask.from.node.empty()) {
+    // An observer, such as this host's controller, wants objects alone.
+    if (ask.cache_digest != answer.cache_digest) {
+      answer.inventory = state.cache.Inventory();
+    }
+    return answer;
+  }
   const std::vector<GroupEvidence> evidence = state.fleet.Evidence(now);
   if (ask.cache_digest == answer.cache_digest) {
     answer.evidence_bytes = PackEvidence(evidence);
--- a/tests/config_test.cc
+++ b/tests/config_test.cc
@@ -95,6 +95,25 @@
   }));
 }
 
+TEST_CASE("a node's cache does not grow with the number of changes") {
+  // Processes would end for lack of memory after weeks. What a later node needs
+  // to follow stays: the snapshot and the deltas after it.
+  FakeHistory history;
+  ObjectCache cache;
+  ConfigSet own;
+  for (int i = 1; i <= 103; ++i) {
+    history.Change({{"service/a", {{"max_in_flight", i}}}});
+    cache.Offer(history.m_roots.back());
+    own = FollowAll(cache, history.m_store, own);
+    for (const std::string& key : ObsoleteConfigKeys(cache)) {
+      cache.Forget(key);
+    }
+  }
+  CHECK(own.generation == 103);
+  CHECK(cache.size() <= 5);
+  CHECK(FollowAll(cache, history.m_store, ConfigSet()).generation == 103);
+}
+
 TEST_CASE("a set whose hash is not the root's is not put in force") {
   // Callers are served by the present configuration. A delta was damaged.
   FakeHistory history;
--- a/tools/demo_lib.sh
+++ b/tools/demo_lib.sh
@@ -62,10 +62,10 @@
   local name=$1 data_centre=$2 extra=${3:-} extra_controller=${4:-}
   printf '[node]\nname = %s\ndata_centre = %s\n[callers]\nlisten = 127.0.0.1:0\n[admin]\nlisten = 127.0.0.1:0\n[peers]\nlisten = 127.0.0.1:0\nkey = a key of the demo only\nseeds = %s\n[store]\naddress = %s\n%b\n' \
     "$name" "$data_centre" "${SEEDS:-}" "$STORE" "$extra" >"$RUN/$name-gateway.ini"
-  printf '[node]\nname = %s\ndata_centre = %s\n[admin]\nlisten = 127.0.0.1:0\n[store]\naddress = %s\n%b\n' \
-    "$name" "$data_centre" "$STORE" "$extra_controller" >"$RUN/$name-controller.ini"
   start "$name-gateway" "$BIN/source/filbert-gateway" -s "$RUN/$name-gateway.ini"
   SEEDS=${SEEDS:-$(peers_of "$name-gateway")}
+  printf '[node]\nname = %s\ndata_centre = %s\n[admin]\nlisten = 127.0.0.1:0\n[store]\naddress = %s\n[gateway]\npeers = %s\nkey = a key of the demo only\n%b\n' \
+    "$name" "$data_centre" "$STORE" "$(peers_of "$name-gateway")" "$extra_controller" >"$RUN/$name-controller.ini"
   start "$name-controller" "$BIN/source/filbert-controller" -s "$RUN/$name-controller.ini"
 }
 
