settings: read long lines whole

Cause: at twelve entry hosts and more the operator's command refused its own settings: inih cuts lines at 200 bytes, so that a list of addresses broke into an unknown key. Ruled out: the file itself, which was whole. Change: Boost.PropertyTree reads INI; a test has 400 addresses on one line.

--- a/include/filbertrack/fleet_view.h
+++ b/include/filbertrack/fleet_view.h
@@ -66,6 +66,9 @@
   std::vector<RouteCandidate>& candidates() { return m_candidates; }
   RouteCandidate* FindCandidate(std::string_view id);
 
+  /// Whether the group may answer now, by the default bound.
+  bool IsWholeNow(std::string_view id, TimePoint now) const;
+
   /// Hosts of all domains with their addresses.
   const std::map<std::string, Address, std::less<>>& hosts() const {
     return m_hosts;
--- a/source/fleet_view.cc
+++ b/source/fleet_view.cc
@@ -166,6 +166,12 @@
   return index == m_index.end() ? nullptr : &m_candidates[index->second];
 }
 
+bool FleetView::IsWholeNow(std::string_view id, TimePoint now) const {
+  const auto index = m_index.find(id);
+  return index != m_index.end() &&
+         IsWhole(m_candidates[index->second].target, RouteLimits(), now);
+}
+
 void FleetView::RebuildCandidates(TimePoint now) {
   std::vector<RouteCandidate> candidates;
   AddPlainServers(candidates, now);
--- a/source/gateway.cc
+++ b/source/gateway.cc
@@ -331,7 +331,8 @@
   for (const auto& [id, located] : m_fleet.groups()) {
     targets.push_back({{"group", id},
                        {"epoch", located.group.epoch},
-                       {"phase", GroupPhaseName(located.group.phase)}});
+                       {"phase", GroupPhaseName(located.group.phase)},
+                       {"whole", m_fleet.IsWholeNow(id, now)}});
   }
   const Json status = {{"node", m_node},
                        {"ready", IsReady()},
--- a/source/settings.cc
+++ b/source/settings.cc
@@ -8,7 +8,8 @@
 #include <fstream>
 #include <sstream>
 
-#include <ini.h>
+#include <boost/property_tree/ini_parser.hpp>
+#include <boost/property_tree/ptree.hpp>
 
 namespace filbertrack {
 
@@ -33,12 +34,29 @@
     {"h", Seconds(3600)},
 });
 
-int CollectEntry(void* user,
-                 const char* section,
-                 const char* key,
-                 const char* value) {
-  static_cast<std::vector<IniEntry>*>(user)->push_back({section, key, value});
-  return 1;
+/// Reads the text with Boost.PropertyTree. (inih, which was used first, cuts
+/// lines at 200 bytes, so that a list of twelve addresses broke in the middle.)
+Result<std::vector<IniEntry>> ReadIni(const std::string& text,
+                                      const std::string& origin) {
+  boost::property_tree::ptree tree;
+  std::istringstream stream(text);
+  try {
+    boost::property_tree::read_ini(stream, tree);
+  } catch (const boost::property_tree::ini_parser_error& error) {
+    return Fail(ResultCode::kSettingsInvalid,
+                "Line " + std::to_string(error.line()) + " of '" + origin +
+                    "' cannot be read: " + error.message() + ".");
+  }
+  std::vector<IniEntry> entries;
+  for (const auto& [section, keys] : tree) {
+    if (keys.empty()) {
+      entries.push_back({"", section, keys.data()});
+    }
+    for (const auto& [key, value] : keys) {
+      entries.push_back({section, key, value.data()});
+    }
+  }
+  return entries;
 }
 
 bool ParseInteger(std::string_view text, int64_t* value) {
@@ -283,13 +301,11 @@
 
 Result<Settings> SettingsSchema::ParseText(const std::string& text,
                                            const std::string& origin) const {
-  std::vector<IniEntry> entries;
-  const int line = ini_parse_string(text.c_str(), CollectEntry, &entries);
-  if (line != 0) {
-    return Fail(ResultCode::kSettingsInvalid,
-                "Line " + std::to_string(line) + " of '" + origin +
-                    "' is neither a [section] nor key = value.");
+  const Result<std::vector<IniEntry>> read = ReadIni(text, origin);
+  if (!read) {
+    return tl::unexpected<Error>(read.error());
   }
+  const std::vector<IniEntry>& entries = *read;
   Settings settings;
   for (const KeyRow& row : m_rows) {
     Settings::Value value;
--- a/tests/settings_test.cc
+++ b/tests/settings_test.cc
@@ -14,6 +14,7 @@
        "A wait."},
       {"a", "name", TextKey{"", true, {}}, "A name."},
       {"a", "listen", AddressKey{"127.0.0.1:1"}, "An address."},
+      {"a", "seeds", AddressListKey{}, "Addresses."},
   });
 }
 
@@ -26,6 +27,19 @@
   CHECK(settings->At("a", "listen").port == 1);
 }
 
+TEST_CASE("a list of many addresses is read whole") {
+  // An operator's command refused its settings with twelve entry hosts: the
+  // reader cut lines at 200 bytes.
+  std::string text = "[a]\nname = n\nseeds = ";
+  for (int i = 0; i < 400; ++i) {
+    text += (i == 0 ? "" : ",") + std::string("127.0.0.1:") +
+            std::to_string(10000 + i);
+  }
+  const auto settings = Schema().ParseText(text + "\n", "f.ini");
+  REQUIRE(settings);
+  CHECK(settings->Addresses("a", "seeds").size() == 400);
+}
+
 TEST_CASE("each fault names file, section, key, value and what is allowed") {
   struct Fault {
     const char* text;
--- a/tools/install.sh
+++ b/tools/install.sh
@@ -3,7 +3,7 @@
 set -eu
 packages="g++ clang-format clang-tidy cmake ninja-build ccache curl
   libevent-dev libwebsocketpp-dev libboost-dev libboost-log-dev libcli11-dev
-  libexpected-dev doctest-dev nlohmann-json3-dev librapidcheck-dev libinih-dev
+  libexpected-dev doctest-dev nlohmann-json3-dev librapidcheck-dev
   libxxhash-dev libssl-dev"
 missing=""
 for package in $packages; do
