peers: ask further hosts in turn, and for missing objects at once

Cause: measured at 24 entry hosts, the two nearest neighbours on the ring gave news to all only after seconds, so that each host asked the store instead (39 calls a second), and a change took 0.8 s and more. Change: hosts at distances 1, 2, 4, ... are asked in turn, two a round, and what an answer shows to be missing is asked for at once.

--- a/include/filbertrack/controller_feed.h
+++ b/include/filbertrack/controller_feed.h
@@ -27,6 +27,7 @@
 
  private:
   void Tick();
+  void Ask();
   void OnAnswer(const std::string* payload);
 
   EventLoop& m_loop;
--- a/include/filbertrack/exchange.h
+++ b/include/filbertrack/exchange.h
@@ -25,9 +25,10 @@
   LoanPolicy loans;
 };
 
-/// The question to `peer`; `wanted` are keys that its last answer offered.
+/// The question to the peer of that name; `wanted` are keys that its last
+/// answer offered.
 ExchangeAsk MakeAsk(ExchangeState& state,
-                    const PeerState& peer,
+                    std::string_view peer,
                     std::vector<std::string> wanted,
                     TimePoint now);
 
--- a/include/filbertrack/gateway_peers.h
+++ b/include/filbertrack/gateway_peers.h
@@ -79,7 +79,7 @@
   void Tick();
   void AskNeighbours(TimePoint now);
   void AskSeeds(TimePoint now);
-  void Ask(const std::string& name, const PeerState& peer, TimePoint now);
+  void Ask(const std::string& name, const Address& address, TimePoint now);
   void OnAnswer(const std::string& name,
                 const ExchangeAsk& ask,
                 TimePoint asked_at,
@@ -106,6 +106,7 @@
   std::map<std::string, Neighbour> m_neighbours;
   std::map<std::string, std::unique_ptr<PeerClient>> m_keyed_clients;
   std::unique_ptr<Timer> m_timer;
+  uint64_t m_round = 0;
   TimePoint m_seeds_asked;
   TimePoint m_store_probed;
   std::vector<std::string> m_live;
--- a/include/filbertrack/groups_plan.h
+++ b/include/filbertrack/groups_plan.h
@@ -60,6 +60,9 @@
 
 using HostViews = std::map<std::string, HostView, std::less<>>;
 
+/// Null where the host was never seen.
+const HostView* FindView(const HostViews& views, std::string_view host);
+
 struct PlanInput {
   const DomainState& state;
   const DomainHosts& hosts;
@@ -94,6 +97,12 @@
   std::vector<MemberOrder> orders;
 };
 
+/// Whether the host was heard within `lost_after`.
+bool IsAlive(const PlanInput& input,
+             std::string_view host,
+             const PlanPolicy& policy,
+             TimePoint now);
+
 Plan PlanDomain(const PlanInput& input,
                 const PlanPolicy& policy,
                 TimePoint now);
--- a/include/filbertrack/peer_table.h
+++ b/include/filbertrack/peer_table.h
@@ -69,10 +69,10 @@
   /// Names of live peers and this host, sorted.
   std::vector<std::string> Live(TimePoint now) const;
 
-  /// The live peers that this host asks: the next ones on a ring of names at
-  /// distances 1, 2, 4, …, so that news reach everybody in few steps although
-  /// nobody speaks to all.
-  std::vector<PeerState> Neighbours(TimePoint now) const;
+  /// The live peers that this host asks in a round: of those at distances 1, 2,
+  /// 4, … on a ring of names, some in turn. So news reach everybody in a number
+  /// of steps that grows as the logarithm, although nobody speaks to all.
+  std::vector<PeerState> Neighbours(uint64_t round, TimePoint now) const;
 
   /// Whether this host is among the first `count` live hosts for `item` by
   /// rendezvous hashing; `data_centre` empty: among all, else only those there.
--- a/source/controller.cc
+++ b/source/controller.cc
@@ -1,10 +1,10 @@
 #include "filbertrack/controller.h"
 
-#include <algorithm>
 #include <chrono>
 
 #include <nlohmann/json.hpp>
 
+#include "controller_domain.h"
 #include "filbertrack/base_hash.h"
 #include "filbertrack/log.h"
 
@@ -18,11 +18,6 @@
 constexpr Duration kPassInterval = Milliseconds(100);
 /// How long a stopping controller waits for its last writes.
 constexpr Duration kStopLimit = Seconds(2);
-/// Challengers for one lease spread over this much of its duration.
-constexpr double kRankSpread = 0.3;
-constexpr uint64_t kRankSteps = 1000;
-/// Controllers of other data centres wait this part of the duration longer.
-constexpr double kFarDelay = 4;
 
 int64_t WallTimeMs() {
   return std::chrono::duration_cast<std::chrono::milliseconds>(
@@ -47,29 +42,6 @@
 
 }  // namespace
 
-/// One fabric domain as this controller knows it.
-struct Controller::Domain {
-  DomainHosts hosts;
-  DomainState state;
-  uint64_t version = 0;
-  TimePoint lease_seen;
-  DomainHold hold;
-  HolderView holder;
-  bool reading_holder = false;
-  HostViews views;
-  struct PhaseSeen {
-    uint64_t epoch = 0;
-    GroupPhase phase = GroupPhase::kLoading;
-  };
-  std::map<std::string, PhaseSeen> phase_seen;
-  std::map<std::string, TimePoint> phase_since;
-  /// One order at a time to each host.
-  std::map<std::string, std::unique_ptr<HttpCall>> orders;
-  bool writing = false;
-  /// Since when this controller has held the lease without a break.
-  std::optional<TimePoint> acting_since;
-};
-
 Controller::Controller(EventLoop& loop, const Settings& settings)
     : m_loop(loop),
       m_settings(settings),
@@ -173,10 +145,6 @@
   domain.phase_seen = std::move(seen);
 }
 
-bool Controller::MayActOn(const Domain& domain) const {
-  return MayAct(domain.hold, m_node, m_keeper, m_lease_policy, MonotonicNow());
-}
-
 void Controller::WatchHosts() {
   std::map<std::string, Address, std::less<>> hosts;
   for (const auto& [name, domain] : m_domains) {
@@ -199,59 +167,6 @@
   }
 }
 
-bool Controller::HoldsAny() const {
-  return std::any_of(m_domains.begin(), m_domains.end(),
-                     [this](const auto& row) {
-                       return row.second->hold.lease.holder == m_node;
-                     });
-}
-
-/// Renews the one object that tells that this controller lives. Its value
-/// changes every time, so that its own text shows whether a write whose answer
-/// was lost took effect.
-void Controller::Heartbeat() {
-  if (m_heartbeat_writing || m_stopping) {
-    return;
-  }
-  m_heartbeat_writing = true;
-  const TimePoint began = MonotonicNow();
-  const std::string key = std::string(kHeartbeatPrefix) + m_node;
-  const std::string text = m_incarnation + " " + std::to_string(++m_heartbeats);
-  m_store.Put(key, text, m_heartbeat_version,
-              [this, key, text, began](const StoreAnswer& answer) {
-                if (answer.status == StoreStatus::kOk) {
-                  OnHeartbeat(answer.object.version, began, true);
-                  return;
-                }
-                m_store.Get(key, [this, text, began](const StoreAnswer& read) {
-                  const bool known = read.status == StoreStatus::kOk;
-                  OnHeartbeat(known ? read.object.version : m_heartbeat_version,
-                              began, known && read.object.value == text);
-                });
-              });
-}
-
-void Controller::OnHeartbeat(uint64_t version, TimePoint began, bool written) {
-  m_heartbeat_writing = false;
-  m_heartbeat_version = version;
-  if (written) {
-    m_keeper.OnWritten(began, m_lease_policy, MonotonicNow());
-  }
-}
-
-Duration Controller::RankDelay(const Domain& domain) const {
-  const double rank =
-      static_cast<double>(RendezvousWeight(domain.hosts.domain, m_node) %
-                          kRankSteps) /
-      kRankSteps;
-  // Controllers beside the domain's hosts go first.
-  const bool near =
-      domain.hosts.data_centre == m_settings.Text("node", "data_centre");
-  const double part = (near ? 0 : kFarDelay) + rank * kRankSpread;
-  return Duration(static_cast<int64_t>(
-      part * static_cast<double>(m_lease_policy.duration.count())));
-}
-
 void Controller::PassDomain(Domain& domain) {
   if (domain.writing || m_stopping) {
     return;
@@ -264,63 +179,6 @@
   Challenge(domain);
 }
 
-void Controller::Challenge(Domain& domain) {
-  const TimePoint now = MonotonicNow();
-  const std::string& holder = domain.state.lease.holder;
-  const bool held_by_other = !holder.empty() && holder != m_node;
-  // One reading when the holder is new, and one when its lease could have run
-  // out since; more would only load the store.
-  const TimePoint due = domain.holder.first_seen + m_lease_policy.duration +
-                        m_lease_policy.order_life + RankDelay(domain);
-  const bool is_new = domain.holder.holder != holder;
-  const bool is_due = now >= due && domain.holder.last_read < due;
-  if (held_by_other && !domain.reading_holder && (is_new || is_due)) {
-    ReadHolder(domain);
-    return;
-  }
-  // A restarted controller finds its own name in the lease. It waits like any
-  // other, because an order of its earlier process may still be on its way.
-  const bool may_take =
-      holder == m_node
-          ? now >= domain.lease_seen + m_lease_policy.order_life
-          : MayTake(domain.state.lease, domain.lease_seen, domain.holder,
-                    m_lease_policy, RankDelay(domain), now);
-  if (!may_take) {
-    return;
-  }
-  if (!m_keeper.IsHeld(m_lease_policy, now)) {
-    Heartbeat();
-    return;
-  }
-  TakeLease(domain);
-}
-
-void Controller::ReadHolder(Domain& domain) {
-  domain.reading_holder = true;
-  const std::string holder = domain.state.lease.holder;
-  m_store.Get(
-      std::string(kHeartbeatPrefix) + holder,
-      [this, name = domain.hosts.domain, holder](const StoreAnswer& answer) {
-        Domain& read = *m_domains.find(name)->second;
-        read.reading_holder = false;
-        // No answer tells nothing: a store that is down must not make
-        // a live holder look dead.
-        if (answer.status == StoreStatus::kOk ||
-            answer.status == StoreStatus::kNotFound) {
-          ObserveHolder(read.holder, holder, answer.object.version,
-                        MonotonicNow());
-        }
-      });
-}
-
-void Controller::TakeLease(Domain& domain) {
-  DomainState next = domain.state;
-  next.lease = {m_node, next.lease.fence + 1};
-  Log(LogLevel::kInfo, "lease-wanted",
-      {{"domain", domain.hosts.domain}, {"fence", next.lease.fence}});
-  Write(domain, next);
-}
-
 void Controller::Act(Domain& domain, TimePoint now) {
   for (const PlatformHost& host : domain.hosts.hosts) {
     const MemberEvidence* evidence = m_members.Find(host.name);
--- /dev/null
+++ b/source/controller_domain.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "filbertrack/controller.h"
+
+namespace filbertrack {
+
+/// One fabric domain as this controller knows it.
+struct Controller::Domain {
+  DomainHosts hosts;
+  DomainState state;
+  uint64_t version = 0;
+  TimePoint lease_seen;
+  DomainHold hold;
+  HolderView holder;
+  bool reading_holder = false;
+  HostViews views;
+  struct PhaseSeen {
+    uint64_t epoch = 0;
+    GroupPhase phase = GroupPhase::kLoading;
+  };
+  std::map<std::string, PhaseSeen> phase_seen;
+  std::map<std::string, TimePoint> phase_since;
+  /// One order at a time to each host.
+  std::map<std::string, std::unique_ptr<HttpCall>> orders;
+  bool writing = false;
+  /// Since when this controller has held the lease without a break.
+  std::optional<TimePoint> acting_since;
+};
+
+}  // namespace filbertrack
--- a/source/controller_feed.cc
+++ b/source/controller_feed.cc
@@ -41,9 +41,12 @@
                                         std::string(kDomainStatePrefix),
                                         std::string(kPlatformHostsPrefix)}
              : std::vector<std::string>());
-  if (m_gateway == nullptr || m_gateway->busy()) {
-    return;
+  if (m_gateway != nullptr && !m_gateway->busy()) {
+    Ask();
   }
+}
+
+void ControllerFeed::Ask() {
   // Without a name: an observer is no member, and nothing is lent to it.
   ExchangeAsk ask;
   ask.cache_digest = m_cache.Digest();
@@ -69,6 +72,9 @@
     changed = m_cache.Offer(object) || changed;
   }
   m_wanted = m_cache.Missing(answer->inventory);
+  if (!m_wanted.empty()) {
+    Ask();
+  }
   if (changed) {
     m_on_change();
   }
--- a/source/exchange.cc
+++ b/source/exchange.cc
@@ -98,7 +98,7 @@
 }  // namespace
 
 ExchangeAsk MakeAsk(ExchangeState& state,
-                    const PeerState& peer,
+                    std::string_view peer,
                     std::vector<std::string> wanted,
                     TimePoint now) {
   ExchangeAsk ask;
@@ -107,7 +107,7 @@
   ask.table_digest = state.table.Digest();
   ask.wanted_objects = std::move(wanted);
   for (const EntitlementParts::Wish& wish :
-       state.parts.Wishes(peer.node, state.loans, now)) {
+       state.parts.Wishes(peer, state.loans, now)) {
     ask.loan_wishes.push_back(
         {wish.key.first, wish.key.second, wish.requests_per_second});
   }
--- a/source/gateway_peers.cc
+++ b/source/gateway_peers.cc
@@ -123,8 +123,8 @@
   std::erase_if(m_neighbours, [now](const auto& entry) {
     return now - entry.second.asked_at > kNeighbourIdle;
   });
-  for (const PeerState& peer : m_table.Neighbours(now)) {
-    Ask(peer.node, peer, now);
+  for (const PeerState& peer : m_table.Neighbours(++m_round, now)) {
+    Ask(peer.node, peer.address, now);
   }
 }
 
@@ -150,27 +150,24 @@
     }
   }
   for (const auto& [name, address] : silent) {
-    PeerState peer;
-    peer.address = address;
-    Ask(name, peer, now);
+    Ask(name, address, now);
   }
 }
 
 void GatewayPeers::Ask(const std::string& name,
-                       const PeerState& peer,
+                       const Address& address,
                        TimePoint now) {
   Neighbour& neighbour = m_neighbours[name];
-  if (neighbour.client == nullptr || !(neighbour.address == peer.address)) {
-    neighbour.address = peer.address;
-    neighbour.client =
-        std::make_unique<PeerClient>(m_loop, m_key, peer.address);
+  if (neighbour.client == nullptr || !(neighbour.address == address)) {
+    neighbour.address = address;
+    neighbour.client = std::make_unique<PeerClient>(m_loop, m_key, address);
   }
   if (neighbour.client->busy()) {
     return;
   }
   neighbour.asked_at = now;
   ExchangeState state = State();
-  ExchangeAsk ask = MakeAsk(state, peer, std::move(neighbour.wanted), now);
+  ExchangeAsk ask = MakeAsk(state, name, std::move(neighbour.wanted), now);
   neighbour.wanted.clear();
   std::string payload = EncodePeerMessage(ask);
   neighbour.client->Ask(
@@ -200,6 +197,11 @@
   const auto neighbour = m_neighbours.find(name);
   if (neighbour != m_neighbours.end()) {
     neighbour->second.wanted = std::move(effect.wanted);
+    if (!neighbour->second.wanted.empty()) {
+      // What is missing is asked for now and not with the next round: a change
+      // passes several hosts, and the rounds would add up.
+      Ask(name, neighbour->second.address, MonotonicNow());
+    }
   }
   if (effect.objects_changed) {
     m_events.on_objects();
--- a/source/gateway_router.cc
+++ b/source/gateway_router.cc
@@ -52,7 +52,6 @@
   }
   m_request_policy.most_attempts =
       static_cast<int>(settings.Integer("routing", "most_attempts"));
-  m_queue_timer = loop.Every(kQueueInterval, [this] { DrainQueues(); });
 }
 
 GatewayRouter::~GatewayRouter() = default;
@@ -162,6 +161,9 @@
     return;
   }
   m_queue_of_relay[relay.id()] = name;
+  if (m_queue_timer == nullptr) {
+    m_queue_timer = m_loop.Every(kQueueInterval, [this] { DrainQueues(); });
+  }
 }
 
 void GatewayRouter::CancelSeek(uint64_t id) {
@@ -200,6 +202,10 @@
       queue.Pop(now);
     }
   }
+  if (m_queue_of_relay.empty()) {
+    // An idle host need not wake a hundred times a second.
+    m_queue_timer.reset();
+  }
 }
 
 TargetCheck GatewayRouter::Check(const AttemptTarget& target,
--- a/source/peer_table.cc
+++ b/source/peer_table.cc
@@ -69,16 +69,22 @@
   return names;
 }
 
-std::vector<PeerState> PeerTable::Neighbours(TimePoint now) const {
+std::vector<PeerState> PeerTable::Neighbours(uint64_t round,
+                                             TimePoint now) const {
   std::vector<std::string> ring = Live(now);
   std::erase(ring, m_self.node);
   const auto after =
       std::upper_bound(ring.begin(), ring.end(), m_self.node) - ring.begin();
+  std::vector<size_t> distances;
+  for (size_t distance = 1; distance <= ring.size(); distance *= 2) {
+    distances.push_back(distance);
+  }
   std::vector<PeerState> neighbours;
-  for (size_t step = 1;
-       step <= ring.size() && neighbours.size() < m_policy.neighbours;
-       step *= 2) {
-    const size_t index = (static_cast<size_t>(after) + step - 1) % ring.size();
+  const size_t count = std::min(m_policy.neighbours, distances.size());
+  for (size_t i = 0; i < count; ++i) {
+    const size_t distance = distances[(round * count + i) % distances.size()];
+    const size_t index =
+        (static_cast<size_t>(after) + distance - 1) % ring.size();
     neighbours.push_back(m_records.find(ring[index])->second.state);
   }
   return neighbours;
--- a/tools/demo_lib.sh
+++ b/tools/demo_lib.sh
@@ -60,8 +60,8 @@
 # start_entry_host NAME DATA_CENTRE [extra gateway settings]
 start_entry_host() {
   local name=$1 data_centre=$2 extra=${3:-} extra_controller=${4:-}
-  printf '[node]\nname = %s\ndata_centre = %s\n[callers]\nlisten = 127.0.0.1:0\n[admin]\nlisten = 127.0.0.1:0\n[peers]\nlisten = 127.0.0.1:0\nkey = a key of the demo only\nseeds = %s\n[store]\naddress = %s\n%b\n' \
-    "$name" "$data_centre" "${SEEDS:-}" "$STORE" "$extra" >"$RUN/$name-gateway.ini"
+  printf '[node]\nname = %s\ndata_centre = %s\n[callers]\nlisten = 127.0.0.1:0\n[admin]\nlisten = 127.0.0.1:0\n[peers]\nlisten = 127.0.0.1:0\nkey = a key of the demo only\nseeds = %s\n%b[store]\naddress = %s\n%b\n' \
+    "$name" "$data_centre" "${SEEDS:-}" "${PEERS_EXTRA:-}" "$STORE" "$extra" >"$RUN/$name-gateway.ini"
   start "$name-gateway" "$BIN/source/filbert-gateway" -s "$RUN/$name-gateway.ini"
   SEEDS=${SEEDS:-$(peers_of "$name-gateway")}
   printf '[node]\nname = %s\ndata_centre = %s\n[admin]\nlisten = 127.0.0.1:0\n[store]\naddress = %s\n[gateway]\npeers = %s\nkey = a key of the demo only\n%b\n' \
--- a/tools/measure_evidence.sh
+++ b/tools/measure_evidence.sh
@@ -6,7 +6,8 @@
 seconds=${1:-10}
 for mode in "all-monitors bound 3" "one-monitor bound 1" "one-monitor-confirm confirm 1"; do
   read -r name evidence monitors <<<"$mode"
-  GATEWAY_EXTRA="[peers]\nmonitors = $monitors\n[routing]\nevidence_mode = $evidence"
+  PEERS_EXTRA="monitors = $monitors\n"
+  GATEWAY_EXTRA="[routing]\nevidence_mode = $evidence"
   SEEDS=""
   start store "$BIN/standins/standin-store"
   STORE=$(address_of store)
