--- a/include/filbertrack/gateway_keys.h
+++ b/include/filbertrack/gateway_keys.h
@@ -36,7 +36,8 @@
   void Complete(KeyCompletion completion);
 
   /// Questions of other entry hosts to partitions that this one owns.
-  void OnAsked(const KeyedAsk& ask, std::function<void(KeyedAnswer)> answer);
+  void OnAsked(const KeyedAsk& ask,
+               const std::function<void(KeyedAnswer)>& answer);
 
   /// Writes to the object API begun by the partitions of this host.
   uint64_t writes() const;
@@ -64,7 +65,6 @@
   void RetryCompletions(TimePoint now);
   void Run(const std::string& partition, const std::vector<KeyAction>& actions);
 
-  EventLoop& m_loop;
   StoreClient& m_store;
   GatewayPeers& m_peers;
   KeyPartitionPolicy m_policy;
--- a/source/config_resources.cc
+++ b/source/config_resources.cc
@@ -252,6 +252,14 @@
   return "";
 }
 
+tl::unexpected<Error> UnknownKind(const std::string& id,
+                                  const std::string& kind) {
+  return Fail(ResultCode::kResourceInvalid,
+              "The resource '" + id + "' has the kind '" + kind +
+                  "'; allowed are service, model_version, adapter, "
+                  "serving_group and workspace.");
+}
+
 }  // namespace
 
 Result<Resources> ParseResources(const Json& set) {
@@ -284,10 +292,7 @@
     } else if (kind == "workspace") {
       resources.workspaces[name] = ReadWorkspace(name, reader);
     } else {
-      return Fail(ResultCode::kResourceInvalid,
-                  "The resource '" + id + "' has the kind '" + kind +
-                      "'; allowed are service, model_version, adapter, "
-                      "serving_group and workspace.");
+      return UnknownKind(id, kind);
     }
     const std::string fault = reader.Finish();
     if (!fault.empty()) {
--- a/source/gateway.cc
+++ b/source/gateway.cc
@@ -91,8 +91,8 @@
   };
   events.on_membership = [this] { OnMembership(); };
   events.on_keyed = [this](const KeyedAsk& ask,
-                           std::function<void(KeyedAnswer)> answer) {
-    m_keys->OnAsked(ask, std::move(answer));
+                           const std::function<void(KeyedAnswer)>& answer) {
+    m_keys->OnAsked(ask, answer);
   };
   m_peers = std::make_unique<GatewayPeers>(loop, settings, m_store, m_cache,
                                            m_fleet, m_parts, std::move(events));
--- a/source/gateway_keys.cc
+++ b/source/gateway_keys.cc
@@ -41,8 +41,7 @@
                          const Settings& settings,
                          StoreClient& store,
                          GatewayPeers& peers)
-    : m_loop(loop),
-      m_store(store),
+    : m_store(store),
       m_peers(peers),
       m_partition_count(settings.Integer("keys", "partitions")) {
   m_policy.gather = settings.Time("keys", "gather");
@@ -175,7 +174,7 @@
 }
 
 void GatewayKeys::OnAsked(const KeyedAsk& ask,
-                          std::function<void(KeyedAnswer)> answer) {
+                          const std::function<void(KeyedAnswer)>& answer) {
   struct Collected {
     KeyedAnswer answer;
     size_t open = 0;
