control: drop dead code and plan only once hosts were heard

Cause: a reading of the whole change. Two accessors of the entitlement parts and a field of the controller's feed had no reader; a pass computed the spread of replicas over all domains before it returned early because no host had been heard; two comments in the gateway stood above the wrong lines. Change: removed, the early return goes first, comments moved. No decision changes.

Left: the list of watched prefixes stands in gateway and feed, and two tests share a fixture.

--- a/include/filbertrack/admission_parts.h
+++ b/include/filbertrack/admission_parts.h
@@ -68,9 +68,6 @@
   /// Requests per second that this host may use now.
   double Usable(const EntitlementKey& key, TimePoint now) const;
 
-  double Base(const EntitlementKey& key) const;
-  std::vector<EntitlementKey> Keys() const;
-
  private:
   struct Loan {
     double rate = 0;
--- a/include/filbertrack/controller_feed.h
+++ b/include/filbertrack/controller_feed.h
@@ -30,7 +30,6 @@
   void Ask();
   void OnAnswer(const std::string* payload);
 
-  EventLoop& m_loop;
   ObjectCache& m_cache;
   std::function<void()> m_on_change;
   StoreWatch m_watch;
--- a/source/admission_parts.cc
+++ b/source/admission_parts.cc
@@ -91,19 +91,6 @@
          Borrowed(part, "", now);
 }
 
-double EntitlementParts::Base(const EntitlementKey& key) const {
-  const auto found = m_parts.find(key);
-  return found == m_parts.end() ? 0 : found->second.base;
-}
-
-std::vector<EntitlementKey> EntitlementParts::Keys() const {
-  std::vector<EntitlementKey> keys;
-  for (const auto& [key, part] : m_parts) {
-    keys.push_back(key);
-  }
-  return keys;
-}
-
 double EntitlementParts::Lent(const Part& part,
                               std::string_view except,
                               TimePoint now) {
--- a/source/controller.cc
+++ b/source/controller.cc
@@ -178,6 +178,14 @@
       ObserveHost(domain.views[host.name], *evidence, m_plan_policy, now);
     }
   }
+  // Right after the lease was taken no host has been heard yet, and all of them
+  // would look lost.
+  if (!domain.acting_since) {
+    domain.acting_since = now;
+  }
+  if (now - *domain.acting_since < m_plan_policy.lost_after) {
+    return;
+  }
   DomainSummaries summaries;
   for (const auto& [name, known] : m_domains) {
     summaries[name] = {known->hosts, known->state};
@@ -194,14 +202,6 @@
                         here == wanted.end() ? none : here->second,
                         may_roll,
                         domain.phase_since};
-  // Right after the lease was taken no host has been heard yet, and all of them
-  // would look lost.
-  if (!domain.acting_since) {
-    domain.acting_since = now;
-  }
-  if (now - *domain.acting_since < m_plan_policy.lost_after) {
-    return;
-  }
   Plan plan = PlanDomain(input, m_plan_policy, now);
   SendOrders(domain, plan.orders);
   const auto free =
--- a/source/controller_feed.cc
+++ b/source/controller_feed.cc
@@ -19,8 +19,7 @@
                                StoreClient& store,
                                ObjectCache& cache,
                                std::function<void()> on_change)
-    : m_loop(loop),
-      m_cache(cache),
+    : m_cache(cache),
       m_on_change(std::move(on_change)),
       m_watch(loop, store, cache, [this] { m_on_change(); }) {
   const std::vector<Address>& gateway = settings.Addresses("gateway", "peers");
--- a/source/gateway.cc
+++ b/source/gateway.cc
@@ -16,12 +16,11 @@
 constexpr Duration kRateInterval = Milliseconds(100);
 constexpr std::string_view kWatcherItem = "store watcher";
 constexpr Duration kDrainCheckInterval = Milliseconds(20);
-/// A larger answer is not kept for later tries with its idempotency key.
 constexpr Duration kInProgressPause = Milliseconds(100);
 constexpr Duration kLongestInProgress = Seconds(5);
+/// A larger answer is not kept for later tries with its idempotency key.
 constexpr size_t kMostKeptAnswerBytes = 8 * 1024;
 
-/// The refusal that a caller gets for a verdict that lets nothing run.
 struct KeyRefusal {
   ResultCode code;
   Outcome outcome;
@@ -32,6 +31,7 @@
   return std::min(request.deadline, request.arrived + kLongestInProgress);
 }
 
+/// The refusal that a caller gets for a verdict that lets nothing run.
 KeyRefusal RefusalFor(KeyVerdict verdict) {
   switch (verdict) {
     case KeyVerdict::kInProgress:
