--- /dev/null
+++ b/include/filbertrack/dispatch_board.h
@@ -0,0 +1,190 @@
+#pragma once
+
+/// Chooses the backend server, or the head of a group, that takes a request,
+/// and turns away what no one can answer in time. It counts this entry host's
+/// own work exactly; what other entry hosts have there is told by them.
+///
+/// The load that it is made for: a burst over all capacity, where a request
+/// more would make every request that runs late. A request is taken while its
+/// first event is expected in time at the best of a few targets; otherwise it
+/// is turned away at once, with the time after which there should be room.
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+#include "filbertrack/base_address.h"
+#include "filbertrack/base_time.h"
+#include "filbertrack/site_catalog.h"
+
+namespace filbertrack {
+
+/// One place that answers requests.
+struct DispatchTarget {
+  /// Of the backend server, or of the head of the group.
+  std::string id;
+  Address address;
+  std::string service;
+  /// Empty for plain services.
+  std::string model;
+  std::string data_centre;
+  int slots = 1;
+};
+
+/// Work at a target.
+struct TargetLoad {
+  int requests = 0;
+  /// Tokens of prompts that are not read yet, as far as is known.
+  double prompt_tokens = 0;
+};
+
+struct DispatchQuery {
+  std::string_view service;
+  std::string_view model;
+  double prompt_tokens = 0;
+  /// The first event is on time until this much after now.
+  Duration time_to_aim{0};
+  /// The caller has gone after this.
+  Duration time_left{0};
+  /// Targets that this request was sent to already.
+  const std::set<std::string, std::less<>>* excluded = nullptr;
+};
+
+enum class DispatchDenial {
+  /// Nothing serves the model now.
+  kNoneServing,
+  /// Targets serve, and none would answer before the caller has gone.
+  kAllBusy,
+};
+
+struct DispatchChoice {
+  DispatchTarget target;
+  Duration predicted{0};
+};
+
+struct DispatchRefusal {
+  DispatchDenial reason = DispatchDenial::kNoneServing;
+  Duration retry_after{0};
+};
+
+using DispatchDecision = std::variant<DispatchChoice, DispatchRefusal>;
+
+enum class DispatchResult {
+  kAnswered,
+  /// It did not run the request.
+  kRefused,
+  /// The answer broke off, never came, or was an error.
+  kFailed,
+  /// The caller left, or the time was up.
+  kAbandoned,
+};
+
+struct DispatchPolicy {
+  /// Targets looked at for one request: enough that the best of them is close
+  /// to the best of all, few enough that the cost does not grow with the fleet.
+  size_t candidates = 12;
+  /// A target that failed is left out for this long, doubled with each failure
+  /// in a row.
+  Duration failure_pause = Milliseconds(300);
+  Duration longest_pause = Seconds(4);
+  /// At least this part of the targets of a model stays in use whatever fails.
+  double least_in_use = 0.5;
+  /// A request is taken up to this many times its aim. A late answer is still
+  /// worth something to the caller, and a prediction may be too high.
+  double aim_slack = 2.0;
+  /// A caller is told to come back after this where nothing serves: about the
+  /// time that a swap of a lost member takes.
+  Duration repair_time = Milliseconds(1500);
+  /// A repair is under way; the shortest time that is told.
+  Duration least_retry_after = Milliseconds(100);
+  Duration most_retry_after = Seconds(2);
+  /// Weight of the latest measurement in running means.
+  double smoothing = 0.2;
+};
+
+class DispatchBoard {
+ public:
+  DispatchBoard(DispatchPolicy policy, uint64_t seed)
+      : m_policy(policy), m_random(seed) {}
+
+  /// Targets in use from now on. What is known of those that stay is kept.
+  void SetTargets(std::vector<DispatchTarget> targets,
+                  const Catalog& catalog,
+                  TimePoint now);
+
+  /// What other entry hosts have at a target.
+  void SetRemoteLoad(std::string_view id, const TargetLoad& load);
+
+  DispatchDecision Choose(const DispatchQuery& query, TimePoint now);
+
+  void OnSent(std::string_view id, double prompt_tokens);
+  /// The first event of an answer came `measured` after the request was sent.
+  void OnFirstEvent(std::string_view id,
+                    double prompt_tokens,
+                    Duration predicted,
+                    Duration measured);
+  /// `prompt_pending`: no first event had come.
+  void OnEnded(std::string_view id,
+               double prompt_tokens,
+               bool prompt_pending,
+               DispatchResult result,
+               TimePoint now);
+
+  /// Own work at every target that has any.
+  std::vector<std::pair<std::string, TargetLoad>> OwnLoads() const;
+
+  bool HasTarget(std::string_view id) const;
+  size_t CountTargets(std::string_view service, std::string_view model) const;
+
+  /// Time to the first event at `id` of a prompt of so many tokens.
+  Duration Predict(std::string_view id, double prompt_tokens) const;
+
+ private:
+  struct Entry {
+    DispatchTarget target;
+    /// Null for plain services.
+    const EngineProfile* engine = nullptr;
+    double pace = 1;
+    bool in_use = true;
+    TargetLoad own;
+    TargetLoad remote;
+    /// Measured over predicted time, smoothed; 1 is as predicted.
+    double slowness = 1;
+    int failures = 0;
+    TimePoint last_failure;
+  };
+  using Group = std::vector<Entry*>;
+
+  Entry* Find(std::string_view id);
+  const Entry* Find(std::string_view id) const;
+  static std::string GroupKey(std::string_view service, std::string_view model);
+  bool IsPaused(const Entry& entry, TimePoint now) const;
+  Duration PredictEntry(const Entry& entry, double prompt_tokens) const;
+  std::vector<Entry*> DrawCandidates(const Group& group,
+                                     const DispatchQuery& query,
+                                     TimePoint now);
+
+  DispatchPolicy m_policy;
+  std::mt19937_64 m_random;
+  /// Keeps the profiles that the entries point to.
+  std::map<std::string, EngineProfile, std::less<>> m_engines;
+  std::map<std::string, std::unique_ptr<Entry>, std::less<>> m_entries;
+  std::unordered_map<std::string, Group> m_groups;
+};
+
+/// Time of one pass of an engine with `requests` writing and a chunk of
+/// prompts to read, at the pace of the model.
+Duration PassTime(const EngineProfile& engine,
+                  double pace,
+                  double requests,
+                  double chunk_tokens);
+
+}  // namespace filbertrack
--- /dev/null
+++ b/include/filbertrack/entry_control.h
@@ -0,0 +1,99 @@
+#pragma once
+
+/// The control loop of an entry host: takes the lease on the groups when
+/// nobody holds it, and while it holds it asks the hosts how they are and
+/// gives the orders that the planner decides.
+
+#include <map>
+#include <memory>
+#include <string>
+
+#include "filbertrack/entry_host.h"
+#include "filbertrack/entry_ports.h"
+#include "filbertrack/groups_lease.h"
+#include "filbertrack/replica_plan.h"
+
+namespace filbertrack {
+
+struct ControlPolicy {
+  LeasePolicy lease{Milliseconds(2400), Milliseconds(800), Milliseconds(500)};
+  ReplicaPolicy replicas;
+  /// How often members of groups are asked. Two answers that do not come make a
+  /// host silent: the time to notice a loss is at most this and two timeouts.
+  Duration probe_interval = Milliseconds(500);
+  Duration probe_timeout = Milliseconds(350);
+  /// Hosts without a group are asked this many times less often.
+  int idle_probe_divisor = 4;
+  Duration pass_interval = Milliseconds(100);
+};
+
+class EntryControl {
+ public:
+  EntryControl(EventLoop& loop,
+               const std::string& node,
+               const ControlPolicy& policy,
+               EntryHost& host,
+               EngineLink& engines,
+               RecordStore& records);
+  ~EntryControl();
+
+  void Start();
+  /// Gives the lease back, so that a successor need not wait.
+  void Stop();
+
+  bool holds_lease() const;
+
+ private:
+  struct ProbeState {
+    bool open = false;
+    int misses = 0;
+    TimePoint asked_at;
+  };
+
+  void Tick();
+  void ReadLease();
+  void OnLease(const StoreAnswer& answer, TimePoint asked);
+  void WriteLease(const DomainLease& lease);
+  void OnWritten(const DomainLease& lease,
+                 const std::string& text,
+                 TimePoint began,
+                 const StoreAnswer& answer);
+  void TakeOver(const StoreAnswer& answer);
+  void Gained();
+  void Lost();
+  void ProbeHosts(TimePoint now);
+  void OnProbe(const std::string& id, const ProbeAnswer& answer);
+  void Pass();
+  void Send(const PlannedOrder& planned);
+  void SendOne(const std::string& host_id, const ReplicaOrder& order);
+
+  EventLoop& m_loop;
+  std::string m_node;
+  ControlPolicy m_policy;
+  EntryHost& m_host;
+  EngineLink& m_engines;
+  RecordStore& m_records;
+
+  // The lease.
+  LeaseKeeper m_keeper;
+  DomainLease m_lease;
+  HolderView m_holder;
+  uint64_t m_lease_version = 0;
+  TimePoint m_lease_seen;
+  uint64_t m_beats = 0;
+  bool m_lease_call_open = false;
+  TimePoint m_last_read;
+  Duration m_rank_delay{0};
+  bool m_leads = false;
+  bool m_stopping = false;
+
+  // While this host holds it.
+  HostFindings m_findings;
+  std::map<std::string, ProbeState, std::less<>> m_probes;
+  std::map<std::string, ReplicaMemory, std::less<>> m_memory;
+  std::unique_ptr<Timer> m_tick_timer;
+  bool m_pass_pending = false;
+  std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
+};
+
+}  // namespace filbertrack
--- /dev/null
+++ b/include/filbertrack/entry_host.h
@@ -0,0 +1,104 @@
+#pragma once
+
+/// The request path of one entry host: admits callers' requests by the
+/// configuration in force, keeps the list of targets, and owns the relays.
+
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+#include "filbertrack/dispatch_board.h"
+#include "filbertrack/entry_ports.h"
+#include "filbertrack/entry_relay.h"
+#include "filbertrack/metrics.h"
+#include "filbertrack/server_directory.h"
+#include "filbertrack/settings.h"
+
+namespace filbertrack {
+
+SettingsSchema EntrySchema();
+
+/// Targets that take requests now: groups that are whole and open, and plain
+/// backend servers that are not leaving.
+std::vector<DispatchTarget> CurrentTargets(const ServerDirectory& directory,
+                                           const Catalog& catalog);
+
+class EntryHost : public SiteListener {
+ public:
+  EntryHost(EventLoop& loop,
+            const Settings& settings,
+            const CallDialect& dialect);
+  ~EntryHost() override;
+
+  /// Listens on the addresses of the settings.
+  Result<bool> Listen();
+
+  /// Goes unready, serves on until the platform's balancer has learned of it
+  /// and nothing is in flight, then stops the loop.
+  void Drain();
+
+  /// Whether callers should be sent here.
+  bool IsReady() const;
+
+  // SiteListener.
+  void OnCatalog(std::shared_ptr<const Catalog> catalog) override;
+  void OnServers(std::vector<BackendServer> servers) override;
+  void OnServerChanged(BackendServer server) override;
+  void OnServerRemoved(const std::string& id) override;
+  void OnStoreLost() override;
+  void OnStoreReturned() override;
+
+  const ServerDirectory& directory() const { return m_directory; }
+  const Catalog* catalog() const { return m_catalog.get(); }
+  /// A caller's request has come since the start.
+  bool traffic_seen() const { return m_traffic_seen; }
+
+  /// Called after each change of directory or configuration.
+  void OnChange(std::function<void()> action) { m_on_change = action; }
+
+ private:
+  void OnCaller(const std::shared_ptr<HttpExchange>& exchange);
+  void OnProbe(HttpExchange& exchange);
+  /// Null where the request was answered with a refusal.
+  bool Admit(const std::shared_ptr<HttpExchange>& exchange,
+             EntryRequest& request);
+  void Reject(HttpExchange& exchange,
+              const EntryRequest& request,
+              ResultCode code);
+  void StartRelay(EntryRequest request,
+                  const std::shared_ptr<HttpExchange>& exchange);
+  void EndRelay(EntryRelay& relay, const EntryEnd& end);
+  void Changed();
+  void RefreshTargets();
+  void ScheduleExpiry();
+  void CheckSilence();
+  void CheckDrained();
+
+  EventLoop& m_loop;
+  Settings m_settings;
+  const CallDialect& m_dialect;
+  std::shared_ptr<const Catalog> m_catalog;
+  ServerDirectory m_directory;
+  bool m_servers_known = false;
+  bool m_store_away = false;
+  bool m_traffic_seen = false;
+
+  HttpClient m_upstream;
+  DispatchBoard m_board;
+  RetryBudget m_retries;
+  RelayContext m_context;
+  Metrics m_metrics;
+  std::unordered_map<const EntryRelay*, std::unique_ptr<EntryRelay>> m_relays;
+  std::mt19937_64 m_random;
+
+  std::unique_ptr<HttpServer> m_caller_server;
+  std::unique_ptr<HttpServer> m_probe_server;
+  std::unique_ptr<Timer> m_silence_timer;
+  std::unique_ptr<Timer> m_expiry_timer;
+  std::unique_ptr<Timer> m_drain_timer;
+  std::function<void()> m_on_change;
+  bool m_draining = false;
+  TimePoint m_drain_began;
+};
+
+}  // namespace filbertrack
--- /dev/null
+++ b/include/filbertrack/entry_ports.h
@@ -0,0 +1,147 @@
+#pragma once
+
+/// What an entry host needs of the platform that it runs on. The product
+/// decides; an adapter behind these interfaces speaks the platform's protocol.
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "filbertrack/base_time.h"
+#include "filbertrack/http_client.h"
+#include "filbertrack/http_server.h"
+#include "filbertrack/replica_plan.h"
+#include "filbertrack/server_directory.h"
+#include "filbertrack/site_catalog.h"
+#include "filbertrack/store_client.h"
+
+namespace filbertrack {
+
+/// What the headers of a caller's request say.
+struct CallFacts {
+  /// The caller's name for this request; an answer must carry it too.
+  std::string request_id;
+  /// How long the caller waits; nullopt: it does not say.
+  std::optional<Duration> time_left;
+  /// The caller's secret; empty: none. Never log it.
+  std::string key;
+  /// Model that is to answer; empty for plain services.
+  std::string model;
+  double prompt_tokens = 0;
+  /// The most tokens that the answer may have.
+  double answer_tokens = 0;
+  /// The caller has the events up to this one.
+  std::optional<uint64_t> last_event;
+  std::string_view hostname;
+};
+
+/// What an entry host adds to a request that it passes on.
+struct ForwardFacts {
+  Duration time_left{0};
+  /// The only backend server that may run it.
+  std::string server;
+  /// Empty: the request needs no key.
+  std::string workspace;
+  int priority = 0;
+  /// The caller has the events up to this one.
+  std::optional<uint64_t> last_event;
+};
+
+/// What the head of a backend server's answer says.
+struct AnswerFacts {
+  /// The server did not run the request and never will.
+  bool not_run = false;
+  /// Another server has the address now.
+  bool wrong_server = false;
+  /// The answer bears the mark of the server that ran the request.
+  bool sealed = false;
+  /// Names the request it belongs to; empty: it does not say.
+  std::string request_id;
+};
+
+/// Reads and writes the headers of requests and answers.
+class CallDialect {
+ public:
+  virtual ~CallDialect() = default;
+
+  virtual CallFacts ReadCall(const HttpExchange& exchange) const = 0;
+  virtual HttpHeaders ForwardHeaders(const HttpExchange& exchange,
+                                     const ForwardFacts& facts) const = 0;
+  virtual AnswerFacts ReadAnswer(int status,
+                                 const HttpHeaders& headers) const = 0;
+  /// Headers of a refusal of our own.
+  virtual HttpHeaders RefusalHeaders(
+      std::string_view request_id,
+      std::optional<Duration> retry_after) const = 0;
+};
+
+enum class OrderResult {
+  /// Begun, or the state holds already.
+  kAccepted,
+  /// It does not fit the host's state.
+  kRejected,
+  /// Another process answers at the address.
+  kWrongServer,
+  /// Nobody knows; it may be carried out later.
+  kUnknown,
+};
+
+/// What a host says when it is asked directly.
+struct ProbeAnswer {
+  bool answered = false;
+  /// Another process answers at the address.
+  bool wrong_server = false;
+  int running = 0;
+  int queued = 0;
+  /// Over 1: the host is slower than its profile.
+  double pace = 1;
+};
+
+/// Direct calls to the hosts that groups are made of.
+class EngineLink {
+ public:
+  virtual ~EngineLink() = default;
+
+  /// Sends the order to one host; a JoinGroup goes to each member in turn.
+  virtual void Order(const BackendServer& host,
+                     const ReplicaOrder& order,
+                     std::function<void(OrderResult)> done) = 0;
+  virtual void Probe(const BackendServer& host,
+                     Duration timeout,
+                     std::function<void(const ProbeAnswer&)> done) = 0;
+};
+
+/// Records of the product's own in the platform's store.
+class RecordStore {
+ public:
+  virtual ~RecordStore() = default;
+
+  /// A cheap read; what it returns may be seconds old.
+  virtual void Read(const std::string& name,
+                    std::function<void(StoreAnswer)> done) = 0;
+  /// Writes if the record still has `expected_version`; 0: it does not exist.
+  virtual void Write(const std::string& name,
+                     const std::string& value,
+                     uint64_t expected_version,
+                     std::function<void(StoreAnswer)> done) = 0;
+};
+
+/// What the adapter tells of the platform's store.
+class SiteListener {
+ public:
+  virtual ~SiteListener() = default;
+
+  virtual void OnCatalog(std::shared_ptr<const Catalog> catalog) = 0;
+  /// All registrations, after a first read or a gap.
+  virtual void OnServers(std::vector<BackendServer> servers) = 0;
+  virtual void OnServerChanged(BackendServer server) = 0;
+  virtual void OnServerRemoved(const std::string& id) = 0;
+  virtual void OnStoreLost() = 0;
+  virtual void OnStoreReturned() = 0;
+};
+
+}  // namespace filbertrack
--- /dev/null
+++ b/include/filbertrack/entry_relay.h
@@ -0,0 +1,149 @@
+#pragma once
+
+/// One request on an entry host: sends it to the targets that the board
+/// chooses, relays the answer, and carries out what the request machine
+/// decides.
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+
+#include "filbertrack/dispatch_board.h"
+#include "filbertrack/entry_ports.h"
+#include "filbertrack/http_client.h"
+#include "filbertrack/http_server.h"
+#include "filbertrack/request_machine.h"
+#include "filbertrack/request_retry_budget.h"
+#include "filbertrack/site_catalog.h"
+
+namespace filbertrack {
+
+/// What a request is, as it was admitted.
+struct EntryRequest {
+  CallFacts facts;
+  /// Keeps `route` valid while a newer configuration comes into force.
+  std::shared_ptr<const Catalog> catalog;
+  const Route* route = nullptr;
+  std::string service;
+  /// Empty on public routes.
+  std::string workspace;
+  int priority = 0;
+  TimePoint arrived;
+  TimePoint deadline;
+};
+
+/// How a request ended, for logs and counters.
+struct EntryEnd {
+  ResultCode code = ResultCode::kOk;
+  Outcome outcome = Outcome::kRan;
+  int status = 0;
+};
+
+struct RelayTimes {
+  /// A stream that has begun and is silent for this many of its longest
+  /// pauses is taken up elsewhere.
+  double silent_pauses = 3;
+  /// At least this long: shorter silences are loss on the way.
+  Duration least_silence = Milliseconds(700);
+  /// A backend server that does not take a connection within this time is
+  /// passed over.
+  Duration connect_timeout = Milliseconds(600);
+};
+
+/// Parts of the entry host that relays share.
+struct RelayContext {
+  EventLoop& loop;
+  HttpClient& http;
+  const CallDialect& dialect;
+  DispatchBoard& board;
+  RetryBudget& retries;
+  RelayTimes times;
+};
+
+class EntryRelay {
+ public:
+  using OnEnd = std::function<void(EntryRelay& relay, const EntryEnd& end)>;
+
+  EntryRelay(RelayContext& context,
+             EntryRequest request,
+             std::shared_ptr<HttpExchange> exchange,
+             OnEnd on_end);
+  ~EntryRelay();
+
+  void Start();
+
+  /// The target, if it is the present one, does not answer any more.
+  void TargetLost(std::string_view target);
+
+  /// Looks for a stream that has fallen silent.
+  void CheckSilence(TimePoint now);
+
+  const EntryRequest& request() const { return m_request; }
+  /// The target of the present attempt, or of the last one; empty: none.
+  const std::string& last_target() const { return m_last_target; }
+  int attempts() const { return m_state.attempts; }
+  std::optional<TimePoint> first_event_at() const { return m_first_event; }
+
+ private:
+  friend struct EntryActions;
+
+  void Feed(const RequestEvent& event);
+  void Seek(bool is_retry, uint64_t resume_from);
+  void Send(const DispatchChoice& choice);
+  HttpCallRequest MakeCall(const DispatchChoice& choice, TimePoint now) const;
+  void OnHead(int status, const HttpHeaders& headers);
+  void OnBytes(std::string_view bytes);
+  void OnComplete();
+  void CloseAttempt(bool failed);
+  void ForwardEvent(const SseEvent& event);
+  void ForwardAnswer();
+  void FinishStream();
+  void Refuse(ResultCode code, Outcome outcome);
+  void Finish(const EntryEnd& end);
+
+  RelayContext& m_context;
+  EntryRequest m_request;
+  std::shared_ptr<HttpExchange> m_exchange;
+  OnEnd m_on_end;
+  RequestState m_state;
+  RequestPolicy m_policy;
+  std::unique_ptr<Timer> m_deadline_timer;
+
+  // The present attempt.
+  std::unique_ptr<HttpCall> m_call;
+  std::optional<DispatchChoice> m_choice;
+  TimePoint m_sent_at;
+  TimePoint m_last_byte;
+  bool m_attempt_first_event = false;
+  bool m_not_run = false;
+  SseSplitter m_splitter;
+  int m_answer_status = 0;
+  HttpHeaders m_answer_headers;
+  std::string m_answer_body;
+  uint64_t m_resume_from = 0;
+
+  std::set<std::string, std::less<>> m_tried;
+  std::string m_last_target;
+  Duration m_retry_after{0};
+  std::optional<TimePoint> m_first_event;
+  bool m_stream_started = false;
+  bool m_finished = false;
+  /// Destroying the relay ends the loops of its callbacks.
+  std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
+};
+
+/// Answers a request that was not passed on.
+void RefuseCall(HttpExchange& exchange,
+                const CallDialect& dialect,
+                std::string_view request_id,
+                ResultCode code,
+                Outcome outcome,
+                std::optional<Duration> retry_after);
+
+/// The status that tells a caller what is known of a refused request. 503 and
+/// 429 say that it did not run.
+int RefusalStatus(ResultCode code, Outcome outcome);
+
+}  // namespace filbertrack
--- a/include/filbertrack/http_client.h
+++ b/include/filbertrack/http_client.h
@@ -1,6 +1,6 @@
 #pragma once
 
-/// HTTP client on evhttp, with kept connections per address.
+/// HTTP/1.1 client on the loop, with kept connections per address.
 
 #include <functional>
 #include <map>
@@ -13,8 +13,6 @@
 #include "filbertrack/http_server.h"
 #include "filbertrack/settings.h"
 
-struct evhttp_connection;
-
 namespace filbertrack {
 
 /// What a call tells its owner. Each call ends with exactly one on_end or
@@ -29,15 +27,22 @@
   /// There will be no whole answer. `bytes_may_have_left` is false only where
   /// no byte of the request was given to the operating system.
   std::function<void(bool bytes_may_have_left)> on_failure;
+  /// The request goes out on a connection that is open. Optional.
+  std::function<void()> on_sent;
 };
 
 struct HttpCallRequest {
   HttpMethod method = HttpMethod::kGet;
+  /// Sent in place of `method` where it is not empty.
+  std::string method_text;
   std::string target;
+  /// `Host` is added where it is absent.
   HttpHeaders headers;
   std::string body;
-  /// No byte in either direction for this long fails the call; 0: no limit.
+  /// No byte of the answer for this long fails the call; 0: no limit.
   Duration idle_timeout{0};
+  /// A connection that is not open after this long fails the call.
+  Duration connect_timeout = Seconds(3);
   /// Opens a connection of its own. A kept one may have been closed by the
   /// server just now, and then nobody knows whether the request ran.
   bool fresh_connection = false;
@@ -55,6 +60,7 @@
 
  private:
   friend class HttpClient;
+  friend struct ServerConnection;
   struct State;
   explicit HttpCall(std::shared_ptr<State> state) : m_state(std::move(state)) {}
 
@@ -73,6 +79,9 @@
                                   HttpCallRequest request,
                                   HttpCallEvents events);
 
+  /// Connections opened so far.
+  uint64_t connections_opened() const;
+
  private:
   friend class HttpCall;
   struct Pool;
--- a/include/filbertrack/http_server.h
+++ b/include/filbertrack/http_server.h
@@ -1,50 +1,55 @@
 #pragma once
 
-/// HTTP server on evhttp.
+/// HTTP/1.1 server on the loop.
 
 #include <functional>
 #include <memory>
 #include <string>
 #include <string_view>
-#include <utility>
 #include <vector>
 
 #include "filbertrack/event_loop.h"
+#include "filbertrack/http_headers.h"
 #include "filbertrack/settings.h"
 
-struct evhttp;
-struct evhttp_request;
+struct evconnlistener;
+struct sockaddr;
 
 namespace filbertrack {
 
-using HttpHeaders = std::vector<std::pair<std::string, std::string>>;
-
 enum class HttpMethod { kGet, kHead, kPost, kPut, kDelete, kOther };
 
 std::string_view HttpMethodName(HttpMethod method);
 
+class HttpConnection;
+struct HttpHead;
+
 /// One request and its answer. It stays valid after the caller went away:
 /// answering then does nothing.
-class HttpExchange : public std::enable_shared_from_this<HttpExchange> {
+class HttpExchange {
  public:
-  HttpExchange(EventLoop& loop, evhttp_request* request);
+  HttpExchange(std::weak_ptr<HttpConnection> connection, HttpHead head);
   ~HttpExchange();
   HttpExchange(const HttpExchange&) = delete;
   HttpExchange& operator=(const HttpExchange&) = delete;
 
   HttpMethod method() const;
+  /// The method as the caller wrote it.
+  const std::string& method_text() const { return m_method; }
   /// Path without the query, as the caller wrote it.
-  std::string_view path() const { return m_path; }
+  std::string_view path() const;
   /// Path with the query.
   std::string_view target() const { return m_target; }
   std::string Query(const std::string& name) const;
   /// Empty where the header is absent.
-  std::string_view Header(const std::string& name) const;
-  HttpHeaders Headers() const;
+  std::string_view Header(std::string_view name) const {
+    return FindHeader(m_headers, name);
+  }
+  const HttpHeaders& Headers() const { return m_headers; }
   const std::string& body() const { return m_body; }
 
   /// Whether the caller's connection still waits for the answer.
-  bool IsOpen() const { return m_request != nullptr; }
+  bool IsOpen() const { return !m_ended && !m_connection.expired(); }
 
   /// Answers whole.
   void Reply(int status, const HttpHeaders& headers, std::string_view body);
@@ -54,10 +59,8 @@
   void Send(std::string_view bytes);
   void End();
   /// Closes the connection without the last chunk, so that a client sees that
-  /// the answer is not whole.
+  /// the answer is not whole. Bytes of Send() leave before.
   void Abort();
-  /// Sends `bytes`, and aborts once they have left.
-  void SendThenAbort(std::string_view bytes);
 
   /// Bytes that wait for a slow caller to read them.
   size_t UnsentBytes() const;
@@ -66,27 +69,26 @@
   void OnCallerGone(std::function<void()> action);
 
  private:
-  friend class HttpServer;
-  static void OnSocketClosed(int fd, short what, void* self);
-  static void OnConnectionFreed(void* connection, void* self);
-  void Detach();
+  friend class HttpConnection;
   void CallerGone();
 
-  EventLoop& m_loop;
-  evhttp_request* m_request;
-  event* m_close_event = nullptr;
-  std::string m_path;
+  std::weak_ptr<HttpConnection> m_connection;
+  std::string m_method;
   std::string m_target;
+  HttpHeaders m_headers;
   std::string m_body;
+  bool m_keep_alive;
+  bool m_chunked = false;
+  bool m_ended = false;
   std::function<void()> m_on_gone;
-  /// Keeps the exchange until its last bytes have left.
-  std::shared_ptr<HttpExchange> m_keep;
 };
 
 struct HttpServerLimits {
   size_t max_header_bytes = 16 * 1024;
   size_t max_body_bytes = 1024 * 1024;
-  /// A connection that neither reads nor writes for this long is closed.
+  /// A caller that began a request has this long to send all of its head.
+  Duration header_timeout = Seconds(60);
+  /// A kept connection without a request for this long is closed.
   Duration idle_timeout = Seconds(60);
 };
 
@@ -105,13 +107,31 @@
   /// Closes the listening sockets; open connections go on.
   void StopListening();
 
+  /// Takes effect at once, but for the limit on heads: it holds for connections
+  /// that open from now on.
+  void SetLimits(const HttpServerLimits& limits);
+
+  /// From now on each answer ends its connection.
+  void CloseAfterAnswers();
+
+  /// Open connections, busy or kept.
+  size_t connections() const;
+
  private:
-  static void OnRequest(evhttp_request* request, void* self);
+  friend class HttpConnection;
+  struct Shared;
+
+  static void OnAccept(evconnlistener* listener,
+                       int fd,
+                       sockaddr* from,
+                       int size,
+                       void* self);
+  void Sweep();
 
   EventLoop& m_loop;
-  Handler m_handler;
-  evhttp* m_http;
-  std::vector<void*> m_sockets;
+  std::shared_ptr<Shared> m_shared;
+  std::vector<evconnlistener*> m_listeners;
+  std::unique_ptr<Timer> m_sweep_timer;
 };
 
 }  // namespace filbertrack
--- /dev/null
+++ b/include/filbertrack/replica_plan.h
@@ -0,0 +1,148 @@
+#pragma once
+
+/// Decides the orders that keep the replicas of one service whole: which hosts
+/// form groups, which group is opened, taken apart or joined anew after a loss,
+/// and which weights spare hosts fetch ahead. The members' own reports are the
+/// state; what is remembered between passes only spaces orders out, so that a
+/// controller that starts with nothing carries on.
+///
+/// Two guarantees hold whatever is lost, late or done twice:
+/// - a group is opened only when every member reports that it is ready in the
+///   group and epoch, and a host joins another group only once the head of its
+///   present one cannot take requests any more;
+/// - epochs only grow, so that an order that arrives late finds a newer epoch
+///   and is refused.
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "filbertrack/server_directory.h"
+#include "filbertrack/site_catalog.h"
+
+namespace filbertrack {
+
+/// What direct questions to a host have shown.
+enum class HostHealth {
+  kAnswers,
+  /// No answer. It may live behind a partition, and its group may go on.
+  kSilent,
+  /// The process is known to be gone: its address refuses connections, or
+  /// another process answers there.
+  kGone,
+};
+
+struct HostFinding {
+  HostHealth health = HostHealth::kAnswers;
+  TimePoint since;
+};
+
+using HostFindings = std::map<std::string, HostFinding, std::less<>>;
+
+/// Every host of `members` joins the group; the first one is the head.
+struct JoinGroup {
+  std::string group;
+  uint64_t epoch = 0;
+  std::string model;
+  std::vector<std::string> members;
+};
+/// The head, with all members ready, starts to take requests.
+struct OpenGroup {
+  std::string head;
+  std::string group;
+  uint64_t epoch = 0;
+};
+struct CloseGroup {
+  std::string head;
+  std::string group;
+  uint64_t epoch = 0;
+  /// Ends the requests that run; otherwise they may end by themselves.
+  bool cancel = false;
+};
+struct LeaveGroup {
+  std::string host;
+  std::string group;
+  uint64_t epoch = 0;
+};
+/// The host fetches a model's weights beside what it does.
+struct StageModel {
+  std::string host;
+  std::string model;
+};
+
+using ReplicaOrder =
+    std::variant<JoinGroup, OpenGroup, CloseGroup, LeaveGroup, StageModel>;
+
+/// One order and why it is given.
+struct PlannedOrder {
+  ReplicaOrder order;
+  std::string reason;
+};
+
+struct ReplicaPolicy {
+  /// A head that lost a member holds its requests for this long and then
+  /// refuses them; until then it may still run what it has.
+  Duration stall = Seconds(5);
+  /// Beyond `stall`, for reports that are under way.
+  Duration stall_margin = Seconds(1);
+  /// An order that shows no effect after this is given again.
+  Duration order_retry = Milliseconds(1000);
+  /// Hosts kept free in each fabric domain, so that a lost member is replaced
+  /// from weights that are staged already.
+  int spares_per_domain = 1;
+  /// Part of the allowed rate of loads that is used; the rest is left to
+  /// orders of an earlier controller that arrive late.
+  double load_rate_share = 0.8;
+  Duration load_window = Seconds(5);
+  /// A joining group that is not ready after this many times its expected time
+  /// is given up.
+  double join_patience = 3;
+};
+
+/// What the planner remembers between passes of one controller.
+struct ReplicaMemory {
+  /// Number of the controller's lease; epochs begin with it.
+  uint64_t term = 0;
+  uint64_t last_number = 0;
+  /// When the latest order for a host was given; no other follows until its
+  /// effect shows or `order_retry` has passed.
+  std::map<std::string, TimePoint, std::less<>> ordered_at;
+  /// Hosts that must not join another group before then.
+  std::map<std::string, TimePoint, std::less<>> quarantine;
+  /// First sight of each joining group.
+  std::map<std::string, TimePoint, std::less<>> joining_since;
+  /// Loads that were started: when, and on which host.
+  std::deque<TimePoint> loads;
+  std::map<std::string, TimePoint, std::less<>> loading;
+  bool took_over = false;
+};
+
+struct ReplicaInput {
+  const ServerDirectory& directory;
+  const HostFindings& findings;
+  const ServiceProfile& service;
+  /// No request has come yet: loads are quick and not rationed.
+  bool before_traffic = false;
+};
+
+std::vector<PlannedOrder> PlanReplicas(const ReplicaInput& input,
+                                       const ReplicaPolicy& policy,
+                                       ReplicaMemory& memory,
+                                       TimePoint now);
+
+/// Groups wanted of each model when `hosts` hosts may be members: each model
+/// gets its share of them, rounded to whole groups.
+std::map<std::string, int, std::less<>> WantedReplicas(
+    const EngineProfile& engine,
+    int hosts);
+
+/// The model that a group's name tells.
+std::string_view ModelOfGroup(std::string_view group);
+
+}  // namespace filbertrack
--- a/include/filbertrack/request_machine.h
+++ b/include/filbertrack/request_machine.h
@@ -30,6 +30,10 @@
   /// Plain services: each answer is the service's own, whatever its status.
   bool pass_any_status = false;
   TimePoint deadline;
+  /// A server's error goes to the caller as it is where no attempt is left.
+  bool relays_last_error = false;
+  /// A stream is whole when its framing ends, without a closing event.
+  bool ends_with_framing = false;
 };
 
 struct RequestPolicy {
--- a/include/filbertrack/request_sse.h
+++ b/include/filbertrack/request_sse.h
@@ -15,6 +15,8 @@
   std::optional<uint64_t> id;
   std::string data;
   bool done = false;  ///< The closing "[DONE]".
+  /// The event as it came, with the blank line that ends it.
+  std::string raw;
 };
 
 class SseSplitter {
@@ -32,6 +34,8 @@
 
  private:
   std::string m_rest;
+  /// Blocks without data since the last event.
+  std::string m_skipped;
   bool m_valid = true;
 };
 
--- /dev/null
+++ b/include/filbertrack/server_directory.h
@@ -0,0 +1,126 @@
+#pragma once
+
+/// The backend servers as they have registered themselves, and the groups that
+/// their registrations add up to. No other record of groups is kept: what the
+/// members report is what holds, so a controller that starts with nothing finds
+/// the groups that serve.
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "filbertrack/base_address.h"
+#include "filbertrack/base_time.h"
+
+namespace filbertrack {
+
+enum class MembershipState {
+  kJoining,
+  kReady,
+  /// Of a head: takes requests.
+  kOpen,
+  /// Of a head: takes no more requests, ends what it has.
+  kClosing,
+  /// Of a head: a member was lost; it refuses all requests.
+  kBroken,
+};
+
+/// A host's place in a group. The name and the epoch together identify a set of
+/// members; rank 0 is the head, which takes the group's requests.
+struct Membership {
+  std::string group;
+  uint64_t epoch = 0;
+  int rank = 0;
+  MembershipState state = MembershipState::kJoining;
+
+  bool operator==(const Membership&) const = default;
+};
+
+struct BackendServer {
+  /// Of this start of the process.
+  std::string id;
+  std::string service;
+  Address address;
+  std::string data_centre;
+  bool draining = false;
+  int slots = 1;
+  /// Fabric domain; empty for plain services.
+  std::string domain;
+  /// Models whose weights are on the host.
+  std::vector<std::string> staged;
+  /// Model in memory; empty: none.
+  std::string model;
+  std::optional<Membership> membership;
+
+  bool operator==(const BackendServer&) const = default;
+};
+
+/// One replica as its members' registrations show it.
+struct ReplicaView {
+  std::string group;
+  uint64_t epoch = 0;
+  std::string service;
+  std::string domain;
+  /// By rank; null where nobody reports that rank.
+  std::vector<const BackendServer*> members;
+
+  const BackendServer* head() const {
+    return members.empty() ? nullptr : members.front();
+  }
+};
+
+struct DirectoryPolicy {
+  /// Registrations lapse while the store is away, also those of servers that
+  /// live. They are back about two seconds after the store is; what is missing
+  /// then is gone.
+  Duration lapse_grace = Milliseconds(2500);
+};
+
+class ServerDirectory {
+ public:
+  explicit ServerDirectory(DirectoryPolicy policy) : m_policy(policy) {}
+
+  /// A registration; true if it says something new.
+  bool Put(BackendServer server);
+
+  /// A registration was removed. Soon after the store's return it is only
+  /// marked; Expire() takes it out later. True if it was taken out.
+  bool Remove(std::string_view id, TimePoint now);
+
+  /// What the store has now is exactly `servers`. True if anything changed.
+  bool ReplaceAll(std::vector<BackendServer> servers, TimePoint now);
+
+  /// The store was away until now.
+  void OnStoreReturned(TimePoint now) { m_store_returned = now; }
+
+  /// Takes out registrations that did not come back. True if there were any.
+  bool Expire(TimePoint now);
+
+  /// When Expire() has something to do next.
+  std::optional<TimePoint> NextExpiry() const;
+
+  const BackendServer* Find(std::string_view id) const;
+  const std::map<std::string, BackendServer, std::less<>>& servers() const {
+    return m_servers;
+  }
+
+  /// Groups of `service`, by what their members report. A group of which no
+  /// member is left is not among them.
+  std::vector<ReplicaView> Replicas(std::string_view service) const;
+
+ private:
+  DirectoryPolicy m_policy;
+  std::map<std::string, BackendServer, std::less<>> m_servers;
+  std::map<std::string, TimePoint, std::less<>> m_lapsed;
+  std::optional<TimePoint> m_store_returned;
+};
+
+/// Whether the replica has all `size` members of its model, each of them in the
+/// group and ready, and its head takes requests.
+bool IsServing(const ReplicaView& replica, int size);
+
+}  // namespace filbertrack
--- /dev/null
+++ b/source/dispatch_board.cc
@@ -0,0 +1,282 @@
+#include "filbertrack/dispatch_board.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace filbertrack {
+
+namespace {
+
+/// A target is never predicted slower than this many times its profile, so
+/// that some requests still reach it and can show that it has recovered.
+constexpr double kMostSlowness = 10;
+/// Time of a request at a plain backend server where nothing was measured yet.
+constexpr Duration kPlainWork = Milliseconds(60);
+constexpr double kPerThousand = 1e-3;
+constexpr double kPerMillion = 1e-6;
+
+Duration Scale(Duration duration, double factor) {
+  return Duration(
+      static_cast<int64_t>(static_cast<double>(duration.count()) * factor));
+}
+
+Duration FromSeconds(double seconds) {
+  return Duration(static_cast<int64_t>(seconds * 1e6));
+}
+
+}  // namespace
+
+Duration PassTime(const EngineProfile& engine,
+                  double pace,
+                  double requests,
+                  double chunk_tokens) {
+  const double context =
+      requests * (engine.usual_prompt_tokens + engine.usual_answer_tokens / 2);
+  const double step =
+      ToSeconds(engine.step) + ToSeconds(engine.step_per_request) * requests +
+      ToSeconds(engine.step_per_1k_context) * context * kPerThousand;
+  const double steps = requests > 0 ? step * engine.stride : 0;
+  const double reading =
+      chunk_tokens / std::max(1.0, engine.prompt_tokens_per_second);
+  return FromSeconds(pace * (steps + reading));
+}
+
+std::string DispatchBoard::GroupKey(std::string_view service,
+                                    std::string_view model) {
+  std::string key(service);
+  key += ' ';
+  key += model;
+  return key;
+}
+
+void DispatchBoard::SetTargets(std::vector<DispatchTarget> targets,
+                               const Catalog& catalog,
+                               TimePoint) {
+  m_engines.clear();
+  for (const auto& [name, service] : catalog.services()) {
+    if (service.engine) {
+      m_engines[name] = *service.engine;
+    }
+  }
+  for (auto& [id, entry] : m_entries) {
+    entry->in_use = false;
+    entry->engine = nullptr;
+  }
+  for (DispatchTarget& target : targets) {
+    std::unique_ptr<Entry>& entry = m_entries[target.id];
+    if (entry == nullptr) {
+      entry = std::make_unique<Entry>();
+    }
+    const auto engine = m_engines.find(target.service);
+    entry->engine = engine == m_engines.end() ? nullptr : &engine->second;
+    const ModelProfile* model = entry->engine == nullptr
+                                    ? nullptr
+                                    : entry->engine->FindModel(target.model);
+    entry->pace = model == nullptr ? 1 : model->pace;
+    entry->in_use = true;
+    entry->target = std::move(target);
+  }
+  // A target that is no longer in use is kept while it has requests of ours.
+  std::erase_if(m_entries, [](const auto& row) {
+    return !row.second->in_use && row.second->own.requests == 0;
+  });
+  m_groups.clear();
+  for (auto& [id, entry] : m_entries) {
+    if (entry->in_use) {
+      m_groups[GroupKey(entry->target.service, entry->target.model)].push_back(
+          entry.get());
+    }
+  }
+}
+
+void DispatchBoard::SetRemoteLoad(std::string_view id, const TargetLoad& load) {
+  if (Entry* entry = Find(id)) {
+    entry->remote = load;
+  }
+}
+
+DispatchBoard::Entry* DispatchBoard::Find(std::string_view id) {
+  const auto found = m_entries.find(id);
+  return found == m_entries.end() ? nullptr : found->second.get();
+}
+
+const DispatchBoard::Entry* DispatchBoard::Find(std::string_view id) const {
+  const auto found = m_entries.find(id);
+  return found == m_entries.end() ? nullptr : found->second.get();
+}
+
+bool DispatchBoard::HasTarget(std::string_view id) const {
+  const Entry* entry = Find(id);
+  return entry != nullptr && entry->in_use;
+}
+
+size_t DispatchBoard::CountTargets(std::string_view service,
+                                   std::string_view model) const {
+  const auto found = m_groups.find(GroupKey(service, model));
+  return found == m_groups.end() ? 0 : found->second.size();
+}
+
+bool DispatchBoard::IsPaused(const Entry& entry, TimePoint now) const {
+  if (entry.failures == 0) {
+    return false;
+  }
+  const int doublings = std::min(entry.failures - 1, 8);
+  const Duration pause = std::min(m_policy.failure_pause * (1 << doublings),
+                                  m_policy.longest_pause);
+  return now < entry.last_failure + pause;
+}
+
+Duration DispatchBoard::PredictEntry(const Entry& entry,
+                                     double prompt_tokens) const {
+  const double requests = entry.own.requests + entry.remote.requests;
+  const double slots = std::max(1, entry.target.slots);
+  const double waiting = std::max(0.0, requests + 1 - slots);
+  if (entry.engine == nullptr) {
+    return Scale(kPlainWork, (1 + waiting / slots) * entry.slowness);
+  }
+  const EngineProfile& engine = *entry.engine;
+  const double writing = std::min(requests, slots);
+  // Prompts are read a chunk a pass, in the order of arrival, between the steps
+  // of those that write.
+  const double backlog =
+      entry.own.prompt_tokens + entry.remote.prompt_tokens + prompt_tokens;
+  const double chunk = std::max(1, engine.chunk_tokens);
+  const double passes = std::max(1.0, backlog / chunk);
+  const Duration bare = PassTime(engine, entry.pace, writing, backlog / passes);
+  const double pairs = prompt_tokens * prompt_tokens / 2;
+  const Duration pairing =
+      Scale(engine.prompt_per_million_pairs, pairs * kPerMillion * entry.pace);
+  // A request above the slots waits until one of those that run has written
+  // its answer.
+  const Duration answer =
+      Scale(PassTime(engine, entry.pace, slots, 0),
+            engine.usual_answer_tokens / std::max(1, engine.stride));
+  const Duration queue = Scale(answer, waiting / slots);
+  return Scale(Scale(bare, passes) + pairing + queue, entry.slowness);
+}
+
+Duration DispatchBoard::Predict(std::string_view id,
+                                double prompt_tokens) const {
+  const Entry* entry = Find(id);
+  return entry == nullptr ? Duration(0) : PredictEntry(*entry, prompt_tokens);
+}
+
+std::vector<DispatchBoard::Entry*> DispatchBoard::DrawCandidates(
+    const Group& group,
+    const DispatchQuery& query,
+    TimePoint now) {
+  std::vector<Entry*> sound;
+  std::vector<Entry*> paused;
+  // A random start and then in turn: a sample without a copy of the group.
+  const size_t start = m_random() % group.size();
+  const size_t limit = m_policy.candidates;
+  for (size_t i = 0; i < group.size() && sound.size() < limit; ++i) {
+    Entry* entry = group[(start + i) % group.size()];
+    const bool tried =
+        query.excluded != nullptr && query.excluded->contains(entry->target.id);
+    if (tried) {
+      continue;
+    }
+    (IsPaused(*entry, now) ? paused : sound).push_back(entry);
+  }
+  const double least =
+      m_policy.least_in_use * static_cast<double>(group.size());
+  // If most of the targets fail at once, it is hardly the targets.
+  if (static_cast<double>(paused.size()) > least || sound.empty()) {
+    sound.insert(sound.end(), paused.begin(), paused.end());
+  }
+  return sound;
+}
+
+DispatchDecision DispatchBoard::Choose(const DispatchQuery& query,
+                                       TimePoint now) {
+  const auto found = m_groups.find(GroupKey(query.service, query.model));
+  if (found == m_groups.end() || found->second.empty()) {
+    return DispatchRefusal{DispatchDenial::kNoneServing, m_policy.repair_time};
+  }
+  const Entry* best = nullptr;
+  Duration best_time{0};
+  for (const Entry* entry : DrawCandidates(found->second, query, now)) {
+    const Duration predicted = PredictEntry(*entry, query.prompt_tokens);
+    if (best == nullptr || predicted < best_time) {
+      best = entry;
+      best_time = predicted;
+    }
+  }
+  if (best == nullptr) {
+    return DispatchRefusal{DispatchDenial::kNoneServing, m_policy.repair_time};
+  }
+  const Duration bound = std::min(
+      query.time_left,
+      std::max(Scale(query.time_to_aim, m_policy.aim_slack), Duration(0)));
+  if (best_time > bound && best->own.requests + best->remote.requests > 0) {
+    const Duration over = best_time - std::min(best_time, query.time_to_aim);
+    return DispatchRefusal{DispatchDenial::kAllBusy,
+                           std::clamp(over, m_policy.least_retry_after,
+                                      m_policy.most_retry_after)};
+  }
+  return DispatchChoice{best->target, best_time};
+}
+
+void DispatchBoard::OnSent(std::string_view id, double prompt_tokens) {
+  if (Entry* entry = Find(id)) {
+    ++entry->own.requests;
+    entry->own.prompt_tokens += prompt_tokens;
+  }
+}
+
+void DispatchBoard::OnFirstEvent(std::string_view id,
+                                 double prompt_tokens,
+                                 Duration predicted,
+                                 Duration measured) {
+  Entry* entry = Find(id);
+  if (entry == nullptr) {
+    return;
+  }
+  entry->own.prompt_tokens =
+      std::max(0.0, entry->own.prompt_tokens - prompt_tokens);
+  entry->failures = 0;
+  const double bare = ToSeconds(predicted) / entry->slowness;
+  if (bare <= 0) {
+    return;
+  }
+  const double ratio = ToSeconds(measured) / bare;
+  entry->slowness = std::clamp(
+      entry->slowness + m_policy.smoothing * (ratio - entry->slowness), 0.5,
+      kMostSlowness);
+}
+
+void DispatchBoard::OnEnded(std::string_view id,
+                            double prompt_tokens,
+                            bool prompt_pending,
+                            DispatchResult result,
+                            TimePoint now) {
+  Entry* entry = Find(id);
+  if (entry == nullptr) {
+    return;
+  }
+  entry->own.requests = std::max(0, entry->own.requests - 1);
+  if (prompt_pending) {
+    entry->own.prompt_tokens =
+        std::max(0.0, entry->own.prompt_tokens - prompt_tokens);
+  }
+  if (result == DispatchResult::kAnswered) {
+    entry->failures = 0;
+  } else if (result != DispatchResult::kAbandoned) {
+    ++entry->failures;
+    entry->last_failure = now;
+  }
+}
+
+std::vector<std::pair<std::string, TargetLoad>> DispatchBoard::OwnLoads()
+    const {
+  std::vector<std::pair<std::string, TargetLoad>> loads;
+  for (const auto& [id, entry] : m_entries) {
+    if (entry->own.requests > 0) {
+      loads.emplace_back(id, entry->own);
+    }
+  }
+  return loads;
+}
+
+}  // namespace filbertrack
--- /dev/null
+++ b/source/entry_control.cc
@@ -0,0 +1,384 @@
+#include "filbertrack/entry_control.h"
+
+#include <algorithm>
+#include <random>
+
+#include <nlohmann/json.hpp>
+
+#include "filbertrack/base_hash.h"
+#include "filbertrack/log.h"
+
+namespace filbertrack {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr std::string_view kLeaseRecord = "groups-lease";
+/// Challengers spread over this time, so that one of them usually wins without
+/// a conflict.
+constexpr Duration kRankSpread = Milliseconds(400);
+constexpr uint64_t kRankSteps = 1000;
+/// How often an entry host without the lease looks at its own state.
+constexpr Duration kFollowerTick = Milliseconds(200);
+/// Misses in a row after which a host counts as silent. One may be a lost
+/// packet, which is sent again within the timeout of the second.
+constexpr int kMissesToSilent = 2;
+
+std::string FormatLease(const DomainLease& lease, uint64_t beat) {
+  return Json(
+             {{"holder", lease.holder}, {"fence", lease.fence}, {"beat", beat}})
+      .dump();
+}
+
+Result<DomainLease> ParseLease(const std::string& text) {
+  const Json json = Json::parse(text, nullptr, false);
+  const bool valid = json.is_object() && json.contains("holder") &&
+                     json["holder"].is_string() && json.contains("fence") &&
+                     json["fence"].is_number_unsigned();
+  if (!valid) {
+    return Fail(ResultCode::kResourceInvalid,
+                "the lease record holds '" + text +
+                    "'; it must name a holder and a fence.");
+  }
+  return DomainLease{json["holder"].get<std::string>(),
+                     json["fence"].get<uint64_t>()};
+}
+
+std::string_view HealthName(HostHealth health) {
+  switch (health) {
+    case HostHealth::kAnswers:
+      return "answers";
+    case HostHealth::kSilent:
+      return "silent";
+    case HostHealth::kGone:
+      return "gone";
+  }
+  return "silent";
+}
+
+/// One order in words, for logs.
+struct OrderText {
+  Json operator()(const JoinGroup& order) const {
+    return {
+        {"order", "join"}, {"group", order.group}, {"members", order.members}};
+  }
+  Json operator()(const OpenGroup& order) const {
+    return {{"order", "open"}, {"group", order.group}, {"head", order.head}};
+  }
+  Json operator()(const CloseGroup& order) const {
+    return {{"order", "close"},
+            {"group", order.group},
+            {"head", order.head},
+            {"cancel", order.cancel}};
+  }
+  Json operator()(const LeaveGroup& order) const {
+    return {{"order", "leave"}, {"group", order.group}, {"host", order.host}};
+  }
+  Json operator()(const StageModel& order) const {
+    return {{"order", "stage"}, {"model", order.model}, {"host", order.host}};
+  }
+};
+
+/// Hosts that an order goes to.
+struct OrderHosts {
+  std::vector<std::string> operator()(const JoinGroup& order) const {
+    return order.members;
+  }
+  std::vector<std::string> operator()(const OpenGroup& order) const {
+    return {order.head};
+  }
+  std::vector<std::string> operator()(const CloseGroup& order) const {
+    return {order.head};
+  }
+  std::vector<std::string> operator()(const LeaveGroup& order) const {
+    return {order.host};
+  }
+  std::vector<std::string> operator()(const StageModel& order) const {
+    return {order.host};
+  }
+};
+
+}  // namespace
+
+EntryControl::EntryControl(EventLoop& loop,
+                           const std::string& node,
+                           const ControlPolicy& policy,
+                           EntryHost& host,
+                           EngineLink& engines,
+                           RecordStore& records)
+    : m_loop(loop),
+      // Two processes of one name must not take each other's lease for their
+      // own.
+      m_node(node + "#" + std::to_string(WallTimeMs())),
+      m_policy(policy),
+      m_host(host),
+      m_engines(engines),
+      m_records(records) {
+  const uint64_t rank = RendezvousWeight("lease", m_node) % kRankSteps;
+  m_rank_delay = kRankSpread * static_cast<int64_t>(rank) /
+                 static_cast<int64_t>(kRankSteps);
+}
+
+EntryControl::~EntryControl() {
+  *m_alive = false;
+}
+
+void EntryControl::Start() {
+  m_loop.Call(m_rank_delay, [this] { Tick(); });
+}
+
+bool EntryControl::holds_lease() const {
+  return m_lease.holder == m_node &&
+         m_keeper.IsHeld(m_policy.lease, MonotonicNow());
+}
+
+void EntryControl::Tick() {
+  if (m_stopping) {
+    return;
+  }
+  const TimePoint now = MonotonicNow();
+  const bool holds = holds_lease();
+  if (m_leads && !holds) {
+    Lost();
+  }
+  if (holds) {
+    if (m_keeper.ShouldRenew(m_policy.lease, now)) {
+      WriteLease(m_lease);
+    }
+    ProbeHosts(now);
+    Pass();
+  } else if (now - m_last_read >= m_policy.lease.renew_every) {
+    ReadLease();
+  }
+  m_tick_timer = m_loop.After(holds ? m_policy.pass_interval : kFollowerTick,
+                              [this] { Tick(); });
+}
+
+void EntryControl::ReadLease() {
+  if (m_lease_call_open) {
+    return;
+  }
+  m_lease_call_open = true;
+  const TimePoint asked = MonotonicNow();
+  m_last_read = asked;
+  m_records.Read(std::string(kLeaseRecord),
+                 [this, asked](const StoreAnswer& answer) {
+                   m_lease_call_open = false;
+                   OnLease(answer, asked);
+                 });
+}
+
+void EntryControl::OnLease(const StoreAnswer& answer, TimePoint) {
+  // No answer tells nothing: a store that is down must not make a live holder
+  // look dead.
+  if (answer.status == StoreStatus::kUnavailable || m_stopping) {
+    return;
+  }
+  const TimePoint now = MonotonicNow();
+  if (answer.status == StoreStatus::kNotFound) {
+    m_lease_version = 0;
+    WriteLease({m_node, 1});
+    return;
+  }
+  TakeOver(answer);
+  const bool may_take =
+      m_lease.holder.empty() || MayTake(m_lease, m_lease_seen, m_holder,
+                                        m_policy.lease, m_rank_delay, now);
+  if (may_take && !holds_lease()) {
+    WriteLease({m_node, m_lease.fence + 1});
+  }
+}
+
+void EntryControl::TakeOver(const StoreAnswer& answer) {
+  const TimePoint now = MonotonicNow();
+  const Result<DomainLease> lease = ParseLease(answer.object.value);
+  if (!lease) {
+    Log(LogLevel::kError, "lease-invalid", {{"why", lease.error().message}});
+    return;
+  }
+  // A stale read must not take back what a write has shown.
+  if (answer.object.version < m_lease_version) {
+    return;
+  }
+  if (!(m_lease == *lease)) {
+    m_lease_seen = now;
+  }
+  m_lease = *lease;
+  m_lease_version = answer.object.version;
+  ObserveHolder(m_holder, m_lease.holder, m_lease_version, now);
+}
+
+void EntryControl::WriteLease(const DomainLease& lease) {
+  if (m_lease_call_open) {
+    return;
+  }
+  m_lease_call_open = true;
+  const TimePoint began = MonotonicNow();
+  const std::string text = FormatLease(lease, ++m_beats);
+  m_records.Write(std::string(kLeaseRecord), text, m_lease_version,
+                  [this, lease, text, began](const StoreAnswer& answer) {
+                    m_lease_call_open = false;
+                    OnWritten(lease, text, began, answer);
+                  });
+}
+
+void EntryControl::OnWritten(const DomainLease& lease,
+                             const std::string& text,
+                             TimePoint began,
+                             const StoreAnswer& answer) {
+  if (answer.status == StoreStatus::kOk) {
+    m_lease = lease;
+    m_lease_version = answer.object.version;
+    m_keeper.OnWritten(began, m_policy.lease, MonotonicNow());
+    if (!m_leads && holds_lease()) {
+      Gained();
+    }
+    return;
+  }
+  if (answer.status != StoreStatus::kConflict) {
+    return;
+  }
+  // The conflict may be with this very write, whose first answer was lost.
+  const bool own = answer.object.value == text;
+  TakeOver(answer);
+  if (own) {
+    m_keeper.OnWritten(began, m_policy.lease, MonotonicNow());
+  }
+}
+
+void EntryControl::Gained() {
+  m_leads = true;
+  m_memory.clear();
+  m_findings.clear();
+  m_probes.clear();
+  Log(LogLevel::kInfo, "lease-gained",
+      {{"fence", m_lease.fence}, {"version", m_lease_version}});
+}
+
+void EntryControl::Lost() {
+  m_leads = false;
+  Log(LogLevel::kWarning, "lease-lost",
+      {{"fence", m_lease.fence}, {"holder", m_lease.holder}});
+}
+
+void EntryControl::Stop() {
+  m_stopping = true;
+  m_tick_timer.reset();
+  if (holds_lease() && !m_lease_call_open) {
+    m_lease.holder.clear();
+    m_records.Write(std::string(kLeaseRecord), FormatLease(m_lease, ++m_beats),
+                    m_lease_version, [](const StoreAnswer&) {});
+  }
+}
+
+void EntryControl::ProbeHosts(TimePoint now) {
+  const Catalog* catalog = m_host.catalog();
+  if (catalog == nullptr) {
+    return;
+  }
+  std::erase_if(m_probes, [this](const auto& row) {
+    return m_host.directory().Find(row.first) == nullptr;
+  });
+  std::erase_if(m_findings, [this](const auto& row) {
+    return m_host.directory().Find(row.first) == nullptr;
+  });
+  for (const auto& [id, server] : m_host.directory().servers()) {
+    const ServiceProfile* service = catalog->FindService(server.service);
+    if (service == nullptr || !service->engine || server.draining) {
+      continue;
+    }
+    ProbeState& probe = m_probes[id];
+    const Duration interval =
+        server.membership
+            ? m_policy.probe_interval
+            : m_policy.probe_interval * m_policy.idle_probe_divisor;
+    // A host that missed one question is asked again at once.
+    if (probe.open || (probe.misses != 1 && now - probe.asked_at < interval)) {
+      continue;
+    }
+    probe.open = true;
+    probe.asked_at = now;
+    m_engines.Probe(
+        server, m_policy.probe_timeout,
+        [this, id = id, alive = m_alive](const ProbeAnswer& answer) {
+          if (*alive) {
+            OnProbe(id, answer);
+          }
+        });
+  }
+}
+
+void EntryControl::OnProbe(const std::string& id, const ProbeAnswer& answer) {
+  const auto found = m_probes.find(id);
+  if (found == m_probes.end()) {
+    return;
+  }
+  ProbeState& probe = found->second;
+  probe.open = false;
+  probe.misses = answer.answered ? 0 : probe.misses + 1;
+  HostHealth health = HostHealth::kAnswers;
+  if (answer.wrong_server) {
+    health = HostHealth::kGone;
+  } else if (probe.misses >= kMissesToSilent) {
+    health = HostHealth::kSilent;
+  } else if (probe.misses > 0) {
+    return;
+  }
+  HostFinding& finding = m_findings[id];
+  if (finding.health == health) {
+    return;
+  }
+  finding = {health, MonotonicNow()};
+  Log(LogLevel::kInfo, "host-health",
+      {{"host", id}, {"health", HealthName(health)}, {"misses", probe.misses}});
+}
+
+void EntryControl::Pass() {
+  const Catalog* catalog = m_host.catalog();
+  if (catalog == nullptr) {
+    return;
+  }
+  for (const auto& [name, service] : catalog->services()) {
+    if (!service.engine) {
+      continue;
+    }
+    ReplicaMemory& memory = m_memory[name];
+    memory.term = m_lease.fence;
+    const ReplicaInput input{m_host.directory(), m_findings, service,
+                             !m_host.traffic_seen()};
+    for (const PlannedOrder& planned :
+         PlanReplicas(input, m_policy.replicas, memory, MonotonicNow())) {
+      Send(planned);
+    }
+  }
+}
+
+void EntryControl::Send(const PlannedOrder& planned) {
+  Json line = std::visit(OrderText{}, planned.order);
+  line["why"] = planned.reason;
+  line["fence"] = m_lease.fence;
+  Log(LogLevel::kInfo, "order", line);
+  for (const std::string& host : std::visit(OrderHosts{}, planned.order)) {
+    SendOne(host, planned.order);
+  }
+}
+
+void EntryControl::SendOne(const std::string& host_id,
+                           const ReplicaOrder& order) {
+  const BackendServer* host = m_host.directory().Find(host_id);
+  // Asked on the clock right before the send: a process that was paused since
+  // its decision may have lost the lease, and engines that ignore fencing
+  // numbers would obey it.
+  if (host == nullptr || !holds_lease()) {
+    return;
+  }
+  m_engines.Order(*host, order, [host_id](OrderResult result) {
+    if (result != OrderResult::kAccepted) {
+      Log(LogLevel::kInfo, "order-result",
+          {{"host", host_id}, {"result", static_cast<int>(result)}});
+    }
+  });
+}
+
+}  // namespace filbertrack
--- /dev/null
+++ b/source/entry_host.cc
@@ -0,0 +1,379 @@
+#include "filbertrack/entry_host.h"
+
+#include <algorithm>
+
+#include <nlohmann/json.hpp>
+
+#include "filbertrack/base_hash.h"
+#include "filbertrack/log.h"
+
+namespace filbertrack {
+
+namespace {
+
+/// Connections kept to one backend server: as many as it has slots, so that
+/// a full server is reached without new connections.
+constexpr size_t kMostKeptConnections = 32;
+constexpr Duration kSilenceCheck = Milliseconds(100);
+constexpr Duration kDrainCheck = Milliseconds(100);
+/// The balancer asks once a second and takes a host out after two misses; it
+/// may also have asked just before the stop.
+constexpr Duration kBalancerLag = Milliseconds(3200);
+/// What is left of the grace time when the last requests are cut: time for
+/// their answers to leave.
+constexpr Duration kCutBefore = Milliseconds(700);
+/// A caller that names no time waits this long at the most.
+constexpr Duration kDefaultPatience = Seconds(60);
+/// An answer that is ready just after the route's timeout is still delivered.
+constexpr Duration kTimeoutSlack = Milliseconds(120);
+/// Where there is no configuration yet: about the time of a first read.
+constexpr Duration kStartRetryAfter = Milliseconds(500);
+constexpr int kOk = 200;
+constexpr int kNotFound = 404;
+constexpr int kUnready = 503;
+constexpr std::string_view kReadyPath = "/ready";
+constexpr std::string_view kMetricsPath = "/metrics";
+
+/// Part of the retries that the rules allow; the rest covers requests that
+/// servers refuse, which count as well.
+constexpr double kRetryShare = 0.7;
+
+RetryBudgetPolicy RetryPolicyOf(const Settings& settings) {
+  const auto ratio =
+      static_cast<double>(settings.Integer("retries", "ratio_percent")) / 100;
+  const auto slack = static_cast<double>(settings.Integer("retries", "slack"));
+  const auto hosts =
+      static_cast<double>(settings.Integer("retries", "entry_hosts"));
+  return {ratio * kRetryShare, std::max(1.0, slack * kRetryShare / hosts), 0};
+}
+
+}  // namespace
+
+std::vector<DispatchTarget> CurrentTargets(const ServerDirectory& directory,
+                                           const Catalog& catalog) {
+  std::vector<DispatchTarget> targets;
+  for (const auto& [name, service] : catalog.services()) {
+    if (!service.engine) {
+      continue;
+    }
+    for (const ReplicaView& replica : directory.Replicas(name)) {
+      const std::string_view model = ModelOfGroup(replica.group);
+      const ModelProfile* profile = service.engine->FindModel(model);
+      if (profile == nullptr || !IsServing(replica, profile->members)) {
+        continue;
+      }
+      const BackendServer& head = *replica.head();
+      targets.push_back({head.id, head.address, name, std::string(model),
+                         head.data_centre, service.engine->slots});
+    }
+  }
+  for (const auto& [id, server] : directory.servers()) {
+    const ServiceProfile* service = catalog.FindService(server.service);
+    if (service != nullptr && !service->engine && !server.draining) {
+      targets.push_back({id, server.address, server.service, "",
+                         server.data_centre, server.slots});
+    }
+  }
+  return targets;
+}
+
+EntryHost::EntryHost(EventLoop& loop,
+                     const Settings& settings,
+                     const CallDialect& dialect)
+    : m_loop(loop),
+      m_settings(settings),
+      m_dialect(dialect),
+      m_directory(DirectoryPolicy{}),
+      m_upstream(loop, kMostKeptConnections),
+      m_board(DispatchPolicy{},
+              RendezvousWeight("board", settings.Text("node", "name"))),
+      m_retries(RetryPolicyOf(settings), MonotonicNow()),
+      m_context{loop, m_upstream, dialect, m_board, m_retries, {}},
+      m_random(RendezvousWeight("split", settings.Text("node", "name"))) {}
+
+EntryHost::~EntryHost() = default;
+
+Result<bool> EntryHost::Listen() {
+  m_caller_server = std::make_unique<HttpServer>(
+      m_loop, HttpServerLimits{},
+      [this](const std::shared_ptr<HttpExchange>& exchange) {
+        OnCaller(exchange);
+      });
+  m_probe_server = std::make_unique<HttpServer>(
+      m_loop, HttpServerLimits{},
+      [this](const std::shared_ptr<HttpExchange>& exchange) {
+        OnProbe(*exchange);
+      });
+  const Result<Address> callers =
+      m_caller_server->Listen(m_settings.At("callers", "listen"));
+  if (!callers) {
+    return tl::unexpected(callers.error());
+  }
+  const Result<Address> probes =
+      m_probe_server->Listen(m_settings.At("ready", "listen"));
+  if (!probes) {
+    return tl::unexpected(probes.error());
+  }
+  return true;
+}
+
+bool EntryHost::IsReady() const {
+  return !m_draining && m_catalog != nullptr && m_servers_known;
+}
+
+void EntryHost::OnProbe(HttpExchange& exchange) {
+  if (exchange.path() == kReadyPath) {
+    exchange.Reply(IsReady() ? kOk : kUnready, {}, "");
+    return;
+  }
+  if (exchange.path() == kMetricsPath) {
+    exchange.Reply(kOk, {{"Content-Type", "text/plain"}}, m_metrics.Text());
+    return;
+  }
+  exchange.Reply(kNotFound, {}, "");
+}
+
+void EntryHost::Reject(HttpExchange& exchange,
+                       const EntryRequest& request,
+                       ResultCode code) {
+  std::optional<Duration> retry_after;
+  if (code == ResultCode::kMayBeBehind) {
+    retry_after = kStartRetryAfter;
+  }
+  ++m_metrics.Counter(
+      "refused", "code=\"" + std::to_string(static_cast<int>(code)) + "\"");
+  Log(LogLevel::kInfo, "refused",
+      {{"request", request.facts.request_id},
+       {"code", static_cast<int>(code)},
+       {"config", m_catalog == nullptr ? 0 : m_catalog->version()}});
+  RefuseCall(exchange, m_dialect, request.facts.request_id, code,
+             Outcome::kNotRun, retry_after);
+}
+
+bool EntryHost::Admit(const std::shared_ptr<HttpExchange>& exchange,
+                      EntryRequest& request) {
+  request.arrived = MonotonicNow();
+  request.facts = m_dialect.ReadCall(*exchange);
+  if (m_catalog == nullptr || !m_servers_known) {
+    Reject(*exchange, request, ResultCode::kMayBeBehind);
+    return false;
+  }
+  request.catalog = m_catalog;
+  request.route =
+      m_catalog->FindRoute(request.facts.hostname, exchange->path());
+  if (request.route == nullptr) {
+    Reject(*exchange, request, ResultCode::kNotFound);
+    return false;
+  }
+  request.priority = request.route->priority;
+  if (m_catalog->has_workspaces() && !request.route->is_public) {
+    const Workspace* workspace = m_catalog->FindWorkspace(request.facts.key);
+    if (workspace == nullptr) {
+      Reject(*exchange, request, ResultCode::kUnauthorized);
+      return false;
+    }
+    request.workspace = workspace->name;
+    request.priority = workspace->priority.value_or(request.priority);
+  }
+  const double draw = std::uniform_real_distribution<double>(0, 1)(m_random);
+  request.service = ChooseService(*request.route, draw);
+  const Duration patience = request.facts.time_left.value_or(kDefaultPatience);
+  request.deadline = request.arrived +
+                     std::min(patience, request.route->timeout + kTimeoutSlack);
+  return true;
+}
+
+void EntryHost::OnCaller(const std::shared_ptr<HttpExchange>& exchange) {
+  m_traffic_seen = true;
+  EntryRequest request;
+  if (Admit(exchange, request)) {
+    m_retries.OnRequest(request.arrived);
+    StartRelay(std::move(request), exchange);
+  }
+}
+
+void EntryHost::StartRelay(EntryRequest request,
+                           const std::shared_ptr<HttpExchange>& exchange) {
+  auto relay = std::make_unique<EntryRelay>(
+      m_context, std::move(request), exchange,
+      [this](EntryRelay& ended, const EntryEnd& end) { EndRelay(ended, end); });
+  EntryRelay* started = relay.get();
+  m_relays.emplace(started, std::move(relay));
+  if (m_silence_timer == nullptr) {
+    m_silence_timer = m_loop.Every(kSilenceCheck, [this] { CheckSilence(); });
+  }
+  started->Start();
+}
+
+void EntryHost::EndRelay(EntryRelay& relay, const EntryEnd& end) {
+  const TimePoint now = MonotonicNow();
+  const EntryRequest& request = relay.request();
+  const Duration first = relay.first_event_at().value_or(now) - request.arrived;
+  ++m_metrics.Counter(
+      "requests",
+      "code=\"" + std::to_string(static_cast<int>(end.code)) + "\"");
+  if (relay.first_event_at()) {
+    m_metrics.Latency("first_event_seconds").Add(first);
+  }
+  Log(LogLevel::kInfo, "request",
+      {{"request", request.facts.request_id},
+       {"route", request.route->name},
+       {"model", request.facts.model},
+       {"workspace", request.workspace},
+       {"config", request.catalog->version()},
+       {"target", relay.last_target()},
+       {"attempts", relay.attempts()},
+       {"code", static_cast<int>(end.code)},
+       {"status", end.status},
+       {"outcome", OutcomeName(end.outcome)},
+       {"first_ms", ToMilliseconds(first)},
+       {"total_ms", ToMilliseconds(now - request.arrived)}});
+  // The relay's own callback is still running.
+  auto row = m_relays.extract(&relay);
+  auto ended =
+      std::make_shared<std::unique_ptr<EntryRelay>>(std::move(row.mapped()));
+  m_loop.Post([ended] { ended->reset(); });
+  if (m_relays.empty()) {
+    m_silence_timer.reset();
+  }
+}
+
+void EntryHost::CheckSilence() {
+  const TimePoint now = MonotonicNow();
+  std::vector<EntryRelay*> relays;
+  relays.reserve(m_relays.size());
+  for (const auto& [key, relay] : m_relays) {
+    relays.push_back(relay.get());
+  }
+  for (EntryRelay* relay : relays) {
+    relay->CheckSilence(now);
+  }
+}
+
+void EntryHost::OnCatalog(std::shared_ptr<const Catalog> catalog) {
+  if (!SupersedesCatalog(m_catalog.get(), *catalog)) {
+    return;
+  }
+  m_catalog = std::move(catalog);
+  const CallerLimits& limits = m_catalog->limits();
+  m_caller_server->SetLimits({limits.max_header_bytes, limits.max_body_bytes,
+                              limits.header_timeout, limits.idle_timeout});
+  Log(LogLevel::kInfo, "config",
+      {{"config", m_catalog->version()}, {"routes", m_catalog->route_count()}});
+  Changed();
+}
+
+void EntryHost::OnServers(std::vector<BackendServer> servers) {
+  const bool first = !m_servers_known;
+  m_servers_known = true;
+  if (m_directory.ReplaceAll(std::move(servers), MonotonicNow()) || first) {
+    Changed();
+  }
+  ScheduleExpiry();
+}
+
+void EntryHost::OnServerChanged(BackendServer server) {
+  if (m_directory.Put(std::move(server))) {
+    Changed();
+  }
+}
+
+void EntryHost::OnServerRemoved(const std::string& id) {
+  if (m_directory.Remove(id, MonotonicNow())) {
+    Changed();
+  }
+  ScheduleExpiry();
+}
+
+void EntryHost::OnStoreLost() {
+  m_store_away = true;
+  Log(LogLevel::kWarning, "store-lost", nlohmann::json::object());
+}
+
+void EntryHost::OnStoreReturned() {
+  if (m_store_away) {
+    m_store_away = false;
+    m_directory.OnStoreReturned(MonotonicNow());
+    Log(LogLevel::kInfo, "store-returned", nlohmann::json::object());
+  }
+}
+
+void EntryHost::ScheduleExpiry() {
+  const auto next = m_directory.NextExpiry();
+  if (!next) {
+    m_expiry_timer.reset();
+    return;
+  }
+  m_expiry_timer =
+      m_loop.After(std::max(Duration(0), *next - MonotonicNow()), [this] {
+        if (m_directory.Expire(MonotonicNow())) {
+          Changed();
+        }
+        ScheduleExpiry();
+      });
+}
+
+void EntryHost::Changed() {
+  RefreshTargets();
+  if (m_on_change) {
+    m_on_change();
+  }
+}
+
+void EntryHost::RefreshTargets() {
+  if (m_catalog == nullptr) {
+    return;
+  }
+  m_board.SetTargets(CurrentTargets(m_directory, *m_catalog), *m_catalog,
+                     MonotonicNow());
+  // A group that lost a member holds its requests without saying so; those that
+  // may be repeated go elsewhere at once. A head that closes in order ends what
+  // it has.
+  std::vector<std::pair<EntryRelay*, std::string>> lost;
+  for (const auto& [key, relay] : m_relays) {
+    const std::string& target = relay->last_target();
+    if (target.empty() || m_board.HasTarget(target)) {
+      continue;
+    }
+    const BackendServer* head = m_directory.Find(target);
+    const bool whole = head != nullptr && !head->membership;
+    const bool closing =
+        head != nullptr && head->membership &&
+        (head->membership->state == MembershipState::kClosing ||
+         head->draining);
+    if (!whole && !closing) {
+      lost.emplace_back(relay.get(), target);
+    }
+  }
+  for (const auto& [relay, target] : lost) {
+    if (m_relays.contains(relay)) {
+      relay->TargetLost(target);
+    }
+  }
+}
+
+void EntryHost::Drain() {
+  if (m_draining) {
+    return;
+  }
+  m_draining = true;
+  m_drain_began = MonotonicNow();
+  Log(LogLevel::kInfo, "stopping", {{"requests", m_relays.size()}});
+  m_caller_server->CloseAfterAnswers();
+  m_drain_timer = m_loop.Every(kDrainCheck, [this] { CheckDrained(); });
+}
+
+void EntryHost::CheckDrained() {
+  const Duration since = MonotonicNow() - m_drain_began;
+  const Duration grace = m_settings.Time("stop", "grace") - kCutBefore;
+  const bool quiet = since >= kBalancerLag && m_relays.empty();
+  if (!quiet && since < grace) {
+    return;
+  }
+  Log(LogLevel::kInfo, "stopped",
+      {{"cut", m_relays.size()},
+       {"connections", m_caller_server->connections()}});
+  m_loop.Stop();
+}
+
+}  // namespace filbertrack
--- /dev/null
+++ b/source/entry_relay.cc
@@ -0,0 +1,383 @@
+#include "filbertrack/entry_relay.h"
+
+#include <algorithm>
+
+#include <nlohmann/json.hpp>
+
+namespace filbertrack {
+
+namespace {
+
+/// A caller that does not read its stream is dropped at this many bytes.
+constexpr size_t kMostUnsentBytes = 1024 * 1024;
+constexpr size_t kMostAnswerBytes = 8 * 1024 * 1024;
+constexpr int kFirstRedirect = 300;
+constexpr int kNotRunStatus = 503;
+constexpr int kBadGateway = 502;
+constexpr int kGatewayTimeout = 504;
+constexpr std::string_view kEventStream = "text/event-stream";
+
+bool IsSuccess(int status) {
+  return status >= 200 && status < kFirstRedirect;
+}
+
+HttpHeaders PassedHeaders(const HttpHeaders& headers) {
+  HttpHeaders passed;
+  passed.reserve(headers.size());
+  for (const auto& header : headers) {
+    if (!IsHopByHop(header.first)) {
+      passed.push_back(header);
+    }
+  }
+  return passed;
+}
+
+}  // namespace
+
+int RefusalStatus(ResultCode code, Outcome outcome) {
+  if (code == ResultCode::kUnauthorized || code == ResultCode::kNotFound) {
+    return ResultCodeInfo(code).http_status;
+  }
+  if (outcome == Outcome::kNotRun) {
+    return kNotRunStatus;
+  }
+  return code == ResultCode::kDeadlinePassed ? kGatewayTimeout : kBadGateway;
+}
+
+void RefuseCall(HttpExchange& exchange,
+                const CallDialect& dialect,
+                std::string_view request_id,
+                ResultCode code,
+                Outcome outcome,
+                std::optional<Duration> retry_after) {
+  const ResultCodeRow& row = ResultCodeInfo(code);
+  const nlohmann::json body = {{"code", static_cast<int>(code)},
+                               {"name", row.name},
+                               {"message", row.meaning},
+                               {"outcome", OutcomeName(outcome)}};
+  HttpHeaders headers = dialect.RefusalHeaders(request_id, retry_after);
+  headers.emplace_back("Content-Type", "application/json");
+  exchange.Reply(RefusalStatus(code, outcome), headers, body.dump());
+}
+
+/// Carries out the machine's actions, one overload each.
+struct EntryActions {
+  EntryRelay& relay;
+
+  void operator()(const SeekTarget& action) const {
+    relay.Seek(action.is_retry, action.resume_from);
+  }
+  void operator()(const CloseAttempt& action) const {
+    relay.CloseAttempt(action.failed);
+  }
+  void operator()(const ForwardToken& action) const {
+    relay.ForwardEvent(action.event);
+  }
+  void operator()(const FinishStream&) const { relay.FinishStream(); }
+  void operator()(const ForwardAnswer&) const { relay.ForwardAnswer(); }
+  void operator()(const filbertrack::Refuse& action) const {
+    relay.Refuse(action.code, action.outcome);
+  }
+  void operator()(const BreakStream& action) const {
+    // Without the last chunk the caller sees that the answer is not whole, and
+    // can go on after the events that it has.
+    relay.m_exchange->Abort();
+    relay.Finish({action.code, Outcome::kUnknown, relay.m_answer_status});
+  }
+};
+
+EntryRelay::EntryRelay(RelayContext& context,
+                       EntryRequest request,
+                       std::shared_ptr<HttpExchange> exchange,
+                       OnEnd on_end)
+    : m_context(context),
+      m_request(std::move(request)),
+      m_exchange(std::move(exchange)),
+      m_on_end(std::move(on_end)) {
+  const Route& route = *m_request.route;
+  RequestTraits& traits = m_state.traits;
+  traits.idempotent = MayRepeat(route.repeat);
+  traits.shape =
+      IsStream(route.repeat) ? AnswerShape::kTokenStream : AnswerShape::kWhole;
+  traits.pass_any_status = !traits.idempotent;
+  traits.relays_last_error = true;
+  traits.ends_with_framing = true;
+  traits.deadline = m_request.deadline;
+  m_policy.most_attempts = std::max(1, route.most_attempts);
+  // Events are numbered from 1.
+  m_state.next_token = m_request.facts.last_event.value_or(0) + 1;
+}
+
+EntryRelay::~EntryRelay() {
+  *m_alive = false;
+}
+
+void EntryRelay::Start() {
+  const TimePoint now = MonotonicNow();
+  m_exchange->OnCallerGone([this] { Feed(CallerLeft{}); });
+  m_deadline_timer =
+      m_context.loop.After(std::max(Duration(0), m_request.deadline - now),
+                           [this] { Feed(DeadlinePassed{}); });
+  const std::shared_ptr<bool> alive = m_alive;
+  for (const RequestAction& action : StartRequest(m_state, now)) {
+    if (*alive) {
+      std::visit(EntryActions{*this}, action);
+    }
+  }
+}
+
+void EntryRelay::Feed(const RequestEvent& event) {
+  const std::shared_ptr<bool> alive = m_alive;
+  const auto actions = StepRequest(m_state, event, m_policy, MonotonicNow());
+  for (const RequestAction& action : actions) {
+    if (*alive && !m_finished) {
+      std::visit(EntryActions{*this}, action);
+    }
+  }
+  if (*alive && m_state.ended && !m_finished) {
+    // The caller left: nothing is to be answered.
+    Finish({ResultCode::kCallerGone, m_state.known, 0});
+  }
+}
+
+void EntryRelay::Seek(bool is_retry, uint64_t resume_from) {
+  const TimePoint now = MonotonicNow();
+  m_resume_from = resume_from;
+  const bool resumes = m_state.answer_started;
+  if (resumes && m_request.route->repeat != RepeatRule::kResumable) {
+    Feed(NoTarget{ResultCode::kStreamInterrupted});
+    return;
+  }
+  if (is_retry && !m_context.retries.TrySpend(now)) {
+    Feed(NoTarget{ResultCode::kAttemptRefused});
+    return;
+  }
+  DispatchQuery query;
+  query.service = m_request.service;
+  query.model = m_request.facts.model;
+  query.prompt_tokens = m_request.facts.prompt_tokens;
+  // A stream that broke off has missed its aim; it is taken up wherever it can
+  // be before the caller gives up.
+  query.time_left = m_request.deadline - now;
+  query.time_to_aim =
+      resumes ? query.time_left
+              : m_request.arrived + m_request.route->target_latency - now;
+  query.excluded = &m_tried;
+  const DispatchDecision decision = m_context.board.Choose(query, now);
+  if (const auto* choice = std::get_if<DispatchChoice>(&decision)) {
+    Send(*choice);
+    return;
+  }
+  const auto& refusal = std::get<DispatchRefusal>(decision);
+  m_retry_after = refusal.retry_after;
+  Feed(NoTarget{refusal.reason == DispatchDenial::kNoneServing
+                    ? ResultCode::kNoServingGroup
+                    : ResultCode::kOverloaded});
+}
+
+void EntryRelay::Send(const DispatchChoice& choice) {
+  const TimePoint now = MonotonicNow();
+  m_choice = choice;
+  m_last_target = choice.target.id;
+  m_tried.insert(choice.target.id);
+  m_sent_at = now;
+  m_last_byte = now;
+  m_attempt_first_event = false;
+  m_not_run = false;
+  m_splitter = {};
+  m_answer_body.clear();
+  m_context.board.OnSent(choice.target.id, m_request.facts.prompt_tokens);
+  Feed(TargetChosen{});
+  HttpCallEvents events;
+  events.on_head = [this](int status, const HttpHeaders& headers) {
+    OnHead(status, headers);
+  };
+  events.on_bytes = [this](std::string_view bytes) { OnBytes(bytes); };
+  events.on_end = [this](int) { OnComplete(); };
+  events.on_failure = [this](bool may_have_left) {
+    Feed(AttemptFailed{may_have_left});
+  };
+  m_call = m_context.http.Start(choice.target.address, MakeCall(choice, now),
+                                std::move(events));
+}
+
+HttpCallRequest EntryRelay::MakeCall(const DispatchChoice& choice,
+                                     TimePoint now) const {
+  ForwardFacts facts;
+  facts.time_left = m_request.deadline - now;
+  facts.server = choice.target.id;
+  facts.workspace = m_request.workspace;
+  facts.priority = m_request.priority;
+  if (m_state.answer_started) {
+    facts.last_event = m_resume_from - 1;
+  } else {
+    facts.last_event = m_request.facts.last_event;
+  }
+  HttpCallRequest call;
+  call.method_text = m_exchange->method_text();
+  call.target = std::string(m_exchange->target());
+  call.headers = m_context.dialect.ForwardHeaders(*m_exchange, facts);
+  call.body = m_exchange->body();
+  call.connect_timeout = m_context.times.connect_timeout;
+  // A kept connection may have been closed by the server just now, and then
+  // nobody knows whether the request ran.
+  call.fresh_connection = !m_state.traits.idempotent;
+  return call;
+}
+
+void EntryRelay::OnHead(int status, const HttpHeaders& headers) {
+  const AnswerFacts facts = m_context.dialect.ReadAnswer(status, headers);
+  m_last_byte = MonotonicNow();
+  m_not_run = facts.not_run || facts.wrong_server;
+  const bool names_other = !facts.request_id.empty() &&
+                           facts.request_id != m_request.facts.request_id;
+  const bool unsealed = IsSuccess(status) && !facts.sealed;
+  const bool is_events =
+      FindHeader(headers, "Content-Type").starts_with(kEventStream);
+  if (m_state.answer_started && !m_not_run &&
+      (!IsSuccess(status) || !is_events)) {
+    // The caller has the first part; only events can follow it.
+    Feed(AttemptFailed{true});
+    return;
+  }
+  if (!m_state.answer_started) {
+    m_answer_status = status;
+    m_answer_headers = PassedHeaders(headers);
+    m_state.traits.shape =
+        IsStream(m_request.route->repeat) && IsSuccess(status) && is_events
+            ? AnswerShape::kTokenStream
+            : AnswerShape::kWhole;
+  }
+  Feed(AttemptHead{status, !names_other && !unsealed, m_not_run});
+}
+
+void EntryRelay::OnBytes(std::string_view bytes) {
+  m_last_byte = MonotonicNow();
+  if (m_state.traits.shape == AnswerShape::kWhole) {
+    if (m_answer_body.size() + bytes.size() > kMostAnswerBytes) {
+      Feed(AttemptFailed{true});
+      return;
+    }
+    m_answer_body.append(bytes);
+    return;
+  }
+  const std::shared_ptr<bool> alive = m_alive;
+  for (SseEvent& event : m_splitter.Push(bytes)) {
+    Feed(AttemptToken{std::move(event)});
+    if (!*alive || !m_choice) {
+      return;
+    }
+  }
+  if (!m_splitter.valid()) {
+    Feed(AttemptFailed{true});
+  }
+}
+
+void EntryRelay::OnComplete() {
+  m_call.reset();
+  if (m_state.traits.shape == AnswerShape::kTokenStream &&
+      m_splitter.has_rest()) {
+    // It stopped in the middle of an event.
+    Feed(AttemptFailed{true});
+    return;
+  }
+  Feed(AttemptComplete{});
+}
+
+void EntryRelay::CloseAttempt(bool failed) {
+  m_call.reset();
+  if (!m_choice) {
+    return;
+  }
+  DispatchResult result = DispatchResult::kAnswered;
+  if (m_not_run) {
+    result = DispatchResult::kRefused;
+  } else if (failed) {
+    result = DispatchResult::kFailed;
+  } else if (m_state.ended && !m_attempt_first_event) {
+    result = DispatchResult::kAbandoned;
+  }
+  m_context.board.OnEnded(m_choice->target.id, m_request.facts.prompt_tokens,
+                          !m_attempt_first_event, result, MonotonicNow());
+  m_choice.reset();
+}
+
+void EntryRelay::ForwardEvent(const SseEvent& event) {
+  const TimePoint now = MonotonicNow();
+  if (!m_attempt_first_event && m_choice) {
+    m_attempt_first_event = true;
+    m_context.board.OnFirstEvent(m_choice->target.id,
+                                 m_request.facts.prompt_tokens,
+                                 m_choice->predicted, now - m_sent_at);
+  }
+  if (!m_first_event) {
+    m_first_event = now;
+  }
+  if (!m_stream_started) {
+    m_stream_started = true;
+    m_exchange->StartStream(m_answer_status, m_answer_headers);
+  }
+  m_exchange->Send(event.raw);
+  if (m_exchange->UnsentBytes() > kMostUnsentBytes) {
+    m_exchange->Abort();
+    Feed(CallerLeft{});
+  }
+}
+
+void EntryRelay::FinishStream() {
+  if (!m_stream_started) {
+    m_exchange->StartStream(m_answer_status, m_answer_headers);
+  }
+  m_exchange->End();
+  Finish({ResultCode::kOk, Outcome::kRan, m_answer_status});
+}
+
+void EntryRelay::ForwardAnswer() {
+  if (!m_first_event) {
+    m_first_event = MonotonicNow();
+  }
+  m_exchange->Reply(m_answer_status, m_answer_headers, m_answer_body);
+  Finish({ResultCode::kOk, Outcome::kRan, m_answer_status});
+}
+
+void EntryRelay::Refuse(ResultCode code, Outcome outcome) {
+  std::optional<Duration> retry_after;
+  if (outcome == Outcome::kNotRun && code != ResultCode::kDeadlinePassed) {
+    retry_after = m_retry_after;
+  }
+  RefuseCall(*m_exchange, m_context.dialect, m_request.facts.request_id, code,
+             outcome, retry_after);
+  Finish({code, outcome, RefusalStatus(code, outcome)});
+}
+
+void EntryRelay::TargetLost(std::string_view target) {
+  if (!m_choice || m_choice->target.id != target) {
+    return;
+  }
+  if (m_state.traits.idempotent) {
+    Feed(filbertrack::TargetLost{});
+  }
+}
+
+void EntryRelay::CheckSilence(TimePoint now) {
+  if (!m_choice || !m_attempt_first_event ||
+      m_request.route->repeat != RepeatRule::kResumable) {
+    return;
+  }
+  const auto pauses = Duration(static_cast<int64_t>(
+      m_context.times.silent_pauses *
+      static_cast<double>(m_request.route->longest_pause.count())));
+  if (now - m_last_byte > std::max(pauses, m_context.times.least_silence)) {
+    Feed(filbertrack::TargetLost{});
+  }
+}
+
+void EntryRelay::Finish(const EntryEnd& end) {
+  m_finished = true;
+  m_deadline_timer.reset();
+  m_call.reset();
+  m_exchange->OnCallerGone(nullptr);
+  m_on_end(*this, end);
+}
+
+}  // namespace filbertrack
--- /dev/null
+++ b/source/entry_settings.cc
@@ -0,0 +1,38 @@
+#include "filbertrack/entry_host.h"
+
+namespace filbertrack {
+
+SettingsSchema EntrySchema() {
+  return SettingsSchema({
+      {"node", "name", TextKey{"", true, {}},
+       "Name of this entry host, the only one of its kind in the fleet."},
+      {"node", "data_centre", TextKey{"", true, {}},
+       "Data centre that this entry host stands in."},
+      {"log", "level",
+       TextKey{"info", false, {"debug", "info", "warning", "error"}},
+       "Lowest level that is written."},
+      {"callers", "listen", AddressKey{"0.0.0.0:8080"},
+       "Where callers' requests arrive."},
+      {"ready", "listen", AddressKey{"0.0.0.0:8081"},
+       "Where readiness and metrics are read."},
+      {"store", "address", AddressKey{""},
+       "Address of the platform's metadata store."},
+      {"stop", "grace", DurationKey{Seconds(8), Seconds(1), Seconds(600)},
+       "Time from a stop signal until the platform ends the process."},
+      {"retries", "ratio_percent", IntegerKey{20, 0, 100},
+       "Retries allowed of each service, in percent of its requests."},
+      {"retries", "slack", IntegerKey{100, 0, 1000000},
+       "Retries allowed beside that, by all entry hosts in one window."},
+      {"retries", "entry_hosts", IntegerKey{8, 1, 10000},
+       "Entry hosts that share the slack."},
+      {"groups", "stall",
+       DurationKey{Seconds(5), Milliseconds(100), Seconds(600)},
+       "A group's head that lost a member holds its requests for this long."},
+      {"groups", "spares_per_domain", IntegerKey{1, 0, 1000},
+       "Hosts kept free in each fabric domain for repairs."},
+      {"control", "takes_lease", TextKey{"yes", false, {"yes", "no"}},
+       "Whether this entry host may hold the lease on the groups."},
+  });
+}
+
+}  // namespace filbertrack
--- a/source/gateway_relay.cc
+++ b/source/gateway_relay.cc
@@ -41,15 +41,6 @@
   return passed;
 }
 
-std::string_view FindHeader(const HttpHeaders& headers, std::string_view name) {
-  for (const auto& [key, value] : headers) {
-    if (EqualsIgnoringCase(key, name)) {
-      return value;
-    }
-  }
-  return "";
-}
-
 }  // namespace
 
 /// Carries out the machine's actions, one overload each.
@@ -80,10 +71,11 @@
   void operator()(const BreakStream& action) const {
     // The last chunk is left out, so that a client that reads no events can
     // tell this answer from a finished one as well.
-    relay.m_exchange->SendThenAbort(
+    relay.m_exchange->Send(
         "event: error\ndata: " +
         RefusalBody(action.code, Outcome::kUnknown, relay.m_request_id) +
         "\n\n");
+    relay.m_exchange->Abort();
     relay.Finish({action.code, Outcome::kUnknown, 200, "", ""});
   }
 };
--- a/source/http_client.cc
+++ b/source/http_client.cc
@@ -1,59 +1,128 @@
 #include "filbertrack/http_client.h"
 
-#include <netinet/in.h>
-#include <netinet/tcp.h>
-#include <sys/socket.h>
+#include <charconv>
+#include <deque>
+#include <optional>
 
-#include <event2/buffer.h>
-#include <event2/bufferevent.h>
-#include <event2/http.h>
-#include <event2/keyvalq_struct.h>
+#include "filbertrack/http_message.h"
+#include "filbertrack/net_stream.h"
 
 namespace filbertrack {
 
 namespace {
 
-evhttp_cmd_type ToCommand(HttpMethod method) {
-  switch (method) {
-    case HttpMethod::kHead:
-      return EVHTTP_REQ_HEAD;
-    case HttpMethod::kPost:
-      return EVHTTP_REQ_POST;
-    case HttpMethod::kPut:
-      return EVHTTP_REQ_PUT;
-    case HttpMethod::kDelete:
-      return EVHTTP_REQ_DELETE;
-    case HttpMethod::kGet:
-    case HttpMethod::kOther:
-      return EVHTTP_REQ_GET;
-  }
-  return EVHTTP_REQ_GET;
+/// A kept connection is used for this part of the time that the server states.
+/// Closer to its end, the request could cross the server's close, and nobody
+/// would know whether it ran.
+constexpr double kKeepAliveShare = 0.7;
+/// Where the server states no time. Most servers keep connections longer.
+constexpr Duration kUnstatedKeepAlive = Seconds(4);
+/// Silence of the server's host after which a connection counts as broken.
+constexpr Duration kServerHostTimeout = Seconds(4);
+constexpr size_t kMostResponseHeaderBytes = 64 * 1024;
+constexpr int kFirstFinalStatus = 200;
+
+std::optional<Duration> StatedKeepAlive(const HttpHeaders& headers) {
+  const std::string_view text = FindHeader(headers, "Keep-Alive");
+  constexpr std::string_view kName = "timeout=";
+  const size_t at = text.find(kName);
+  if (at == std::string_view::npos) {
+    return std::nullopt;
+  }
+  int seconds = 0;
+  const char* begin = text.data() + at + kName.size();
+  const auto read = std::from_chars(begin, text.data() + text.size(), seconds);
+  if (read.ec != std::errc()) {
+    return std::nullopt;
+  }
+  return Seconds(seconds);
 }
 
-HttpHeaders ReadHeaders(evhttp_request* request) {
-  HttpHeaders headers;
-  const evkeyvalq* input = evhttp_request_get_input_headers(request);
-  for (const evkeyval* row = input->tqh_first; row != nullptr;
-       row = row->next.tqe_next) {
-    headers.emplace_back(row->key, row->value);
+std::string FormatRequest(const HttpCallRequest& call, const Address& address) {
+  std::string text = call.method_text.empty()
+                         ? std::string(HttpMethodName(call.method))
+                         : call.method_text;
+  text.append(" ").append(call.target).append(" HTTP/1.1\r\n");
+  if (FindHeader(call.headers, "Host").empty()) {
+    text.append("Host: ").append(address.ToString()).append("\r\n");
   }
-  return headers;
+  for (const auto& [name, value] : call.headers) {
+    text.append(name).append(": ").append(value).append("\r\n");
+  }
+  if (!call.body.empty() || text.starts_with("P")) {
+    text.append("Content-Length: ")
+        .append(std::to_string(call.body.size()))
+        .append("\r\n");
+  }
+  return text.append("\r\n").append(call.body);
 }
 
 }  // namespace
 
-/// Connections without a call, by address.
+/// A connection to a server, used by one call after the other.
+struct ServerConnection {
+  std::shared_ptr<TcpStream> stream;
+  std::unique_ptr<HttpMessageParser> parser;
+  TimePoint usable_until;
+  bool open = false;
+  /// The call that the next answer belongs to; null while idle.
+  HttpCall::State* call = nullptr;
+};
+
 struct HttpClient::Pool {
   EventLoop& loop;
   size_t max_idle;
-  std::map<Address, std::vector<evhttp_connection*>> idle;
+  std::map<Address, std::deque<std::shared_ptr<ServerConnection>>> idle;
+  uint64_t opened = 0;
 
-  ~Pool() {
-    for (auto& [address, connections] : idle) {
-      for (evhttp_connection* connection : connections) {
-        evhttp_connection_free(connection);
+  /// Any byte or end on an idle connection makes it useless: an answer that
+  /// nobody asked for would be taken for the next request's.
+  void Discard(const Address& address,
+               const std::shared_ptr<ServerConnection>& connection) {
+    connection->stream->Close();
+    const auto found = idle.find(address);
+    if (found == idle.end()) {
+      return;
+    }
+    std::erase(found->second, connection);
+    if (found->second.empty()) {
+      idle.erase(found);
+    }
+  }
+
+  std::shared_ptr<ServerConnection> TakeIdle(const Address& address,
+                                             TimePoint now) {
+    const auto found = idle.find(address);
+    if (found == idle.end()) {
+      return nullptr;
+    }
+    std::shared_ptr<ServerConnection> taken;
+    auto& kept = found->second;
+    while (!kept.empty() && taken == nullptr) {
+      // The one used last: the others grow old and are dropped.
+      taken = kept.back();
+      kept.pop_back();
+      if (taken->usable_until <= now || !taken->stream->is_open()) {
+        taken->stream->Close();
+        taken = nullptr;
       }
     }
+    if (kept.empty()) {
+      idle.erase(found);
+    }
+    return taken;
+  }
+
+  void Keep(const Address& address,
+            const std::shared_ptr<ServerConnection>& connection,
+            TimePoint now) {
+    auto& kept = idle[address];
+    while (!kept.empty() &&
+           (kept.size() >= max_idle || kept.front()->usable_until <= now)) {
+      kept.front()->stream->Close();
+      kept.pop_front();
+    }
+    kept.push_back(connection);
   }
 };
 
@@ -61,176 +130,255 @@
   std::shared_ptr<HttpClient::Pool> pool;
   Address address;
   HttpCallEvents events;
-  evhttp_connection* connection = nullptr;
-  evhttp_request* request = nullptr;
-  evbuffer_cb_entry* output_watch = nullptr;
-  bool bytes_may_have_left = false;
-  bool truncated = false;
-  /// Keeps the state alive until evhttp's last callback for the request.
-  std::shared_ptr<State> self;
-
-  evbuffer* Output() const {
-    return bufferevent_get_output(
-        evhttp_connection_get_bufferevent(connection));
-  }
-
-  /// Takes a kept connection or opens one.
-  void Connect(bool fresh) {
-    std::vector<evhttp_connection*>& kept = pool->idle[address];
-    if (!fresh && !kept.empty()) {
-      connection = kept.back();
-      kept.pop_back();
-      evhttp_connection_set_closecb(connection, nullptr, nullptr);
-    } else {
-      connection = evhttp_connection_base_bufferevent_new(
-          pool->loop.base(), nullptr, nullptr, address.host.c_str(),
-          address.port);
-    }
-    output_watch = evbuffer_add_cb(Output(), &State::OnOutput, this);
-  }
-
-  void Send(HttpCallRequest call) {
-    request = evhttp_request_new(&State::OnDone, this);
-    evhttp_request_set_header_cb(request, &State::OnHead);
-    evhttp_request_set_chunked_cb(request, &State::OnChunk);
-    evhttp_request_set_error_cb(request, &State::OnError);
-    evkeyvalq* headers = evhttp_request_get_output_headers(request);
-    evhttp_add_header(headers, "Host", address.ToString().c_str());
-    for (const auto& [name, value] : call.headers) {
-      evhttp_add_header(headers, name.c_str(), value.c_str());
-    }
-    evbuffer_add(evhttp_request_get_output_buffer(request), call.body.data(),
-                 call.body.size());
-    // evhttp's own default is 50 s; 0 in a call means no limit.
-    const Duration timeout =
-        call.idle_timeout > Duration(0) ? call.idle_timeout : Seconds(86400);
-    const timeval limit{
-        static_cast<time_t>(timeout / Seconds(1)),
-        static_cast<suseconds_t>((timeout % Seconds(1)).count())};
-    evhttp_connection_set_timeout_tv(connection, &limit);
-    self = shared_from_this();
-    if (evhttp_make_request(connection, request, ToCommand(call.method),
-                            call.target.c_str()) != 0) {
-      // evhttp has freed the request and will not call back.
-      request = nullptr;
-      pool->loop.Post([state = shared_from_this()] { state->Fail(); });
-    }
-  }
-
-  void Unwatch() {
-    if (output_watch != nullptr) {
-      evbuffer_remove_cb_entry(Output(), output_watch);
-      output_watch = nullptr;
-    }
-  }
-
-  /// Frees the connection from the loop, outside evhttp's callbacks.
-  void DropConnection() {
-    if (connection == nullptr) {
+  Duration idle_timeout{0};
+  std::shared_ptr<ServerConnection> connection;
+  std::unique_ptr<Timer> timer;
+  TimePoint last_byte;
+  uint64_t sent_before = 0;
+  std::string unsent_request;
+  HttpHead head;
+  bool is_head_request = false;
+  bool complete = false;
+
+  void Begin(HttpCallRequest call) {
+    is_head_request = call.method == HttpMethod::kHead ||
+                      call.method_text == HttpMethodName(HttpMethod::kHead);
+    idle_timeout = call.idle_timeout;
+    unsent_request = FormatRequest(call, address);
+    const TimePoint now = MonotonicNow();
+    connection = call.fresh_connection ? nullptr : pool->TakeIdle(address, now);
+    if (connection != nullptr) {
+      sent_before = connection->stream->sent();
+      connection->call = this;
+      SendRequest();
       return;
     }
-    Unwatch();
-    pool->loop.Post(
-        [dropped = connection] { evhttp_connection_free(dropped); });
-    connection = nullptr;
+    Connect(call.connect_timeout);
   }
 
-  /// Keeps the connection for the next call, if it stays open.
-  void KeepConnection() {
-    Unwatch();
-    pool->loop.Post([kept = connection, keeper = pool, to = address] {
-      std::vector<evhttp_connection*>& idle = keeper->idle[to];
-      if (idle.size() >= keeper->max_idle) {
-        evhttp_connection_free(kept);
-        return;
+  void Connect(Duration timeout) {
+    ++pool->opened;
+    connection = std::make_shared<ServerConnection>();
+    connection->call = this;
+    connection->stream = TcpStream::Connect(pool->loop, address);
+    connection->stream->SetDeadPeerTimeout(kServerHostTimeout);
+    // The connection outlives this call, so its callbacks find the call of the
+    // moment through it.
+    const std::weak_ptr<ServerConnection> weak = connection;
+    connection->parser = std::make_unique<HttpMessageParser>(
+        HttpMessageKind::kResponse, kMostResponseHeaderBytes,
+        HttpMessageEvents{
+            [weak](const HttpHead& read) { return OnHead(weak, read); },
+            [weak](std::string_view bytes) { OnBody(weak, bytes); },
+            [weak] { OnComplete(weak); }});
+    connection->stream->Start(
+        {[weak] { OnConnected(weak); },
+         [weak, owner = std::weak_ptr(pool), to = address](
+             std::string_view bytes) { OnBytes(weak, owner, to, bytes); },
+         [weak, owner = std::weak_ptr(pool), to = address](StreamEnd end) {
+           OnStreamEnd(weak, owner, to, end);
+         },
+         {}});
+    timer = pool->loop.After(timeout, [this] { Fail(); });
+  }
+
+  void SendRequest() {
+    timer.reset();
+    last_byte = MonotonicNow();
+    connection->stream->Write(unsent_request);
+    unsent_request.clear();
+    if (idle_timeout > Duration(0)) {
+      WatchSilence(idle_timeout);
+    }
+    const auto on_sent = events.on_sent;
+    if (on_sent) {
+      on_sent();
+    }
+  }
+
+  void WatchSilence(Duration after) {
+    timer = pool->loop.After(after, [this] {
+      const Duration silent = MonotonicNow() - last_byte;
+      if (silent >= idle_timeout) {
+        Fail();
+      } else {
+        WatchSilence(idle_timeout - silent);
       }
-      idle.push_back(kept);
     });
-    connection = nullptr;
+  }
+
+  /// Drops the connection: the rest of an answer could otherwise reach the next
+  /// call.
+  void Drop() {
+    timer.reset();
+    if (connection != nullptr) {
+      connection->call = nullptr;
+      connection->stream->Close();
+      connection = nullptr;
+    }
   }
 
   void Fail() {
-    const std::shared_ptr<State> keep = std::move(self);
-    request = nullptr;
-    DropConnection();
+    const std::shared_ptr<State> keep = shared_from_this();
+    if (connection == nullptr) {
+      return;
+    }
+    const bool may_have_left =
+        unsent_request.empty() && connection->stream->sent() > sent_before;
+    Drop();
     const auto on_failure = std::move(events.on_failure);
     events = {};
     if (on_failure) {
-      on_failure(bytes_may_have_left);
+      on_failure(may_have_left);
     }
   }
 
-  static void OnOutput(evbuffer*, const evbuffer_cb_info* info, void* self) {
-    if (info->n_deleted > 0) {
-      static_cast<State*>(self)->bytes_may_have_left = true;
+  /// The answer is whole: keeps the connection if another call may use it.
+  void Finish(bool trailing_bytes) {
+    const std::shared_ptr<State> keep = shared_from_this();
+    const TimePoint now = MonotonicNow();
+    const auto used = connection;
+    timer.reset();
+    const bool clean = head.keep_alive && !trailing_bytes &&
+                       used->stream->is_open() && used->stream->unsent() == 0;
+    used->call = nullptr;
+    connection = nullptr;
+    if (clean) {
+      const auto stated = StatedKeepAlive(head.headers);
+      const Duration usable =
+          stated ? Duration(static_cast<int64_t>(
+                       kKeepAliveShare * static_cast<double>(stated->count())))
+                 : kUnstatedKeepAlive;
+      used->usable_until = now + usable;
+      pool->Keep(address, used, now);
+    } else {
+      used->stream->Close();
+    }
+    const auto on_end = std::move(events.on_end);
+    events = {};
+    if (on_end) {
+      on_end(head.status);
     }
   }
 
-  static int OnHead(evhttp_request* request, void* self) {
-    auto* state = static_cast<State*>(self);
-    const std::shared_ptr<State> keep = state->shared_from_this();
+  static void OnConnected(const std::weak_ptr<ServerConnection>& weak) {
+    const auto connection = weak.lock();
+    if (connection == nullptr || connection->call == nullptr) {
+      return;
+    }
+    connection->open = true;
+    connection->call->SendRequest();
+  }
+
+  static void OnBytes(const std::weak_ptr<ServerConnection>& weak,
+                      const std::weak_ptr<HttpClient::Pool>& owner,
+                      const Address& address,
+                      std::string_view bytes) {
+    const auto connection = weak.lock();
+    if (connection == nullptr) {
+      return;
+    }
+    if (connection->call == nullptr) {
+      const auto pool = owner.lock();
+      if (pool != nullptr) {
+        pool->Discard(address, connection);
+      }
+      return;
+    }
+    const std::shared_ptr<State> call = connection->call->shared_from_this();
+    call->last_byte = MonotonicNow();
+    while (!bytes.empty() && connection->call == call.get() &&
+           !call->complete) {
+      const size_t taken = connection->parser->Push(bytes);
+      bytes.remove_prefix(std::min(taken, bytes.size()));
+      if (connection->parser->fault() != HttpMessageFault::kNone) {
+        call->Fail();
+        return;
+      }
+    }
+    if (call->complete && connection->call == call.get()) {
+      call->Finish(!bytes.empty());
+    }
+  }
+
+  static void OnStreamEnd(const std::weak_ptr<ServerConnection>& weak,
+                          const std::weak_ptr<HttpClient::Pool>& owner,
+                          const Address& address,
+                          StreamEnd end) {
+    const auto connection = weak.lock();
+    if (connection == nullptr) {
+      return;
+    }
+    if (connection->call == nullptr) {
+      const auto pool = owner.lock();
+      if (pool != nullptr) {
+        pool->Discard(address, connection);
+      }
+      return;
+    }
+    const std::shared_ptr<State> call = connection->call->shared_from_this();
+    // A body without length is whole only if its connection ended in order; one
+    // that was reset may lack its end.
+    if (end == StreamEnd::kClosed && call->head.ends_with_connection) {
+      connection->parser->PushEnd();
+    }
+    if (connection->call != call.get()) {
+      return;
+    }
+    if (call->complete) {
+      call->Finish(false);
+    } else {
+      call->Fail();
+    }
+  }
+
+  static bool OnHead(const std::weak_ptr<ServerConnection>& weak,
+                     const HttpHead& read) {
+    const auto connection = weak.lock();
+    State* call = connection == nullptr ? nullptr : connection->call;
+    if (call == nullptr) {
+      return true;
+    }
+    call->head = read;
+    const bool has_body = !call->is_head_request;
+    if (read.status < kFirstFinalStatus) {
+      return has_body;
+    }
     // A copy: the callback may end the call, which clears the events.
-    const auto on_head = state->events.on_head;
+    const auto on_head = call->events.on_head;
     if (on_head) {
-      on_head(evhttp_request_get_response_code(request), ReadHeaders(request));
+      on_head(read.status, read.headers);
     }
-    return 0;
+    return has_body;
   }
 
-  static void OnChunk(evhttp_request* request, void* self) {
-    auto* state = static_cast<State*>(self);
-    const std::shared_ptr<State> keep = state->shared_from_this();
-    evbuffer* buffer = evhttp_request_get_input_buffer(request);
-    std::string bytes(evbuffer_get_length(buffer), '\0');
-    evbuffer_remove(buffer, bytes.data(), bytes.size());
-    const auto on_bytes = state->events.on_bytes;
+  static void OnBody(const std::weak_ptr<ServerConnection>& weak,
+                     std::string_view bytes) {
+    const auto connection = weak.lock();
+    if (connection == nullptr || connection->call == nullptr) {
+      return;
+    }
+    const auto on_bytes = connection->call->events.on_bytes;
     if (on_bytes) {
       on_bytes(bytes);
     }
   }
 
-  static void OnError(evhttp_request_error, void* self) {
-    static_cast<State*>(self)->truncated = true;
-  }
-
-  static void OnDone(evhttp_request* request, void* self) {
-    auto* state = static_cast<State*>(self);
-    if (request == nullptr || state->truncated ||
-        evhttp_request_get_response_code(request) == 0) {
-      state->Fail();
+  static void OnComplete(const std::weak_ptr<ServerConnection>& weak) {
+    const auto connection = weak.lock();
+    if (connection == nullptr || connection->call == nullptr) {
       return;
     }
-    const std::shared_ptr<State> keep = std::move(state->self);
-    const int status = evhttp_request_get_response_code(request);
-    state->request = nullptr;
-    state->KeepConnection();
-    const auto on_end = std::move(state->events.on_end);
-    state->events = {};
-    if (on_end) {
-      on_end(status);
-    }
+    // An interim answer is followed by the one that counts.
+    connection->call->complete =
+        connection->call->head.status >= kFirstFinalStatus;
   }
 };
 
 HttpCall::~HttpCall() {
   const std::shared_ptr<State> state = std::move(m_state);
   state->events = {};
-  if (state->request == nullptr) {
-    return;
-  }
-  // The cancel waits for the loop because the present callback may be one of
-  // this request's. The connection is dropped with it: the rest of its answer
-  // could otherwise reach the next call.
-  state->pool->loop.Post([state] {
-    if (state->request == nullptr) {
-      return;
-    }
-    evhttp_request* request = state->request;
-    state->request = nullptr;
-    evhttp_cancel_request(request);
-    state->DropConnection();
-    state->self.reset();
-  });
+  state->Drop();
 }
 
 HttpClient::HttpClient(EventLoop& loop, size_t max_idle)
@@ -245,9 +393,12 @@
   state->pool = m_pool;
   state->address = address;
   state->events = std::move(events);
-  state->Connect(request.fresh_connection);
-  state->Send(std::move(request));
+  state->Begin(std::move(request));
   return std::unique_ptr<HttpCall>(new HttpCall(state));
 }
 
+uint64_t HttpClient::connections_opened() const {
+  return m_pool->opened;
+}
+
 }  // namespace filbertrack
--- /dev/null
+++ b/source/http_message.cc
@@ -0,0 +1,172 @@
+#include "filbertrack/http_message.h"
+
+#include <http_parser.h>
+
+namespace filbertrack {
+
+struct HttpMessageParser::State {
+  http_parser parser{};
+  size_t max_header_bytes = 0;
+  HttpMessageEvents events;
+  HttpMessageFault fault = HttpMessageFault::kNone;
+  HttpHead head;
+  size_t header_bytes = 0;
+  bool value_began = false;
+  bool at_start = true;
+  /// The head of this message has been told.
+  bool head_told = false;
+
+  static State& Of(http_parser* parser) {
+    return *static_cast<State*>(parser->data);
+  }
+
+  static bool EndsWithConnection(const http_parser& parser) {
+    constexpr unsigned kFirstFinal = 200;
+    constexpr unsigned kNoContent = 204;
+    constexpr unsigned kNotModified = 304;
+    const bool has_body = parser.status_code >= kFirstFinal &&
+                          parser.status_code != kNoContent &&
+                          parser.status_code != kNotModified;
+    return parser.type == HTTP_RESPONSE && has_body &&
+           (parser.flags & (F_CHUNKED | F_CONTENTLENGTH)) == 0;
+  }
+
+  /// Nonzero stops the parser.
+  int Count(size_t bytes) {
+    header_bytes += bytes;
+    if (!head_told && header_bytes > max_header_bytes) {
+      fault = HttpMessageFault::kHeaderTooLarge;
+      return 1;
+    }
+    return 0;
+  }
+
+  static int OnBegin(http_parser* parser) {
+    State& state = Of(parser);
+    state.head = {};
+    state.header_bytes = 0;
+    state.value_began = false;
+    state.at_start = false;
+    state.head_told = false;
+    return 0;
+  }
+
+  static int OnTarget(http_parser* parser, const char* at, size_t size) {
+    State& state = Of(parser);
+    state.head.target.append(at, size);
+    return state.Count(size);
+  }
+
+  static int OnField(http_parser* parser, const char* at, size_t size) {
+    State& state = Of(parser);
+    if (state.head_told) {
+      return 0;  // A trailer; nothing here reads them.
+    }
+    if (state.head.headers.empty() || state.value_began) {
+      state.head.headers.emplace_back();
+      state.value_began = false;
+    }
+    state.head.headers.back().first.append(at, size);
+    return state.Count(size);
+  }
+
+  static int OnValue(http_parser* parser, const char* at, size_t size) {
+    State& state = Of(parser);
+    if (state.head_told) {
+      return 0;
+    }
+    state.value_began = true;
+    state.head.headers.back().second.append(at, size);
+    return state.Count(size);
+  }
+
+  static int OnHeadersComplete(http_parser* parser) {
+    State& state = Of(parser);
+    state.head.method =
+        http_method_str(static_cast<http_method>(parser->method));
+    state.head.status = static_cast<int>(parser->status_code);
+    state.head.keep_alive = http_should_keep_alive(parser) != 0;
+    state.head.ends_with_connection = EndsWithConnection(*parser);
+    // Nothing here speaks another protocol after an upgrade: the message is
+    // read like any other.
+    parser->upgrade = 0;
+    state.head_told = true;
+    return state.events.on_head(state.head) ? 0 : 1;
+  }
+
+  static int OnBody(http_parser* parser, const char* at, size_t size) {
+    Of(parser).events.on_body({at, size});
+    return 0;
+  }
+
+  static int OnComplete(http_parser* parser) {
+    State& state = Of(parser);
+    state.at_start = true;
+    // The next message on the connection waits until this one was dealt with.
+    http_parser_pause(parser, 1);
+    state.events.on_complete();
+    return 0;
+  }
+
+  static const http_parser_settings& Settings() {
+    static const http_parser_settings settings = [] {
+      http_parser_settings made;
+      http_parser_settings_init(&made);
+      made.on_message_begin = &OnBegin;
+      made.on_url = &OnTarget;
+      made.on_header_field = &OnField;
+      made.on_header_value = &OnValue;
+      made.on_headers_complete = &OnHeadersComplete;
+      made.on_body = &OnBody;
+      made.on_message_complete = &OnComplete;
+      return made;
+    }();
+    return settings;
+  }
+
+  size_t Run(const char* bytes, size_t size) {
+    const size_t taken = http_parser_execute(&parser, &Settings(), bytes, size);
+    const auto error = HTTP_PARSER_ERRNO(&parser);
+    if (error == HPE_PAUSED) {
+      http_parser_pause(&parser, 0);
+      return taken;
+    }
+    if (error != HPE_OK && fault == HttpMessageFault::kNone) {
+      fault = error == HPE_HEADER_OVERFLOW ? HttpMessageFault::kHeaderTooLarge
+                                           : HttpMessageFault::kMalformed;
+    }
+    return taken;
+  }
+};
+
+HttpMessageParser::HttpMessageParser(HttpMessageKind kind,
+                                     size_t max_header_bytes,
+                                     HttpMessageEvents events)
+    : m_state(std::make_unique<State>()) {
+  http_parser_init(&m_state->parser, kind == HttpMessageKind::kRequest
+                                         ? HTTP_REQUEST
+                                         : HTTP_RESPONSE);
+  m_state->parser.data = m_state.get();
+  m_state->max_header_bytes = max_header_bytes;
+  m_state->events = std::move(events);
+}
+
+HttpMessageParser::~HttpMessageParser() = default;
+
+size_t HttpMessageParser::Push(std::string_view bytes) {
+  return m_state->Run(bytes.data(), bytes.size());
+}
+
+void HttpMessageParser::PushEnd() {
+  m_state->Run(nullptr, 0);
+}
+
+HttpMessageFault HttpMessageParser::fault() const {
+  return m_state->fault;
+}
+
+bool HttpMessageParser::at_start() const {
+  return m_state->at_start;
+}
+
+}  // namespace filbertrack
--- a/source/http_server.cc
+++ b/source/http_server.cc
@@ -2,16 +2,19 @@
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
-#include <netinet/tcp.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 #include <array>
+#include <set>
 
-#include <event2/buffer.h>
-#include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
+#include <event2/listener.h>
+
+#include "filbertrack/http_message.h"
+#include "filbertrack/net_stream.h"
 
 namespace filbertrack {
 
@@ -19,56 +22,47 @@
 
 struct MethodRow {
   HttpMethod method;
-  evhttp_cmd_type command;
   std::string_view name;
 };
 
 constexpr auto kMethods = std::to_array<MethodRow>({
-    {HttpMethod::kGet, EVHTTP_REQ_GET, "GET"},
-    {HttpMethod::kHead, EVHTTP_REQ_HEAD, "HEAD"},
-    {HttpMethod::kPost, EVHTTP_REQ_POST, "POST"},
-    {HttpMethod::kPut, EVHTTP_REQ_PUT, "PUT"},
-    {HttpMethod::kDelete, EVHTTP_REQ_DELETE, "DELETE"},
+    {HttpMethod::kGet, "GET"},
+    {HttpMethod::kHead, "HEAD"},
+    {HttpMethod::kPost, "POST"},
+    {HttpMethod::kPut, "PUT"},
+    {HttpMethod::kDelete, "DELETE"},
 });
 
-std::string TakeBody(evhttp_request* request) {
-  evbuffer* buffer = evhttp_request_get_input_buffer(request);
-  std::string body(evbuffer_get_length(buffer), '\0');
-  evbuffer_remove(buffer, body.data(), body.size());
-  return body;
-}
-
-void AddHeaders(evhttp_request* request, const HttpHeaders& headers) {
-  evkeyvalq* output = evhttp_request_get_output_headers(request);
-  for (const auto& [name, value] : headers) {
-    evhttp_add_header(output, name.c_str(), value.c_str());
-  }
+/// Bytes that are kept of requests which a caller sends before the answer to
+/// the present one; beyond them its connection is read no further.
+constexpr size_t kMostPipelinedBytes = 64 * 1024;
+/// How often deadlines of idle connections are looked at.
+constexpr Duration kSweepInterval = Milliseconds(250);
+/// A caller has this long to read the last answer and close its side. Closing
+/// first with its bytes unread would reset the connection under the answer.
+constexpr Duration kLingerLimit = Seconds(2);
+constexpr int kListenQueue = 1024;
+/// Silence of a caller's host after which its connection counts as broken.
+constexpr Duration kCallerHostTimeout = Seconds(10);
+
+constexpr int kBadRequest = 400;
+constexpr int kRequestTimeout = 408;
+constexpr int kBodyTooLarge = 413;
+constexpr int kHeaderTooLarge = 431;
+
+constexpr int kFirstSuccess = 200;
+constexpr int kNoContent = 204;
+constexpr int kNotModified = 304;
+
+bool StatusHasBody(int status) {
+  return status >= kFirstSuccess && status != kNoContent &&
+         status != kNotModified;
 }
 
-/// A connection to be freed, unless evhttp frees it first.
-struct PendingClose {
-  evhttp_connection* connection;
-};
-
-void ForgetConnection(evhttp_connection*, void* pending) {
-  static_cast<PendingClose*>(pending)->connection = nullptr;
-}
-
-/// Frees `connection` from the loop: the present callback may be one of its
-/// own, and evhttp would go on using it after we return.
-void CloseFromLoop(EventLoop& loop, evhttp_connection* connection) {
-  auto pending = std::make_shared<PendingClose>(PendingClose{connection});
-  evhttp_connection_set_closecb(connection, ForgetConnection, pending.get());
-  loop.Post([pending] {
-    if (pending->connection != nullptr) {
-      evhttp_connection_set_closecb(pending->connection, nullptr, nullptr);
-      evhttp_connection_free(pending->connection);
-    }
-  });
-}
-
-int SocketOf(evhttp_connection* connection) {
-  return bufferevent_getfd(evhttp_connection_get_bufferevent(connection));
+void AppendHex(std::string& text, size_t value) {
+  std::array<char, 24> digits{};
+  const int size = std::snprintf(digits.data(), digits.size(), "%zx", value);
+  text.append(digits.data(), static_cast<size_t>(size));
 }
 
 }  // namespace
@@ -82,266 +76,423 @@
   return "OTHER";
 }
 
-HttpExchange::HttpExchange(EventLoop& loop, evhttp_request* request)
-    : m_loop(loop),
-      m_request(request),
-      m_target(evhttp_request_get_uri(request)),
-      m_body(TakeBody(request)) {
-  m_path = m_target.substr(0, m_target.find('?'));
-  evhttp_connection* connection = evhttp_request_get_connection(request);
-  evhttp_connection_set_closecb(
-      connection,
-      [](evhttp_connection* freed, void* self) {
-        OnConnectionFreed(freed, self);
-      },
-      this);
-  // evhttp does not read while an answer is due, so it would see a caller that
-  // went away only when writing to it. Watching for the close alone keeps the
-  // bytes of a pipelined request unread, which evhttp could not take now.
-  m_close_event = event_new(loop.base(), SocketOf(connection), EV_CLOSED,
-                            &HttpExchange::OnSocketClosed, this);
-  event_add(m_close_event, nullptr);
-}
+struct HttpServer::Shared {
+  EventLoop& loop;
+  HttpServerLimits limits;
+  HttpServer::Handler handler;
+  std::set<std::shared_ptr<HttpConnection>> connections;
+  bool close_after_answers = false;
+};
 
-HttpExchange::~HttpExchange() {
-  if (m_request != nullptr) {
-    Abort();
+/// One caller's connection. Requests on it are dealt with one after the other.
+class HttpConnection : public std::enable_shared_from_this<HttpConnection> {
+ public:
+  HttpConnection(std::shared_ptr<HttpServer::Shared> server,
+                 std::shared_ptr<TcpStream> stream)
+      : m_server(std::move(server)),
+        m_stream(std::move(stream)),
+        m_parser(HttpMessageKind::kRequest,
+                 m_server->limits.max_header_bytes,
+                 {[this](const HttpHead& head) { return OnHead(head); },
+                  [this](std::string_view bytes) { OnBody(bytes); },
+                  [this] { m_complete = true; }}),
+        m_quiet_since(MonotonicNow()) {}
+
+  void Start() {
+    m_stream->SetDeadPeerTimeout(kCallerHostTimeout);
+    m_stream->Start({{},
+                     [this](std::string_view bytes) { OnBytes(bytes); },
+                     [this](StreamEnd) { Gone(); },
+                     {}});
   }
-  Detach();
-}
 
-HttpMethod HttpExchange::method() const {
-  if (m_request == nullptr) {
-    return HttpMethod::kOther;
+  void Write(std::string_view bytes) { m_stream->Write(bytes); }
+
+  size_t unsent() const { return m_stream->unsent(); }
+
+  bool closes_after_answer() const { return m_server->close_after_answers; }
+
+  /// The present answer is written.
+  void AnswerEnded(bool keep_open) {
+    m_exchange.reset();
+    m_quiet_since = MonotonicNow();
+    if (!keep_open) {
+      Linger();
+      return;
+    }
+    m_stream->SetReading(true);
+    if (!m_input.empty()) {
+      m_server->loop.Post([self = shared_from_this()] { self->Parse(); });
+    }
+  }
+
+  /// Closes after what was written has left.
+  void Linger() {
+    m_lingering = true;
+    m_quiet_since = MonotonicNow();
+    m_input.clear();
+    m_stream->SetReading(true);
+    m_stream->ShutDown();
+  }
+
+  void CheckTimeouts(TimePoint now) {
+    const Duration quiet = now - m_quiet_since;
+    if (m_lingering) {
+      if (quiet > kLingerLimit) {
+        Gone();
+      }
+      return;
+    }
+    if (m_exchange != nullptr) {
+      return;
+    }
+    if (!m_parser.at_start()) {
+      if (quiet > m_server->limits.header_timeout) {
+        Refuse(kRequestTimeout);
+      }
+      return;
+    }
+    if (quiet > m_server->limits.idle_timeout) {
+      Gone();
+    }
+  }
+
+  void Close() {
+    m_stream->Close();
+    if (m_exchange != nullptr) {
+      m_exchange->m_ended = true;
+    }
+  }
+
+ private:
+  void OnBytes(std::string_view bytes) {
+    if (m_lingering) {
+      return;
+    }
+    if (m_exchange != nullptr) {
+      m_input.append(bytes);
+      if (m_input.size() > kMostPipelinedBytes) {
+        m_stream->SetReading(false);
+      }
+      return;
+    }
+    if (m_input.empty()) {
+      Push(bytes);
+      return;
+    }
+    m_input.append(bytes);
+    Parse();
+  }
+
+  void Parse() {
+    const std::string input = std::move(m_input);
+    m_input.clear();
+    Push(input);
+  }
+
+  void Push(std::string_view bytes) {
+    while (!bytes.empty() && m_exchange == nullptr && !m_lingering) {
+      if (m_parser.at_start()) {
+        m_quiet_since = MonotonicNow();
+      }
+      const size_t taken = m_parser.Push(bytes);
+      bytes.remove_prefix(std::min(taken, bytes.size()));
+      if (m_parser.fault() != HttpMessageFault::kNone) {
+        Refuse(m_parser.fault() == HttpMessageFault::kHeaderTooLarge
+                   ? kHeaderTooLarge
+                   : kBadRequest);
+        return;
+      }
+      if (m_complete) {
+        m_complete = false;
+        Dispatch();
+      }
+    }
+    if (m_exchange != nullptr) {
+      m_input.append(bytes);
+    }
   }
-  const evhttp_cmd_type command = evhttp_request_get_command(m_request);
+
+  bool OnHead(const HttpHead& head) {
+    m_reading = std::make_shared<HttpExchange>(weak_from_this(), head);
+    if (EqualHeaderNames(FindHeader(head.headers, "Expect"), "100-continue")) {
+      m_stream->Write("HTTP/1.1 100 Continue\r\n\r\n");
+    }
+    return true;
+  }
+
+  void OnBody(std::string_view bytes) {
+    if (m_reading == nullptr) {
+      return;
+    }
+    if (m_reading->m_body.size() + bytes.size() >
+        m_server->limits.max_body_bytes) {
+      m_reading.reset();
+      Refuse(kBodyTooLarge);
+      return;
+    }
+    m_reading->m_body.append(bytes);
+  }
+
+  void Dispatch() {
+    if (m_reading == nullptr) {
+      return;
+    }
+    m_exchange = std::move(m_reading);
+    m_reading = nullptr;
+    m_server->handler(m_exchange);
+  }
+
+  /// A request that cannot be read: the answer ends the connection, since
+  /// nobody knows where the next request would begin.
+  void Refuse(int status) {
+    m_stream->Write("HTTP/1.1 " + std::to_string(status) +
+                    " Refused\r\nConnection: close\r\nContent-Length: "
+                    "0\r\n\r\n");
+    Linger();
+  }
+
+  void Gone() {
+    const auto keep = shared_from_this();
+    m_stream->Close();
+    m_server->connections.erase(keep);
+    if (m_exchange != nullptr) {
+      const auto exchange = std::move(m_exchange);
+      m_exchange = nullptr;
+      exchange->CallerGone();
+    }
+  }
+
+  std::shared_ptr<HttpServer::Shared> m_server;
+  std::shared_ptr<TcpStream> m_stream;
+  HttpMessageParser m_parser;
+  /// The request whose bytes are being read, and the one being answered.
+  std::shared_ptr<HttpExchange> m_reading;
+  std::shared_ptr<HttpExchange> m_exchange;
+  std::string m_input;
+  bool m_complete = false;
+  bool m_lingering = false;
+  /// Since when the connection waits for the caller.
+  TimePoint m_quiet_since;
+};
+
+HttpExchange::HttpExchange(std::weak_ptr<HttpConnection> connection,
+                           HttpHead head)
+    : m_connection(std::move(connection)),
+      m_method(std::move(head.method)),
+      m_target(std::move(head.target)),
+      m_headers(std::move(head.headers)),
+      m_keep_alive(head.keep_alive) {}
+
+HttpExchange::~HttpExchange() = default;
+
+HttpMethod HttpExchange::method() const {
   for (const MethodRow& row : kMethods) {
-    if (row.command == command) {
+    if (row.name == m_method) {
       return row.method;
     }
   }
   return HttpMethod::kOther;
 }
 
+std::string_view HttpExchange::path() const {
+  return std::string_view(m_target).substr(0, m_target.find('?'));
+}
+
 std::string HttpExchange::Query(const std::string& name) const {
   const size_t mark = m_target.find('?');
   if (mark == std::string::npos) {
     return "";
   }
-  evkeyvalq values{};
-  evhttp_parse_query_str(m_target.c_str() + mark + 1, &values);
+  evkeyvalq values;
+  if (evhttp_parse_query_str(m_target.c_str() + mark + 1, &values) != 0) {
+    return "";
+  }
   const char* value = evhttp_find_header(&values, name.c_str());
-  std::string text = value == nullptr ? "" : value;
+  std::string result = value == nullptr ? "" : value;
   evhttp_clear_headers(&values);
-  return text;
+  return result;
 }
 
-std::string_view HttpExchange::Header(const std::string& name) const {
-  if (m_request == nullptr) {
-    return "";
-  }
-  const char* value = evhttp_find_header(
-      evhttp_request_get_input_headers(m_request), name.c_str());
-  return value == nullptr ? "" : value;
-}
+namespace {
 
-HttpHeaders HttpExchange::Headers() const {
-  HttpHeaders headers;
-  if (m_request == nullptr) {
-    return headers;
+std::string FormatHead(int status, const HttpHeaders& headers, bool close) {
+  std::string head = "HTTP/1.1 " + std::to_string(status) + " Status\r\n";
+  for (const auto& [name, value] : headers) {
+    head.append(name).append(": ").append(value).append("\r\n");
   }
-  const evkeyvalq* input = evhttp_request_get_input_headers(m_request);
-  for (const evkeyval* row = input->tqh_first; row != nullptr;
-       row = row->next.tqe_next) {
-    headers.emplace_back(row->key, row->value);
+  if (close) {
+    head += "Connection: close\r\n";
   }
-  return headers;
+  return head;
 }
 
+}  // namespace
+
 void HttpExchange::Reply(int status,
                          const HttpHeaders& headers,
                          std::string_view body) {
-  if (m_request == nullptr) {
+  const auto connection = m_connection.lock();
+  if (connection == nullptr || m_ended) {
     return;
   }
-  AddHeaders(m_request, headers);
-  evbuffer* buffer = evhttp_request_get_output_buffer(m_request);
-  evbuffer_add(buffer, body.data(), body.size());
-  evhttp_request* request = m_request;
-  Detach();
-  evhttp_send_reply(request, status, nullptr, nullptr);
+  const bool keep = m_keep_alive && !connection->closes_after_answer();
+  std::string text = FormatHead(status, headers, !keep);
+  if (StatusHasBody(status)) {
+    text += "Content-Length: " + std::to_string(body.size()) + "\r\n";
+  }
+  text += "\r\n";
+  if (StatusHasBody(status) && method() != HttpMethod::kHead) {
+    text += body;
+  }
+  connection->Write(text);
+  m_ended = true;
+  m_on_gone = nullptr;
+  connection->AnswerEnded(keep);
 }
 
 void HttpExchange::StartStream(int status, const HttpHeaders& headers) {
-  if (m_request == nullptr) {
+  const auto connection = m_connection.lock();
+  if (connection == nullptr || m_ended) {
     return;
   }
-  AddHeaders(m_request, headers);
-  evhttp_send_reply_start(m_request, status, nullptr);
+  m_keep_alive = m_keep_alive && !connection->closes_after_answer();
+  m_chunked = StatusHasBody(status) && method() != HttpMethod::kHead;
+  std::string text = FormatHead(status, headers, !m_keep_alive);
+  if (m_chunked) {
+    text += "Transfer-Encoding: chunked\r\n";
+  }
+  connection->Write(text + "\r\n");
 }
 
 void HttpExchange::Send(std::string_view bytes) {
-  if (m_request == nullptr || bytes.empty()) {
+  const auto connection = m_connection.lock();
+  if (connection == nullptr || m_ended || !m_chunked || bytes.empty()) {
     return;
   }
-  evbuffer* buffer = evbuffer_new();
-  evbuffer_add(buffer, bytes.data(), bytes.size());
-  evhttp_send_reply_chunk(m_request, buffer);
-  evbuffer_free(buffer);
+  std::string chunk;
+  chunk.reserve(bytes.size() + 16);
+  AppendHex(chunk, bytes.size());
+  chunk.append("\r\n").append(bytes).append("\r\n");
+  connection->Write(chunk);
 }
 
 void HttpExchange::End() {
-  if (m_request == nullptr) {
+  const auto connection = m_connection.lock();
+  if (connection == nullptr || m_ended) {
     return;
   }
-  evhttp_request* request = m_request;
-  Detach();
-  evhttp_send_reply_end(request);
-}
-
-void HttpExchange::Abort() {
-  if (m_request == nullptr) {
-    return;
+  if (m_chunked) {
+    connection->Write("0\r\n\r\n");
   }
-  evhttp_request* request = m_request;
-  evhttp_connection* connection = evhttp_request_get_connection(request);
-  Detach();
-  if (connection == nullptr) {
-    evhttp_request_free(request);
-    return;
-  }
-  CloseFromLoop(m_loop, connection);
+  m_ended = true;
+  m_on_gone = nullptr;
+  connection->AnswerEnded(m_keep_alive);
 }
 
-void HttpExchange::SendThenAbort(std::string_view bytes) {
-  if (m_request == nullptr) {
+void HttpExchange::Abort() {
+  const auto connection = m_connection.lock();
+  if (connection == nullptr || m_ended) {
     return;
   }
+  m_ended = true;
   m_on_gone = nullptr;
-  m_keep = shared_from_this();
-  evbuffer* buffer = evbuffer_new();
-  evbuffer_add(buffer, bytes.data(), bytes.size());
-  evhttp_send_reply_chunk_with_cb(
-      m_request, buffer,
-      [](evhttp_connection*, void* self) {
-        auto* exchange = static_cast<HttpExchange*>(self);
-        const std::shared_ptr<HttpExchange> keep = std::move(exchange->m_keep);
-        exchange->Abort();
-      },
-      this);
-  evbuffer_free(buffer);
+  connection->AnswerEnded(false);
 }
 
 size_t HttpExchange::UnsentBytes() const {
-  if (m_request == nullptr) {
-    return 0;
-  }
-  evhttp_connection* connection = evhttp_request_get_connection(m_request);
-  return evbuffer_get_length(
-      bufferevent_get_output(evhttp_connection_get_bufferevent(connection)));
+  const auto connection = m_connection.lock();
+  return connection == nullptr ? 0 : connection->unsent();
 }
 
 void HttpExchange::OnCallerGone(std::function<void()> action) {
   m_on_gone = std::move(action);
 }
 
-void HttpExchange::OnSocketClosed(int, short, void* self) {
-  static_cast<HttpExchange*>(self)->CallerGone();
-}
-
-void HttpExchange::OnConnectionFreed(void*, void* self) {
-  auto* exchange = static_cast<HttpExchange*>(self);
-  evhttp_request* request = exchange->m_request;
-  // evhttp detaches an unanswered request before it frees the connection, and
-  // leaves it to us; an attached one it frees itself.
-  if (request != nullptr && evhttp_request_get_connection(request) == nullptr) {
-    evhttp_request_free(request);
-  }
-  exchange->m_request = nullptr;
-  exchange->CallerGone();
-}
-
 void HttpExchange::CallerGone() {
-  const std::shared_ptr<HttpExchange> keep = std::move(m_keep);
-  const std::function<void()> action = std::move(m_on_gone);
+  m_ended = true;
+  const auto action = std::move(m_on_gone);
   m_on_gone = nullptr;
-  if (m_request != nullptr) {
-    Abort();
-  }
-  Detach();
   if (action) {
     action();
   }
 }
 
-void HttpExchange::Detach() {
-  if (m_close_event != nullptr) {
-    event_free(m_close_event);
-    m_close_event = nullptr;
-  }
-  if (m_request != nullptr) {
-    evhttp_connection* connection = evhttp_request_get_connection(m_request);
-    if (connection != nullptr) {
-      evhttp_connection_set_closecb(connection, nullptr, nullptr);
-    }
-    m_request = nullptr;
-  }
-  m_on_gone = nullptr;
-}
-
 HttpServer::HttpServer(EventLoop& loop,
                        HttpServerLimits limits,
                        Handler handler)
     : m_loop(loop),
-      m_handler(std::move(handler)),
-      m_http(evhttp_new(loop.base())) {
-  evhttp_set_max_headers_size(m_http,
-                              static_cast<ev_ssize_t>(limits.max_header_bytes));
-  evhttp_set_max_body_size(m_http,
-                           static_cast<ev_ssize_t>(limits.max_body_bytes));
-  evhttp_set_timeout(m_http,
-                     static_cast<int>(limits.idle_timeout / Seconds(1)));
-  evhttp_set_allowed_methods(m_http, EVHTTP_REQ_GET | EVHTTP_REQ_POST |
-                                         EVHTTP_REQ_PUT | EVHTTP_REQ_DELETE |
-                                         EVHTTP_REQ_HEAD);
-  evhttp_set_gencb(m_http, &HttpServer::OnRequest, this);
-}
+      m_shared(std::make_shared<Shared>(
+          Shared{loop, limits, std::move(handler), {}})) {}
 
 HttpServer::~HttpServer() {
-  evhttp_free(m_http);
+  StopListening();
+  for (const auto& connection : m_shared->connections) {
+    connection->Close();
+  }
+  m_shared->connections.clear();
 }
 
 Result<Address> HttpServer::Listen(const Address& address) {
-  evhttp_bound_socket* socket = evhttp_bind_socket_with_handle(
-      m_http, address.host.c_str(), address.port);
-  if (socket == nullptr) {
-    return Fail(ResultCode::kInternal,
-                "The address '" + address.ToString() +
-                    "' cannot be listened on; it must be free and of this "
-                    "host.");
-  }
-  m_sockets.push_back(socket);
-  sockaddr_in bound{};
-  socklen_t size = sizeof(bound);
-  getsockname(evhttp_bound_socket_get_fd(socket),
-              reinterpret_cast<sockaddr*>(&bound), &size);
-  return Address{address.host, ntohs(bound.sin_port)};
+  sockaddr_in at{};
+  at.sin_family = AF_INET;
+  at.sin_port = htons(address.port);
+  evconnlistener* listener = nullptr;
+  if (inet_pton(AF_INET, address.host.c_str(), &at.sin_addr) == 1) {
+    listener = evconnlistener_new_bind(
+        m_loop.base(), &HttpServer::OnAccept, this,
+        LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC,
+        kListenQueue, reinterpret_cast<const sockaddr*>(&at), sizeof(at));
+  }
+  if (listener == nullptr) {
+    return Fail(ResultCode::kSettingsInvalid,
+                "cannot listen on " + address.ToString() +
+                    "; the address must be this host's and free.");
+  }
+  m_listeners.push_back(listener);
+  if (m_sweep_timer == nullptr) {
+    m_sweep_timer = m_loop.Every(kSweepInterval, [this] { Sweep(); });
+  }
+  socklen_t size = sizeof(at);
+  getsockname(evconnlistener_get_fd(listener), reinterpret_cast<sockaddr*>(&at),
+              &size);
+  return Address{address.host, ntohs(at.sin_port)};
 }
 
 void HttpServer::StopListening() {
-  for (void* socket : m_sockets) {
-    evhttp_del_accept_socket(m_http, static_cast<evhttp_bound_socket*>(socket));
+  for (evconnlistener* listener : m_listeners) {
+    evconnlistener_free(listener);
   }
-  m_sockets.clear();
+  m_listeners.clear();
+}
+
+void HttpServer::SetLimits(const HttpServerLimits& limits) {
+  m_shared->limits = limits;
 }
 
-void HttpServer::OnRequest(evhttp_request* request, void* self) {
+void HttpServer::CloseAfterAnswers() {
+  m_shared->close_after_answers = true;
+}
+
+size_t HttpServer::connections() const {
+  return m_shared->connections.size();
+}
+
+void HttpServer::OnAccept(evconnlistener*, int fd, sockaddr*, int, void* self) {
   auto* server = static_cast<HttpServer*>(self);
-  evhttp_connection* connection = evhttp_request_get_connection(request);
-  const int no_delay = 1;
-  setsockopt(SocketOf(connection), IPPROTO_TCP, TCP_NODELAY, &no_delay,
-             sizeof(no_delay));
-  server->m_handler(std::make_shared<HttpExchange>(server->m_loop, request));
+  auto connection = std::make_shared<HttpConnection>(
+      server->m_shared, TcpStream::Accepted(server->m_loop, fd));
+  server->m_shared->connections.insert(connection);
+  connection->Start();
+}
+
+void HttpServer::Sweep() {
+  const TimePoint now = MonotonicNow();
+  // A copy: a connection that times out leaves the set.
+  const auto connections = m_shared->connections;
+  for (const auto& connection : connections) {
+    connection->CheckTimeouts(now);
+  }
 }
 
 }  // namespace filbertrack
--- a/source/program.cc
+++ b/source/program.cc
@@ -12,7 +12,8 @@
   bool check_only = false;
   bool describe = false;
   app.set_version_flag("--version", program.name + " " FILBERTRACK_VERSION);
-  app.add_option("-s,--settings", settings_path, "The INI settings file.");
+  app.add_option("-s,--settings", settings_path, "The INI settings file.")
+      ->envname("FILBERTRACK_SETTINGS");
   app.add_flag("--check-settings", check_only,
                "Check the settings file and exit.");
   app.add_flag("--help-settings", describe,
--- a/source/request_machine.cc
+++ b/source/request_machine.cc
@@ -37,7 +37,10 @@
     if (event.says_not_run) {
       return EndAttempt(false);
     }
-    if (!m_state.traits.pass_any_status && event.status >= kFirstServerError) {
+    const bool last = m_state.attempts >= m_policy.most_attempts &&
+                      m_state.traits.relays_last_error;
+    if (!m_state.traits.pass_any_status && !last &&
+        event.status >= kFirstServerError) {
       return EndAttempt(true);
     }
     m_state.attempt_relays = true;
@@ -76,6 +79,12 @@
     if (!m_state.attempt_open) {
       return {};
     }
+    if (m_state.traits.ends_with_framing && m_state.attempt_relays &&
+        m_state.traits.shape == AnswerShape::kTokenStream) {
+      m_state.attempt_open = false;
+      m_state.ended = true;
+      return {CloseAttempt{}, FinishStream{}};
+    }
     if (m_state.traits.shape == AnswerShape::kTokenStream ||
         !m_state.attempt_relays) {
       // A stream is whole only with its closing event.
--- a/source/request_sse.cc
+++ b/source/request_sse.cc
@@ -74,9 +74,13 @@
   const std::string_view rest = m_rest;
   while (const auto boundary = FindBoundary(rest.substr(taken))) {
     SseEvent event = ReadEvent(rest.substr(taken, boundary->start));
+    m_skipped += rest.substr(taken, boundary->start + boundary->length);
     taken += boundary->start + boundary->length;
-    // Comments and keep-alives carry no data and are not answers.
+    // Comments and keep-alives carry no data and are not answers. They stand
+    // before the next event where the text is passed on as it came.
     if (!event.data.empty()) {
+      event.raw = std::move(m_skipped);
+      m_skipped.clear();
       events.push_back(std::move(event));
     }
   }
--- /dev/null
+++ b/source/server_directory.cc
@@ -0,0 +1,127 @@
+#include "filbertrack/server_directory.h"
+
+#include <algorithm>
+
+namespace filbertrack {
+
+bool ServerDirectory::Put(BackendServer server) {
+  m_lapsed.erase(server.id);
+  BackendServer& known = m_servers[server.id];
+  if (known == server) {
+    return false;
+  }
+  known = std::move(server);
+  return true;
+}
+
+bool ServerDirectory::Remove(std::string_view id, TimePoint now) {
+  const auto found = m_servers.find(id);
+  if (found == m_servers.end()) {
+    return false;
+  }
+  const bool just_returned =
+      m_store_returned && now - *m_store_returned < m_policy.lapse_grace;
+  // A server that was leaving is gone whatever the store went through.
+  if (just_returned && !found->second.draining) {
+    m_lapsed.try_emplace(found->first,
+                         *m_store_returned + m_policy.lapse_grace);
+    return false;
+  }
+  m_lapsed.erase(found->first);
+  m_servers.erase(found);
+  return true;
+}
+
+bool ServerDirectory::ReplaceAll(std::vector<BackendServer> servers,
+                                 TimePoint now) {
+  std::set<std::string, std::less<>> present;
+  bool changed = false;
+  for (BackendServer& server : servers) {
+    present.insert(server.id);
+    changed = Put(std::move(server)) || changed;
+  }
+  std::vector<std::string> missing;
+  for (const auto& [id, server] : m_servers) {
+    if (!present.contains(id)) {
+      missing.push_back(id);
+    }
+  }
+  for (const std::string& id : missing) {
+    changed = Remove(id, now) || changed;
+  }
+  return changed;
+}
+
+bool ServerDirectory::Expire(TimePoint now) {
+  bool changed = false;
+  for (auto it = m_lapsed.begin(); it != m_lapsed.end();) {
+    if (it->second > now) {
+      ++it;
+      continue;
+    }
+    m_servers.erase(it->first);
+    it = m_lapsed.erase(it);
+    changed = true;
+  }
+  return changed;
+}
+
+std::optional<TimePoint> ServerDirectory::NextExpiry() const {
+  std::optional<TimePoint> next;
+  for (const auto& [id, at] : m_lapsed) {
+    next = next ? std::min(*next, at) : at;
+  }
+  return next;
+}
+
+const BackendServer* ServerDirectory::Find(std::string_view id) const {
+  const auto found = m_servers.find(id);
+  return found == m_servers.end() ? nullptr : &found->second;
+}
+
+std::vector<ReplicaView> ServerDirectory::Replicas(
+    std::string_view service) const {
+  std::map<std::pair<std::string_view, uint64_t>, ReplicaView> by_epoch;
+  for (const auto& [id, server] : m_servers) {
+    if (server.service != service || !server.membership) {
+      continue;
+    }
+    const Membership& place = *server.membership;
+    ReplicaView& replica = by_epoch[{place.group, place.epoch}];
+    replica.group = place.group;
+    replica.epoch = place.epoch;
+    replica.service = server.service;
+    replica.domain = server.domain;
+    const auto rank = static_cast<size_t>(std::max(0, place.rank));
+    if (replica.members.size() <= rank) {
+      replica.members.resize(rank + 1, nullptr);
+    }
+    replica.members[rank] = &server;
+  }
+  std::vector<ReplicaView> replicas;
+  replicas.reserve(by_epoch.size());
+  for (auto& [key, replica] : by_epoch) {
+    replicas.push_back(std::move(replica));
+  }
+  return replicas;
+}
+
+bool IsServing(const ReplicaView& replica, int size) {
+  if (replica.members.size() != static_cast<size_t>(size)) {
+    return false;
+  }
+  for (const BackendServer* member : replica.members) {
+    if (member == nullptr || member->draining) {
+      return false;
+    }
+    const MembershipState wanted = member->membership->rank == 0
+                                       ? MembershipState::kOpen
+                                       : MembershipState::kReady;
+    if (member->membership->state != wanted) {
+      return false;
+    }
+  }
+  return true;
+}
+
+}  // namespace filbertrack
--- /dev/null
+++ b/source/site_catalog.cc
@@ -0,0 +1,89 @@
+#include "filbertrack/site_catalog.h"
+
+#include <algorithm>
+
+namespace filbertrack {
+
+namespace {
+
+std::string PlaceKey(std::string_view hostname, std::string_view prefix) {
+  std::string key(hostname);
+  key += ' ';
+  key += prefix;
+  return key;
+}
+
+}  // namespace
+
+bool IsStream(RepeatRule rule) {
+  return rule == RepeatRule::kResumable || rule == RepeatRule::kOnceStream;
+}
+
+bool MayRepeat(RepeatRule rule) {
+  return rule == RepeatRule::kIdempotent || rule == RepeatRule::kResumable;
+}
+
+const ModelProfile* EngineProfile::FindModel(std::string_view name) const {
+  const auto found = std::find_if(
+      models.begin(), models.end(),
+      [name](const ModelProfile& model) { return model.name == name; });
+  return found == models.end() ? nullptr : &*found;
+}
+
+Catalog::Catalog(CatalogParts parts) : m_parts(std::move(parts)) {
+  for (size_t i = 0; i < m_parts.routes.size(); ++i) {
+    const Route& route = m_parts.routes[i];
+    m_route_by_place[PlaceKey(route.hostname, route.path_prefix)] = i;
+  }
+}
+
+const ServiceProfile* Catalog::FindService(std::string_view name) const {
+  const auto found = m_parts.services.find(name);
+  return found == m_parts.services.end() ? nullptr : &found->second;
+}
+
+const Route* Catalog::FindRoute(std::string_view hostname,
+                                std::string_view path) const {
+  path = path.substr(0, path.find('?'));
+  while (!path.empty()) {
+    // A prefix ends with a slash, so only the slashes of the path count.
+    const size_t slash = path.rfind('/');
+    if (slash == std::string_view::npos) {
+      return nullptr;
+    }
+    path = path.substr(0, slash + 1);
+    const auto found = m_route_by_place.find(PlaceKey(hostname, path));
+    if (found != m_route_by_place.end()) {
+      return &m_parts.routes[found->second];
+    }
+    path.remove_suffix(1);
+  }
+  return nullptr;
+}
+
+const Workspace* Catalog::FindWorkspace(std::string_view key) const {
+  const auto found = m_parts.keys.find(std::string(key));
+  return found == m_parts.keys.end() ? nullptr
+                                     : &m_parts.workspaces[found->second];
+}
+
+const std::string& ChooseService(const Route& route, double draw) {
+  double total = 0;
+  for (const TrafficShare& share : route.shares) {
+    total += share.weight;
+  }
+  double left = draw * total;
+  for (const TrafficShare& share : route.shares) {
+    left -= share.weight;
+    if (left < 0) {
+      return share.service;
+    }
+  }
+  return route.shares.back().service;
+}
+
+bool SupersedesCatalog(const Catalog* current, const Catalog& next) {
+  return current == nullptr || next.version() > current->version();
+}
+
+}  // namespace filbertrack
