replicas: load without limit before traffic; keep groups of one model together

Cause: in the lead time only 44 of 60 hosts got weights, because loads were held to the limit at once; broken groups of four stranded three members each in domains without a free host; a new controller froze 26 hosts for 6 s. Change: loads before traffic are not rationed; a large model's groups stand in few domains, with spares beside; every entry host notes by itself which hosts left a group whose head may hold requests.

--- a/include/filbertrack/entry_control.h
+++ b/include/filbertrack/entry_control.h
@@ -46,6 +46,8 @@
  private:
   struct ProbeState {
     bool open = false;
+    /// At least one question was answered or timed out.
+    bool ended = false;
     int misses = 0;
     TimePoint asked_at;
   };
@@ -64,6 +66,9 @@
   void ProbeHosts(TimePoint now);
   void OnProbe(const std::string& id, const ProbeAnswer& answer);
   void Pass();
+  bool AllAsked(const std::string& service) const;
+  static void LogCounts(const std::string& service,
+                        const ReplicaCounts& counts);
   void Send(const PlannedOrder& planned);
   void SendOne(const std::string& host_id, const ReplicaOrder& order);
 
@@ -92,7 +97,7 @@
   std::map<std::string, ProbeState, std::less<>> m_probes;
   std::map<std::string, ReplicaMemory, std::less<>> m_memory;
   std::unique_ptr<Timer> m_tick_timer;
-  bool m_pass_pending = false;
+  TimePoint m_counted_at;
   std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
 
--- a/include/filbertrack/entry_ports.h
+++ b/include/filbertrack/entry_ports.h
@@ -97,6 +97,8 @@
   bool wrong_server = false;
   int running = 0;
   int queued = 0;
+  /// An order is being carried out, such as a load of weights.
+  bool busy = false;
   /// Over 1: the host is slower than its profile.
   double pace = 1;
 };
--- a/include/filbertrack/replica_plan.h
+++ b/include/filbertrack/replica_plan.h
@@ -40,7 +40,8 @@
 
 struct HostFinding {
   HostHealth health = HostHealth::kAnswers;
-  TimePoint since;
+  /// It carries out an order, such as a load.
+  bool busy = false;
 };
 
 using HostFindings = std::map<std::string, HostFinding, std::less<>>;
@@ -95,7 +96,7 @@
   Duration order_retry = Milliseconds(1000);
   /// Hosts kept free in each fabric domain, so that a lost member is replaced
   /// from weights that are staged already.
-  int spares_per_domain = 1;
+  int spares_per_domain = 2;
   /// Part of the allowed rate of loads that is used; the rest is left to
   /// orders of an earlier controller that arrive late.
   double load_rate_share = 0.8;
@@ -105,6 +106,12 @@
   double join_patience = 3;
 };
 
+/// A load of weights that was started.
+struct StartedLoad {
+  TimePoint at;
+  std::string model;
+};
+
 /// What the planner remembers between passes of one controller.
 struct ReplicaMemory {
   /// Number of the controller's lease; epochs begin with it.
@@ -113,14 +120,11 @@
   /// When the latest order for a host was given; no other follows until its
   /// effect shows or `order_retry` has passed.
   std::map<std::string, TimePoint, std::less<>> ordered_at;
-  /// Hosts that must not join another group before then.
-  std::map<std::string, TimePoint, std::less<>> quarantine;
   /// First sight of each joining group.
   std::map<std::string, TimePoint, std::less<>> joining_since;
-  /// Loads that were started: when, and on which host.
-  std::deque<TimePoint> loads;
-  std::map<std::string, TimePoint, std::less<>> loading;
-  bool took_over = false;
+  /// Starts of loads in the latest window, and loads that are not done.
+  std::deque<TimePoint> load_starts;
+  std::map<std::string, StartedLoad, std::less<>> loading;
 };
 
 struct ReplicaInput {
@@ -136,6 +140,27 @@
                                        ReplicaMemory& memory,
                                        TimePoint now);
 
+/// What the hosts of a service do, counted.
+struct ReplicaCounts {
+  /// Hosts that may be members.
+  int usable = 0;
+  int silent = 0;
+  int quarantined = 0;
+  int loading = 0;
+  /// Without a group and without weights.
+  int empty = 0;
+  /// Groups that serve, and those that do not yet, or no longer, by model.
+  std::map<std::string, int, std::less<>> serving;
+  std::map<std::string, int, std::less<>> not_serving;
+  /// Hosts without a group that have the model's weights.
+  std::map<std::string, int, std::less<>> standing_by;
+};
+
+ReplicaCounts CountReplicas(const ReplicaInput& input,
+                            const ReplicaPolicy& policy,
+                            const ReplicaMemory& memory,
+                            TimePoint now);
+
 /// Groups wanted of each model when `hosts` hosts may be members: each model
 /// gets its share of them, rounded to whole groups.
 std::map<std::string, int, std::less<>> WantedReplicas(
--- a/include/filbertrack/server_directory.h
+++ b/include/filbertrack/server_directory.h
@@ -85,7 +85,7 @@
   explicit ServerDirectory(DirectoryPolicy policy) : m_policy(policy) {}
 
   /// A registration; true if it says something new.
-  bool Put(BackendServer server);
+  bool Put(BackendServer server, TimePoint now);
 
   /// A registration was removed. Soon after the store's return it is only
   /// marked; Expire() takes it out later. True if it was taken out.
@@ -103,6 +103,13 @@
   /// When Expire() has something to do next.
   std::optional<TimePoint> NextExpiry() const;
 
+  /// When `id` left a group whose head may still hold requests: the head was
+  /// open when it was last seen, or not seen at all. Nullopt: it did not, or it
+  /// has joined another group since. Hosts without a group at the first reading
+  /// count as having left then, if there are groups: nobody knows what was
+  /// before.
+  std::optional<TimePoint> LeftHeldGroup(std::string_view id) const;
+
   const BackendServer* Find(std::string_view id) const;
   const std::map<std::string, BackendServer, std::less<>>& servers() const {
     return m_servers;
@@ -113,8 +120,15 @@
   std::vector<ReplicaView> Replicas(std::string_view service) const;
 
  private:
+  void NoteDeparture(const BackendServer& before,
+                     const BackendServer& after,
+                     TimePoint now);
+  void NoteFirstReading(TimePoint now);
+
   DirectoryPolicy m_policy;
   std::map<std::string, BackendServer, std::less<>> m_servers;
+  std::map<std::string, TimePoint, std::less<>> m_left_held;
+  bool m_read = false;
   std::map<std::string, TimePoint, std::less<>> m_lapsed;
   std::optional<TimePoint> m_store_returned;
 };
--- a/source/entry_control.cc
+++ b/source/entry_control.cc
@@ -21,6 +21,7 @@
 constexpr uint64_t kRankSteps = 1000;
 /// How often an entry host without the lease looks at its own state.
 constexpr Duration kFollowerTick = Milliseconds(200);
+constexpr Duration kCountInterval = Seconds(1);
 /// Misses in a row after which a host counts as silent. One may be a lost
 /// packet, which is sent again within the timeout of the second.
 constexpr int kMissesToSilent = 2;
@@ -316,6 +317,7 @@
   }
   ProbeState& probe = found->second;
   probe.open = false;
+  probe.ended = true;
   probe.misses = answer.answered ? 0 : probe.misses + 1;
   HostHealth health = HostHealth::kAnswers;
   if (answer.wrong_server) {
@@ -326,10 +328,11 @@
     return;
   }
   HostFinding& finding = m_findings[id];
+  finding.busy = answer.busy;
   if (finding.health == health) {
     return;
   }
-  finding = {health, MonotonicNow()};
+  finding.health = health;
   Log(LogLevel::kInfo, "host-health",
       {{"host", id}, {"health", HealthName(health)}, {"misses", probe.misses}});
 }
@@ -343,15 +346,52 @@
     if (!service.engine) {
       continue;
     }
+    if (!m_host.directory().Replicas(name).empty() && !AllAsked(name)) {
+      continue;
+    }
     ReplicaMemory& memory = m_memory[name];
     memory.term = m_lease.fence;
     const ReplicaInput input{m_host.directory(), m_findings, service,
                              !m_host.traffic_seen()};
+    const TimePoint now = MonotonicNow();
     for (const PlannedOrder& planned :
-         PlanReplicas(input, m_policy.replicas, memory, MonotonicNow())) {
+         PlanReplicas(input, m_policy.replicas, memory, now)) {
       Send(planned);
     }
+    if (now - m_counted_at >= kCountInterval) {
+      m_counted_at = now;
+      LogCounts(name, CountReplicas(input, m_policy.replicas, memory, now));
+    }
+  }
+}
+
+/// Whether each host of the service was asked once under this lease: until
+/// then a host that loads for an earlier controller looks idle.
+bool EntryControl::AllAsked(const std::string& service) const {
+  for (const auto& [id, server] : m_host.directory().servers()) {
+    if (server.service != service || server.draining) {
+      continue;
+    }
+    const auto probe = m_probes.find(id);
+    if (probe == m_probes.end() || !probe->second.ended) {
+      return false;
+    }
   }
+  return true;
+}
+
+void EntryControl::LogCounts(const std::string& service,
+                             const ReplicaCounts& counts) {
+  Log(LogLevel::kInfo, "groups",
+      {{"service", service},
+       {"usable", counts.usable},
+       {"silent", counts.silent},
+       {"quarantined", counts.quarantined},
+       {"loading", counts.loading},
+       {"empty", counts.empty},
+       {"serving", counts.serving},
+       {"not_serving", counts.not_serving},
+       {"standing_by", counts.standing_by}});
 }
 
 void EntryControl::Send(const PlannedOrder& planned) {
--- a/source/entry_host.cc
+++ b/source/entry_host.cc
@@ -273,7 +273,7 @@
 }
 
 void EntryHost::OnServerChanged(BackendServer server) {
-  if (m_directory.Put(std::move(server))) {
+  if (m_directory.Put(std::move(server), MonotonicNow())) {
     Changed();
   }
 }
--- a/source/entry_settings.cc
+++ b/source/entry_settings.cc
@@ -28,7 +28,7 @@
       {"groups", "stall",
        DurationKey{Seconds(5), Milliseconds(100), Seconds(600)},
        "A group's head that lost a member holds its requests for this long."},
-      {"groups", "spares_per_domain", IntegerKey{1, 0, 1000},
+      {"groups", "spares_per_domain", IntegerKey{2, 0, 1000},
        "Hosts kept free in each fabric domain for repairs."},
       {"control", "takes_lease", TextKey{"yes", false, {"yes", "no"}},
        "Whether this entry host may hold the lease on the groups."},
--- a/source/replica_plan.cc
+++ b/source/replica_plan.cc
@@ -10,11 +10,16 @@
 /// Epochs of one term; a term gives fewer orders than this.
 constexpr uint64_t kEpochsPerTerm = 100000;
 constexpr char kNameSeparator = '/';
-/// Loads before traffic take this part of their stated time.
-constexpr double kEarlyLoadShare = 0.1;
-/// A member that serves already may be swapped only from weights on the host;
-/// joining again what was in memory takes this long.
-constexpr Duration kRejoinTime = Milliseconds(200);
+/// Weight of a domain's present groups against its free hosts: more than a
+/// domain has hosts, so that it decides.
+constexpr double kTogether = 1000;
+/// Members up to which a broken group strands too little to keep spares for.
+constexpr int kSmallGroup = 2;
+/// Need for a further group of a model of which none is missing, beside the
+/// part of the wanted ones that is missing.
+constexpr double kLeastNeed = 0.2;
+/// Chance, as a rough guess, that a group loses a member while one load runs.
+constexpr double kLossShare = 0.4;
 
 std::string Key(const ReplicaView& replica) {
   return replica.group + "#" + std::to_string(replica.epoch);
@@ -37,7 +42,6 @@
 
   std::vector<PlannedOrder> Run() {
     ForgetOld();
-    NoteTakeOver();
     for (const ReplicaView& replica : m_replicas) {
       TendReplica(replica);
     }
@@ -66,9 +70,10 @@
            m_now - found->second < m_policy.order_retry;
   }
 
+  /// The host left a group whose head may still hold requests.
   bool IsQuarantined(const std::string& host) const {
-    const auto found = m_memory.quarantine.find(host);
-    return found != m_memory.quarantine.end() && found->second > m_now;
+    const auto left = m_input.directory.LeftHeldGroup(host);
+    return left && m_now - *left < m_policy.stall + m_policy.stall_margin;
   }
 
   static bool HasStaged(const BackendServer& server, std::string_view model) {
@@ -76,8 +81,15 @@
            server.staged.end();
   }
 
-  bool IsLoading(const std::string& host) const {
-    return m_memory.loading.contains(host);
+  /// A load is under way there: one that this controller started, or one of
+  /// an earlier controller.
+  bool IsLoading(const BackendServer& server) const {
+    if (m_memory.loading.contains(server.id)) {
+      return true;
+    }
+    const auto found = m_input.findings.find(server.id);
+    return found != m_input.findings.end() && found->second.busy &&
+           server.staged.empty();
   }
 
   // Bookkeeping.
@@ -92,16 +104,22 @@
     std::erase_if(m_memory.ordered_at, [this](const auto& entry) {
       return m_now - entry.second > 2 * m_policy.order_retry;
     });
-    std::erase_if(m_memory.quarantine,
-                  [this](const auto& entry) { return entry.second <= m_now; });
-    while (!m_memory.loads.empty() &&
-           m_now - m_memory.loads.front() > m_policy.load_window) {
-      m_memory.loads.pop_front();
+    while (!m_memory.load_starts.empty() &&
+           m_now - m_memory.load_starts.front() > m_policy.load_window) {
+      m_memory.load_starts.pop_front();
     }
     std::erase_if(m_memory.loading, [this](const auto& entry) {
       const BackendServer* server = m_input.directory.Find(entry.first);
-      const bool done = server == nullptr || !server->staged.empty();
-      return done || m_now - entry.second > LoadPatience();
+      const bool done =
+          server == nullptr || HasStaged(*server, entry.second.model);
+      return done || m_now - entry.second.at > LoadPatience();
+    });
+    std::set<std::string, std::less<>> present;
+    for (const ReplicaView& replica : m_replicas) {
+      present.insert(Key(replica));
+    }
+    std::erase_if(m_memory.joining_since, [&present](const auto& entry) {
+      return !present.contains(entry.first);
     });
   }
 
@@ -113,28 +131,6 @@
     return 2 * longest;
   }
 
-  /// A controller that takes over does not know which hosts left a group whose
-  /// head may still hold requests, so it leaves all hosts without a group
-  /// alone for that long. At the very start there are no groups.
-  void NoteTakeOver() {
-    if (m_memory.took_over) {
-      return;
-    }
-    if (m_input.directory.servers().empty()) {
-      return;
-    }
-    m_memory.took_over = true;
-    if (m_replicas.empty()) {
-      return;
-    }
-    for (const auto& [id, server] : m_input.directory.servers()) {
-      if (server.service == m_input.service.name && !server.membership) {
-        m_memory.quarantine[id] =
-            m_now + m_policy.stall + m_policy.stall_margin;
-      }
-    }
-  }
-
   // Groups that are there.
 
   void TendReplica(const ReplicaView& replica) {
@@ -177,11 +173,11 @@
   void TendWhole(const ReplicaView& replica,
                  const ModelProfile& model,
                  bool joining) {
-    m_whole[model.name] += 1;
+    CountWhole(replica, model, 1);
     const BackendServer& head = *replica.head();
     switch (head.membership->state) {
       case MembershipState::kBroken:
-        m_whole[model.name] -= 1;
+        CountWhole(replica, model, -1);
         Free(replica, nullptr);
         return;
       case MembershipState::kReady:
@@ -206,11 +202,18 @@
     const auto patience = Duration(static_cast<int64_t>(
         m_policy.join_patience * static_cast<double>(model.load.count())));
     if (m_now - since > patience) {
-      m_whole[model.name] -= 1;
+      CountWhole(replica, model, -1);
       Free(replica, nullptr);
     }
   }
 
+  void CountWhole(const ReplicaView& replica,
+                  const ModelProfile& model,
+                  int change) {
+    m_whole[model.name] += change;
+    m_whole_in[replica.domain][model.name] += change;
+  }
+
   /// Takes a group apart. Its hosts become free only once its head cannot run
   /// requests any more: it closed, it broke, or it is gone.
   void Dissolve(const ReplicaView& replica, std::string_view why) {
@@ -264,8 +267,6 @@
         continue;
       }
       Occupy(member->id);
-      m_memory.quarantine[member->id] =
-          m_now + m_policy.stall + m_policy.stall_margin;
       Give(LeaveGroup{member->id, replica.group, replica.epoch},
            "the head is silent");
     }
@@ -292,42 +293,37 @@
     return server.model == model || HasStaged(server, model);
   }
 
-  std::map<std::string, std::vector<const BackendServer*>> FreeByDomain()
-      const {
-    std::map<std::string, std::vector<const BackendServer*>> free;
+  /// One fabric domain as it is for new groups.
+  struct Domain {
+    std::vector<const BackendServer*> free;
+    /// Groups that serve or will, by model.
+    std::map<std::string, int, std::less<>> groups;
+  };
+
+  void ReadDomains() {
     for (const auto& [id, server] : m_input.directory.servers()) {
+      if (server.service != m_input.service.name || !IsUsable(&server)) {
+        continue;
+      }
+      ++m_usable;
+      Domain& domain = m_domains[server.domain];
       if (IsFree(server)) {
-        free[server.domain].push_back(&server);
+        domain.free.push_back(&server);
       }
     }
-    return free;
-  }
-
-  int CountUsable() const {
-    int usable = 0;
-    for (const auto& [id, server] : m_input.directory.servers()) {
-      usable += server.service == m_input.service.name && IsUsable(&server);
-    }
-    return usable;
-  }
-
-  size_t CountDomains() const {
-    std::set<std::string_view> domains;
-    for (const auto& [id, server] : m_input.directory.servers()) {
-      if (server.service == m_input.service.name && IsUsable(&server)) {
-        domains.insert(server.domain);
+    for (const auto& [domain, models] : m_whole_in) {
+      for (const auto& [model, count] : models) {
+        m_domains[domain].groups[model] += count;
       }
     }
-    return domains.size();
   }
 
   void FormGroups() {
-    const int usable = CountUsable();
+    ReadDomains();
     const int reserve =
-        m_policy.spares_per_domain * static_cast<int>(CountDomains());
-    m_wanted = WantedReplicas(m_engine, std::max(0, usable - reserve));
-    auto free = FreeByDomain();
-    while (FormOne(free)) {
+        m_policy.spares_per_domain * static_cast<int>(m_domains.size());
+    m_wanted = WantedReplicas(m_engine, std::max(0, m_usable - reserve));
+    while (FormOne()) {
     }
   }
 
@@ -355,10 +351,46 @@
     return models;
   }
 
-  bool FormOne(std::map<std::string, std::vector<const BackendServer*>>& free) {
+  /// Domains in the order in which they suit a new group of the model. Groups
+  /// of one large model stand together: a host that is free there can stand in
+  /// for any of their members, and what is left of two broken groups makes one.
+  std::vector<Domain*> BySuitability(const ModelProfile& model) {
+    std::vector<std::pair<double, Domain*>> scored;
+    for (auto& [name, domain] : m_domains) {
+      double own = 0;
+      double other = 0;
+      for (const auto& [group_model, count] : domain.groups) {
+        (group_model == model.name ? own : other) += count;
+      }
+      const double score =
+          static_cast<double>(domain.free.size()) +
+          kTogether * (own > 0 ? 1 : 0) - kTogether * (other > 0 ? 1 : 0);
+      scored.emplace_back(score, &domain);
+    }
+    std::stable_sort(scored.begin(), scored.end(),
+                     [](const auto& left, const auto& right) {
+                       return left.first > right.first;
+                     });
+    std::vector<Domain*> domains;
+    for (const auto& [score, domain] : scored) {
+      domains.push_back(domain);
+    }
+    return domains;
+  }
+
+  bool FormOne() {
     for (const ModelProfile* model : ByShortage()) {
-      for (auto& [domain, hosts] : free) {
-        if (FormIn(hosts, *model)) {
+      const std::vector<Domain*> domains = BySuitability(*model);
+      for (Domain* domain : domains) {
+        if (FormWarm(*domain, *model)) {
+          return true;
+        }
+      }
+      if (!m_input.before_traffic) {
+        continue;
+      }
+      for (Domain* domain : domains) {
+        if (StageFirstSpare(*model) || FormCold(*domain, *model)) {
           return true;
         }
       }
@@ -366,26 +398,58 @@
     return false;
   }
 
-  bool FormIn(std::vector<const BackendServer*>& hosts,
-              const ModelProfile& model) {
-    const auto size = static_cast<size_t>(model.members);
+  /// A group from hosts that have the weights.
+  bool FormWarm(Domain& domain, const ModelProfile& model) {
     std::vector<const BackendServer*> chosen;
-    for (const BackendServer* host : hosts) {
-      if (chosen.size() < size && IsWarm(*host, model.name)) {
+    for (const BackendServer* host : domain.free) {
+      if (IsWarm(*host, model.name)) {
         chosen.push_back(host);
       }
     }
-    size_t cold = 0;
-    for (const BackendServer* host : hosts) {
-      if (chosen.size() < size && m_input.before_traffic &&
-          host->staged.empty() && host->model.empty() && !IsLoading(host->id)) {
-        chosen.push_back(host);
-        ++cold;
+    const auto size = static_cast<size_t>(model.members);
+    if (chosen.size() < size) {
+      return false;
+    }
+    // Those that had the model in memory are ready soonest.
+    std::stable_partition(chosen.begin(), chosen.end(),
+                          [&model](const BackendServer* host) {
+                            return host->model == model.name;
+                          });
+    chosen.resize(size);
+    Join(domain, model, chosen);
+    return true;
+  }
+
+  /// A group whose members load the weights as they join: only while loads are
+  /// quick.
+  bool FormCold(Domain& domain, const ModelProfile& model) {
+    std::vector<const BackendServer*> chosen;
+    const auto size = static_cast<size_t>(model.members);
+    for (const bool warm : {true, false}) {
+      for (const BackendServer* host : domain.free) {
+        const bool fits =
+            warm ? IsWarm(*host, model.name)
+                 : host->staged.empty() && host->model.empty() &&
+                       !IsLoading(*host);
+        if (fits && chosen.size() < size) {
+          chosen.push_back(host);
+        }
       }
     }
+    const auto cold = static_cast<size_t>(std::count_if(
+        chosen.begin(), chosen.end(), [&model](const BackendServer* host) {
+          return !IsWarm(*host, model.name);
+        }));
     if (chosen.size() < size || !MayLoad(cold)) {
       return false;
     }
+    Join(domain, model, chosen);
+    return true;
+  }
+
+  void Join(Domain& domain,
+            const ModelProfile& model,
+            const std::vector<const BackendServer*>& chosen) {
     JoinGroup join;
     join.epoch = m_memory.term * kEpochsPerTerm + ++m_memory.last_number;
     join.group = model.name + kNameSeparator + std::to_string(join.epoch);
@@ -394,78 +458,135 @@
       join.members.push_back(host->id);
       Occupy(host->id);
       if (!IsWarm(*host, model.name)) {
-        NoteLoad(host->id);
+        NoteLoad(host->id, model.name);
       }
-      std::erase(hosts, host);
+      std::erase(domain.free, host);
     }
     m_whole[model.name] += 1;
+    domain.groups[model.name] += 1;
     Give(std::move(join), "a replica is missing");
-    return true;
   }
 
   // Weights.
 
+  size_t CountLoading() const {
+    size_t loading = 0;
+    for (const auto& [id, server] : m_input.directory.servers()) {
+      loading += server.service == m_input.service.name && IsLoading(server);
+    }
+    return loading;
+  }
+
   bool MayLoad(size_t count) const {
     if (count == 0) {
       return true;
     }
-    const size_t at_once = m_memory.loading.size() + count;
-    if (at_once > static_cast<size_t>(std::max(m_engine.loads_at_once,
-                                               static_cast<int>(count)))) {
-      return false;
-    }
     if (m_input.before_traffic) {
       return true;
     }
+    // A group larger than the limit is loaded alone.
+    const size_t at_once = CountLoading() + count;
+    const size_t most =
+        std::max(static_cast<size_t>(m_engine.loads_at_once), count);
+    if (at_once > most) {
+      return false;
+    }
     const double allowed = m_engine.loads_per_second *
                            ToSeconds(m_policy.load_window) *
                            m_policy.load_rate_share;
-    return static_cast<double>(m_memory.loads.size() + count) <= allowed;
+    return static_cast<double>(m_memory.load_starts.size() + count) <= allowed;
   }
 
-  void NoteLoad(const std::string& host) {
-    m_memory.loading[host] = m_now;
-    m_memory.loads.push_back(m_now);
+  void NoteLoad(const std::string& host, const std::string& model) {
+    m_memory.loading[host] = {m_now, model};
+    m_memory.load_starts.push_back(m_now);
   }
 
-  /// The model whose groups in this domain have the fewest hosts ready to stand
-  /// in for a lost one.
-  const ModelProfile* ModelToStage(
-      const std::vector<const BackendServer*>& hosts) const {
-    const ModelProfile* best = nullptr;
-    double best_need = 0;
-    for (const ModelProfile& model : m_engine.models) {
-      double standing_by = 0;
-      for (const BackendServer* host : hosts) {
-        standing_by += IsWarm(*host, model.name) ? 1 : 0;
+  /// Hosts of the domain that have the model's weights, or will, and are free.
+  size_t StandingBy(const Domain& domain, const ModelProfile& model) const {
+    return static_cast<size_t>(std::count_if(
+        domain.free.begin(), domain.free.end(),
+        [this, &model](const BackendServer* host) {
+          const auto loading = m_memory.loading.find(host->id);
+          return IsWarm(*host, model.name) ||
+                 (loading != m_memory.loading.end() &&
+                  loading->second.model == model.name);
+        }));
+  }
+
+  const BackendServer* FindEmpty(const Domain& domain) const {
+    for (const BackendServer* host : domain.free) {
+      if (host->staged.empty() && host->model.empty() && !IsLoading(*host) &&
+          !IsBusy(host->id)) {
+        return host;
       }
-      const double missing = std::max(0.0, Shortage(model));
-      const double need =
-          (model.share + missing * static_cast<double>(model.members)) /
-          (1 + standing_by);
-      if (best == nullptr || need > best_need) {
-        best = &model;
-        best_need = need;
+    }
+    return nullptr;
+  }
+
+  /// A large group without a host that can stand in loses all its members for
+  /// as long as a load takes, so the first spare beside it goes before groups
+  /// in further domains.
+  bool StageFirstSpare(const ModelProfile& model) {
+    if (model.members <= kSmallGroup || !MayLoad(1)) {
+      return false;
+    }
+    for (auto& [name, domain] : m_domains) {
+      const auto groups = domain.groups.find(model.name);
+      const BackendServer* host = FindEmpty(domain);
+      const bool full =
+          domain.free.size() < static_cast<size_t>(model.members);
+      if (groups != domain.groups.end() && groups->second > 0 && full &&
+          host != nullptr && StandingBy(domain, model) == 0) {
+        Stage(*host, model);
+        return true;
       }
     }
-    return best;
+    return false;
+  }
+
+  /// What one more host with the model's weights is good for in this domain,
+  /// in hosts that serve because of it.
+  double StageValue(const Domain& domain, const ModelProfile& model) const {
+    const auto size = static_cast<size_t>(model.members);
+    const size_t standing_by = StandingBy(domain, model);
+    const size_t lacking = size - standing_by % size;
+    const double completes = static_cast<double>(size) /
+                             static_cast<double>(lacking) *
+                             (kLeastNeed + std::max(0.0, Shortage(model)));
+    const auto groups = domain.groups.find(model.name);
+    const int present = groups == domain.groups.end() ? 0 : groups->second;
+    const double protects =
+        standing_by == 0 ? kLossShare * present * (model.members - 1) : 0;
+    return completes + protects;
+  }
+
+  void Stage(const BackendServer& host, const ModelProfile& model) {
+    Occupy(host.id);
+    NoteLoad(host.id, model.name);
+    Give(StageModel{host.id, model.name}, "a host without a group loads ahead");
   }
 
   void StageSpares() {
-    for (auto& [domain, hosts] : FreeByDomain()) {
-      for (const BackendServer* host : hosts) {
-        if (!host->staged.empty() || !host->model.empty() ||
-            IsLoading(host->id) || !MayLoad(1)) {
-          continue;
-        }
-        const ModelProfile* model = ModelToStage(hosts);
-        if (model == nullptr) {
-          return;
+    while (MayLoad(1)) {
+      const BackendServer* best_host = nullptr;
+      const ModelProfile* best_model = nullptr;
+      double best = 0;
+      for (const auto& [name, domain] : m_domains) {
+        const BackendServer* host = FindEmpty(domain);
+        for (const ModelProfile& model : m_engine.models) {
+          const double value = host == nullptr ? 0 : StageValue(domain, model);
+          if (value > best) {
+            best = value;
+            best_host = host;
+            best_model = &model;
+          }
         }
-        Occupy(host->id);
-        NoteLoad(host->id);
-        Give(StageModel{host->id, model->name}, "a spare fetches weights");
       }
+      if (best_host == nullptr) {
+        return;
+      }
+      Stage(*best_host, *best_model);
     }
   }
 
@@ -478,6 +599,10 @@
   std::vector<PlannedOrder> m_orders;
   /// Groups that serve or will, by model.
   std::map<std::string, int, std::less<>> m_whole;
+  /// The same by domain.
+  std::map<std::string, std::map<std::string, int, std::less<>>> m_whole_in;
+  std::map<std::string, Domain> m_domains;
+  int m_usable = 0;
   std::map<std::string, int, std::less<>> m_wanted;
   /// Members of groups that cannot run requests any more.
   std::set<std::string, std::less<>> m_freed;
@@ -495,6 +620,47 @@
   return Pass(input, policy, memory, now).Run();
 }
 
+ReplicaCounts CountReplicas(const ReplicaInput& input,
+                            const ReplicaPolicy& policy,
+                            const ReplicaMemory& memory,
+                            TimePoint now) {
+  ReplicaCounts counts;
+  counts.loading = static_cast<int>(memory.loading.size());
+  for (const ReplicaView& replica :
+       input.directory.Replicas(input.service.name)) {
+    const std::string model(ModelOfGroup(replica.group));
+    const ModelProfile* profile = input.service.engine->FindModel(model);
+    const bool serves =
+        profile != nullptr && IsServing(replica, profile->members);
+    ++(serves ? counts.serving : counts.not_serving)[model];
+  }
+  for (const auto& [id, server] : input.directory.servers()) {
+    if (server.service != input.service.name || server.draining) {
+      continue;
+    }
+    const auto finding = input.findings.find(id);
+    if (finding != input.findings.end() &&
+        finding->second.health != HostHealth::kAnswers) {
+      ++counts.silent;
+      continue;
+    }
+    ++counts.usable;
+    if (server.membership) {
+      continue;
+    }
+    const auto left = input.directory.LeftHeldGroup(id);
+    if (left && now - *left < policy.stall + policy.stall_margin) {
+      ++counts.quarantined;
+    }
+    if (server.staged.empty()) {
+      ++counts.empty;
+    } else {
+      ++counts.standing_by[server.staged.back()];
+    }
+  }
+  return counts;
+}
+
 std::map<std::string, int, std::less<>> WantedReplicas(
     const EngineProfile& engine,
     int hosts) {
--- a/source/server_directory.cc
+++ b/source/server_directory.cc
@@ -4,16 +4,62 @@
 
 namespace filbertrack {
 
-bool ServerDirectory::Put(BackendServer server) {
+bool ServerDirectory::Put(BackendServer server, TimePoint now) {
   m_lapsed.erase(server.id);
   BackendServer& known = m_servers[server.id];
   if (known == server) {
     return false;
   }
+  NoteDeparture(known, server, now);
   known = std::move(server);
   return true;
 }
 
+void ServerDirectory::NoteDeparture(const BackendServer& before,
+                                    const BackendServer& after,
+                                    TimePoint now) {
+  if (after.membership) {
+    m_left_held.erase(after.id);
+    return;
+  }
+  if (!before.membership || before.membership->rank == 0) {
+    return;
+  }
+  for (const auto& [id, server] : m_servers) {
+    const bool is_head = server.membership && server.membership->rank == 0 &&
+                         server.membership->group == before.membership->group &&
+                         server.membership->epoch == before.membership->epoch;
+    if (!is_head) {
+      continue;
+    }
+    const MembershipState state = server.membership->state;
+    if (state == MembershipState::kOpen || state == MembershipState::kClosing) {
+      m_left_held[after.id] = now;
+    }
+    return;
+  }
+  m_left_held[after.id] = now;
+}
+
+void ServerDirectory::NoteFirstReading(TimePoint now) {
+  const bool any_group =
+      std::any_of(m_servers.begin(), m_servers.end(), [](const auto& row) {
+        return row.second.membership.has_value();
+      });
+  for (const auto& [id, server] : m_servers) {
+    if (any_group && !server.membership) {
+      m_left_held[id] = now;
+    }
+  }
+}
+
+std::optional<TimePoint> ServerDirectory::LeftHeldGroup(
+    std::string_view id) const {
+  const auto found = m_left_held.find(id);
+  return found == m_left_held.end() ? std::nullopt
+                                    : std::optional(found->second);
+}
+
 bool ServerDirectory::Remove(std::string_view id, TimePoint now) {
   const auto found = m_servers.find(id);
   if (found == m_servers.end()) {
@@ -28,6 +74,7 @@
     return false;
   }
   m_lapsed.erase(found->first);
+  m_left_held.erase(found->first);
   m_servers.erase(found);
   return true;
 }
@@ -38,7 +85,7 @@
   bool changed = false;
   for (BackendServer& server : servers) {
     present.insert(server.id);
-    changed = Put(std::move(server)) || changed;
+    changed = Put(std::move(server), now) || changed;
   }
   std::vector<std::string> missing;
   for (const auto& [id, server] : m_servers) {
@@ -49,6 +96,10 @@
   for (const std::string& id : missing) {
     changed = Remove(id, now) || changed;
   }
+  if (!m_read) {
+    m_read = true;
+    NoteFirstReading(now);
+  }
   return changed;
 }
 
@@ -59,6 +110,7 @@
       ++it;
       continue;
     }
+    m_left_held.erase(it->first);
     m_servers.erase(it->first);
     it = m_lapsed.erase(it);
     changed = true;
