entry: requests of plain services leave the board; first groups once hosts settled

(2) Hosts register over 3 s; groups planned from the first few put 15 spares of the large model into domains where they could form nothing.

--- a/include/filbertrack/entry_control.h
+++ b/include/filbertrack/entry_control.h
@@ -16,7 +16,7 @@
 namespace filbertrack {
 
 struct ControlPolicy {
-  LeasePolicy lease{Milliseconds(2400), Milliseconds(800), Milliseconds(500)};
+  LeasePolicy lease{Milliseconds(1500), Milliseconds(500), Milliseconds(300)};
   ReplicaPolicy replicas;
   /// How often members of groups are asked. Two answers that do not come make a
   /// host silent: the time to notice a loss is at most this and two timeouts.
--- a/include/filbertrack/entry_relay.h
+++ b/include/filbertrack/entry_relay.h
@@ -83,7 +83,7 @@
   const EntryRequest& request() const { return m_request; }
   /// The target of the present attempt, or of the last one; empty: none.
   const std::string& last_target() const { return m_last_target; }
-  int attempts() const { return m_state.attempts; }
+  int sends() const { return m_state.sends; }
   std::optional<TimePoint> first_event_at() const { return m_first_event; }
 
  private:
@@ -97,6 +97,7 @@
   void OnBytes(std::string_view bytes);
   void OnComplete();
   void CloseAttempt(bool failed);
+  void NoteFirstEvent(TimePoint now);
   void ForwardEvent(const SseEvent& event);
   void ForwardAnswer();
   void FinishStream();
--- a/include/filbertrack/replica_plan.h
+++ b/include/filbertrack/replica_plan.h
@@ -101,6 +101,10 @@
   /// orders of an earlier controller that arrive late.
   double load_rate_share = 0.8;
   Duration load_window = Seconds(5);
+  /// Before traffic, the first groups are formed once no host has registered
+  /// for this long: which hosts share a domain decides what fits together, and
+  /// registrations arrive over some seconds.
+  Duration settle = Milliseconds(600);
   /// A joining group that is not ready after this many times its expected time
   /// is given up.
   double join_patience = 3;
@@ -133,6 +137,8 @@
   const ServiceProfile& service;
   /// No request has come yet: loads are quick and not rationed.
   bool before_traffic = false;
+  /// Each host was asked at least once whether it loads.
+  bool loads_known = true;
 };
 
 std::vector<PlannedOrder> PlanReplicas(const ReplicaInput& input,
--- a/include/filbertrack/request_machine.h
+++ b/include/filbertrack/request_machine.h
@@ -37,11 +37,16 @@
 };
 
 struct RequestPolicy {
+  /// Targets that may run the request.
   int most_attempts = 4;
+  /// Targets that it may be sent to, those that refused to run it included.
+  int most_sends = 4;
 };
 
 struct RequestState {
   RequestTraits traits;
+  int sends = 0;
+  /// Sends that may have run.
   int attempts = 0;
   bool attempt_open = false;
   /// The attempt's answer is one to relay.
--- a/include/filbertrack/server_directory.h
+++ b/include/filbertrack/server_directory.h
@@ -110,6 +110,9 @@
   /// before.
   std::optional<TimePoint> LeftHeldGroup(std::string_view id) const;
 
+  /// When a server was seen for the first time, of all the latest such time.
+  std::optional<TimePoint> last_arrival() const { return m_last_arrival; }
+
   const BackendServer* Find(std::string_view id) const;
   const std::map<std::string, BackendServer, std::less<>>& servers() const {
     return m_servers;
@@ -129,6 +132,7 @@
   std::map<std::string, BackendServer, std::less<>> m_servers;
   std::map<std::string, TimePoint, std::less<>> m_left_held;
   bool m_read = false;
+  std::optional<TimePoint> m_last_arrival;
   std::map<std::string, TimePoint, std::less<>> m_lapsed;
   std::optional<TimePoint> m_store_returned;
 };
--- a/source/entry_control.cc
+++ b/source/entry_control.cc
@@ -346,13 +346,10 @@
     if (!service.engine) {
       continue;
     }
-    if (!m_host.directory().Replicas(name).empty() && !AllAsked(name)) {
-      continue;
-    }
     ReplicaMemory& memory = m_memory[name];
     memory.term = m_lease.fence;
     const ReplicaInput input{m_host.directory(), m_findings, service,
-                             !m_host.traffic_seen()};
+                             !m_host.traffic_seen(), AllAsked(name)};
     const TimePoint now = MonotonicNow();
     for (const PlannedOrder& planned :
          PlanReplicas(input, m_policy.replicas, memory, now)) {
--- a/source/entry_host.cc
+++ b/source/entry_host.cc
@@ -18,7 +18,7 @@
 constexpr Duration kDrainCheck = Milliseconds(100);
 /// The balancer asks once a second and takes a host out after two misses; it
 /// may also have asked just before the stop.
-constexpr Duration kBalancerLag = Milliseconds(3200);
+constexpr Duration kBalancerLag = Milliseconds(3000);
 /// What is left of the grace time when the last requests are cut: time for
 /// their answers to leave.
 constexpr Duration kCutBefore = Milliseconds(700);
@@ -137,7 +137,7 @@
                        const EntryRequest& request,
                        ResultCode code) {
   std::optional<Duration> retry_after;
-  if (code == ResultCode::kMayBeBehind) {
+  if (code == ResultCode::kMayBeBehind || code == ResultCode::kDraining) {
     retry_after = kStartRetryAfter;
   }
   ++m_metrics.Counter(
@@ -158,6 +158,12 @@
     Reject(*exchange, request, ResultCode::kMayBeBehind);
     return false;
   }
+  if (m_draining && request.arrived - m_drain_began > kBalancerLag) {
+    // What is taken now could be cut at the end of the grace time. The balancer
+    // still sends where no other entry host of the data centre is ready.
+    Reject(*exchange, request, ResultCode::kDraining);
+    return false;
+  }
   request.catalog = m_catalog;
   request.route =
       m_catalog->FindRoute(request.facts.hostname, exchange->path());
@@ -222,7 +228,7 @@
        {"workspace", request.workspace},
        {"config", request.catalog->version()},
        {"target", relay.last_target()},
-       {"attempts", relay.attempts()},
+       {"sends", relay.sends()},
        {"code", static_cast<int>(end.code)},
        {"status", end.status},
        {"outcome", OutcomeName(end.outcome)},
--- a/source/entry_relay.cc
+++ b/source/entry_relay.cc
@@ -11,6 +11,9 @@
 /// A caller that does not read its stream is dropped at this many bytes.
 constexpr size_t kMostUnsentBytes = 1024 * 1024;
 constexpr size_t kMostAnswerBytes = 8 * 1024 * 1024;
+/// Servers that refuse a request cost it little; beyond a few of them the fleet
+/// is full.
+constexpr int kSendsBeyondAttempts = 2;
 constexpr int kFirstRedirect = 300;
 constexpr int kNotRunStatus = 503;
 constexpr int kBadGateway = 502;
@@ -104,6 +107,7 @@
   traits.ends_with_framing = true;
   traits.deadline = m_request.deadline;
   m_policy.most_attempts = std::max(1, route.most_attempts);
+  m_policy.most_sends = m_policy.most_attempts + kSendsBeyondAttempts;
   // Events are numbered from 1.
   m_state.next_token = m_request.facts.last_event.value_or(0) + 1;
 }
@@ -302,8 +306,7 @@
   m_choice.reset();
 }
 
-void EntryRelay::ForwardEvent(const SseEvent& event) {
-  const TimePoint now = MonotonicNow();
+void EntryRelay::NoteFirstEvent(TimePoint now) {
   if (!m_attempt_first_event && m_choice) {
     m_attempt_first_event = true;
     m_context.board.OnFirstEvent(m_choice->target.id,
@@ -313,6 +316,10 @@
   if (!m_first_event) {
     m_first_event = now;
   }
+}
+
+void EntryRelay::ForwardEvent(const SseEvent& event) {
+  NoteFirstEvent(MonotonicNow());
   if (!m_stream_started) {
     m_stream_started = true;
     m_exchange->StartStream(m_answer_status, m_answer_headers);
@@ -333,9 +340,7 @@
 }
 
 void EntryRelay::ForwardAnswer() {
-  if (!m_first_event) {
-    m_first_event = MonotonicNow();
-  }
+  NoteFirstEvent(MonotonicNow());
   m_exchange->Reply(m_answer_status, m_answer_headers, m_answer_body);
   Finish({ResultCode::kOk, Outcome::kRan, m_answer_status});
 }
@@ -375,7 +380,8 @@
 void EntryRelay::Finish(const EntryEnd& end) {
   m_finished = true;
   m_deadline_timer.reset();
-  m_call.reset();
+  // The board counts the request at its target until the attempt is closed.
+  CloseAttempt(false);
   m_exchange->OnCallerGone(nullptr);
   m_on_end(*this, end);
 }
--- a/source/replica_plan.cc
+++ b/source/replica_plan.cc
@@ -42,6 +42,9 @@
 
   std::vector<PlannedOrder> Run() {
     ForgetOld();
+    if (IsSettling()) {
+      return {};
+    }
     for (const ReplicaView& replica : m_replicas) {
       TendReplica(replica);
     }
@@ -51,6 +54,12 @@
   }
 
  private:
+  bool IsSettling() const {
+    const auto arrival = m_input.directory.last_arrival();
+    return m_input.before_traffic && m_replicas.empty() && arrival &&
+           m_now - *arrival < m_policy.settle;
+  }
+
   // What is known of a host.
 
   HostHealth Health(const BackendServer& server) const {
@@ -362,9 +371,9 @@
       for (const auto& [group_model, count] : domain.groups) {
         (group_model == model.name ? own : other) += count;
       }
-      const double score =
-          static_cast<double>(domain.free.size()) +
-          kTogether * (own > 0 ? 1 : 0) - kTogether * (other > 0 ? 1 : 0);
+      const double score = static_cast<double>(domain.free.size()) +
+                           kTogether * (own > 0 ? 1 : 0) -
+                           kTogether * (other > 0 ? 1 : 0);
       scored.emplace_back(score, &domain);
     }
     std::stable_sort(scored.begin(), scored.end(),
@@ -427,10 +436,9 @@
     const auto size = static_cast<size_t>(model.members);
     for (const bool warm : {true, false}) {
       for (const BackendServer* host : domain.free) {
-        const bool fits =
-            warm ? IsWarm(*host, model.name)
-                 : host->staged.empty() && host->model.empty() &&
-                       !IsLoading(*host);
+        const bool fits = warm ? IsWarm(*host, model.name)
+                               : host->staged.empty() && host->model.empty() &&
+                                     !IsLoading(*host);
         if (fits && chosen.size() < size) {
           chosen.push_back(host);
         }
@@ -484,6 +492,9 @@
     if (m_input.before_traffic) {
       return true;
     }
+    if (!m_input.loads_known) {
+      return false;
+    }
     // A group larger than the limit is loaded alone.
     const size_t at_once = CountLoading() + count;
     const size_t most =
@@ -504,14 +515,14 @@
 
   /// Hosts of the domain that have the model's weights, or will, and are free.
   size_t StandingBy(const Domain& domain, const ModelProfile& model) const {
-    return static_cast<size_t>(std::count_if(
-        domain.free.begin(), domain.free.end(),
-        [this, &model](const BackendServer* host) {
-          const auto loading = m_memory.loading.find(host->id);
-          return IsWarm(*host, model.name) ||
-                 (loading != m_memory.loading.end() &&
-                  loading->second.model == model.name);
-        }));
+    return static_cast<size_t>(
+        std::count_if(domain.free.begin(), domain.free.end(),
+                      [this, &model](const BackendServer* host) {
+                        const auto loading = m_memory.loading.find(host->id);
+                        return IsWarm(*host, model.name) ||
+                               (loading != m_memory.loading.end() &&
+                                loading->second.model == model.name);
+                      }));
   }
 
   const BackendServer* FindEmpty(const Domain& domain) const {
@@ -534,8 +545,7 @@
     for (auto& [name, domain] : m_domains) {
       const auto groups = domain.groups.find(model.name);
       const BackendServer* host = FindEmpty(domain);
-      const bool full =
-          domain.free.size() < static_cast<size_t>(model.members);
+      const bool full = domain.free.size() < static_cast<size_t>(model.members);
       if (groups != domain.groups.end() && groups->second > 0 && full &&
           host != nullptr && StandingBy(domain, model) == 0) {
         Stage(*host, model);
--- a/source/request_machine.cc
+++ b/source/request_machine.cc
@@ -15,6 +15,7 @@
       : m_state(state), m_policy(policy), m_now(now) {}
 
   Actions operator()(const TargetChosen&) {
+    ++m_state.sends;
     ++m_state.attempts;
     m_state.attempt_open = true;
     m_state.attempt_relays = false;
@@ -135,6 +136,8 @@
     m_state.attempt_open = false;
     if (may_have_run) {
       m_state.known = Outcome::kUnknown;
+    } else {
+      --m_state.attempts;
     }
     if (m_now >= m_state.traits.deadline) {
       return Append(std::move(actions), GiveUp(ResultCode::kDeadlinePassed));
@@ -142,7 +145,8 @@
     if (may_have_run && !m_state.traits.idempotent) {
       return Append(std::move(actions), GiveUp(ResultCode::kUpstreamFailed));
     }
-    if (m_state.attempts >= m_policy.most_attempts) {
+    if (m_state.attempts >= m_policy.most_attempts ||
+        m_state.sends >= m_policy.most_sends) {
       return Append(std::move(actions),
                     GiveUp(m_state.known == Outcome::kNotRun
                                ? ResultCode::kAttemptRefused
--- a/source/server_directory.cc
+++ b/source/server_directory.cc
@@ -6,7 +6,11 @@
 
 bool ServerDirectory::Put(BackendServer server, TimePoint now) {
   m_lapsed.erase(server.id);
-  BackendServer& known = m_servers[server.id];
+  const auto [row, arrived] = m_servers.try_emplace(server.id);
+  BackendServer& known = row->second;
+  if (arrived) {
+    m_last_arrival = now;
+  }
   if (known == server) {
     return false;
   }
@@ -42,10 +46,9 @@
 }
 
 void ServerDirectory::NoteFirstReading(TimePoint now) {
-  const bool any_group =
-      std::any_of(m_servers.begin(), m_servers.end(), [](const auto& row) {
-        return row.second.membership.has_value();
-      });
+  const bool any_group = std::any_of(
+      m_servers.begin(), m_servers.end(),
+      [](const auto& row) { return row.second.membership.has_value(); });
   for (const auto& [id, server] : m_servers) {
     if (any_group && !server.membership) {
       m_left_held[id] = now;
