entry: hosts tell each other configuration, registrations and loads

Cause: an entry host that the store turns away (429 or 503 for some machines) keeps an old configuration and sees no new groups, and each host placed requests by its own work alone. Change: entry hosts find each other and a common secret in the store and exchange, every 150 ms over the product's peer link, how far they know the store, what the other lacks, and their work at each target.

--- a/include/filbertrack/dispatch_board.h
+++ b/include/filbertrack/dispatch_board.h
@@ -120,8 +120,10 @@
                   const Catalog& catalog,
                   TimePoint now);
 
-  /// What other entry hosts have at a target.
-  void SetRemoteLoad(std::string_view id, const TargetLoad& load);
+  /// What other entry hosts have at the targets; at those that are not named
+  /// they have nothing.
+  void SetRemoteLoads(
+      const std::map<std::string, TargetLoad, std::less<>>& loads);
 
   DispatchDecision Choose(const DispatchQuery& query, TimePoint now);
 
--- a/include/filbertrack/entry_host.h
+++ b/include/filbertrack/entry_host.h
@@ -7,10 +7,12 @@
 #include <string>
 #include <unordered_map>
 
+#include "filbertrack/change_log.h"
 #include "filbertrack/dispatch_board.h"
 #include "filbertrack/entry_ports.h"
 #include "filbertrack/entry_relay.h"
 #include "filbertrack/metrics.h"
+#include "filbertrack/news_message.h"
 #include "filbertrack/server_directory.h"
 #include "filbertrack/settings.h"
 
@@ -41,13 +43,22 @@
   bool IsReady() const;
 
   // SiteListener.
-  void OnCatalog(std::shared_ptr<const Catalog> catalog) override;
-  void OnServers(std::vector<BackendServer> servers) override;
-  void OnServerChanged(BackendServer server) override;
-  void OnServerRemoved(const std::string& id) override;
+  void OnCatalog(std::shared_ptr<const Catalog> catalog,
+                 std::string text) override;
+  void OnServers(ServerChanges changes) override;
   void OnStoreLost() override;
   void OnStoreReturned() override;
 
+  /// What this entry host knows of the store and has at the targets.
+  NewsState OwnNews() const;
+  const std::string& catalog_text() const { return m_catalog_text; }
+  const ChangeLog& server_log() const { return m_server_log; }
+
+  /// Work of all other entry hosts, added up, and how many there are.
+  void OnRemoteLoads(
+      const std::map<std::string, TargetLoad, std::less<>>& loads,
+      size_t hosts);
+
   const ServerDirectory& directory() const { return m_directory; }
   const Catalog* catalog() const { return m_catalog.get(); }
   /// A caller's request has come since the start.
@@ -78,7 +89,9 @@
   Settings m_settings;
   const CallDialect& m_dialect;
   std::shared_ptr<const Catalog> m_catalog;
+  std::string m_catalog_text;
   ServerDirectory m_directory;
+  ChangeLog m_server_log;
   bool m_servers_known = false;
   bool m_store_away = false;
   bool m_traffic_seen = false;
--- /dev/null
+++ b/include/filbertrack/entry_peers.h
@@ -0,0 +1,92 @@
+#pragma once
+
+/// What an entry host of a platform exchanges with the others. A host that the
+/// store turns away learns of a withdrawn key, a leaving backend server or a
+/// new configuration from its peers, and all learn of each other's work at the
+/// targets. Peers find each other, and their common secret, in the store.
+
+#include <map>
+#include <memory>
+#include <string>
+
+#include "filbertrack/entry_host.h"
+#include "filbertrack/entry_ports.h"
+#include "filbertrack/peer_link.h"
+
+namespace filbertrack {
+
+struct EntryPeersPolicy {
+  /// How often each neighbour is asked: half of the time within which a host
+  /// that has answered must not go back, and often enough that loads are fresh.
+  Duration interval = Milliseconds(150);
+  Duration ask_timeout = Milliseconds(500);
+  /// Hosts asked in a round. With more peers than this each round asks others.
+  size_t neighbours = 8;
+  /// How often the list of entry hosts is read from the store.
+  Duration list_interval = Seconds(2);
+  /// Loads older than this are not counted.
+  Duration load_life = Milliseconds(1200);
+  /// A peer that does not answer is asked this much less often.
+  Duration silent_interval = Seconds(1);
+};
+
+class EntryPeers {
+ public:
+  EntryPeers(EventLoop& loop,
+             const std::string& node,
+             const Address& listen,
+             EntryPeersPolicy policy,
+             EntryHost& host,
+             const SiteDecoder& decoder,
+             RecordStore& records);
+  ~EntryPeers();
+
+  /// Begins to look for the secret and the other entry hosts.
+  void Start();
+
+ private:
+  struct Peer {
+    Address address;
+    std::unique_ptr<PeerClient> client;
+    TimePoint asked_at;
+    bool silent = false;
+  };
+  struct PeerLoads {
+    std::vector<NewsLoad> loads;
+    TimePoint heard_at;
+  };
+
+  void LoadSecret();
+  void OnSecret(const StoreAnswer& answer);
+  void Listen(const std::string& secret);
+  void Register(uint64_t expected_version);
+  void List();
+  void OnListed(const std::vector<StoredObject>& records);
+  void Round();
+  void Ask(const std::string& name, Peer& peer, TimePoint now);
+  void OnAnswer(const std::string& name, const std::string* payload);
+  void OnQuestion(std::string_view payload, const PeerServer::Answer& answer);
+  void TakeOver(const NewsAnswer& answer);
+  void NoteLoads(const NewsState& state, TimePoint now);
+  void SumLoads(TimePoint now);
+
+  EventLoop& m_loop;
+  std::string m_node;
+  Address m_listen;
+  EntryPeersPolicy m_policy;
+  EntryHost& m_host;
+  const SiteDecoder& m_decoder;
+  RecordStore& m_records;
+  std::string m_secret;
+  std::string m_proposed_secret;
+  std::unique_ptr<PeerServer> m_server;
+  std::map<std::string, Peer, std::less<>> m_peers;
+  std::map<std::string, PeerLoads, std::less<>> m_loads;
+  /// Name of the peer that the last round ended with.
+  std::string m_last_asked;
+  std::unique_ptr<Timer> m_retry_timer;
+  std::unique_ptr<Timer> m_list_timer;
+  std::unique_ptr<Timer> m_round_timer;
+};
+
+}  // namespace filbertrack
--- a/include/filbertrack/entry_ports.h
+++ b/include/filbertrack/entry_ports.h
@@ -130,6 +130,34 @@
                      const std::string& value,
                      uint64_t expected_version,
                      std::function<void(StoreAnswer)> done) = 0;
+  /// All records whose names begin with `prefix`; a cheap read like Read().
+  virtual void ReadAll(
+      const std::string& prefix,
+      std::function<void(StoreStatus, std::vector<StoredObject>)> done) = 0;
+};
+
+/// One registration as the store has it.
+struct Registration {
+  BackendServer server;
+  /// The store's version of it.
+  uint64_t version = 0;
+  /// As it stands in the store, for other entry hosts.
+  std::string text;
+};
+
+struct RemovedServer {
+  std::string id;
+  uint64_t version = 0;
+};
+
+/// What became known of the registrations at once.
+struct ServerChanges {
+  /// `changed` is all there are.
+  bool whole = false;
+  /// Everything up to this revision of the store is known with these.
+  uint64_t revision = 0;
+  std::vector<Registration> changed;
+  std::vector<RemovedServer> removed;
 };
 
 /// What the adapter tells of the platform's store.
@@ -137,13 +165,22 @@
  public:
   virtual ~SiteListener() = default;
 
-  virtual void OnCatalog(std::shared_ptr<const Catalog> catalog) = 0;
-  /// All registrations, after a first read or a gap.
-  virtual void OnServers(std::vector<BackendServer> servers) = 0;
-  virtual void OnServerChanged(BackendServer server) = 0;
-  virtual void OnServerRemoved(const std::string& id) = 0;
+  /// `text` is the configuration as it stands in the store.
+  virtual void OnCatalog(std::shared_ptr<const Catalog> catalog,
+                         std::string text) = 0;
+  virtual void OnServers(ServerChanges changes) = 0;
   virtual void OnStoreLost() = 0;
   virtual void OnStoreReturned() = 0;
 };
 
+/// Reads texts of the store that came by way of another entry host.
+class SiteDecoder {
+ public:
+  virtual ~SiteDecoder() = default;
+
+  virtual Result<Catalog> ReadCatalog(std::string_view text) const = 0;
+  virtual Result<BackendServer> ReadServer(const std::string& id,
+                                           std::string_view text) const = 0;
+};
+
 }  // namespace filbertrack
--- a/include/filbertrack/request_retry_budget.h
+++ b/include/filbertrack/request_retry_budget.h
@@ -22,6 +22,9 @@
 
   void OnRequest(TimePoint now);
 
+  /// The most retries that are saved up from now on.
+  void SetMostSaved(double most);
+
   /// Spends one retry; false where none is left.
   bool TrySpend(TimePoint now);
 
--- a/include/filbertrack/server_directory.h
+++ b/include/filbertrack/server_directory.h
@@ -91,8 +91,9 @@
   /// marked; Expire() takes it out later. True if it was taken out.
   bool Remove(std::string_view id, TimePoint now);
 
-  /// What the store has now is exactly `servers`. True if anything changed.
-  bool ReplaceAll(std::vector<BackendServer> servers, TimePoint now);
+  /// The registrations were read whole. Only the first call counts: hosts
+  /// without a group may have left one before this process could see it.
+  void OnFirstReading(TimePoint now);
 
   /// The store was away until now.
   void OnStoreReturned(TimePoint now) { m_store_returned = now; }
@@ -126,7 +127,6 @@
   void NoteDeparture(const BackendServer& before,
                      const BackendServer& after,
                      TimePoint now);
-  void NoteFirstReading(TimePoint now);
 
   DirectoryPolicy m_policy;
   std::map<std::string, BackendServer, std::less<>> m_servers;
--- /dev/null
+++ b/source/change_log.cc
@@ -0,0 +1,75 @@
+#include "filbertrack/change_log.h"
+
+#include <algorithm>
+
+namespace filbertrack {
+
+namespace {
+
+void EraseEntry(std::multimap<uint64_t, std::string>& index,
+                uint64_t version,
+                std::string_view id) {
+  const auto [first, last] = index.equal_range(version);
+  const auto found = std::find_if(
+      first, last, [id](const auto& entry) { return entry.second == id; });
+  if (found != last) {
+    index.erase(found);
+  }
+}
+
+}  // namespace
+
+bool ChangeLog::Put(const LoggedObject& object) {
+  LoggedObject& known = m_objects[object.id];
+  if (known.version >= object.version) {
+    return false;
+  }
+  EraseEntry(m_by_version, known.version, object.id);
+  EraseEntry(m_removed, known.version, object.id);
+  known = object;
+  m_by_version.emplace(object.version, object.id);
+  if (object.text.empty()) {
+    m_removed.emplace(object.version, object.id);
+    ForgetOldest();
+  }
+  return true;
+}
+
+void ChangeLog::ForgetOldest() {
+  while (m_removed.size() > m_most_removed) {
+    const auto oldest = m_removed.begin();
+    m_forgotten = std::max(m_forgotten, oldest->first);
+    EraseEntry(m_by_version, oldest->first, oldest->second);
+    m_objects.erase(oldest->second);
+    m_removed.erase(oldest);
+  }
+}
+
+void ChangeLog::Reach(uint64_t revision) {
+  m_revision = std::max(m_revision, revision);
+}
+
+std::optional<std::vector<LoggedObject>> ChangeLog::Since(
+    uint64_t revision) const {
+  if (revision < m_forgotten) {
+    return std::nullopt;
+  }
+  std::vector<LoggedObject> changed;
+  for (auto it = m_by_version.upper_bound(revision); it != m_by_version.end();
+       ++it) {
+    changed.push_back(m_objects.find(it->second)->second);
+  }
+  return changed;
+}
+
+std::vector<LoggedObject> ChangeLog::All() const {
+  std::vector<LoggedObject> all;
+  for (const auto& [id, object] : m_objects) {
+    if (!object.text.empty()) {
+      all.push_back(object);
+    }
+  }
+  return all;
+}
+
+}  // namespace filbertrack
--- a/source/dispatch_board.cc
+++ b/source/dispatch_board.cc
@@ -89,9 +89,11 @@
   }
 }
 
-void DispatchBoard::SetRemoteLoad(std::string_view id, const TargetLoad& load) {
-  if (Entry* entry = Find(id)) {
-    entry->remote = load;
+void DispatchBoard::SetRemoteLoads(
+    const std::map<std::string, TargetLoad, std::less<>>& loads) {
+  for (auto& [id, entry] : m_entries) {
+    const auto found = loads.find(id);
+    entry->remote = found == loads.end() ? TargetLoad{} : found->second;
   }
 }
 
--- a/source/entry_host.cc
+++ b/source/entry_host.cc
@@ -1,6 +1,7 @@
 #include "filbertrack/entry_host.h"
 
 #include <algorithm>
+#include <set>
 
 #include <nlohmann/json.hpp>
 
@@ -14,6 +15,9 @@
 /// Connections kept to one backend server: as many as it has slots, so that
 /// a full server is reached without new connections.
 constexpr size_t kMostKeptConnections = 32;
+/// Removed registrations that are remembered for entry hosts that missed them:
+/// more than are removed while a partition of some minutes lasts.
+constexpr size_t kMostRemovedServers = 2000;
 constexpr Duration kSilenceCheck = Milliseconds(100);
 constexpr Duration kDrainCheck = Milliseconds(100);
 /// The balancer asks once a second and takes a host out after two misses; it
@@ -38,13 +42,18 @@
 /// servers refuse, which count as well.
 constexpr double kRetryShare = 0.7;
 
+/// Each entry host's part of the retries that are allowed beside the ratio.
+double MostSavedRetries(const Settings& settings, size_t entry_hosts) {
+  const auto slack = static_cast<double>(settings.Integer("retries", "slack"));
+  return std::max(1.0, slack * kRetryShare / static_cast<double>(entry_hosts));
+}
+
 RetryBudgetPolicy RetryPolicyOf(const Settings& settings) {
   const auto ratio =
       static_cast<double>(settings.Integer("retries", "ratio_percent")) / 100;
-  const auto slack = static_cast<double>(settings.Integer("retries", "slack"));
   const auto hosts =
-      static_cast<double>(settings.Integer("retries", "entry_hosts"));
-  return {ratio * kRetryShare, std::max(1.0, slack * kRetryShare / hosts), 0};
+      static_cast<size_t>(settings.Integer("retries", "entry_hosts"));
+  return {ratio * kRetryShare, MostSavedRetries(settings, hosts), 0};
 }
 
 }  // namespace
@@ -84,6 +93,7 @@
       m_settings(settings),
       m_dialect(dialect),
       m_directory(DirectoryPolicy{}),
+      m_server_log(kMostRemovedServers),
       m_upstream(loop, kMostKeptConnections),
       m_board(DispatchPolicy{},
               RendezvousWeight("board", settings.Text("node", "name"))),
@@ -256,11 +266,13 @@
   }
 }
 
-void EntryHost::OnCatalog(std::shared_ptr<const Catalog> catalog) {
+void EntryHost::OnCatalog(std::shared_ptr<const Catalog> catalog,
+                          std::string text) {
   if (!SupersedesCatalog(m_catalog.get(), *catalog)) {
     return;
   }
   m_catalog = std::move(catalog);
+  m_catalog_text = std::move(text);
   const CallerLimits& limits = m_catalog->limits();
   m_caller_server->SetLimits({limits.max_header_bytes, limits.max_body_bytes,
                               limits.header_timeout, limits.idle_timeout});
@@ -269,26 +281,57 @@
   Changed();
 }
 
-void EntryHost::OnServers(std::vector<BackendServer> servers) {
-  const bool first = !m_servers_known;
+void EntryHost::OnServers(ServerChanges changes) {
+  const TimePoint now = MonotonicNow();
+  bool changed = !m_servers_known;
   m_servers_known = true;
-  if (m_directory.ReplaceAll(std::move(servers), MonotonicNow()) || first) {
+  std::vector<BackendServer> newer;
+  std::set<std::string, std::less<>> present;
+  for (Registration& registration : changes.changed) {
+    const std::string& id = registration.server.id;
+    present.insert(id);
+    // The store and the peers tell the same; the newer word counts.
+    if (m_server_log.Put({id, registration.version, registration.text})) {
+      changed = m_directory.Put(std::move(registration.server), now) || changed;
+    }
+  }
+  if (changes.whole) {
+    for (const LoggedObject& known : m_server_log.All()) {
+      if (!present.contains(known.id) && known.version <= changes.revision) {
+        changes.removed.push_back({known.id, changes.revision});
+      }
+    }
+  }
+  for (const RemovedServer& removed : changes.removed) {
+    if (m_server_log.Put({removed.id, removed.version, ""})) {
+      changed = m_directory.Remove(removed.id, now) || changed;
+    }
+  }
+  m_server_log.Reach(changes.revision);
+  m_directory.OnFirstReading(now);
+  if (changed) {
     Changed();
   }
   ScheduleExpiry();
 }
 
-void EntryHost::OnServerChanged(BackendServer server) {
-  if (m_directory.Put(std::move(server), MonotonicNow())) {
-    Changed();
+NewsState EntryHost::OwnNews() const {
+  NewsState state;
+  state.node = m_settings.Text("node", "name");
+  state.ready = IsReady();
+  state.config_version = m_catalog == nullptr ? 0 : m_catalog->version();
+  state.servers_revision = m_server_log.revision();
+  for (const auto& [id, load] : m_board.OwnLoads()) {
+    state.loads.push_back({id, load.requests, load.prompt_tokens});
   }
+  return state;
 }
 
-void EntryHost::OnServerRemoved(const std::string& id) {
-  if (m_directory.Remove(id, MonotonicNow())) {
-    Changed();
-  }
-  ScheduleExpiry();
+void EntryHost::OnRemoteLoads(
+    const std::map<std::string, TargetLoad, std::less<>>& loads,
+    size_t hosts) {
+  m_board.SetRemoteLoads(loads);
+  m_retries.SetMostSaved(MostSavedRetries(m_settings, hosts + 1));
 }
 
 void EntryHost::OnStoreLost() {
--- a/source/entry_settings.cc
+++ b/source/entry_settings.cc
@@ -15,6 +15,8 @@
        "Where callers' requests arrive."},
       {"ready", "listen", AddressKey{"0.0.0.0:8081"},
        "Where readiness and metrics are read."},
+      {"peers", "listen", AddressKey{"0.0.0.0:8090"},
+       "Where other entry hosts ask this one; they are told this address."},
       {"store", "address", AddressKey{""},
        "Address of the platform's metadata store."},
       {"stop", "grace", DurationKey{Seconds(8), Seconds(1), Seconds(600)},
--- /dev/null
+++ b/source/news_message.cc
@@ -0,0 +1,125 @@
+#include "filbertrack/news_message.h"
+
+#include <nlohmann/json.hpp>
+
+#include "filbertrack/base_cbor.h"
+
+namespace filbertrack {
+
+namespace {
+
+using Json = nlohmann::json;
+
+enum class NewsKind : int { kAsk = 1, kAnswer = 2 };
+
+Json Pack(const NewsState& state) {
+  Json loads = Json::array();
+  for (const NewsLoad& load : state.loads) {
+    loads.push_back(Json::array({load.target, load.requests,
+                                 static_cast<int64_t>(load.prompt_tokens)}));
+  }
+  return Json::array({state.node, state.ready, state.config_version,
+                      state.servers_revision, std::move(loads)});
+}
+
+NewsState UnpackState(const Json& value) {
+  NewsState state;
+  state.node = value.at(0).get<std::string>();
+  state.ready = value.at(1).get<bool>();
+  state.config_version = value.at(2).get<uint64_t>();
+  state.servers_revision = value.at(3).get<uint64_t>();
+  for (const Json& row : value.at(4)) {
+    state.loads.push_back({row.at(0).get<std::string>(), row.at(1).get<int>(),
+                           row.at(2).get<double>()});
+  }
+  return state;
+}
+
+Json Envelope(NewsKind kind, Json body) {
+  return Json::array({kNewsProtocol, static_cast<int>(kind), std::move(body)});
+}
+
+/// Runs `read` over the body of a message of this kind.
+template <typename Message, typename Read>
+Result<Message> Decode(std::string_view bytes, NewsKind kind, Read read) {
+  const auto value = ParseCbor(bytes);
+  if (!value) {
+    return Fail(ResultCode::kBadRequest, "a peer sent bytes that are no CBOR.");
+  }
+  try {
+    if (value->at(0).get<uint64_t>() != kNewsProtocol) {
+      return Fail(ResultCode::kBadRequest,
+                  "a peer speaks protocol " + value->at(0).dump() +
+                      "; this host speaks " + std::to_string(kNewsProtocol) +
+                      ".");
+    }
+    if (value->at(1).get<int>() != static_cast<int>(kind)) {
+      return Fail(ResultCode::kBadRequest,
+                  "a peer sent a message of kind " + value->at(1).dump() +
+                      "; expected " + std::to_string(static_cast<int>(kind)) +
+                      ".");
+    }
+    return read(value->at(2));
+  } catch (const Json::exception& bad) {
+    return Fail(ResultCode::kBadRequest,
+                std::string("a peer's message cannot be read: ") + bad.what());
+  }
+}
+
+}  // namespace
+
+std::string EncodeNewsAsk(const NewsAsk& ask) {
+  return ToCbor(Envelope(NewsKind::kAsk, Pack(ask.state)));
+}
+
+std::string EncodeNewsAnswer(const NewsAnswer& answer) {
+  Json servers = Json::array();
+  for (const LoggedObject& object : answer.servers) {
+    servers.push_back(Json::array({object.id, object.version, object.text}));
+  }
+  return ToCbor(
+      Envelope(NewsKind::kAnswer,
+               Json::array({Pack(answer.state), answer.config,
+                            std::move(servers), answer.servers_whole})));
+}
+
+Result<NewsAsk> DecodeNewsAsk(std::string_view bytes) {
+  return Decode<NewsAsk>(bytes, NewsKind::kAsk, [](const Json& body) {
+    return NewsAsk{UnpackState(body)};
+  });
+}
+
+Result<NewsAnswer> DecodeNewsAnswer(std::string_view bytes) {
+  return Decode<NewsAnswer>(bytes, NewsKind::kAnswer, [](const Json& body) {
+    NewsAnswer answer;
+    answer.state = UnpackState(body.at(0));
+    answer.config = body.at(1).get<std::string>();
+    for (const Json& row : body.at(2)) {
+      answer.servers.push_back({row.at(0).get<std::string>(),
+                                row.at(1).get<uint64_t>(),
+                                row.at(2).get<std::string>()});
+    }
+    answer.servers_whole = body.at(3).get<bool>();
+    return answer;
+  });
+}
+
+NewsAnswer AnswerNews(const NewsState& own,
+                      const std::string& own_config,
+                      const ChangeLog& servers,
+                      const NewsState& asker) {
+  NewsAnswer answer;
+  answer.state = own;
+  if (asker.config_version < own.config_version) {
+    answer.config = own_config;
+  }
+  if (asker.servers_revision >= own.servers_revision) {
+    return answer;
+  }
+  auto missed = servers.Since(asker.servers_revision);
+  answer.servers_whole = !missed.has_value();
+  answer.servers = missed ? std::move(*missed) : servers.All();
+  return answer;
+}
+
+}  // namespace filbertrack
--- a/source/request_retry_budget.cc
+++ b/source/request_retry_budget.cc
@@ -9,6 +9,11 @@
   Earn(m_policy.earned_per_request);
 }
 
+void RetryBudget::SetMostSaved(double most) {
+  m_policy.most_saved = most;
+  m_saved = std::min(m_saved, most);
+}
+
 bool RetryBudget::TrySpend(TimePoint now) {
   Refresh(now);
   if (m_saved < 1) {
--- a/source/server_directory.cc
+++ b/source/server_directory.cc
@@ -45,7 +45,11 @@
   m_left_held[after.id] = now;
 }
 
-void ServerDirectory::NoteFirstReading(TimePoint now) {
+void ServerDirectory::OnFirstReading(TimePoint now) {
+  if (m_read) {
+    return;
+  }
+  m_read = true;
   const bool any_group = std::any_of(
       m_servers.begin(), m_servers.end(),
       [](const auto& row) { return row.second.membership.has_value(); });
@@ -82,30 +86,6 @@
   return true;
 }
 
-bool ServerDirectory::ReplaceAll(std::vector<BackendServer> servers,
-                                 TimePoint now) {
-  std::set<std::string, std::less<>> present;
-  bool changed = false;
-  for (BackendServer& server : servers) {
-    present.insert(server.id);
-    changed = Put(std::move(server), now) || changed;
-  }
-  std::vector<std::string> missing;
-  for (const auto& [id, server] : m_servers) {
-    if (!present.contains(id)) {
-      missing.push_back(id);
-    }
-  }
-  for (const std::string& id : missing) {
-    changed = Remove(id, now) || changed;
-  }
-  if (!m_read) {
-    m_read = true;
-    NoteFirstReading(now);
-  }
-  return changed;
-}
-
 bool ServerDirectory::Expire(TimePoint now) {
   bool changed = false;
   for (auto it = m_lapsed.begin(); it != m_lapsed.end();) {
