replicas: members wait for their head, and a superseded group stays closed

Change: members are free only once their head was seen to leave, or confirmed it; a group is opened only if none of its members was ordered elsewhere and this controller formed it. The directory's test said that a head reported as ready holds nothing: that was wrong, its report may be old; it now asks that the head left.

--- a/include/filbertrack/entry_control.h
+++ b/include/filbertrack/entry_control.h
@@ -73,6 +73,10 @@
   static void LogCounts(const std::string& service,
                         const ReplicaCounts& counts);
   void Send(const PlannedOrder& planned);
+  /// A host has confirmed an order.
+  void OnAccepted(const std::string& service,
+                  const ReplicaOrder& order,
+                  uint64_t fence);
   void SendOne(const std::string& host_id, const ReplicaOrder& order);
 
   EventLoop& m_loop;
--- a/include/filbertrack/replica_plan.h
+++ b/include/filbertrack/replica_plan.h
@@ -124,6 +124,11 @@
   /// When the latest order for a host was given; no other follows until its
   /// effect shows or `order_retry` has passed.
   std::map<std::string, TimePoint, std::less<>> ordered_at;
+  /// Epoch of the latest group that each host was ordered to join.
+  std::map<std::string, uint64_t, std::less<>> ordered_epoch;
+  /// Heads that confirmed that they left a group, by the group's name. A host
+  /// that does not reach the store answers orders all the same.
+  std::map<std::string, uint64_t, std::less<>> heads_left;
   /// First sight of each joining group.
   std::map<std::string, TimePoint, std::less<>> joining_since;
   /// Starts of loads in the latest window, and loads that are not done.
--- a/include/filbertrack/server_directory.h
+++ b/include/filbertrack/server_directory.h
@@ -104,13 +104,17 @@
   /// When Expire() has something to do next.
   std::optional<TimePoint> NextExpiry() const;
 
-  /// When `id` left a group whose head may still hold requests: the head was
-  /// open when it was last seen, or not seen at all. Nullopt: it did not, or it
+  /// When `id` left a group whose head may still hold requests: the head had
+  /// not left before, and was past joining or not to be seen. Nullopt: it did not, or it
   /// has joined another group since. Hosts without a group at the first reading
   /// count as having left then, if there are groups: nobody knows what was
   /// before.
   std::optional<TimePoint> LeftHeldGroup(std::string_view id) const;
 
+  /// Whether the head of this group was seen to leave it: no order can make it
+  /// take requests for the group any more.
+  bool HeadLeft(std::string_view group, uint64_t epoch) const;
+
   /// When a server was seen for the first time, of all the latest such time.
   std::optional<TimePoint> last_arrival() const { return m_last_arrival; }
 
@@ -124,6 +128,9 @@
   std::vector<ReplicaView> Replicas(std::string_view service) const;
 
  private:
+  void NoteHeadDeparture(const BackendServer& before,
+                         const BackendServer& after);
+  void ForgetEmptyGroups();
   void NoteDeparture(const BackendServer& before,
                      const BackendServer& after,
                      TimePoint now);
@@ -131,6 +138,8 @@
   DirectoryPolicy m_policy;
   std::map<std::string, BackendServer, std::less<>> m_servers;
   std::map<std::string, TimePoint, std::less<>> m_left_held;
+  /// Groups whose head left, with their latest epoch; the name tells the group.
+  std::map<std::string, uint64_t, std::less<>> m_without_head;
   bool m_read = false;
   std::optional<TimePoint> m_last_arrival;
   std::map<std::string, TimePoint, std::less<>> m_lapsed;
--- a/source/entry_control.cc
+++ b/source/entry_control.cc
@@ -429,7 +429,12 @@
   if (host == nullptr || !holds_lease()) {
     return;
   }
-  m_engines.Order(*host, order, [host_id](OrderResult result) {
+  m_engines.Order(*host, order, [this, host_id, order, service = host->service,
+                                 fence = m_lease.fence,
+                                 alive = m_alive](OrderResult result) {
+    if (*alive && result == OrderResult::kAccepted) {
+      OnAccepted(service, order, fence);
+    }
     if (result != OrderResult::kAccepted) {
       Log(LogLevel::kInfo, "order-result",
           {{"host", host_id}, {"result", static_cast<int>(result)}});
@@ -437,4 +442,24 @@
   });
 }
 
+void EntryControl::OnAccepted(const std::string& service,
+                              const ReplicaOrder& order,
+                              uint64_t fence) {
+  const auto* leave = std::get_if<LeaveGroup>(&order);
+  const auto memory = m_memory.find(service);
+  if (leave == nullptr || memory == m_memory.end() ||
+      memory->second.term != fence) {
+    return;
+  }
+  const BackendServer* host = m_host.directory().Find(leave->host);
+  const bool was_head = host != nullptr && host->membership &&
+                        host->membership->rank == 0 &&
+                        host->membership->group == leave->group &&
+                        host->membership->epoch == leave->epoch;
+  if (was_head) {
+    memory->second.heads_left[leave->group] = leave->epoch;
+    PassSoon();
+  }
+}
+
 }  // namespace filbertrack
--- a/source/replica_plan.cc
+++ b/source/replica_plan.cc
@@ -123,10 +123,20 @@
           server == nullptr || HasStaged(*server, entry.second.model);
       return done || m_now - entry.second.at > LoadPatience();
     });
+    std::erase_if(m_memory.ordered_epoch, [this](const auto& entry) {
+      return m_input.directory.Find(entry.first) == nullptr;
+    });
     std::set<std::string, std::less<>> present;
     for (const ReplicaView& replica : m_replicas) {
       present.insert(Key(replica));
     }
+    std::set<std::string_view> groups;
+    for (const ReplicaView& replica : m_replicas) {
+      groups.insert(replica.group);
+    }
+    std::erase_if(m_memory.heads_left, [&groups](const auto& entry) {
+      return !groups.contains(entry.first);
+    });
     std::erase_if(m_memory.joining_since, [&present](const auto& entry) {
       return !present.contains(entry.first);
     });
@@ -187,9 +197,14 @@
     switch (head.membership->state) {
       case MembershipState::kBroken:
         CountWhole(replica, model, -1);
-        Free(replica, nullptr);
+        Free(replica);
         return;
       case MembershipState::kReady:
+        if (IsSuperseded(replica)) {
+          CountWhole(replica, model, -1);
+          Free(replica);
+          return;
+        }
         if (!joining && !IsBusy(head.id)) {
           Occupy(head.id);
           Give(OpenGroup{head.id, replica.group, replica.epoch},
@@ -205,6 +220,22 @@
     }
   }
 
+  /// A member was ordered to join another group since, or an earlier controller
+  /// may have ordered it. That order could arrive after this group was opened
+  /// and take the member out of it.
+  bool IsSuperseded(const ReplicaView& replica) const {
+    if (replica.epoch / kEpochsPerTerm != m_memory.term) {
+      return true;
+    }
+    return std::any_of(replica.members.begin(), replica.members.end(),
+                       [this, &replica](const BackendServer* member) {
+                         const auto ordered =
+                             m_memory.ordered_epoch.find(member->id);
+                         return ordered != m_memory.ordered_epoch.end() &&
+                                ordered->second != replica.epoch;
+                       });
+  }
+
   void GiveUpSlowJoin(const ReplicaView& replica, const ModelProfile& model) {
     const auto since =
         m_memory.joining_since.try_emplace(Key(replica), m_now).first->second;
@@ -212,7 +243,7 @@
         m_policy.join_patience * static_cast<double>(model.load.count())));
     if (m_now - since > patience) {
       CountWhole(replica, model, -1);
-      Free(replica, nullptr);
+      Free(replica);
     }
   }
 
@@ -226,6 +257,10 @@
   /// Takes a group apart. Its hosts become free only once its head cannot run
   /// requests any more: it closed, it broke, or it is gone.
   void Dissolve(const ReplicaView& replica, std::string_view why) {
+    if (HeadLeft(replica)) {
+      FreeMembers(replica);
+      return;
+    }
     const BackendServer* head = replica.head();
     if (head == nullptr || Health(*head) != HostHealth::kAnswers) {
       DissolveWithoutHead(replica, head);
@@ -255,17 +290,24 @@
       case MembershipState::kJoining:
       case MembershipState::kReady:
       case MembershipState::kBroken:
-        Free(replica, nullptr);
+        Free(replica);
         return;
     }
   }
 
+  bool HeadLeft(const ReplicaView& replica) const {
+    const auto found = m_memory.heads_left.find(replica.group);
+    return (found != m_memory.heads_left.end() &&
+            found->second == replica.epoch) ||
+           m_input.directory.HeadLeft(replica.group, replica.epoch);
+  }
+
   void DissolveWithoutHead(const ReplicaView& replica,
                            const BackendServer* head) {
     const bool certainly_gone =
         head != nullptr && Health(*head) == HostHealth::kGone;
     if (certainly_gone) {
-      Free(replica, head);
+      FreeMembers(replica);
       return;
     }
     // The head may live behind a partition and hold requests. Without its
@@ -281,21 +323,29 @@
     }
   }
 
-  /// The members may join other groups. The head leaves first: an order to
-  /// open it that went astray could still arrive, and a host that opens its old
-  /// group just before it joins a new one would be in two. Without the old
-  /// membership that order does nothing.
-  void Free(const ReplicaView& replica, const BackendServer* lost_head) {
+  /// Lets the members join other groups. The head leaves first: it may have
+  /// opened since its last report, and an order to open it that went astray
+  /// could still arrive; a member that joined another group by then would be
+  /// in two. Without the old membership the head does nothing for it.
+  void Free(const ReplicaView& replica) {
+    const BackendServer& head = *replica.head();
+    if (head.membership->state == MembershipState::kJoining) {
+      // Nobody can have ordered it to open.
+      m_freed.insert(head.id);
+      FreeMembers(replica);
+      return;
+    }
+    if (!IsBusy(head.id)) {
+      Occupy(head.id);
+      Give(LeaveGroup{head.id, replica.group, replica.epoch},
+           "the group is taken apart");
+    }
+  }
+
+  void FreeMembers(const ReplicaView& replica) {
     for (const BackendServer* member : replica.members) {
-      if (member == nullptr || member == lost_head) {
-        continue;
-      }
-      if (member->membership->rank > 0) {
+      if (member != nullptr && member->membership->rank > 0) {
         m_freed.insert(member->id);
-      } else if (!IsBusy(member->id)) {
-        Occupy(member->id);
-        Give(LeaveGroup{member->id, replica.group, replica.epoch},
-             "the group is taken apart");
       }
     }
   }
@@ -475,6 +525,7 @@
     join.model = model.name;
     for (const BackendServer* host : chosen) {
       join.members.push_back(host->id);
+      m_memory.ordered_epoch[host->id] = join.epoch;
       Occupy(host->id);
       if (!IsWarm(*host, model.name)) {
         NoteLoad(host->id, model.name);
--- a/source/server_directory.cc
+++ b/source/server_directory.cc
@@ -4,6 +4,14 @@
 
 namespace filbertrack {
 
+namespace {
+
+/// Groups whose head left are forgotten, once no member is left in them, from
+/// this number on.
+constexpr size_t kMostGroupsWithoutHead = 256;
+
+}  // namespace
+
 bool ServerDirectory::Put(BackendServer server, TimePoint now) {
   m_lapsed.erase(server.id);
   const auto [row, arrived] = m_servers.try_emplace(server.id);
@@ -16,12 +24,47 @@
   }
   NoteDeparture(known, server, now);
   known = std::move(server);
+  ForgetEmptyGroups();
   return true;
 }
 
+void ServerDirectory::NoteHeadDeparture(const BackendServer& before,
+                                        const BackendServer& after) {
+  if (!before.membership || before.membership->rank != 0) {
+    return;
+  }
+  const Membership& place = *before.membership;
+  const bool same = after.membership && after.membership->group == place.group &&
+                    after.membership->epoch == place.epoch;
+  if (!same) {
+    m_without_head[place.group] = place.epoch;
+  }
+}
+
+void ServerDirectory::ForgetEmptyGroups() {
+  if (m_without_head.size() < kMostGroupsWithoutHead) {
+    return;
+  }
+  std::set<std::string_view> present;
+  for (const auto& [id, server] : m_servers) {
+    if (server.membership) {
+      present.insert(server.membership->group);
+    }
+  }
+  std::erase_if(m_without_head, [&present](const auto& row) {
+    return !present.contains(row.first);
+  });
+}
+
+bool ServerDirectory::HeadLeft(std::string_view group, uint64_t epoch) const {
+  const auto found = m_without_head.find(group);
+  return found != m_without_head.end() && found->second == epoch;
+}
+
 void ServerDirectory::NoteDeparture(const BackendServer& before,
                                     const BackendServer& after,
                                     TimePoint now) {
+  NoteHeadDeparture(before, after);
   if (after.membership) {
     m_left_held.erase(after.id);
     return;
@@ -33,16 +76,17 @@
     const bool is_head = server.membership && server.membership->rank == 0 &&
                          server.membership->group == before.membership->group &&
                          server.membership->epoch == before.membership->epoch;
-    if (!is_head) {
-      continue;
-    }
-    const MembershipState state = server.membership->state;
-    if (state == MembershipState::kOpen || state == MembershipState::kClosing) {
+    if (is_head && server.membership->state != MembershipState::kJoining) {
       m_left_held[after.id] = now;
+      return;
     }
-    return;
+    if (is_head) {
+      return;
+    }
+  }
+  if (!HeadLeft(before.membership->group, before.membership->epoch)) {
+    m_left_held[after.id] = now;
   }
-  m_left_held[after.id] = now;
 }
 
 void ServerDirectory::OnFirstReading(TimePoint now) {
