--- a/include/filbertrack/entry_control.h
+++ b/include/filbertrack/entry_control.h
@@ -9,6 +9,7 @@
 #include <string>
 
 #include "filbertrack/entry_host.h"
+#include "filbertrack/entry_peers.h"
 #include "filbertrack/entry_ports.h"
 #include "filbertrack/groups_lease.h"
 #include "filbertrack/replica_plan.h"
@@ -35,6 +36,7 @@
                const std::string& node,
                const ControlPolicy& policy,
                EntryHost& host,
+               EntryPeers& peers,
                EngineLink& engines,
                RecordStore& records);
   ~EntryControl();
@@ -83,6 +85,7 @@
   std::string m_node;
   ControlPolicy m_policy;
   EntryHost& m_host;
+  EntryPeers& m_peers;
   EngineLink& m_engines;
   RecordStore& m_records;
 
--- a/include/filbertrack/entry_host.h
+++ b/include/filbertrack/entry_host.h
@@ -51,6 +51,9 @@
 
   /// What this entry host knows of the store and has at the targets.
   NewsState OwnNews() const;
+  bool store_away() const { return m_store_away; }
+  /// A peer saw the store come back.
+  void OnPeerSawStoreReturn(TimePoint returned);
   const std::string& catalog_text() const { return m_catalog_text; }
   const ChangeLog& server_log() const { return m_server_log; }
 
@@ -94,6 +97,7 @@
   ChangeLog m_server_log;
   bool m_servers_known = false;
   bool m_store_away = false;
+  std::optional<TimePoint> m_store_returned;
   bool m_traffic_seen = false;
 
   HttpClient m_upstream;
--- a/include/filbertrack/entry_peers.h
+++ b/include/filbertrack/entry_peers.h
@@ -22,8 +22,21 @@
   Duration ask_timeout = Milliseconds(500);
   /// Hosts asked in a round. With more peers than this each round asks others.
   size_t neighbours = 8;
-  /// How often the list of entry hosts is read from the store.
-  Duration list_interval = Seconds(2);
+  /// How often the list of entry hosts is read from the store. Peers make
+  /// themselves known with their questions, so only the first reading matters
+  /// to a host that can be reached.
+  Duration list_interval = Seconds(20);
+  /// Entry hosts that watch the store. Four: with a third of the hosts cut off
+  /// from it, all four are in one run of a hundred, and then the next ones
+  /// watch as soon as they hear so.
+  size_t watchers = 4;
+  /// A peer that was not heard for this long does not count as a watcher.
+  Duration peer_life = Milliseconds(1500);
+  /// After the start the hosts that are listed in the store count as peers
+  /// until they had time to be heard.
+  Duration settle = Seconds(2);
+  /// While it settles, the list is read this often: many hosts start together.
+  Duration first_list_interval = Milliseconds(400);
   /// Loads older than this are not counted.
   Duration load_life = Milliseconds(1200);
   /// A peer that does not answer is asked this much less often.
@@ -38,12 +51,21 @@
              EntryPeersPolicy policy,
              EntryHost& host,
              const SiteDecoder& decoder,
-             RecordStore& records);
+             RecordStore& records,
+             SiteFeed& feed);
   ~EntryPeers();
 
   /// Begins to look for the secret and the other entry hosts.
   void Start();
 
+  /// Something changed here: peers are told at once and not with the next
+  /// round.
+  void OnOwnChange();
+
+  /// This host must watch the store whatever the others do.
+  void SetNeedsWatch(bool needs);
+  bool watches() const { return m_watching; }
+
  private:
   struct Peer {
     Address address;
@@ -51,8 +73,8 @@
     TimePoint asked_at;
     bool silent = false;
   };
-  struct PeerLoads {
-    std::vector<NewsLoad> loads;
+  struct PeerNews {
+    NewsState state;
     TimePoint heard_at;
   };
 
@@ -67,8 +89,11 @@
   void OnAnswer(const std::string& name, const std::string* payload);
   void OnQuestion(std::string_view payload, const PeerServer::Answer& answer);
   void TakeOver(const NewsAnswer& answer);
-  void NoteLoads(const NewsState& state, TimePoint now);
+  NewsState OwnNews() const;
+  void AddPeer(const std::string& name, const std::string& address);
+  void NoteNews(const NewsState& state, TimePoint now);
   void SumLoads(TimePoint now);
+  void ChooseWatch(TimePoint now);
 
   EventLoop& m_loop;
   std::string m_node;
@@ -77,11 +102,18 @@
   EntryHost& m_host;
   const SiteDecoder& m_decoder;
   RecordStore& m_records;
+  SiteFeed& m_feed;
+  TimePoint m_started;
+  bool m_watching = false;
+  bool m_listed = false;
+  bool m_needs_watch = false;
+  uint64_t m_told_config = 0;
+  uint64_t m_told_servers = 0;
   std::string m_secret;
   std::string m_proposed_secret;
   std::unique_ptr<PeerServer> m_server;
   std::map<std::string, Peer, std::less<>> m_peers;
-  std::map<std::string, PeerLoads, std::less<>> m_loads;
+  std::map<std::string, PeerNews, std::less<>> m_news;
   /// Name of the peer that the last round ended with.
   std::string m_last_asked;
   std::unique_ptr<Timer> m_retry_timer;
--- a/include/filbertrack/entry_ports.h
+++ b/include/filbertrack/entry_ports.h
@@ -173,6 +173,18 @@
   virtual void OnStoreReturned() = 0;
 };
 
+/// The watches that feed a SiteListener.
+class SiteFeed {
+ public:
+  virtual ~SiteFeed() = default;
+
+  /// Watches the store, or leaves that to other entry hosts.
+  virtual void SetWatching(bool watching) = 0;
+  /// Changes are told at once, or gathered for a while, which takes fewer
+  /// calls.
+  virtual void SetPrompt(bool prompt) = 0;
+};
+
 /// Reads texts of the store that came by way of another entry host.
 class SiteDecoder {
  public:
--- a/include/filbertrack/news_message.h
+++ b/include/filbertrack/news_message.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "filbertrack/base_result.h"
+#include "filbertrack/base_time.h"
 #include "filbertrack/change_log.h"
 
 namespace filbertrack {
@@ -27,8 +28,13 @@
 /// How far the sender knows the store.
 struct NewsState {
   std::string node;
-  /// The sender has requests, or its platform sends it some.
+  /// Where the sender answers questions of peers.
+  std::string address;
   bool ready = false;
+  /// The sender tried to watch the store lately and could not.
+  bool store_fails = false;
+  /// How long ago the store came back after an outage; nullopt: not lately.
+  std::optional<Duration> store_back_for;
   uint64_t config_version = 0;
   uint64_t servers_revision = 0;
   std::vector<NewsLoad> loads;
@@ -55,6 +61,12 @@
 Result<NewsAsk> DecodeNewsAsk(std::string_view bytes);
 Result<NewsAnswer> DecodeNewsAnswer(std::string_view bytes);
 
+/// The entry hosts that watch the store for all the others: the first `count`
+/// by rendezvous hashing, so that each host knows without asking. A change
+/// costs as many calls as there are watchers, however many hosts there are.
+std::vector<std::string> ChooseWatchers(std::vector<std::string> hosts,
+                                        size_t count);
+
 /// What to answer, given what both sides have.
 NewsAnswer AnswerNews(const NewsState& own,
                       const std::string& own_config,
--- a/source/entry_control.cc
+++ b/source/entry_control.cc
@@ -106,6 +106,7 @@
                            const std::string& node,
                            const ControlPolicy& policy,
                            EntryHost& host,
+                           EntryPeers& peers,
                            EngineLink& engines,
                            RecordStore& records)
     : m_loop(loop),
@@ -114,6 +115,7 @@
       m_node(node + "#" + std::to_string(WallTimeMs())),
       m_policy(policy),
       m_host(host),
+      m_peers(peers),
       m_engines(engines),
       m_records(records) {
   const uint64_t rank = RendezvousWeight("lease", m_node) % kRankSteps;
@@ -126,7 +128,10 @@
 }
 
 void EntryControl::Start() {
-  m_host.OnChange([this] { PassSoon(); });
+  m_host.OnChange([this] {
+    m_peers.OnOwnChange();
+    PassSoon();
+  });
   m_loop.Call(m_rank_delay, [this] { Tick(); });
 }
 
@@ -150,7 +155,10 @@
     }
     ProbeHosts(now);
     Pass();
-  } else if (now - m_last_read >= m_policy.lease.renew_every) {
+  } else if (m_peers.watches() &&
+             now - m_last_read >= m_policy.lease.renew_every) {
+    // Only hosts that watch the store anyway stand for the lease: with one
+    // reading a host, the calls would grow with the fleet.
     ReadLease();
   }
   m_tick_timer = m_loop.After(holds ? m_policy.pass_interval : kFollowerTick,
@@ -251,6 +259,7 @@
 
 void EntryControl::Gained() {
   m_leads = true;
+  m_peers.SetNeedsWatch(true);
   m_memory.clear();
   m_findings.clear();
   m_probes.clear();
@@ -260,6 +269,7 @@
 
 void EntryControl::Lost() {
   m_leads = false;
+  m_peers.SetNeedsWatch(false);
   Log(LogLevel::kWarning, "lease-lost",
       {{"fence", m_lease.fence}, {"holder", m_lease.holder}});
 }
--- a/source/entry_host.cc
+++ b/source/entry_host.cc
@@ -18,6 +18,12 @@
 /// Removed registrations that are remembered for entry hosts that missed them:
 /// more than are removed while a partition of some minutes lasts.
 constexpr size_t kMostRemovedServers = 2000;
+/// Two sightings of a return of the store are of the same one if they are no
+/// further apart than this.
+constexpr Duration kSameReturn = Seconds(2);
+/// A return of the store is told to peers for this long: registrations that
+/// lapsed are back well before.
+constexpr Duration kReturnIsNews = Seconds(5);
 constexpr Duration kSilenceCheck = Milliseconds(100);
 constexpr Duration kDrainCheck = Milliseconds(100);
 /// The balancer asks once a second and takes a host out after two misses; it
@@ -320,12 +326,23 @@
   state.ready = IsReady();
   state.config_version = m_catalog == nullptr ? 0 : m_catalog->version();
   state.servers_revision = m_server_log.revision();
+  state.store_fails = m_store_away;
+  if (m_store_returned && MonotonicNow() - *m_store_returned < kReturnIsNews) {
+    state.store_back_for = MonotonicNow() - *m_store_returned;
+  }
   for (const auto& [id, load] : m_board.OwnLoads()) {
     state.loads.push_back({id, load.requests, load.prompt_tokens});
   }
   return state;
 }
 
+void EntryHost::OnPeerSawStoreReturn(TimePoint returned) {
+  if (!m_store_returned || returned > *m_store_returned + kSameReturn) {
+    m_store_returned = returned;
+    m_directory.OnStoreReturned(returned);
+  }
+}
+
 void EntryHost::OnRemoteLoads(
     const std::map<std::string, TargetLoad, std::less<>>& loads,
     size_t hosts) {
@@ -341,7 +358,8 @@
 void EntryHost::OnStoreReturned() {
   if (m_store_away) {
     m_store_away = false;
-    m_directory.OnStoreReturned(MonotonicNow());
+    m_store_returned = MonotonicNow();
+    m_directory.OnStoreReturned(*m_store_returned);
     Log(LogLevel::kInfo, "store-returned", nlohmann::json::object());
   }
 }
--- a/source/entry_peers.cc
+++ b/source/entry_peers.cc
@@ -1,5 +1,7 @@
 #include "filbertrack/entry_peers.h"
 
+#include <algorithm>
+
 #include <nlohmann/json.hpp>
 
 #include "filbertrack/base_hash.h"
@@ -22,7 +24,8 @@
                        EntryPeersPolicy policy,
                        EntryHost& host,
                        const SiteDecoder& decoder,
-                       RecordStore& records)
+                       RecordStore& records,
+                       SiteFeed& feed)
     : m_loop(loop),
       m_node(node),
       m_listen(listen),
@@ -30,6 +33,8 @@
       m_host(host),
       m_decoder(decoder),
       m_records(records),
+      m_feed(feed),
+      m_started(MonotonicNow()),
       m_proposed_secret(RandomId() + RandomId()) {}
 
 EntryPeers::~EntryPeers() = default;
@@ -100,28 +105,56 @@
         if (status == StoreStatus::kOk) {
           OnListed(records);
         }
-        m_list_timer = m_loop.After(m_policy.list_interval, [this] { List(); });
+        const bool settled = MonotonicNow() - m_started >= m_policy.settle;
+        m_list_timer = m_loop.After(
+            settled ? m_policy.list_interval : m_policy.first_list_interval,
+            [this] { List(); });
       });
 }
 
 void EntryPeers::OnListed(const std::vector<StoredObject>& records) {
+  m_listed = true;
   for (const StoredObject& record : records) {
-    const std::string name = record.key.substr(kHostPrefix.size());
-    const Result<Address> address = ParseAddress(record.value);
-    if (name == m_node || !address) {
-      continue;
-    }
-    Peer& peer = m_peers[name];
-    if (peer.client == nullptr || !(peer.address == *address)) {
-      peer.address = *address;
-      peer.client = std::make_unique<PeerClient>(m_loop, m_secret, *address);
-    }
+    AddPeer(record.key.substr(kHostPrefix.size()), record.value);
+  }
+}
+
+void EntryPeers::AddPeer(const std::string& name, const std::string& address) {
+  const Result<Address> parsed = ParseAddress(address);
+  if (name == m_node || !parsed) {
+    return;
+  }
+  Peer& peer = m_peers[name];
+  if (peer.client == nullptr || !(peer.address == *parsed)) {
+    peer.address = *parsed;
+    peer.client = std::make_unique<PeerClient>(m_loop, m_secret, *parsed);
+  }
+}
+
+NewsState EntryPeers::OwnNews() const {
+  NewsState state = m_host.OwnNews();
+  state.address = m_listen.ToString();
+  return state;
+}
+
+void EntryPeers::OnOwnChange() {
+  const uint64_t config =
+      m_host.catalog() == nullptr ? 0 : m_host.catalog()->version();
+  const uint64_t servers = m_host.server_log().revision();
+  if (config == m_told_config && servers == m_told_servers) {
+    return;
+  }
+  m_told_config = config;
+  m_told_servers = servers;
+  if (m_watching && m_round_timer != nullptr) {
+    Round();
   }
 }
 
 void EntryPeers::Round() {
   const TimePoint now = MonotonicNow();
   SumLoads(now);
+  ChooseWatch(now);
   size_t asked = 0;
   // In turn, from where the last round ended, so that all are asked.
   auto next = m_peers.upper_bound(m_last_asked);
@@ -143,7 +176,7 @@
 void EntryPeers::Ask(const std::string& name, Peer& peer, TimePoint now) {
   peer.asked_at = now;
   peer.client->Ask(
-      EncodeNewsAsk({m_host.OwnNews()}), m_policy.ask_timeout,
+      EncodeNewsAsk({OwnNews()}), m_policy.ask_timeout,
       [this, name](const std::string* payload) { OnAnswer(name, payload); });
 }
 
@@ -166,7 +199,7 @@
         {{"peer", name}, {"why", answer.error().message}});
     return;
   }
-  NoteLoads(answer->state, MonotonicNow());
+  NoteNews(answer->state, MonotonicNow());
   TakeOver(*answer);
 }
 
@@ -177,9 +210,20 @@
     Log(LogLevel::kWarning, "peer-refused", {{"why", ask.error().message}});
     return;
   }
-  NoteLoads(ask->state, MonotonicNow());
-  answer(EncodeNewsAnswer(AnswerNews(m_host.OwnNews(), m_host.catalog_text(),
-                                     m_host.server_log(), ask->state)));
+  const TimePoint now = MonotonicNow();
+  NoteNews(ask->state, now);
+  AddPeer(ask->state.node, ask->state.address);
+  const NewsState own = OwnNews();
+  answer(EncodeNewsAnswer(
+      AnswerNews(own, m_host.catalog_text(), m_host.server_log(), ask->state)));
+  // The asker knows more: ask back at once, so that a change passes on at the
+  // speed of the network and not of the rounds.
+  const auto peer = m_peers.find(ask->state.node);
+  if (peer != m_peers.end() && !peer->second.client->busy() &&
+      (ask->state.config_version > own.config_version ||
+       ask->state.servers_revision > own.servers_revision)) {
+    Ask(peer->first, peer->second, now);
+  }
 }
 
 void EntryPeers::TakeOver(const NewsAnswer& answer) {
@@ -216,23 +260,76 @@
   m_host.OnServers(std::move(changes));
 }
 
-void EntryPeers::NoteLoads(const NewsState& state, TimePoint now) {
-  m_loads[state.node] = {state.loads, now};
+void EntryPeers::NoteNews(const NewsState& state, TimePoint now) {
+  m_news[state.node] = {state, now};
+  if (state.store_back_for) {
+    m_host.OnPeerSawStoreReturn(now - *state.store_back_for);
+  }
 }
 
 void EntryPeers::SumLoads(TimePoint now) {
-  std::erase_if(m_loads, [this, now](const auto& row) {
-    return now - row.second.heard_at > m_policy.load_life;
-  });
   std::map<std::string, TargetLoad, std::less<>> sums;
-  for (const auto& [node, loads] : m_loads) {
-    for (const NewsLoad& load : loads.loads) {
+  size_t hosts = 0;
+  for (const auto& [node, news] : m_news) {
+    if (now - news.heard_at > m_policy.load_life) {
+      continue;
+    }
+    ++hosts;
+    for (const NewsLoad& load : news.state.loads) {
       TargetLoad& sum = sums[load.target];
       sum.requests += load.requests;
       sum.prompt_tokens += load.prompt_tokens;
     }
   }
-  m_host.OnRemoteLoads(sums, m_loads.size());
+  m_host.OnRemoteLoads(sums, hosts);
+}
+
+void EntryPeers::SetNeedsWatch(bool needs) {
+  m_needs_watch = needs;
+  m_feed.SetPrompt(needs);
+  ChooseWatch(MonotonicNow());
+}
+
+void EntryPeers::ChooseWatch(TimePoint now) {
+  const bool settling = now - m_started < m_policy.settle;
+  if (settling && !m_listed && !m_needs_watch) {
+    return;
+  }
+  std::erase_if(m_news, [this, now](const auto& row) {
+    return now - row.second.heard_at > m_policy.peer_life;
+  });
+  std::vector<std::string> all = {m_node};
+  std::vector<std::string> able;
+  if (settling) {
+    for (const auto& [node, peer] : m_peers) {
+      all.push_back(node);
+      able.push_back(node);
+    }
+  } else {
+    for (const auto& [node, news] : m_news) {
+      all.push_back(node);
+      if (!news.state.store_fails) {
+        able.push_back(node);
+      }
+    }
+  }
+  if (!m_host.store_away()) {
+    able.push_back(m_node);
+  }
+  // Those that cannot reach the store keep trying, so that the watch returns to
+  // them; others stand in meanwhile.
+  const auto first = ChooseWatchers(std::move(all), m_policy.watchers);
+  const auto stand_in = ChooseWatchers(std::move(able), m_policy.watchers);
+  const auto has = [this](const std::vector<std::string>& hosts) {
+    return std::find(hosts.begin(), hosts.end(), m_node) != hosts.end();
+  };
+  const bool watching = m_needs_watch || has(first) || has(stand_in);
+  if (watching != m_watching) {
+    m_watching = watching;
+    Log(LogLevel::kInfo, watching ? "watch-begins" : "watch-ends",
+        {{"peers", m_news.size()}});
+    m_feed.SetWatching(watching);
+  }
 }
 
 }  // namespace filbertrack
--- a/source/news_message.cc
+++ b/source/news_message.cc
@@ -1,8 +1,11 @@
 #include "filbertrack/news_message.h"
 
+#include <algorithm>
+
 #include <nlohmann/json.hpp>
 
 #include "filbertrack/base_cbor.h"
+#include "filbertrack/base_hash.h"
 
 namespace filbertrack {
 
@@ -10,6 +13,9 @@
 
 using Json = nlohmann::json;
 
+/// Stands for a time that did not come.
+constexpr int64_t kNever = -1;
+
 enum class NewsKind : int { kAsk = 1, kAnswer = 2 };
 
 Json Pack(const NewsState& state) {
@@ -18,17 +24,26 @@
     loads.push_back(Json::array({load.target, load.requests,
                                  static_cast<int64_t>(load.prompt_tokens)}));
   }
-  return Json::array({state.node, state.ready, state.config_version,
-                      state.servers_revision, std::move(loads)});
+  const int64_t back_for =
+      state.store_back_for ? ToMilliseconds(*state.store_back_for) : kNever;
+  return Json::array({state.node, state.address, state.ready, state.store_fails,
+                      back_for, state.config_version, state.servers_revision,
+                      std::move(loads)});
 }
 
 NewsState UnpackState(const Json& value) {
   NewsState state;
   state.node = value.at(0).get<std::string>();
-  state.ready = value.at(1).get<bool>();
-  state.config_version = value.at(2).get<uint64_t>();
-  state.servers_revision = value.at(3).get<uint64_t>();
-  for (const Json& row : value.at(4)) {
+  state.address = value.at(1).get<std::string>();
+  state.ready = value.at(2).get<bool>();
+  state.store_fails = value.at(3).get<bool>();
+  const auto back_for = value.at(4).get<int64_t>();
+  if (back_for != kNever) {
+    state.store_back_for = Milliseconds(back_for);
+  }
+  state.config_version = value.at(5).get<uint64_t>();
+  state.servers_revision = value.at(6).get<uint64_t>();
+  for (const Json& row : value.at(7)) {
     state.loads.push_back({row.at(0).get<std::string>(), row.at(1).get<int>(),
                            row.at(2).get<double>()});
   }
@@ -104,6 +119,19 @@
   });
 }
 
+std::vector<std::string> ChooseWatchers(std::vector<std::string> hosts,
+                                        size_t count) {
+  const size_t chosen = std::min(count, hosts.size());
+  std::partial_sort(hosts.begin(),
+                    hosts.begin() + static_cast<ptrdiff_t>(chosen), hosts.end(),
+                    [](const std::string& left, const std::string& right) {
+                      return RendezvousWeight("watch", left) >
+                             RendezvousWeight("watch", right);
+                    });
+  hosts.resize(chosen);
+  return hosts;
+}
+
 NewsAnswer AnswerNews(const NewsState& own,
                       const std::string& own_config,
                       const ChangeLog& servers,
--- a/tests/news_test.cc
+++ b/tests/news_test.cc
@@ -8,7 +8,13 @@
 namespace {
 
 NewsState MakeState(uint64_t config, uint64_t servers) {
-  return {"n", true, config, servers, {{"t", 3, 1500}}};
+  NewsState state;
+  state.node = "n";
+  state.address = "127.0.0.1:1";
+  state.config_version = config;
+  state.servers_revision = servers;
+  state.loads = {{"t", 3, 1500}};
+  return state;
 }
 
 TEST_CASE("an answer holds what the asker lacks and no more") {
@@ -68,6 +74,31 @@
   CHECK(got->servers_whole);
 }
 
+TEST_CASE("a return of the store is told with its age") {
+  NewsAsk ask{MakeState(1, 2)};
+  CHECK_FALSE(DecodeNewsAsk(EncodeNewsAsk(ask))->state.store_back_for);
+  ask.state.store_back_for = Milliseconds(1500);
+  CHECK(DecodeNewsAsk(EncodeNewsAsk(ask))->state.store_back_for ==
+        Milliseconds(1500));
+}
+
+TEST_CASE("all hosts choose the same watchers, and losing one changes one") {
+  REQUIRE(rc::check("watchers", [] {
+    const auto count = *rc::gen::inRange(1, 60);
+    std::vector<std::string> hosts;
+    for (int i = 0; i < count; ++i) {
+      hosts.push_back("host-" + std::to_string(i));
+    }
+    const auto chosen = ChooseWatchers(hosts, 4);
+    std::reverse(hosts.begin(), hosts.end());
+    RC_ASSERT(ChooseWatchers(hosts, 4) == chosen);
+    RC_ASSERT(chosen.size() == static_cast<size_t>(std::min(count, 4)));
+    std::erase(hosts, chosen.front());
+    const auto after = ChooseWatchers(hosts, 4);
+    RC_ASSERT(std::equal(chosen.begin() + 1, chosen.end(), after.begin()));
+  }));
+}
+
 TEST_CASE("other bytes are refused with a reason") {
   REQUIRE(rc::check("any bytes", [](const std::string& bytes) {
     RC_ASSERT(!DecodeNewsAsk(bytes));
