tests: the adapter and the whole path against stand-ins of the platform

Found by them: a request with a model for a plain service found no server; the order to open waited a second after a quick join, because the head counted as busy until then.

--- a/include/filbertrack/entry_host.h
+++ b/include/filbertrack/entry_host.h
@@ -35,6 +35,9 @@
   /// Listens on the addresses of the settings.
   Result<bool> Listen();
 
+  const Address& caller_address() const { return m_caller_address; }
+  const Address& ready_address() const { return m_ready_address; }
+
   /// Goes unready, serves on until the platform's balancer has learned of it
   /// and nothing is in flight, then stops the loop.
   void Drain();
@@ -110,6 +113,8 @@
 
   std::unique_ptr<HttpServer> m_caller_server;
   std::unique_ptr<HttpServer> m_probe_server;
+  Address m_caller_address;
+  Address m_ready_address;
   std::unique_ptr<Timer> m_silence_timer;
   std::unique_ptr<Timer> m_expiry_timer;
   std::unique_ptr<Timer> m_drain_timer;
--- a/include/filbertrack/replica_plan.h
+++ b/include/filbertrack/replica_plan.h
@@ -116,14 +116,20 @@
   std::string model;
 };
 
+/// When a host was given an order, and what it reported then.
+struct GivenOrder {
+  TimePoint at;
+  std::optional<Membership> before;
+};
+
 /// What the planner remembers between passes of one controller.
 struct ReplicaMemory {
   /// Number of the controller's lease; epochs begin with it.
   uint64_t term = 0;
   uint64_t last_number = 0;
-  /// When the latest order for a host was given; no other follows until its
-  /// effect shows or `order_retry` has passed.
-  std::map<std::string, TimePoint, std::less<>> ordered_at;
+  /// The latest order to each host; no other follows until its effect shows or
+  /// `order_retry` has passed.
+  std::map<std::string, GivenOrder, std::less<>> given;
   /// Epoch of the latest group that each host was ordered to join.
   std::map<std::string, uint64_t, std::less<>> ordered_epoch;
   /// Heads that confirmed that they left a group, by the group's name. A host
--- a/source/entry_host.cc
+++ b/source/entry_host.cc
@@ -129,6 +129,8 @@
   if (!probes) {
     return tl::unexpected(probes.error());
   }
+  m_caller_address = *callers;
+  m_ready_address = *probes;
   return true;
 }
 
@@ -198,6 +200,11 @@
   }
   const double draw = std::uniform_real_distribution<double>(0, 1)(m_random);
   request.service = ChooseService(*request.route, draw);
+  const ServiceProfile* service = m_catalog->FindService(request.service);
+  if (service == nullptr || !service->engine) {
+    // Plain services answer whatever model the caller names.
+    request.facts.model.clear();
+  }
   const Duration patience = request.facts.time_left.value_or(kDefaultPatience);
   request.deadline = request.arrived +
                      std::min(patience, request.route->timeout + kTimeoutSlack);
--- a/source/replica_plan.cc
+++ b/source/replica_plan.cc
@@ -73,10 +73,15 @@
            Health(*server) == HostHealth::kAnswers;
   }
 
+  /// The effect of the host's latest order does not show yet.
   bool IsBusy(const std::string& host) const {
-    const auto found = m_memory.ordered_at.find(host);
-    return found != m_memory.ordered_at.end() &&
-           m_now - found->second < m_policy.order_retry;
+    const auto found = m_memory.given.find(host);
+    if (found == m_memory.given.end() ||
+        m_now - found->second.at >= m_policy.order_retry) {
+      return false;
+    }
+    const BackendServer* server = m_input.directory.Find(host);
+    return server != nullptr && server->membership == found->second.before;
   }
 
   /// The host left a group whose head may still hold requests.
@@ -107,11 +112,15 @@
     m_orders.push_back({std::move(order), std::move(reason)});
   }
 
-  void Occupy(const std::string& host) { m_memory.ordered_at[host] = m_now; }
+  void Occupy(const std::string& host) {
+    const BackendServer* server = m_input.directory.Find(host);
+    m_memory.given[host] = {
+        m_now, server == nullptr ? std::nullopt : server->membership};
+  }
 
   void ForgetOld() {
-    std::erase_if(m_memory.ordered_at, [this](const auto& entry) {
-      return m_now - entry.second > 2 * m_policy.order_retry;
+    std::erase_if(m_memory.given, [this](const auto& entry) {
+      return m_now - entry.second.at > m_policy.order_retry;
     });
     while (!m_memory.load_starts.empty() &&
            m_now - m_memory.load_starts.front() > m_policy.load_window) {
--- a/source/request_machine.cc
+++ b/source/request_machine.cc
@@ -116,6 +116,9 @@
 
   Actions operator()(const CallerLeft&) {
     Actions actions;
+    if (m_state.attempt_open) {
+      m_state.known = Outcome::kUnknown;
+    }
     Close(actions);
     m_state.ended = true;
     return actions;
--- /dev/null
+++ b/standins/platform_runner_standin.cc
@@ -0,0 +1,216 @@
+#include "platform_runner_standin.h"
+
+#include <algorithm>
+
+namespace filbertrack {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr std::string_view kSeal = "seal-of-";
+
+}  // namespace
+
+PlatformRunnerStandin::PlatformRunnerStandin(EventLoop& loop,
+                                             PlatformStoreStandin& store,
+                                             RunnerStandinOptions options)
+    : m_loop(loop),
+      m_store(store),
+      m_options(std::move(options)),
+      m_server(loop, {}, [this](const Exchange& exchange) {
+        Handle(exchange);
+      }) {
+  m_address = m_server.Listen({"127.0.0.1", 0}).value();
+  Register("ready");
+}
+
+PlatformRunnerStandin::~PlatformRunnerStandin() {
+  *m_alive = false;
+}
+
+void PlatformRunnerStandin::Register(const std::string& state) {
+  Json spec = {{"service", m_options.service},
+               {"address", m_address.ToString()},
+               {"zone", "z"},
+               {"version", "v1"},
+               {"slots", 4},
+               {"state", state},
+               {"coldRemainingMs", 0},
+               {"seq", 1}};
+  if (!m_options.is_plain) {
+    spec["domain"] = m_options.domain;
+    spec["staged"] = m_staged;
+    spec["models"] = Json::array();
+    if (!m_model.empty()) {
+      spec["models"].push_back(
+          {{"name", m_model}, {"version", 1}, {"adapters", Json::array()}});
+    }
+    if (!m_group.empty()) {
+      const auto rank =
+          std::find(m_members.begin(), m_members.end(), m_options.id) -
+          m_members.begin();
+      spec["group"] = {{"name", m_group},
+                       {"epoch", m_epoch},
+                       {"rank", rank},
+                       {"state", m_state}};
+    }
+  }
+  m_store.Put("servers", m_options.id, spec);
+}
+
+void PlatformRunnerStandin::Die() {
+  m_dead = true;
+  m_server.StopListening();
+  for (const Exchange& stream : m_streams) {
+    stream->Abort();
+  }
+  m_streams.clear();
+  m_store.Remove("servers", m_options.id);
+}
+
+void PlatformRunnerStandin::Handle(const Exchange& exchange) {
+  if (m_dead) {
+    exchange->Abort();
+    return;
+  }
+  const std::string_view expected = exchange->Header("X-Expect-Runner");
+  if (!expected.empty() && expected != m_options.id) {
+    exchange->Reply(421, {{"X-Runner-Id", m_options.id}}, "");
+    return;
+  }
+  if (exchange->path() == "/report") {
+    exchange->Reply(
+        200, {}, Json({{"running", 0}, {"queued", 0}, {"busy", false}}).dump());
+    return;
+  }
+  if (exchange->path() == "/order") {
+    Obey(*exchange);
+    return;
+  }
+  Run(exchange);
+}
+
+void PlatformRunnerStandin::Join(HttpExchange& exchange, const Json& order) {
+  const auto epoch = order.value("epoch", uint64_t{0});
+  if (epoch < m_newest_epoch) {
+    exchange.Reply(412, {}, "");
+    return;
+  }
+  m_newest_epoch = epoch;
+  m_epoch = epoch;
+  m_group = order.value("group", "");
+  m_members = order.value("members", std::vector<std::string>());
+  m_model = order.value("model", "");
+  m_state = "joining";
+  Register("ready");
+  m_loop.Call(m_options.load, [this, alive = m_alive, epoch] {
+    if (*alive && !m_dead && m_epoch == epoch && m_state == "joining") {
+      m_state = "ready";
+      m_staged = {m_model};
+      Register("ready");
+    }
+  });
+  exchange.Reply(202, {}, "");
+}
+
+void PlatformRunnerStandin::Obey(HttpExchange& exchange) {
+  ++m_orders;
+  const Json order = Json::parse(exchange.body(), nullptr, false);
+  const std::string operation = order.value("operation", "");
+  if (operation == "join") {
+    Join(exchange, order);
+    return;
+  }
+  if (operation == "stage") {
+    m_staged = {order.value("model", "")};
+    Register("ready");
+    exchange.Reply(202, {}, "");
+    return;
+  }
+  const bool fits = order.value("group", "") == m_group &&
+                    order.value("epoch", uint64_t{0}) == m_epoch;
+  if (!fits) {
+    exchange.Reply(409, {}, "");
+    return;
+  }
+  if (operation == "open" && m_state == "ready") {
+    m_state = "open";
+  } else if (operation == "close") {
+    m_state = "ready";
+    for (const Exchange& stream : m_streams) {
+      stream->Abort();
+    }
+    m_streams.clear();
+  } else if (operation == "leave") {
+    m_group.clear();
+    m_state.clear();
+  } else {
+    exchange.Reply(409, {}, "");
+    return;
+  }
+  Register("ready");
+  exchange.Reply(202, {}, "");
+}
+
+HttpHeaders PlatformRunnerStandin::AnswerHeaders(HttpExchange& exchange) const {
+  const std::string id(exchange.Header("X-Attempt-Id"));
+  return {{"X-Attempt-Id", m_mixes_answers ? "another" : id},
+          {"X-Runner-Seal", std::string(kSeal) + m_options.id}};
+}
+
+void PlatformRunnerStandin::Run(const Exchange& exchange) {
+  if (m_full || (!m_options.is_plain && m_state != "open")) {
+    exchange->Reply(503, {{"X-Not-Executed", "1"}}, "");
+    return;
+  }
+  SeenRequest seen;
+  seen.id = exchange->Header("X-Attempt-Id");
+  seen.last_event = exchange->Header("Last-Event-Id");
+  seen.workspace = exchange->Header("X-Tenant");
+  seen.authorization = exchange->Header("Authorization");
+  seen.time_left = exchange->Header("X-Deadline-Remaining");
+  m_seen.push_back(seen);
+  if (m_options.is_plain) {
+    if (m_loses_answers) {
+      exchange->Abort();
+      return;
+    }
+    exchange->Reply(200, AnswerHeaders(*exchange), "answer of " + m_options.id);
+    return;
+  }
+  HttpHeaders headers = AnswerHeaders(*exchange);
+  headers.emplace_back("Content-Type", "text/event-stream");
+  exchange->StartStream(200, headers);
+  m_streams.push_back(exchange);
+  const size_t number = m_seen.size() - 1;
+  exchange->OnCallerGone([this, alive = m_alive, number] {
+    if (*alive) {
+      m_seen[number].ended = true;
+    }
+  });
+  Stream(exchange, number,
+         seen.last_event.empty() ? 1 : std::stoi(seen.last_event) + 1);
+}
+
+void PlatformRunnerStandin::Stream(const Exchange& exchange,
+                                   size_t number,
+                                   int event) {
+  m_loop.Call(
+      m_options.pause, [this, alive = m_alive, exchange, number, event] {
+        if (!*alive || m_dead || !exchange->IsOpen()) {
+          return;
+        }
+        if (event > m_options.events) {
+          exchange->End();
+          m_seen[number].ended = true;
+          std::erase(m_streams, exchange);
+          return;
+        }
+        exchange->Send("id: " + std::to_string(event) + "\ndata: part " +
+                       std::to_string(event) + "\n\n");
+        Stream(exchange, number, event + 1);
+      });
+}
+
+}  // namespace filbertrack
--- /dev/null
+++ b/standins/platform_runner_standin.h
@@ -0,0 +1,95 @@
+#pragma once
+
+/// Stand-in for a runner of the platform, written from its page: it registers
+/// in the store stand-in, obeys orders, answers reports, and serves plain and
+/// streamed requests. A group's members share the stand-in's process, so a head
+/// knows whether its members live.
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "filbertrack/http_server.h"
+#include "platform_store_standin.h"
+
+namespace filbertrack {
+
+struct RunnerStandinOptions {
+  std::string id;
+  std::string service = "llm";
+  std::string domain = "d";
+  bool is_plain = false;
+  /// Events of a streamed answer, and the pause between them.
+  int events = 5;
+  Duration pause = Milliseconds(10);
+  Duration load = Milliseconds(20);
+};
+
+/// What a runner saw of one request.
+struct SeenRequest {
+  std::string id;
+  std::string last_event;
+  std::string workspace;
+  std::string authorization;
+  std::string time_left;
+  bool ended = false;
+};
+
+class PlatformRunnerStandin {
+ public:
+  PlatformRunnerStandin(EventLoop& loop,
+                        PlatformStoreStandin& store,
+                        RunnerStandinOptions options);
+  ~PlatformRunnerStandin();
+
+  const std::string& id() const { return m_options.id; }
+  const std::vector<SeenRequest>& seen() const { return m_seen; }
+  bool is_open() const { return m_state == "open"; }
+  const std::vector<std::string>& members() const { return m_members; }
+
+  /// Registers anew with `state` as ready or draining.
+  void Register(const std::string& state);
+  /// Stops answering, cuts its streams and leaves the store.
+  void Die();
+  /// The next requests are refused as not run.
+  void SetFull(bool full) { m_full = full; }
+  /// The next plain answers are cut after they ran.
+  void SetLosesAnswers(bool loses) { m_loses_answers = loses; }
+  /// The next plain answers bear another request's name.
+  void SetMixesAnswers(bool mixes) { m_mixes_answers = mixes; }
+
+ private:
+  using Exchange = std::shared_ptr<HttpExchange>;
+
+  void Handle(const Exchange& exchange);
+  void Obey(HttpExchange& exchange);
+  void Join(HttpExchange& exchange, const nlohmann::json& order);
+  void Run(const Exchange& exchange);
+  void Stream(const Exchange& exchange, size_t number, int event);
+  HttpHeaders AnswerHeaders(HttpExchange& exchange) const;
+
+  EventLoop& m_loop;
+  PlatformStoreStandin& m_store;
+  RunnerStandinOptions m_options;
+  HttpServer m_server;
+  Address m_address;
+  bool m_dead = false;
+  bool m_full = false;
+  bool m_loses_answers = false;
+  bool m_mixes_answers = false;
+  uint64_t m_orders = 0;
+
+  std::string m_group;
+  uint64_t m_epoch = 0;
+  uint64_t m_newest_epoch = 0;
+  std::string m_model;
+  std::string m_state;
+  std::vector<std::string> m_members;
+  std::vector<std::string> m_staged;
+  std::vector<SeenRequest> m_seen;
+  std::vector<Exchange> m_streams;
+  std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
+};
+
+}  // namespace filbertrack
--- /dev/null
+++ b/standins/platform_store_standin.cc
@@ -0,0 +1,221 @@
+#include "platform_store_standin.h"
+
+#include <algorithm>
+
+namespace filbertrack {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr std::string_view kPrefix = "/objects/";
+
+uint64_t ToNumber(const std::string& text) {
+  return text.empty() ? 0 : std::stoull(text);
+}
+
+}  // namespace
+
+PlatformStoreStandin::PlatformStoreStandin(EventLoop& loop, size_t page_size)
+    : m_loop(loop),
+      m_page_size(page_size),
+      m_server(loop, {}, [this](const Exchange& exchange) {
+        Handle(exchange);
+      }) {
+  m_address = m_server.Listen({"127.0.0.1", 0}).value();
+}
+
+PlatformStoreStandin::~PlatformStoreStandin() = default;
+
+void PlatformStoreStandin::Handle(const Exchange& exchange) {
+  ++m_calls;
+  if (m_faults.silent) {
+    m_unanswered.push_back(exchange);
+    return;
+  }
+  if (m_faults.refuse_with != 0) {
+    exchange->Reply(m_faults.refuse_with, {}, "");
+    return;
+  }
+  std::string path(exchange->path());
+  if (!path.starts_with(kPrefix)) {
+    exchange->Reply(404, {}, "");
+    return;
+  }
+  path.erase(0, kPrefix.size());
+  const size_t slash = path.find('/');
+  const std::string kind = path.substr(0, slash);
+  const std::string name =
+      slash == std::string::npos ? "" : path.substr(slash + 1);
+  if (exchange->method() != HttpMethod::kGet) {
+    Write(*exchange, kind, name);
+    return;
+  }
+  if (!exchange->Query("watch").empty()) {
+    Watch(exchange, kind);
+    return;
+  }
+  if (name.empty()) {
+    List(*exchange, kind);
+    return;
+  }
+  const auto found = m_kinds[kind].find(name);
+  if (found == m_kinds[kind].end()) {
+    exchange->Reply(404, {}, "{}");
+  } else {
+    exchange->Reply(200, {}, found->second.dump());
+  }
+}
+
+void PlatformStoreStandin::List(HttpExchange& exchange,
+                                const std::string& kind) {
+  const auto& objects = m_kinds[kind];
+  const std::string after = exchange.Query("after");
+  Json items = Json::array();
+  auto it = after.empty() ? objects.begin() : objects.upper_bound(after);
+  for (; it != objects.end() && items.size() < m_page_size; ++it) {
+    items.push_back(it->second);
+  }
+  exchange.Reply(200, {},
+                 Json({{"items", items},
+                       {"hasMore", it != objects.end()},
+                       {"asOf", m_revision}})
+                     .dump());
+}
+
+bool PlatformStoreStandin::AnswerWatch(HttpExchange& exchange,
+                                       const std::string& kind,
+                                       uint64_t since,
+                                       bool even_empty) {
+  Json events = Json::array();
+  for (const Event& event : m_history) {
+    if (event.revision > since && event.kind == kind) {
+      events.push_back({{"object", event.object}, {"deleted", event.deleted}});
+    }
+  }
+  if (events.empty() && !even_empty) {
+    return false;
+  }
+  exchange.Reply(200, {},
+                 Json({{"events", events}, {"asOf", m_revision}}).dump());
+  return true;
+}
+
+void PlatformStoreStandin::Watch(const Exchange& exchange,
+                                 const std::string& kind) {
+  const uint64_t since = ToNumber(exchange->Query("watch"));
+  if (since < m_forgotten) {
+    exchange->Reply(410, {}, "{}");
+    return;
+  }
+  if (AnswerWatch(*exchange, kind, since, false)) {
+    return;
+  }
+  auto waiting = std::make_unique<Waiting>();
+  waiting->exchange = exchange;
+  waiting->kind = kind;
+  waiting->since = since;
+  Waiting* self = waiting.get();
+  waiting->timer = m_loop.After(
+      Milliseconds(static_cast<int64_t>(ToNumber(exchange->Query("waitMs")))),
+      [this, self] {
+        AnswerWatch(*self->exchange, self->kind, self->since, true);
+        std::erase_if(m_waiting,
+                      [self](const auto& row) { return row.get() == self; });
+      });
+  m_waiting.push_back(std::move(waiting));
+}
+
+void PlatformStoreStandin::WakeWatches() {
+  std::erase_if(m_waiting, [this](const auto& row) {
+    return !row->exchange->IsOpen() ||
+           AnswerWatch(*row->exchange, row->kind, row->since, false);
+  });
+}
+
+void PlatformStoreStandin::Store(const std::string& kind,
+                                 const std::string& name,
+                                 const Json& spec) {
+  ++m_revision;
+  const Json object = {{"metadata",
+                        {{"name", name},
+                         {"rev", m_revision},
+                         {"created", m_revision},
+                         {"finalizers", Json::array()},
+                         {"deleting", false}}},
+                       {"spec", spec},
+                       {"status", nullptr}};
+  m_kinds[kind][name] = object;
+  m_history.push_back({m_revision, kind, object, false});
+  WakeWatches();
+}
+
+void PlatformStoreStandin::Write(HttpExchange& exchange,
+                                 const std::string& kind,
+                                 const std::string& name) {
+  const Json body = Json::parse(exchange.body(), nullptr, false);
+  if (!body.is_object() || !body.contains("metadata")) {
+    exchange.Reply(400, {}, "{}");
+    return;
+  }
+  const Json& meta = body["metadata"];
+  const bool creates = exchange.method() == HttpMethod::kPost;
+  const std::string target = creates ? meta.value("name", "") : name;
+  const auto found = m_kinds[kind].find(target);
+  const bool exists = found != m_kinds[kind].end();
+  if (!creates && !exists) {
+    exchange.Reply(404, {}, "{}");
+    return;
+  }
+  const bool stale = exists && meta.contains("rev") &&
+                     meta["rev"] != found->second["metadata"]["rev"];
+  if ((creates && exists) || stale) {
+    exchange.Reply(409, {}, found->second.dump());
+    return;
+  }
+  Store(kind, target, body.value("spec", Json()));
+  if (m_faults.lost_writes > 0) {
+    --m_faults.lost_writes;
+    exchange.Abort();
+    return;
+  }
+  exchange.Reply(200, {}, m_kinds[kind][target].dump());
+}
+
+void PlatformStoreStandin::Put(const std::string& kind,
+                               const std::string& name,
+                               const Json& spec) {
+  Store(kind, name, spec);
+}
+
+void PlatformStoreStandin::Remove(const std::string& kind,
+                                  const std::string& name) {
+  const auto found = m_kinds[kind].find(name);
+  if (found == m_kinds[kind].end()) {
+    return;
+  }
+  ++m_revision;
+  m_history.push_back({m_revision, kind, found->second, true});
+  m_kinds[kind].erase(found);
+  WakeWatches();
+}
+
+Json PlatformStoreStandin::Get(const std::string& kind,
+                               const std::string& name) const {
+  const auto objects = m_kinds.find(kind);
+  if (objects == m_kinds.end() || !objects->second.contains(name)) {
+    return nullptr;
+  }
+  return objects->second.at(name)["spec"];
+}
+
+void PlatformStoreStandin::Compact() {
+  m_forgotten = ++m_revision;
+  m_history.clear();
+  for (const auto& waiting : m_waiting) {
+    waiting->exchange->Abort();
+  }
+  m_waiting.clear();
+}
+
+}  // namespace filbertrack
--- /dev/null
+++ b/standins/platform_store_standin.h
@@ -0,0 +1,94 @@
+#pragma once
+
+/// Stand-in for the platform's metadata store, written from its page: objects
+/// by kind and name with revisions, conditional writes, listings in pages,
+/// watches, and its faults on order.
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <nlohmann/json.hpp>
+
+#include "filbertrack/http_server.h"
+
+namespace filbertrack {
+
+struct StoreStandinFaults {
+  /// Calls are refused with this status; 0: none are.
+  int refuse_with = 0;
+  /// Calls get no answer at all.
+  bool silent = false;
+  /// So many of the next writes are done and not answered.
+  int lost_writes = 0;
+};
+
+class PlatformStoreStandin {
+ public:
+  explicit PlatformStoreStandin(EventLoop& loop, size_t page_size = 50);
+  ~PlatformStoreStandin();
+
+  const Address& address() const { return m_address; }
+  StoreStandinFaults& faults() { return m_faults; }
+
+  /// What the operator or a backend server writes; unconditional.
+  void Put(const std::string& kind,
+           const std::string& name,
+           const nlohmann::json& spec);
+  void Remove(const std::string& kind, const std::string& name);
+  /// The spec; null where there is no such object.
+  nlohmann::json Get(const std::string& kind, const std::string& name) const;
+
+  /// Forgets the history and ends the watches.
+  void Compact();
+
+  uint64_t calls() const { return m_calls; }
+  size_t watches() const { return m_waiting.size(); }
+
+ private:
+  struct Event {
+    uint64_t revision;
+    std::string kind;
+    nlohmann::json object;
+    bool deleted;
+  };
+  struct Waiting {
+    std::shared_ptr<HttpExchange> exchange;
+    std::string kind;
+    uint64_t since;
+    std::unique_ptr<Timer> timer;
+  };
+  using Exchange = std::shared_ptr<HttpExchange>;
+
+  void Handle(const Exchange& exchange);
+  void List(HttpExchange& exchange, const std::string& kind);
+  void Watch(const Exchange& exchange, const std::string& kind);
+  void Write(HttpExchange& exchange,
+             const std::string& kind,
+             const std::string& name);
+  bool AnswerWatch(HttpExchange& exchange,
+                   const std::string& kind,
+                   uint64_t since,
+                   bool even_empty);
+  void WakeWatches();
+  void Store(const std::string& kind,
+             const std::string& name,
+             const nlohmann::json& spec);
+
+  EventLoop& m_loop;
+  size_t m_page_size;
+  HttpServer m_server;
+  Address m_address;
+  StoreStandinFaults m_faults;
+  uint64_t m_revision = 1;
+  uint64_t m_forgotten = 0;
+  std::map<std::string, std::map<std::string, nlohmann::json>> m_kinds;
+  std::vector<Event> m_history;
+  std::vector<std::unique_ptr<Waiting>> m_waiting;
+  std::vector<Exchange> m_unanswered;
+  uint64_t m_calls = 0;
+};
+
+}  // namespace filbertrack
