--- a/include/filbertrack/entry_host.h
+++ b/include/filbertrack/entry_host.h
@@ -57,7 +57,8 @@
   bool store_away() const { return m_store_away; }
   /// A peer saw the store come back.
   void OnPeerSawStoreReturn(TimePoint returned);
-  const std::string& catalog_text() const { return m_catalog_text; }
+  /// The configuration in force, compressed, for peers.
+  const std::string& packed_catalog();
   const ChangeLog& server_log() const { return m_server_log; }
 
   /// Work of all other entry hosts, added up, and how many there are.
@@ -96,6 +97,8 @@
   const CallDialect& m_dialect;
   std::shared_ptr<const Catalog> m_catalog;
   std::string m_catalog_text;
+  /// Made when a peer first wants it.
+  std::string m_packed_catalog;
   ServerDirectory m_directory;
   ChangeLog m_server_log;
   bool m_servers_known = false;
--- a/include/filbertrack/entry_peers.h
+++ b/include/filbertrack/entry_peers.h
@@ -89,7 +89,10 @@
   void OnAnswer(const std::string& name, const std::string* payload);
   void OnQuestion(std::string_view payload, const PeerServer::Answer& answer);
   void TakeOver(const NewsAnswer& answer);
+  void TakeOverConfig(const NewsAnswer& answer);
   NewsState OwnNews() const;
+  /// Asks `name` for its configuration if it is newer and no other is asked.
+  void WantConfig(const std::string& name, const NewsState& state);
   void AddPeer(const std::string& name, const std::string& address);
   void NoteNews(const NewsState& state, TimePoint now);
   void SumLoads(TimePoint now);
@@ -107,6 +110,9 @@
   bool m_watching = false;
   bool m_listed = false;
   bool m_needs_watch = false;
+  /// The peer that is asked for its configuration; empty: none.
+  std::string m_config_from;
+  TimePoint m_config_asked_at;
   uint64_t m_told_config = 0;
   uint64_t m_told_servers = 0;
   std::string m_secret;
--- a/include/filbertrack/news_message.h
+++ b/include/filbertrack/news_message.h
@@ -42,11 +42,14 @@
 
 struct NewsAsk {
   NewsState state;
+  /// A newer configuration may be sent. A host asks one peer at a time for it:
+  /// large ones from several at once would fill the link of a small host.
+  bool wants_config = false;
 };
 
 struct NewsAnswer {
   NewsState state;
-  /// Text of the answerer's configuration where the asker's is older.
+  /// The answerer's configuration, compressed, where the asker wants it.
   std::string config;
   /// Registrations that the asker lacks, up to `state.servers_revision`.
   std::vector<LoggedObject> servers;
@@ -67,10 +70,10 @@
 std::vector<std::string> ChooseWatchers(std::vector<std::string> hosts,
                                         size_t count);
 
-/// What to answer, given what both sides have.
+/// What to answer, given what both sides have. `own_config` is compressed.
 NewsAnswer AnswerNews(const NewsState& own,
                       const std::string& own_config,
                       const ChangeLog& servers,
-                      const NewsState& asker);
+                      const NewsAsk& ask);
 
 }  // namespace filbertrack
--- /dev/null
+++ b/source/base_compress.cc
@@ -0,0 +1,49 @@
+#include "filbertrack/base_compress.h"
+
+#include <array>
+
+#include <zlib.h>
+
+namespace filbertrack {
+
+namespace {
+
+/// A configuration compresses to a tenth already at the quickest level.
+constexpr int kLevel = 1;
+
+}  // namespace
+
+std::string Compress(std::string_view text) {
+  uLongf size = compressBound(text.size());
+  std::string bytes(size, '\0');
+  compress2(reinterpret_cast<Bytef*>(bytes.data()), &size,
+            reinterpret_cast<const Bytef*>(text.data()), text.size(), kLevel);
+  bytes.resize(size);
+  return bytes;
+}
+
+std::optional<std::string> Decompress(std::string_view bytes,
+                                      size_t most_bytes) {
+  z_stream stream{};
+  if (inflateInit(&stream) != Z_OK) {
+    return std::nullopt;
+  }
+  stream.next_in = reinterpret_cast<Bytef*>(const_cast<char*>(bytes.data()));
+  stream.avail_in = static_cast<uInt>(bytes.size());
+  std::string text;
+  std::array<char, 64 * 1024> piece;
+  int state = Z_OK;
+  while (state == Z_OK && text.size() <= most_bytes) {
+    stream.next_out = reinterpret_cast<Bytef*>(piece.data());
+    stream.avail_out = piece.size();
+    state = inflate(&stream, Z_NO_FLUSH);
+    text.append(piece.data(), piece.size() - stream.avail_out);
+  }
+  inflateEnd(&stream);
+  if (state != Z_STREAM_END || text.size() > most_bytes) {
+    return std::nullopt;
+  }
+  return text;
+}
+
+}  // namespace filbertrack
--- a/source/entry_host.cc
+++ b/source/entry_host.cc
@@ -5,6 +5,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "filbertrack/base_compress.h"
 #include "filbertrack/base_hash.h"
 #include "filbertrack/log.h"
 
@@ -285,6 +286,7 @@
   }
   m_catalog = std::move(catalog);
   m_catalog_text = std::move(text);
+  m_packed_catalog.clear();
   const CallerLimits& limits = m_catalog->limits();
   m_caller_server->SetLimits({limits.max_header_bytes, limits.max_body_bytes,
                               limits.header_timeout, limits.idle_timeout});
@@ -327,6 +329,13 @@
   ScheduleExpiry();
 }
 
+const std::string& EntryHost::packed_catalog() {
+  if (m_packed_catalog.empty() && !m_catalog_text.empty()) {
+    m_packed_catalog = Compress(m_catalog_text);
+  }
+  return m_packed_catalog;
+}
+
 NewsState EntryHost::OwnNews() const {
   NewsState state;
   state.node = m_settings.Text("node", "name");
--- a/source/entry_peers.cc
+++ b/source/entry_peers.cc
@@ -4,6 +4,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "filbertrack/base_compress.h"
 #include "filbertrack/base_hash.h"
 #include "filbertrack/log.h"
 
@@ -14,6 +15,8 @@
 constexpr std::string_view kSecretRecord = "peer-secret";
 constexpr std::string_view kHostPrefix = "entry-host-";
 /// Between tries to read or write the records that a start needs.
+/// The store holds values up to 1 MiB; the text here may be spaced otherwise.
+constexpr size_t kMostConfigBytes = 4 * 1024 * 1024;
 constexpr Duration kStartRetry = Milliseconds(500);
 
 }  // namespace
@@ -175,8 +178,9 @@
 
 void EntryPeers::Ask(const std::string& name, Peer& peer, TimePoint now) {
   peer.asked_at = now;
+  const NewsAsk ask{OwnNews(), name == m_config_from};
   peer.client->Ask(
-      EncodeNewsAsk({OwnNews()}), m_policy.ask_timeout,
+      EncodeNewsAsk(ask), m_policy.ask_timeout,
       [this, name](const std::string* payload) { OnAnswer(name, payload); });
 }
 
@@ -191,6 +195,9 @@
         {{"peer", name}});
   }
   if (payload == nullptr) {
+    if (name == m_config_from) {
+      m_config_from.clear();
+    }
     return;
   }
   const Result<NewsAnswer> answer = DecodeNewsAnswer(*payload);
@@ -201,6 +208,28 @@
   }
   NoteNews(answer->state, MonotonicNow());
   TakeOver(*answer);
+  WantConfig(name, answer->state);
+}
+
+void EntryPeers::WantConfig(const std::string& name, const NewsState& state) {
+  const TimePoint now = MonotonicNow();
+  const uint64_t own =
+      m_host.catalog() == nullptr ? 0 : m_host.catalog()->version();
+  if (state.config_version <= own) {
+    if (name == m_config_from) {
+      m_config_from.clear();
+    }
+    return;
+  }
+  const bool asking =
+      !m_config_from.empty() && now - m_config_asked_at < m_policy.ask_timeout;
+  const auto peer = m_peers.find(name);
+  if (asking || peer == m_peers.end() || peer->second.client->busy()) {
+    return;
+  }
+  m_config_from = name;
+  m_config_asked_at = now;
+  Ask(name, peer->second, now);
 }
 
 void EntryPeers::OnQuestion(std::string_view payload,
@@ -214,28 +243,39 @@
   NoteNews(ask->state, now);
   AddPeer(ask->state.node, ask->state.address);
   const NewsState own = OwnNews();
-  answer(EncodeNewsAnswer(
-      AnswerNews(own, m_host.catalog_text(), m_host.server_log(), ask->state)));
+  answer(EncodeNewsAnswer(AnswerNews(
+      own, ask->wants_config ? m_host.packed_catalog() : std::string(),
+      m_host.server_log(), *ask)));
   // The asker knows more: ask back at once, so that a change passes on at the
   // speed of the network and not of the rounds.
   const auto peer = m_peers.find(ask->state.node);
   if (peer != m_peers.end() && !peer->second.client->busy() &&
-      (ask->state.config_version > own.config_version ||
-       ask->state.servers_revision > own.servers_revision)) {
+      ask->state.servers_revision > own.servers_revision) {
     Ask(peer->first, peer->second, now);
   }
+  WantConfig(ask->state.node, ask->state);
+}
+
+void EntryPeers::TakeOverConfig(const NewsAnswer& answer) {
+  m_config_from.clear();
+  const auto text = Decompress(answer.config, kMostConfigBytes);
+  Result<Catalog> catalog =
+      text ? m_decoder.ReadCatalog(*text)
+           : Fail(ResultCode::kResourceInvalid,
+                  "the configuration cannot be unpacked, or is over " +
+                      std::to_string(kMostConfigBytes) + " bytes.");
+  if (catalog) {
+    m_host.OnCatalog(std::make_shared<const Catalog>(std::move(*catalog)),
+                     *text);
+  } else {
+    Log(LogLevel::kError, "config-invalid",
+        {{"peer", answer.state.node}, {"why", catalog.error().message}});
+  }
 }
 
 void EntryPeers::TakeOver(const NewsAnswer& answer) {
   if (!answer.config.empty()) {
-    Result<Catalog> catalog = m_decoder.ReadCatalog(answer.config);
-    if (catalog) {
-      m_host.OnCatalog(std::make_shared<const Catalog>(std::move(*catalog)),
-                       answer.config);
-    } else {
-      Log(LogLevel::kError, "config-invalid",
-          {{"peer", answer.state.node}, {"why", catalog.error().message}});
-    }
+    TakeOverConfig(answer);
   }
   if (answer.servers.empty() && !answer.servers_whole) {
     return;
--- a/source/news_message.cc
+++ b/source/news_message.cc
@@ -50,6 +50,10 @@
   return state;
 }
 
+Json ToBytes(const std::string& text) {
+  return Json::binary(std::vector<uint8_t>(text.begin(), text.end()));
+}
+
 Json Envelope(NewsKind kind, Json body) {
   return Json::array({kNewsProtocol, static_cast<int>(kind), std::move(body)});
 }
@@ -84,7 +88,8 @@
 }  // namespace
 
 std::string EncodeNewsAsk(const NewsAsk& ask) {
-  return ToCbor(Envelope(NewsKind::kAsk, Pack(ask.state)));
+  return ToCbor(Envelope(NewsKind::kAsk,
+                         Json::array({Pack(ask.state), ask.wants_config})));
 }
 
 std::string EncodeNewsAnswer(const NewsAnswer& answer) {
@@ -94,13 +99,13 @@
   }
   return ToCbor(
       Envelope(NewsKind::kAnswer,
-               Json::array({Pack(answer.state), answer.config,
+               Json::array({Pack(answer.state), ToBytes(answer.config),
                             std::move(servers), answer.servers_whole})));
 }
 
 Result<NewsAsk> DecodeNewsAsk(std::string_view bytes) {
   return Decode<NewsAsk>(bytes, NewsKind::kAsk, [](const Json& body) {
-    return NewsAsk{UnpackState(body)};
+    return NewsAsk{UnpackState(body.at(0)), body.at(1).get<bool>()};
   });
 }
 
@@ -108,7 +113,8 @@
   return Decode<NewsAnswer>(bytes, NewsKind::kAnswer, [](const Json& body) {
     NewsAnswer answer;
     answer.state = UnpackState(body.at(0));
-    answer.config = body.at(1).get<std::string>();
+    const auto& config = body.at(1).get_binary();
+    answer.config.assign(config.begin(), config.end());
     for (const Json& row : body.at(2)) {
       answer.servers.push_back({row.at(0).get<std::string>(),
                                 row.at(1).get<uint64_t>(),
@@ -135,10 +141,11 @@
 NewsAnswer AnswerNews(const NewsState& own,
                       const std::string& own_config,
                       const ChangeLog& servers,
-                      const NewsState& asker) {
+                      const NewsAsk& ask) {
+  const NewsState& asker = ask.state;
   NewsAnswer answer;
   answer.state = own;
-  if (asker.config_version < own.config_version) {
+  if (ask.wants_config && asker.config_version < own.config_version) {
     answer.config = own_config;
   }
   if (asker.servers_revision >= own.servers_revision) {
--- a/tests/base_test.cc
+++ b/tests/base_test.cc
@@ -1,10 +1,12 @@
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
 #include <doctest/doctest.h>
+#include <rapidcheck.h>
 
 #include <fstream>
 #include <sstream>
 
 #include "filbertrack/base_cbor.h"
+#include "filbertrack/base_compress.h"
 #include "filbertrack/base_hash.h"
 #include "filbertrack/base_result.h"
 
@@ -43,5 +45,17 @@
   CHECK(!ParseCbor("\x9b\x61\x62\x63\x64\x65\x66\x67\x69"));
 }
 
+TEST_CASE("texts come out of compression as they went in, bounded in size") {
+  REQUIRE(rc::check("any text", [](const std::string& text) {
+    RC_ASSERT(Decompress(Compress(text), text.size()) == text);
+  }));
+  const std::string large(100000, 'x');
+  const std::string packed = Compress(large);
+  CHECK(packed.size() < 1000);
+  CHECK_FALSE(Decompress(packed, 99999));
+  CHECK_FALSE(Decompress(packed.substr(0, packed.size() / 2), 1000000));
+  CHECK_FALSE(Decompress("no compressed text", 1000));
+}
+
 }  // namespace
 }  // namespace filbertrack
--- a/tests/news_test.cc
+++ b/tests/news_test.cc
@@ -24,18 +24,21 @@
   log.Put({"c", 6, ""});
   log.Reach(6);
   const NewsAnswer behind =
-      AnswerNews(MakeState(3, 6), "config", log, MakeState(2, 4));
+      AnswerNews(MakeState(3, 6), "config", log, {MakeState(2, 4), true});
   CHECK(behind.config == "config");
   REQUIRE(behind.servers.size() == 2);
   CHECK(behind.servers[0].id == "b");
   CHECK(behind.servers[1].text.empty());
   CHECK_FALSE(behind.servers_whole);
+  // A peer that asks elsewhere for the configuration is not sent it again.
+  CHECK(AnswerNews(MakeState(3, 6), "config", log, {MakeState(2, 4), false})
+            .config.empty());
   const NewsAnswer level =
-      AnswerNews(MakeState(3, 6), "config", log, MakeState(3, 6));
+      AnswerNews(MakeState(3, 6), "config", log, {MakeState(3, 6), true});
   CHECK(level.config.empty());
   CHECK(level.servers.empty());
   const NewsAnswer ahead =
-      AnswerNews(MakeState(3, 6), "config", log, MakeState(4, 9));
+      AnswerNews(MakeState(3, 6), "config", log, {MakeState(4, 9), true});
   CHECK(ahead.config.empty());
   CHECK(ahead.servers.empty());
 }
@@ -49,7 +52,7 @@
   log.Put({"c", 3, ""});
   log.Reach(3);
   const NewsAnswer answer =
-      AnswerNews(MakeState(1, 3), "", log, MakeState(1, 0));
+      AnswerNews(MakeState(1, 3), "", log, {MakeState(1, 0), true});
   CHECK(answer.servers_whole);
   REQUIRE(answer.servers.size() == 1);
   CHECK(answer.servers[0].id == "a");
--- a/tools/install.sh
+++ b/tools/install.sh
@@ -4,7 +4,7 @@
 packages="g++ clang-format clang-tidy cmake ninja-build ccache curl
   libevent-dev libwebsocketpp-dev libboost-dev libboost-log-dev libcli11-dev
   libexpected-dev doctest-dev nlohmann-json3-dev librapidcheck-dev
-  libxxhash-dev libssl-dev libhttp-parser-dev"
+  libxxhash-dev libssl-dev zlib1g-dev libhttp-parser-dev"
 missing=""
 for package in $packages; do
   dpkg-query -W -f '${Status}' "$package" 2>/dev/null | grep -q 'ok installed' ||
