--- a/include/filbertrack/net_stream.h
+++ b/include/filbertrack/net_stream.h
@@ -75,7 +75,6 @@
   void FinishConnect();
   void End(StreamEnd end);
 
-  EventLoop& m_loop;
   int m_fd;
   bool m_connecting;
   bool m_shutting_down = false;
--- a/source/net_stream.cc
+++ b/source/net_stream.cc
@@ -27,8 +27,7 @@
 }  // namespace
 
 TcpStream::TcpStream(EventLoop& loop, int fd, bool connecting)
-    : m_loop(loop),
-      m_fd(fd),
+    : m_fd(fd),
       m_connecting(connecting),
       m_read_event(event_new(loop.base(),
                              fd,
--- a/source/replica_plan.cc
+++ b/source/replica_plan.cc
@@ -451,6 +451,7 @@
                        return left.first > right.first;
                      });
     std::vector<Domain*> domains;
+    domains.reserve(scored.size());
     for (const auto& [score, domain] : scored) {
       domains.push_back(domain);
     }
