--- a/source/log.cc
+++ b/source/log.cc
@@ -1,7 +1,10 @@
 #include "filbertrack/log.h"
 
-#include <chrono>
+#include <unistd.h>
+
+#include <functional>
 #include <iostream>
+#include <sstream>
 
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
@@ -10,6 +13,9 @@
 #include <boost/log/utility/setup/console.hpp>
 #include <nlohmann/json.hpp>
 
+#include "filbertrack/event_loop.h"
+#include "filbertrack/log_buffer.h"
+
 namespace filbertrack {
 
 namespace {
@@ -18,11 +24,42 @@
 
 BOOST_LOG_ATTRIBUTE_KEYWORD(severity, "Severity", LogLevel)
 
+/// Bytes of lines that wait for standard output: some seconds of a busy host.
+constexpr size_t kMostGatheredBytes = 512 * 1024;
+
+/// Hands what Boost.Log formats to the buffer, a line at a time.
+class GatheredLines : public std::stringbuf {
+ public:
+  explicit GatheredLines(LogBuffer& buffer) : m_buffer(buffer) {}
+
+ protected:
+  int sync() override {
+    std::string text = str();
+    str("");
+    if (!text.empty() && text.back() == '\n') {
+      text.pop_back();
+    }
+    m_buffer.Add(text);
+    return 0;
+  }
+
+ private:
+  LogBuffer& m_buffer;
+};
+
 struct LogState {
   std::string program;
   std::string node;
   LogLevel lowest = LogLevel::kInfo;
   logging::sources::severity_logger<LogLevel> logger;
+  LogBuffer buffer{STDOUT_FILENO, kMostGatheredBytes};
+  GatheredLines lines{buffer};
+  std::ostream gathered{&lines};
+  bool gathers = false;
+  std::function<void()> schedule;
+  bool scheduled = false;
+  LogLimiter limiter{LogRate{}};
+  uint64_t dropped = 0;
 };
 
 LogState& State() {
@@ -58,11 +95,13 @@
 
 void InitLog(const std::string& program,
              const std::string& node,
-             std::string_view lowest_level) {
+             std::string_view lowest_level,
+             LogTarget target) {
   State().program = program;
   State().node = node;
+  State().gathers = target == LogTarget::kStandardOutput;
   logging::add_console_log(
-      std::clog,
+      State().gathers ? State().gathered : std::clog,
       logging::keywords::format = logging::expressions::stream
                                   << logging::expressions::smessage,
       logging::keywords::auto_flush = true);
@@ -70,27 +109,43 @@
   logging::core::get()->set_filter(severity >= State().lowest);
 }
 
+void FlushLog() {
+  State().scheduled = false;
+  State().buffer.Flush();
+  if (!State().buffer.empty() && State().schedule) {
+    State().scheduled = true;
+    State().schedule();
+  }
+}
+
+void OnLogGathers(std::function<void()> schedule) {
+  State().schedule = std::move(schedule);
+}
+
+uint64_t DroppedLogLines() {
+  return State().dropped + State().buffer.dropped();
+}
+
 bool IsLogged(LogLevel level) {
   return level >= State().lowest;
 }
 
-void Log(LogLevel level, std::string_view event, const nlohmann::json& fields) {
+namespace {
+
+void WriteLine(LogLevel level,
+               std::string_view event,
+               const nlohmann::json& fields) {
   logging::record record =
       State().logger.open_record(logging::keywords::severity = level);
   if (!record) {
     return;
   }
-  const auto wall = std::chrono::system_clock::now().time_since_epoch();
-  nlohmann::json line = {
-      {"time_ms",
-       std::chrono::duration_cast<std::chrono::milliseconds>(wall).count()},
-      {"level", LevelName(level)},
-      {"program", State().program},
-      {"node", State().node},
-      {"event", event},
-      {"at_us", std::chrono::duration_cast<std::chrono::microseconds>(
-                    std::chrono::steady_clock::now().time_since_epoch())
-                    .count()}};
+  nlohmann::json line = {{"time_ms", WallTimeMs()},
+                         {"level", LevelName(level)},
+                         {"program", State().program},
+                         {"node", State().node},
+                         {"event", event},
+                         {"at_us", MonotonicNow().time_since_epoch().count()}};
   line.update(fields);
   logging::record_ostream stream(record);
   stream << line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
@@ -98,4 +153,23 @@
   State().logger.push_record(std::move(record));
 }
 
+}  // namespace
+
+void Log(LogLevel level, std::string_view event, const nlohmann::json& fields) {
+  LogState& state = State();
+  if (state.gathers && !state.limiter.Allow(event, MonotonicNow())) {
+    return;
+  }
+  const uint64_t dropped = state.gathers ? state.limiter.TakeDropped() : 0;
+  if (dropped > 0) {
+    state.dropped += dropped;
+    WriteLine(LogLevel::kWarning, "lines-dropped", {{"count", dropped}});
+  }
+  WriteLine(level, event, fields);
+  if (state.gathers && !state.scheduled && state.schedule) {
+    state.scheduled = true;
+    state.schedule();
+  }
+}
+
 }  // namespace filbertrack
