entry: a stream goes on where it is while its group only leaves

Change: streams are moved at once only off a group that lost a member and holds its requests; others show by their silence. Measured: a test with a leaving member sent the stream twice before, once after.

--- a/include/filbertrack/entry_host.h
+++ b/include/filbertrack/entry_host.h
@@ -88,6 +88,7 @@
   void EndRelay(EntryRelay& relay, const EntryEnd& end);
   void Changed();
   void RefreshTargets();
+  bool StandsStill(const std::string& head_id) const;
   void ScheduleExpiry();
   void CheckSilence();
   void CheckDrained();
--- a/include/filbertrack/server_directory.h
+++ b/include/filbertrack/server_directory.h
@@ -160,6 +160,10 @@
   std::optional<TimePoint> m_store_returned;
 };
 
+/// Whether all `size` members are still in the group, leaving or not: what runs
+/// there can end.
+bool IsIntact(const ReplicaView& replica, int size);
+
 /// Whether the replica has all `size` members of its model, each of them in the
 /// group and ready, and its head takes requests.
 bool IsServing(const ReplicaView& replica, int size);
--- a/source/entry_host.cc
+++ b/source/entry_host.cc
@@ -408,22 +408,10 @@
   }
   m_board.SetTargets(CurrentTargets(m_directory, *m_catalog), *m_catalog,
                      MonotonicNow());
-  // A group that lost a member holds its requests without saying so; those that
-  // may be repeated go elsewhere at once. A head that closes in order ends what
-  // it has.
   std::vector<std::pair<EntryRelay*, std::string>> lost;
   for (const auto& [key, relay] : m_relays) {
     const std::string& target = relay->last_target();
-    if (target.empty() || m_board.HasTarget(target)) {
-      continue;
-    }
-    const BackendServer* head = m_directory.Find(target);
-    const bool whole = head != nullptr && !head->membership;
-    const bool closing =
-        head != nullptr && head->membership &&
-        (head->membership->state == MembershipState::kClosing ||
-         head->draining);
-    if (!whole && !closing) {
+    if (!target.empty() && !m_board.HasTarget(target) && StandsStill(target)) {
       lost.emplace_back(relay.get(), target);
     }
   }
@@ -434,6 +422,31 @@
   }
 }
 
+/// Whether a group that lost a member holds its requests without saying so. One
+/// that closes in order, or whose members only leave, ends what it has; a head
+/// that is not registered may run on behind a partition, and its silence shows.
+bool EntryHost::StandsStill(const std::string& head_id) const {
+  const BackendServer* head = m_directory.Find(head_id);
+  if (head == nullptr || !head->membership ||
+      head->membership->state != MembershipState::kOpen) {
+    return false;
+  }
+  const ServiceProfile* service = m_catalog->FindService(head->service);
+  const ModelProfile* model =
+      service == nullptr || !service->engine
+          ? nullptr
+          : service->engine->FindModel(ModelOfGroup(head->membership->group));
+  if (model == nullptr) {
+    return false;
+  }
+  for (const ReplicaView& replica : m_directory.Replicas(head->service)) {
+    if (replica.head() == head) {
+      return !IsIntact(replica, model->members);
+    }
+  }
+  return false;
+}
+
 void EntryHost::Drain() {
   if (m_draining) {
     return;
--- a/source/entry_relay.cc
+++ b/source/entry_relay.cc
@@ -365,14 +365,22 @@
 }
 
 void EntryRelay::CheckSilence(TimePoint now) {
-  if (!m_choice || !m_attempt_first_event ||
-      m_request.route->repeat != RepeatRule::kResumable) {
+  if (!m_choice || !m_state.traits.idempotent) {
     return;
   }
+  const RelayTimes& times = m_context.times;
   const auto pauses = Duration(static_cast<int64_t>(
-      m_context.times.silent_pauses *
+      times.silent_pauses *
       static_cast<double>(m_request.route->longest_pause.count())));
-  if (now - m_last_byte > std::max(pauses, m_context.times.least_silence)) {
+  // Before its first event a request may wait for good reason, unless its
+  // target serves no more.
+  const bool silent =
+      m_attempt_first_event
+          ? m_request.route->repeat == RepeatRule::kResumable &&
+                now - m_last_byte > std::max(pauses, times.least_silence)
+          : !m_context.board.HasTarget(m_choice->target.id) &&
+                now - m_last_byte > times.least_silence;
+  if (silent) {
     Feed(filbertrack::TargetLost{});
   }
 }
--- a/source/server_directory.cc
+++ b/source/server_directory.cc
@@ -226,12 +226,19 @@
   return replicas;
 }
 
+bool IsIntact(const ReplicaView& replica, int size) {
+  return replica.members.size() == static_cast<size_t>(size) &&
+         std::none_of(
+             replica.members.begin(), replica.members.end(),
+             [](const BackendServer* member) { return member == nullptr; });
+}
+
 bool IsServing(const ReplicaView& replica, int size) {
-  if (replica.members.size() != static_cast<size_t>(size)) {
+  if (!IsIntact(replica, size)) {
     return false;
   }
   for (const BackendServer* member : replica.members) {
-    if (member == nullptr || member->draining) {
+    if (member->draining) {
       return false;
     }
     const MembershipState wanted = member->membership->rank == 0
--- a/standins/platform_runner_standin.cc
+++ b/standins/platform_runner_standin.cc
@@ -114,6 +114,16 @@
   exchange.Reply(202, {}, "");
 }
 
+void PlatformRunnerStandin::Close(bool cancel) {
+  if (cancel) {
+    for (const Exchange& stream : m_streams) {
+      stream->Abort();
+    }
+    m_streams.clear();
+  }
+  m_state = m_streams.empty() ? "ready" : "closing";
+}
+
 void PlatformRunnerStandin::Obey(HttpExchange& exchange) {
   ++m_orders;
   const Json order = Json::parse(exchange.body(), nullptr, false);
@@ -137,11 +147,7 @@
   if (operation == "open" && m_state == "ready") {
     m_state = "open";
   } else if (operation == "close") {
-    m_state = "ready";
-    for (const Exchange& stream : m_streams) {
-      stream->Abort();
-    }
-    m_streams.clear();
+    Close(order.value("closeMode", "") == "cancel");
   } else if (operation == "leave") {
     m_group.clear();
     m_state.clear();
--- a/standins/platform_runner_standin.h
+++ b/standins/platform_runner_standin.h
@@ -46,6 +46,8 @@
   const std::string& id() const { return m_options.id; }
   const std::vector<SeenRequest>& seen() const { return m_seen; }
   bool is_open() const { return m_state == "open"; }
+  /// Its streams have this many events from now on.
+  void SetEvents(int events) { m_options.events = events; }
   const std::vector<std::string>& members() const { return m_members; }
 
   /// Registers anew with `state` as ready or draining.
@@ -65,6 +67,7 @@
   void Handle(const Exchange& exchange);
   void Obey(HttpExchange& exchange);
   void Join(HttpExchange& exchange, const nlohmann::json& order);
+  void Close(bool cancel);
   void Run(const Exchange& exchange);
   void Stream(const Exchange& exchange, size_t number, int event);
   HttpHeaders AnswerHeaders(HttpExchange& exchange) const;
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -428,6 +428,42 @@
   CHECK(answer.body == WholeStream(5));
 }
 
+TEST_CASE("a member leaves in mid-stream: the stream ends where it began") {
+  // The caller gets its whole answer from the first group. A member reports
+  // that it is leaving; the group takes nothing new, is closed in order, and
+  // ends what it has. To take the stream up elsewhere would use up a retry and
+  // read the prompt again.
+  Site site(5);
+  for (const auto& runner : site.runners) {
+    runner->SetEvents(40);
+  }
+  REQUIRE(RunUntil(site.loop, [&] { return site.CountTargets() == 4; }));
+  HttpClient client(site.loop, 2);
+  Answer answer;
+  const auto call = Ask(site, client, "/s/x", "id-1", answer);
+  REQUIRE(RunUntil(site.loop, [&] {
+    return answer.body.find("part 2") != std::string::npos;
+  }));
+  std::string member;
+  for (const auto& runner : site.runners) {
+    if (!runner->seen().empty()) {
+      member = runner->members().back();
+    }
+  }
+  for (const auto& runner : site.runners) {
+    if (runner->id() == member) {
+      runner->Register("draining");
+    }
+  }
+  REQUIRE(RunUntil(site.loop, [&] { return answer.ended; }));
+  CHECK(answer.body == WholeStream(40));
+  size_t sends = 0;
+  for (const auto& runner : site.runners) {
+    sends += runner->seen().size();
+  }
+  CHECK(sends == 1);
+}
+
 TEST_CASE("a request that runs at most once is not sent again") {
   // The server ran it and its answer is lost: the caller is told that nobody
   // knows, and no other server sees the request.
