replicas, platform, tests: split by job, one copy of bounded calls

Change: the planner's pass is a class with its own header and a file each for tending, forming and staging; bounded calls are one class of the net library; fixtures moved to headers. No behaviour changed.

--- /dev/null
+++ b/source/http_bounded.cc
@@ -0,0 +1,64 @@
+#include "filbertrack/http_bounded.h"
+
+#include <algorithm>
+
+namespace filbertrack {
+
+struct BoundedCalls::Open {
+  std::unique_ptr<HttpCall> call;
+  std::unique_ptr<Timer> timer;
+  std::string body;
+  Done done;
+};
+
+BoundedCalls::BoundedCalls(EventLoop& loop, size_t max_idle)
+    : m_loop(loop), m_http(loop, max_idle) {}
+
+BoundedCalls::~BoundedCalls() = default;
+
+BoundedCalls::Handle BoundedCalls::Start(const Address& address,
+                                         HttpCallRequest request,
+                                         Duration timeout,
+                                         Done done) {
+  request.connect_timeout = std::min(request.connect_timeout, timeout);
+  const auto open = std::make_shared<Open>();
+  open->done = std::move(done);
+  m_open.push_back(open);
+  Handle handle = open;
+  const auto end = [this, handle](int status) {
+    if (const auto ended = handle.lock()) {
+      Close(ended, status);
+    }
+  };
+  HttpCallEvents events;
+  events.on_bytes = [handle](std::string_view bytes) {
+    if (const auto reading = handle.lock()) {
+      reading->body += bytes;
+    }
+  };
+  events.on_end = end;
+  events.on_failure = [end](bool) { end(0); };
+  open->timer = m_loop.After(timeout, [end] { end(0); });
+  open->call = m_http.Start(address, std::move(request), std::move(events));
+  return handle;
+}
+
+void BoundedCalls::Close(const std::shared_ptr<Open>& open, int status) {
+  m_open.remove(open);
+  open->timer.reset();
+  open->call.reset();
+  const Done done = std::move(open->done);
+  open->done = nullptr;
+  if (done) {
+    done(status, open->body);
+  }
+}
+
+void BoundedCalls::Cancel(const Handle& handle) {
+  if (const auto open = handle.lock()) {
+    open->done = nullptr;
+    Close(open, 0);
+  }
+}
+
+}  // namespace filbertrack
--- /dev/null
+++ b/source/replica_form.cc
@@ -0,0 +1,188 @@
+#include <algorithm>
+
+#include "replica_pass.h"
+
+/// The part of the planner that forms new groups.
+
+namespace filbertrack {
+
+namespace {
+
+/// Weight of a domain's present groups against its free hosts: more than a
+/// domain has hosts, so that it decides.
+constexpr double kTogether = 1000;
+
+}  // namespace
+
+bool ReplicaPass::IsFree(const BackendServer& server) const {
+  return server.service == m_input.service.name && IsUsable(&server) &&
+         !IsBusy(server.id) && !IsQuarantined(server.id) &&
+         (!server.membership || m_freed.contains(server.id));
+}
+
+bool ReplicaPass::IsWarm(const BackendServer& server, std::string_view model) {
+  return server.model == model || HasStaged(server, model);
+}
+
+void ReplicaPass::ReadDomains() {
+  for (const auto& [id, server] : m_input.directory.servers()) {
+    if (server.service != m_input.service.name || !IsUsable(&server)) {
+      continue;
+    }
+    ++m_usable;
+    Domain& domain = m_domains[server.domain];
+    if (IsFree(server)) {
+      domain.free.push_back(&server);
+    }
+  }
+  for (const auto& [domain, models] : m_whole_in) {
+    for (const auto& [model, count] : models) {
+      m_domains[domain].groups[model] += count;
+    }
+  }
+}
+
+void ReplicaPass::FormGroups() {
+  ReadDomains();
+  const int reserve =
+      m_policy.spares_per_domain * static_cast<int>(m_domains.size());
+  m_wanted = WantedReplicas(m_engine, std::max(0, m_usable - reserve));
+  while (FormOne()) {
+  }
+}
+
+double ReplicaPass::Shortage(const ModelProfile& model) const {
+  const auto wanted = m_wanted.find(model.name);
+  const auto whole = m_whole.find(model.name);
+  const double want = wanted == m_wanted.end() ? 0 : wanted->second;
+  const double have = whole == m_whole.end() ? 0 : whole->second;
+  return want <= 0 ? 0 : (want - have) / want;
+}
+
+std::vector<const ModelProfile*> ReplicaPass::ByShortage() const {
+  std::vector<const ModelProfile*> models;
+  for (const ModelProfile& model : m_engine.models) {
+    if (Shortage(model) > 0) {
+      models.push_back(&model);
+    }
+  }
+  std::sort(models.begin(), models.end(),
+            [this](const ModelProfile* left, const ModelProfile* right) {
+              return Shortage(*left) > Shortage(*right);
+            });
+  return models;
+}
+
+std::vector<ReplicaPass::Domain*> ReplicaPass::BySuitability(
+    const ModelProfile& model) {
+  std::vector<std::pair<double, Domain*>> scored;
+  for (auto& [name, domain] : m_domains) {
+    double own = 0;
+    double other = 0;
+    for (const auto& [group_model, count] : domain.groups) {
+      (group_model == model.name ? own : other) += count;
+    }
+    const double score = static_cast<double>(domain.free.size()) +
+                         kTogether * (own > 0 ? 1 : 0) -
+                         kTogether * (other > 0 ? 1 : 0);
+    scored.emplace_back(score, &domain);
+  }
+  std::stable_sort(scored.begin(), scored.end(),
+                   [](const auto& left, const auto& right) {
+                     return left.first > right.first;
+                   });
+  std::vector<Domain*> domains;
+  domains.reserve(scored.size());
+  for (const auto& [score, domain] : scored) {
+    domains.push_back(domain);
+  }
+  return domains;
+}
+
+bool ReplicaPass::FormOne() {
+  for (const ModelProfile* model : ByShortage()) {
+    const std::vector<Domain*> domains = BySuitability(*model);
+    for (Domain* domain : domains) {
+      if (FormWarm(*domain, *model)) {
+        return true;
+      }
+    }
+    if (!m_input.before_traffic) {
+      continue;
+    }
+    for (Domain* domain : domains) {
+      if (StageFirstSpare(*model) || FormCold(*domain, *model)) {
+        return true;
+      }
+    }
+  }
+  return false;
+}
+
+bool ReplicaPass::FormWarm(Domain& domain, const ModelProfile& model) {
+  std::vector<const BackendServer*> chosen;
+  for (const BackendServer* host : domain.free) {
+    if (IsWarm(*host, model.name)) {
+      chosen.push_back(host);
+    }
+  }
+  const auto size = static_cast<size_t>(model.members);
+  if (chosen.size() < size) {
+    return false;
+  }
+  // Those that had the model in memory are ready soonest.
+  std::stable_partition(chosen.begin(), chosen.end(),
+                        [&model](const BackendServer* host) {
+                          return host->model == model.name;
+                        });
+  chosen.resize(size);
+  Join(domain, model, chosen);
+  return true;
+}
+
+bool ReplicaPass::FormCold(Domain& domain, const ModelProfile& model) {
+  std::vector<const BackendServer*> chosen;
+  const auto size = static_cast<size_t>(model.members);
+  for (const bool warm : {true, false}) {
+    for (const BackendServer* host : domain.free) {
+      const bool fits = warm ? IsWarm(*host, model.name)
+                             : host->staged.empty() && host->model.empty() &&
+                                   !IsLoading(*host);
+      if (fits && chosen.size() < size) {
+        chosen.push_back(host);
+      }
+    }
+  }
+  const auto cold = static_cast<size_t>(std::count_if(
+      chosen.begin(), chosen.end(), [&model](const BackendServer* host) {
+        return !IsWarm(*host, model.name);
+      }));
+  if (chosen.size() < size || !MayLoad(cold)) {
+    return false;
+  }
+  Join(domain, model, chosen);
+  return true;
+}
+
+void ReplicaPass::Join(Domain& domain,
+                       const ModelProfile& model,
+                       const std::vector<const BackendServer*>& chosen) {
+  JoinGroup join;
+  join.epoch = m_memory.term * kEpochsPerTerm + ++m_memory.last_number;
+  join.group = model.name + kGroupNameSeparator + std::to_string(join.epoch);
+  join.model = model.name;
+  for (const BackendServer* host : chosen) {
+    join.members.push_back(host->id);
+    m_memory.ordered_epoch[host->id] = join.epoch;
+    Occupy(host->id);
+    if (!IsWarm(*host, model.name)) {
+      NoteLoad(host->id, model.name);
+    }
+    std::erase(domain.free, host);
+  }
+  m_whole[model.name] += 1;
+  domain.groups[model.name] += 1;
+  Give(std::move(join), "a replica is missing");
+}
+
+}  // namespace filbertrack
--- /dev/null
+++ b/source/replica_pass.h
@@ -0,0 +1,193 @@
+#pragma once
+
+/// One pass of the planner over one service: what it reads, decides and gives.
+
+#include <map>
+#include <set>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "filbertrack/replica_plan.h"
+
+namespace filbertrack {
+
+inline constexpr char kGroupNameSeparator = '/';
+/// Epochs of one term; a term gives fewer orders than this.
+inline constexpr uint64_t kEpochsPerTerm = 100000;
+
+/// One pass over one service. Each step adds orders; hosts that got one in this
+/// pass, or wait for the effect of an earlier one, are busy.
+class ReplicaPass {
+ public:
+  ReplicaPass(const ReplicaInput& input,
+              const ReplicaPolicy& policy,
+              ReplicaMemory& memory,
+              TimePoint now)
+      : m_input(input),
+        m_engine(*input.service.engine),
+        m_policy(policy),
+        m_memory(memory),
+        m_now(now),
+        m_replicas(input.directory.Replicas(input.service.name)) {}
+
+  std::vector<PlannedOrder> Run();
+
+ private:
+  bool IsSettling() const;
+
+  // What is known of a host.
+
+  HostHealth Health(const BackendServer& server) const;
+
+  bool IsUsable(const BackendServer* server) const;
+
+  /// The effect of the host's latest order does not show yet.
+  bool IsBusy(const std::string& host) const;
+
+  /// The host left a group whose head may still hold requests.
+  bool IsQuarantined(const std::string& host) const;
+
+  static bool HasStaged(const BackendServer& server, std::string_view model);
+
+  /// A load is under way there: one that this controller started, or one of
+  /// an earlier controller.
+  bool IsLoading(const BackendServer& server) const;
+
+  // Bookkeeping.
+
+  void Give(ReplicaOrder order, std::string reason);
+
+  void Occupy(const std::string& host);
+
+  void ForgetOld();
+
+  Duration LoadPatience() const;
+
+  // Groups that are there.
+
+  void TendReplica(const ReplicaView& replica);
+
+  /// Some members have not begun to join yet; their orders may be on the way.
+  bool IsForming(const ReplicaView& replica);
+
+  void TendWhole(const ReplicaView& replica,
+                 const ModelProfile& model,
+                 bool joining);
+
+  /// A member was ordered to join another group since, or an earlier controller
+  /// may have ordered it. That order could arrive after this group was opened
+  /// and take the member out of it.
+  bool IsSuperseded(const ReplicaView& replica) const;
+
+  void GiveUpSlowJoin(const ReplicaView& replica, const ModelProfile& model);
+
+  void CountWhole(const ReplicaView& replica,
+                  const ModelProfile& model,
+                  int change);
+
+  /// Takes a group apart. Its hosts become free only once its head cannot run
+  /// requests any more: it closed, it broke, or it is gone.
+  void Dissolve(const ReplicaView& replica, std::string_view why);
+
+  bool HeadLeft(const ReplicaView& replica) const;
+
+  void DissolveWithoutHead(const ReplicaView& replica,
+                           const BackendServer* head);
+
+  /// Lets the members join other groups. The head leaves first: it may have
+  /// opened since its last report, and an order to open it that went astray
+  /// could still arrive; a member that joined another group by then would be
+  /// in two. Without the old membership the head does nothing for it.
+  void Free(const ReplicaView& replica);
+
+  void FreeMembers(const ReplicaView& replica);
+
+  // New groups.
+
+  bool IsFree(const BackendServer& server) const;
+
+  /// Whether the host can join a group of the model without a load.
+  static bool IsWarm(const BackendServer& server, std::string_view model);
+
+  /// One fabric domain as it is for new groups.
+  struct Domain {
+    std::vector<const BackendServer*> free;
+    /// Groups that serve or will, by model.
+    std::map<std::string, int, std::less<>> groups;
+  };
+
+  void ReadDomains();
+
+  void FormGroups();
+
+  /// How much of what is wanted of a model is missing; the larger, the more
+  /// urgent.
+  double Shortage(const ModelProfile& model) const;
+
+  std::vector<const ModelProfile*> ByShortage() const;
+
+  /// Domains in the order in which they suit a new group of the model. Groups
+  /// of one large model stand together: a host that is free there can stand in
+  /// for any of their members, and what is left of two broken groups makes one.
+  std::vector<Domain*> BySuitability(const ModelProfile& model);
+
+  bool FormOne();
+
+  /// A group from hosts that have the weights.
+  bool FormWarm(Domain& domain, const ModelProfile& model);
+
+  /// A group whose members load the weights as they join: only while loads are
+  /// quick.
+  bool FormCold(Domain& domain, const ModelProfile& model);
+
+  void Join(Domain& domain,
+            const ModelProfile& model,
+            const std::vector<const BackendServer*>& chosen);
+
+  // Weights.
+
+  size_t CountLoading() const;
+
+  bool MayLoad(size_t count) const;
+
+  void NoteLoad(const std::string& host, const std::string& model);
+
+  /// Hosts of the domain that have the model's weights, or will, and are free.
+  size_t StandingBy(const Domain& domain, const ModelProfile& model) const;
+
+  const BackendServer* FindEmpty(const Domain& domain) const;
+
+  /// A large group without a host that can stand in loses all its members for
+  /// as long as a load takes, so the first spare beside it goes before groups
+  /// in further domains.
+  bool StageFirstSpare(const ModelProfile& model);
+
+  /// What one more host with the model's weights is good for in this domain,
+  /// in hosts that serve because of it.
+  double StageValue(const Domain& domain, const ModelProfile& model) const;
+
+  void Stage(const BackendServer& host, const ModelProfile& model);
+
+  void StageSpares();
+
+  const ReplicaInput& m_input;
+  const EngineProfile& m_engine;
+  const ReplicaPolicy& m_policy;
+  ReplicaMemory& m_memory;
+  TimePoint m_now;
+  std::vector<ReplicaView> m_replicas;
+  std::vector<PlannedOrder> m_orders;
+  /// Groups that serve or will, by model.
+  std::map<std::string, int, std::less<>> m_whole;
+  /// The same by domain.
+  std::map<std::string, std::map<std::string, int, std::less<>>> m_whole_in;
+  std::map<std::string, Domain> m_domains;
+  int m_usable = 0;
+  std::map<std::string, int, std::less<>> m_wanted;
+  /// Members of groups that cannot run requests any more.
+  std::set<std::string, std::less<>> m_freed;
+};
+
+}  // namespace filbertrack
--- /dev/null
+++ b/source/replica_stage.cc
@@ -0,0 +1,140 @@
+#include <algorithm>
+
+#include "replica_pass.h"
+
+/// The part of the planner that has weights fetched ahead.
+
+namespace filbertrack {
+
+namespace {
+
+/// Members up to which a broken group strands too little to keep spares for.
+constexpr int kSmallGroup = 2;
+/// Need for a further group of a model of which none is missing, beside the
+/// part of the wanted ones that is missing.
+constexpr double kLeastNeed = 0.2;
+/// Chance, as a rough guess, that a group loses a member while one load runs.
+constexpr double kLossShare = 0.4;
+
+}  // namespace
+
+size_t ReplicaPass::CountLoading() const {
+  size_t loading = 0;
+  for (const auto& [id, server] : m_input.directory.servers()) {
+    loading += server.service == m_input.service.name && IsLoading(server);
+  }
+  return loading;
+}
+
+bool ReplicaPass::MayLoad(size_t count) const {
+  if (count == 0) {
+    return true;
+  }
+  if (m_input.before_traffic) {
+    return true;
+  }
+  if (!m_input.loads_known) {
+    return false;
+  }
+  // A group larger than the limit is loaded alone.
+  const size_t at_once = CountLoading() + count;
+  const size_t most =
+      std::max(static_cast<size_t>(m_engine.loads_at_once), count);
+  if (at_once > most) {
+    return false;
+  }
+  const double allowed = m_engine.loads_per_second *
+                         ToSeconds(m_policy.load_window) *
+                         m_policy.load_rate_share;
+  return static_cast<double>(m_memory.load_starts.size() + count) <= allowed;
+}
+
+void ReplicaPass::NoteLoad(const std::string& host, const std::string& model) {
+  m_memory.loading[host] = {m_now, model};
+  m_memory.load_starts.push_back(m_now);
+}
+
+size_t ReplicaPass::StandingBy(const Domain& domain,
+                               const ModelProfile& model) const {
+  return static_cast<size_t>(
+      std::count_if(domain.free.begin(), domain.free.end(),
+                    [this, &model](const BackendServer* host) {
+                      const auto loading = m_memory.loading.find(host->id);
+                      return IsWarm(*host, model.name) ||
+                             (loading != m_memory.loading.end() &&
+                              loading->second.model == model.name);
+                    }));
+}
+
+const BackendServer* ReplicaPass::FindEmpty(const Domain& domain) const {
+  for (const BackendServer* host : domain.free) {
+    if (host->staged.empty() && host->model.empty() && !IsLoading(*host) &&
+        !IsBusy(host->id)) {
+      return host;
+    }
+  }
+  return nullptr;
+}
+
+bool ReplicaPass::StageFirstSpare(const ModelProfile& model) {
+  if (model.members <= kSmallGroup || !MayLoad(1)) {
+    return false;
+  }
+  for (auto& [name, domain] : m_domains) {
+    const auto groups = domain.groups.find(model.name);
+    const BackendServer* host = FindEmpty(domain);
+    const bool full = domain.free.size() < static_cast<size_t>(model.members);
+    if (groups != domain.groups.end() && groups->second > 0 && full &&
+        host != nullptr && StandingBy(domain, model) == 0) {
+      Stage(*host, model);
+      return true;
+    }
+  }
+  return false;
+}
+
+double ReplicaPass::StageValue(const Domain& domain,
+                               const ModelProfile& model) const {
+  const auto size = static_cast<size_t>(model.members);
+  const size_t standing_by = StandingBy(domain, model);
+  const size_t lacking = size - standing_by % size;
+  const double completes = static_cast<double>(size) /
+                           static_cast<double>(lacking) *
+                           (kLeastNeed + std::max(0.0, Shortage(model)));
+  const auto groups = domain.groups.find(model.name);
+  const int present = groups == domain.groups.end() ? 0 : groups->second;
+  const double protects =
+      standing_by == 0 ? kLossShare * present * (model.members - 1) : 0;
+  return completes + protects;
+}
+
+void ReplicaPass::Stage(const BackendServer& host, const ModelProfile& model) {
+  Occupy(host.id);
+  NoteLoad(host.id, model.name);
+  Give(StageModel{host.id, model.name}, "a host without a group loads ahead");
+}
+
+void ReplicaPass::StageSpares() {
+  while (MayLoad(1)) {
+    const BackendServer* best_host = nullptr;
+    const ModelProfile* best_model = nullptr;
+    double best = 0;
+    for (const auto& [name, domain] : m_domains) {
+      const BackendServer* host = FindEmpty(domain);
+      for (const ModelProfile& model : m_engine.models) {
+        const double value = host == nullptr ? 0 : StageValue(domain, model);
+        if (value > best) {
+          best = value;
+          best_host = host;
+          best_model = &model;
+        }
+      }
+    }
+    if (best_host == nullptr) {
+      return;
+    }
+    Stage(*best_host, *best_model);
+  }
+}
+
+}  // namespace filbertrack
--- /dev/null
+++ b/tests/fake_fleet.h
@@ -0,0 +1,320 @@
+#pragma once
+
+/// Hosts that obey orders as the users' page says, for tests of the planner.
+
+#include <algorithm>
+#include <map>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "filbertrack/replica_plan.h"
+
+namespace filbertrack {
+
+inline constexpr Duration kStall = Seconds(5);
+
+/// Hosts that obey orders as the platform's page says, and a record of what
+/// must never happen.
+class FakeFleet {
+ public:
+  struct Host {
+    BackendServer server;
+    bool alive = true;
+    /// Lives, but does not reach the store.
+    bool cut = false;
+    std::optional<TimePoint> silent_since;
+    uint64_t newest_epoch = 0;
+    std::vector<std::string> group_members;
+    /// Under its present group and epoch it was ready once.
+    bool was_ready = false;
+    std::optional<TimePoint> ready_at;
+    std::optional<TimePoint> staged_at;
+    std::string staging;
+    /// Of a head: since when a member is missing.
+    std::optional<TimePoint> standing_since;
+    /// Group that the host was last in, and its head.
+    std::string last_head;
+    std::string last_group;
+  };
+
+  explicit FakeFleet(uint64_t seed) : m_random(seed) {}
+
+  void AddHost(const std::string& domain,
+               bool staged,
+               const std::string& model) {
+    Host host;
+    host.server.id = "h" + std::to_string(++m_last);
+    host.server.service = "llm";
+    host.server.domain = domain;
+    if (staged) {
+      host.server.staged = {model};
+    }
+    m_hosts[host.server.id] = host;
+  }
+
+  bool Chance(double part) {
+    return std::uniform_real_distribution<double>(0, 1)(m_random) < part;
+  }
+
+  Host& Random() {
+    auto it = m_hosts.begin();
+    std::advance(it, static_cast<ptrdiff_t>(m_random() % m_hosts.size()));
+    return it->second;
+  }
+
+  /// An order arrives, is lost, or arrives seconds late.
+  void Send(const ReplicaOrder& order, TimePoint now, double late) {
+    if (const auto* join = std::get_if<JoinGroup>(&order)) {
+      for (const std::string& member : join->members) {
+        Deliver(member, order, now, late);
+      }
+    } else if (const auto* open = std::get_if<OpenGroup>(&order)) {
+      Deliver(open->head, order, now, late);
+    } else if (const auto* close = std::get_if<CloseGroup>(&order)) {
+      Deliver(close->head, order, now, late);
+    } else if (const auto* leave = std::get_if<LeaveGroup>(&order)) {
+      Deliver(leave->host, order, now, late);
+    } else {
+      Deliver(std::get<StageModel>(order).host, order, now, late);
+    }
+  }
+
+  void Step(TimePoint now) {
+    std::vector<Late> due;
+    std::erase_if(m_late, [&](const Late& late) {
+      if (late.at > now) {
+        return false;
+      }
+      due.push_back(late);
+      return true;
+    });
+    for (const Late& late : due) {
+      Execute(late.host, late.order, now);
+    }
+    for (auto& [id, host] : m_hosts) {
+      Progress(host, now);
+    }
+  }
+
+  /// Registrations and direct answers as the controller sees them.
+  void Show(ServerDirectory& directory, HostFindings& findings, TimePoint now) {
+    for (auto& [id, host] : m_hosts) {
+      const bool registers = host.alive && !host.cut;
+      if (registers) {
+        host.silent_since.reset();
+        directory.Put(host.server, now);
+      } else if (!host.silent_since) {
+        host.silent_since = now;
+      } else if (now - *host.silent_since > Milliseconds(3600)) {
+        directory.Remove(id, now);
+      }
+      findings[id].health =
+          host.alive ? HostHealth::kAnswers : HostHealth::kSilent;
+    }
+  }
+
+  int CountServing() const {
+    int serving = 0;
+    for (const auto& [id, host] : m_hosts) {
+      serving += IsOpen(host) && IsWhole(host) ? 1 : 0;
+    }
+    return serving;
+  }
+
+  std::map<std::string, Host>& hosts() { return m_hosts; }
+  const std::vector<std::string>& violations() const { return m_violations; }
+
+ private:
+  struct Late {
+    TimePoint at;
+    std::string host;
+    ReplicaOrder order;
+  };
+
+  static bool IsOpen(const Host& host) {
+    return host.alive && host.server.membership &&
+           host.server.membership->rank == 0 &&
+           (host.server.membership->state == MembershipState::kOpen ||
+            host.server.membership->state == MembershipState::kClosing);
+  }
+
+  bool IsWhole(const Host& head) const {
+    for (const std::string& id : head.group_members) {
+      const auto member = m_hosts.find(id);
+      if (member == m_hosts.end() || !member->second.alive ||
+          !member->second.server.membership ||
+          member->second.server.membership->group !=
+              head.server.membership->group ||
+          member->second.server.membership->epoch !=
+              head.server.membership->epoch) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  void Deliver(const std::string& id,
+               const ReplicaOrder& order,
+               TimePoint now,
+               double late) {
+    if (Chance(late)) {
+      if (Chance(0.7)) {
+        m_late.push_back({now + Milliseconds(2000 + static_cast<int64_t>(
+                                                        m_random() % 10000)),
+                          id, order});
+      }
+      return;
+    }
+    Execute(id, order, now);
+  }
+
+  void Execute(const std::string& id,
+               const ReplicaOrder& order,
+               TimePoint now) {
+    const auto found = m_hosts.find(id);
+    if (found == m_hosts.end() || !found->second.alive) {
+      return;
+    }
+    Host& host = found->second;
+    auto& place = host.server.membership;
+    if (const auto* join = std::get_if<JoinGroup>(&order)) {
+      Join(host, *join, now);
+      return;
+    }
+    if (const auto* stage = std::get_if<StageModel>(&order)) {
+      host.staging = stage->model;
+      host.staged_at = now + Seconds(12);
+      return;
+    }
+    if (const auto* leave = std::get_if<LeaveGroup>(&order)) {
+      if (place && place->group == leave->group &&
+          place->epoch == leave->epoch) {
+        place.reset();
+      }
+      return;
+    }
+    if (const auto* open = std::get_if<OpenGroup>(&order)) {
+      if (place && place->group == open->group && place->epoch == open->epoch &&
+          place->rank == 0 && place->state == MembershipState::kReady) {
+        CheckOpen(host);
+        place->state = MembershipState::kOpen;
+      }
+      return;
+    }
+    const auto& close = std::get<CloseGroup>(order);
+    if (place && place->group == close.group && place->epoch == close.epoch &&
+        place->rank == 0 && IsOpen(host)) {
+      place->state = MembershipState::kReady;
+      host.standing_since.reset();
+    }
+  }
+
+  void Join(Host& host, const JoinGroup& join, TimePoint now) {
+    auto& place = host.server.membership;
+    if (place && place->group == join.group && place->epoch == join.epoch) {
+      return;
+    }
+    if (join.epoch < host.newest_epoch) {
+      return;
+    }
+    CheckJoin(host, join, now);
+    const auto rank =
+        std::find(join.members.begin(), join.members.end(), host.server.id) -
+        join.members.begin();
+    const bool same_model = host.server.model == join.model;
+    const bool staged =
+        std::find(host.server.staged.begin(), host.server.staged.end(),
+                  join.model) != host.server.staged.end();
+    place = Membership{join.group, join.epoch, static_cast<int>(rank),
+                       MembershipState::kJoining};
+    host.newest_epoch = join.epoch;
+    host.group_members = join.members;
+    host.was_ready = false;
+    host.standing_since.reset();
+    host.last_group = join.group;
+    host.last_head = join.members.front();
+    host.server.model = join.model;
+    host.ready_at = now + (same_model ? Milliseconds(200)
+                           : staged   ? Milliseconds(1600)
+                                      : Seconds(16));
+  }
+
+  void CheckOpen(const Host& head) {
+    for (const std::string& id : head.group_members) {
+      const auto member = m_hosts.find(id);
+      const bool fine =
+          member != m_hosts.end() &&
+          (!member->second.alive || member->second.last_group == head.last_group
+               ? member->second.was_ready
+               : true);
+      if (!fine) {
+        m_violations.push_back("opened before " + id + " was ready");
+      }
+    }
+  }
+
+  /// A host must not join another group while the head of its last one could
+  /// run requests.
+  void CheckJoin(const Host& host, const JoinGroup& join, TimePoint now) {
+    if (host.last_group.empty() || host.last_group == join.group) {
+      return;
+    }
+    const auto found = m_hosts.find(host.last_head);
+    if (found == m_hosts.end()) {
+      return;
+    }
+    const Host& head = found->second;
+    const bool same_group = head.server.membership &&
+                            head.server.membership->group == host.last_group;
+    if (!same_group || !IsOpen(head)) {
+      return;
+    }
+    const bool broken =
+        head.standing_since && now - *head.standing_since >= kStall;
+    if (!broken) {
+      m_violations.push_back(host.server.id + " joined " + join.group +
+                             " while the head of " + host.last_group +
+                             " was open");
+    }
+  }
+
+  void Progress(Host& host, TimePoint now) {
+    if (!host.alive) {
+      return;
+    }
+    auto& place = host.server.membership;
+    if (host.staged_at && now >= *host.staged_at) {
+      host.server.staged = {host.staging};
+      host.staged_at.reset();
+    }
+    if (place && place->state == MembershipState::kJoining && host.ready_at &&
+        now >= *host.ready_at) {
+      place->state = MembershipState::kReady;
+      host.was_ready = true;
+      host.server.staged = {host.server.model};
+    }
+    if (!IsOpen(host)) {
+      return;
+    }
+    if (IsWhole(host)) {
+      host.standing_since.reset();
+      return;
+    }
+    if (!host.standing_since) {
+      host.standing_since = now;
+    }
+    if (now - *host.standing_since >= kStall) {
+      place->state = MembershipState::kBroken;
+    }
+  }
+
+  std::mt19937_64 m_random;
+  std::map<std::string, Host> m_hosts;
+  std::vector<Late> m_late;
+  std::vector<std::string> m_violations;
+  int m_last = 0;
+};
+
+}  // namespace filbertrack
--- a/tests/net_test.cc
+++ b/tests/net_test.cc
@@ -4,30 +4,16 @@
 #include <netinet/in.h>
 #include <sys/socket.h>
 
-#include <event2/event.h>
 #include <event2/listener.h>
 
 #include "filbertrack/http_client.h"
 #include "filbertrack/http_server.h"
 #include "filbertrack/net_stream.h"
+#include "run_until.h"
 
 namespace filbertrack {
 namespace {
 
-/// Ends a test that waits for something that never comes.
-constexpr Duration kTestLimit = Seconds(20);
-
-/// Runs the loop until `done` holds.
-template <typename Done>
-bool RunUntil(EventLoop& loop, Done done) {
-  bool late = false;
-  const auto limit = loop.After(kTestLimit, [&] { late = true; });
-  while (!done() && !late) {
-    event_base_loop(loop.base(), EVLOOP_ONCE);
-  }
-  return !late;
-}
-
 /// A caller that sends the bytes it is told to, and keeps what comes back.
 struct RawCaller {
   RawCaller(EventLoop& loop, const Address& address)
--- /dev/null
+++ b/tests/platform_path_test.cc
@@ -0,0 +1,343 @@
+#include <doctest/doctest.h>
+
+#include <algorithm>
+
+#include "filbertrack/entry_control.h"
+#include "filbertrack/entry_host.h"
+#include "filbertrack/entry_peers.h"
+#include "platform_config.h"
+#include "platform_decode.h"
+#include "platform_dialect.h"
+#include "platform_engines.h"
+#include "platform_runner_standin.h"
+#include "platform_store.h"
+#include "platform_store_standin.h"
+#include "run_until.h"
+
+/// The whole path of an entry host against stand-ins of the platform.
+
+namespace filbertrack {
+namespace {
+
+/// An entry host with all its parts, the store and runners, on one loop.
+struct Site {
+  explicit Site(int hosts) : store(loop) {
+    store.Put("config", "main", MakeConfig(1));
+    for (int i = 0; i < hosts; ++i) {
+      RunnerStandinOptions options;
+      options.id = "r" + std::to_string(i);
+      runners.push_back(
+          std::make_unique<PlatformRunnerStandin>(loop, store, options));
+    }
+    for (int i = 0; i < 2; ++i) {
+      RunnerStandinOptions options;
+      options.id = "p" + std::to_string(i);
+      options.service = "plain";
+      options.is_plain = true;
+      plain.push_back(
+          std::make_unique<PlatformRunnerStandin>(loop, store, options));
+    }
+    const auto settings = EntrySchema().ParseText(
+        "[node]\nname = e1\ndata_centre = z\n"
+        "[callers]\nlisten = 127.0.0.1:0\n[ready]\nlisten = 127.0.0.1:0\n"
+        "[peers]\nlisten = 127.0.0.1:0\n[store]\naddress = " +
+            store.address().ToString() + "\n",
+        "test.ini");
+    host = std::make_unique<EntryHost>(loop, *settings, dialect);
+    listening = host->Listen().has_value();
+    client = std::make_unique<platform::PlatformStore>(
+        loop, store.address(), platform::PlatformStorePolicy{}, *host, 1);
+    EntryPeersPolicy peer_policy;
+    peers = std::make_unique<EntryPeers>(loop, "e1", Address{"127.0.0.1", 0},
+                                         peer_policy, *host, decoder, *client,
+                                         *client);
+    engines = std::make_unique<platform::PlatformEngines>(loop);
+    ControlPolicy policy;
+    policy.replicas.settle = Milliseconds(50);
+    policy.replicas.spares_per_domain = 1;
+    control = std::make_unique<EntryControl>(loop, "e1", policy, *host, *peers,
+                                             *engines, *client);
+    peers->Start();
+    control->Start();
+  }
+
+  int CountOpen() const {
+    return static_cast<int>(
+        std::count_if(runners.begin(), runners.end(),
+                      [](const auto& runner) { return runner->is_open(); }));
+  }
+
+  /// Groups and plain servers that the host would send to.
+  size_t CountTargets() const {
+    return host->catalog() == nullptr
+               ? 0
+               : CurrentTargets(host->directory(), *host->catalog()).size();
+  }
+
+  EventLoop loop;
+  PlatformStoreStandin store;
+  std::vector<std::unique_ptr<PlatformRunnerStandin>> runners;
+  std::vector<std::unique_ptr<PlatformRunnerStandin>> plain;
+  platform::PlatformDialect dialect;
+  platform::PlatformDecoder decoder;
+  std::unique_ptr<EntryHost> host;
+  bool listening = false;
+  std::unique_ptr<platform::PlatformStore> client;
+  std::unique_ptr<EntryPeers> peers;
+  std::unique_ptr<platform::PlatformEngines> engines;
+  std::unique_ptr<EntryControl> control;
+};
+
+/// What a caller got.
+struct Answer {
+  bool ended = false;
+  bool failed = false;
+  int status = 0;
+  HttpHeaders headers;
+  std::string body;
+};
+
+std::unique_ptr<HttpCall> Ask(Site& site,
+                              HttpClient& client,
+                              const std::string& path,
+                              const std::string& id,
+                              Answer& answer,
+                              const std::string& key = "key") {
+  HttpCallRequest request;
+  request.method = HttpMethod::kPost;
+  request.target = path;
+  request.headers = {{"Host", "h.example"},
+                     {"X-Attempt-Id", id},
+                     {"X-Model", "m"},
+                     {"X-Token-Usage", "100,50"},
+                     {"X-Deadline-Remaining", "8000"},
+                     {"Authorization", "Bearer " + key}};
+  HttpCallEvents events;
+  events.on_head = [&answer](int status, const HttpHeaders& headers) {
+    answer.status = status;
+    answer.headers = headers;
+  };
+  events.on_bytes = [&answer](std::string_view bytes) { answer.body += bytes; };
+  events.on_end = [&answer](int) { answer.ended = true; };
+  events.on_failure = [&answer](bool) { answer.ended = answer.failed = true; };
+  return client.Start(site.host->caller_address(), std::move(request),
+                      std::move(events));
+}
+
+std::string WholeStream(int events) {
+  std::string text;
+  for (int i = 1; i <= events; ++i) {
+    text += "id: " + std::to_string(i) + "\ndata: part " + std::to_string(i) +
+            "\n\n";
+  }
+  return text;
+}
+
+TEST_CASE("from nothing: groups form and a stream is served unchanged") {
+  Site site(5);
+  REQUIRE(site.listening);
+  REQUIRE(RunUntil(site.loop, [&] { return site.CountOpen() == 2; }));
+  REQUIRE(RunUntil(site.loop, [&] { return site.CountTargets() == 4; }));
+  CHECK(site.host->IsReady());
+  HttpClient client(site.loop, 2);
+  Answer answer;
+  const auto call = Ask(site, client, "/s/x", "id-1", answer);
+  REQUIRE(RunUntil(site.loop, [&] { return answer.ended; }));
+  CHECK(answer.status == 200);
+  CHECK(answer.body == WholeStream(5));
+  CHECK(FindHeader(answer.headers, "X-Runner-Seal").starts_with("seal-of-"));
+  for (const auto& runner : site.runners) {
+    for (const SeenRequest& seen : runner->seen()) {
+      CHECK(seen.workspace == "w");
+      CHECK(seen.authorization.empty());
+      CHECK(std::stoi(seen.time_left) <= 8000);
+    }
+  }
+}
+
+TEST_CASE("a head dies in mid-stream: the caller gets one whole answer") {
+  // The stream breaks after its first events; another group takes it up after
+  // the last one that the caller has, and the group that lost its head is made
+  // whole from what is left.
+  Site site(5);
+  REQUIRE(RunUntil(site.loop, [&] { return site.CountOpen() == 2; }));
+  REQUIRE(RunUntil(site.loop, [&] { return site.CountTargets() == 4; }));
+  HttpClient client(site.loop, 2);
+  Answer answer;
+  const auto call = Ask(site, client, "/s/x", "id-1", answer);
+  REQUIRE(RunUntil(site.loop, [&] {
+    return answer.body.find("part 2") != std::string::npos;
+  }));
+  for (const auto& runner : site.runners) {
+    if (!runner->seen().empty()) {
+      runner->Die();
+      break;
+    }
+  }
+  REQUIRE(RunUntil(site.loop, [&] { return answer.ended; }));
+  CHECK_FALSE(answer.failed);
+  CHECK(answer.body == WholeStream(5));
+}
+
+TEST_CASE("a member leaves in mid-stream: the stream ends where it began") {
+  // The caller gets its whole answer from the first group. A member reports
+  // that it is leaving; the group takes nothing new, is closed in order, and
+  // ends what it has. To take the stream up elsewhere would use up a retry and
+  // read the prompt again.
+  Site site(5);
+  for (const auto& runner : site.runners) {
+    runner->SetEvents(40);
+  }
+  REQUIRE(RunUntil(site.loop, [&] { return site.CountTargets() == 4; }));
+  HttpClient client(site.loop, 2);
+  Answer answer;
+  const auto call = Ask(site, client, "/s/x", "id-1", answer);
+  REQUIRE(RunUntil(site.loop, [&] {
+    return answer.body.find("part 2") != std::string::npos;
+  }));
+  std::string member;
+  for (const auto& runner : site.runners) {
+    if (!runner->seen().empty()) {
+      member = runner->members().back();
+    }
+  }
+  for (const auto& runner : site.runners) {
+    if (runner->id() == member) {
+      runner->Register("draining");
+    }
+  }
+  REQUIRE(RunUntil(site.loop, [&] { return answer.ended; }));
+  CHECK(answer.body == WholeStream(40));
+  size_t sends = 0;
+  for (const auto& runner : site.runners) {
+    sends += runner->seen().size();
+  }
+  CHECK(sends == 1);
+}
+
+TEST_CASE("a request that runs at most once is not sent again") {
+  // The server ran it and its answer is lost: the caller is told that nobody
+  // knows, and no other server sees the request.
+  Site site(0);
+  REQUIRE(RunUntil(site.loop, [&] { return site.host->IsReady(); }));
+  for (const auto& server : site.plain) {
+    server->SetLosesAnswers(true);
+  }
+  HttpClient client(site.loop, 2);
+  Answer answer;
+  const auto call = Ask(site, client, "/once/x", "id-1", answer);
+  REQUIRE(RunUntil(site.loop, [&] { return answer.ended; }));
+  CHECK(answer.status == 502);
+  CHECK(site.plain[0]->seen().size() + site.plain[1]->seen().size() == 1);
+}
+
+TEST_CASE("a request that may be repeated is sent to another server") {
+  Site site(0);
+  REQUIRE(RunUntil(site.loop, [&] { return site.host->IsReady(); }));
+  site.plain[0]->SetLosesAnswers(true);
+  HttpClient client(site.loop, 2);
+  for (int i = 0; i < 4; ++i) {
+    Answer answer;
+    const auto call =
+        Ask(site, client, "/safe/x", "id-" + std::to_string(i), answer);
+    REQUIRE(RunUntil(site.loop, [&] { return answer.ended; }));
+    CHECK(answer.status == 200);
+    CHECK(answer.body == "answer of p1");
+  }
+}
+
+TEST_CASE(
+    "servers that refuse: the caller is told that nothing ran, and when to "
+    "come back") {
+  Site site(0);
+  REQUIRE(RunUntil(site.loop, [&] { return site.host->IsReady(); }));
+  for (const auto& server : site.plain) {
+    server->SetFull(true);
+  }
+  HttpClient client(site.loop, 2);
+  Answer answer;
+  const auto call = Ask(site, client, "/once/x", "id-1", answer);
+  REQUIRE(RunUntil(site.loop, [&] { return answer.ended; }));
+  CHECK(answer.status == 503);
+  CHECK_FALSE(FindHeader(answer.headers, "Retry-After").empty());
+  CHECK(site.plain[0]->seen().empty());
+  CHECK(site.plain[1]->seen().empty());
+}
+
+TEST_CASE("an answer that names another request never reaches the caller") {
+  Site site(0);
+  REQUIRE(RunUntil(site.loop, [&] { return site.host->IsReady(); }));
+  for (const auto& server : site.plain) {
+    server->SetMixesAnswers(true);
+  }
+  HttpClient client(site.loop, 2);
+  Answer answer;
+  const auto call = Ask(site, client, "/safe/x", "id-1", answer);
+  REQUIRE(RunUntil(site.loop, [&] { return answer.ended; }));
+  CHECK(answer.status == 502);
+  CHECK(answer.body.find("answer of") == std::string::npos);
+}
+
+TEST_CASE("unknown keys and routes are refused, and run nowhere") {
+  Site site(0);
+  REQUIRE(RunUntil(site.loop, [&] { return site.host->IsReady(); }));
+  HttpClient client(site.loop, 2);
+  Answer wrong_key;
+  const auto first = Ask(site, client, "/safe/x", "id-1", wrong_key, "stolen");
+  REQUIRE(RunUntil(site.loop, [&] { return wrong_key.ended; }));
+  CHECK(wrong_key.status == 401);
+  Answer no_route;
+  const auto second = Ask(site, client, "/nowhere/", "id-2", no_route);
+  REQUIRE(RunUntil(site.loop, [&] { return no_route.ended; }));
+  CHECK(no_route.status == 404);
+}
+
+TEST_CASE("a key that is withdrawn is refused from the next request on") {
+  Site site(0);
+  REQUIRE(RunUntil(site.loop, [&] { return site.host->IsReady(); }));
+  Json config = MakeConfig(2);
+  config["tenants"][0]["apiKeys"] = {"other"};
+  site.store.Put("config", "main", config);
+  REQUIRE(RunUntil(site.loop,
+                   [&] { return site.host->catalog()->version() == 2; }));
+  HttpClient client(site.loop, 2);
+  Answer answer;
+  const auto call = Ask(site, client, "/safe/x", "id-1", answer);
+  REQUIRE(RunUntil(site.loop, [&] { return answer.ended; }));
+  CHECK(answer.status == 401);
+}
+
+TEST_CASE("a caller that leaves ends the work at the server") {
+  Site site(3);
+  REQUIRE(RunUntil(site.loop, [&] { return site.CountOpen() == 1; }));
+  REQUIRE(RunUntil(site.loop, [&] { return site.CountTargets() == 3; }));
+  HttpClient client(site.loop, 2);
+  Answer answer;
+  auto call = Ask(site, client, "/s/x", "id-1", answer);
+  REQUIRE(RunUntil(site.loop, [&] { return !answer.body.empty(); }));
+  call.reset();
+  CHECK(RunUntil(site.loop, [&] {
+    return std::any_of(
+        site.runners.begin(), site.runners.end(), [](const auto& runner) {
+          return !runner->seen().empty() && runner->seen()[0].ended;
+        });
+  }));
+}
+
+TEST_CASE("a stopping host answers what it has and refuses what comes late") {
+  // After the balancer had time to learn of the stop, a new request is refused
+  // as not run, so that it is not cut at the end of the grace time.
+  Site site(0);
+  REQUIRE(RunUntil(site.loop, [&] { return site.host->IsReady(); }));
+  site.host->Drain();
+  CHECK_FALSE(site.host->IsReady());
+  HttpClient client(site.loop, 2);
+  Answer early;
+  const auto first = Ask(site, client, "/safe/x", "id-1", early);
+  REQUIRE(RunUntil(site.loop, [&] { return early.ended; }));
+  CHECK(early.status == 200);
+  CHECK(FindHeader(early.headers, "Connection") == "close");
+}
+
+}  // namespace
+}  // namespace filbertrack
