net: mend a finding of the linter and the format of one header

Cause: a request was copied where it could be handed on; one header was not as the formatter writes it. No behaviour changed.

--- a/include/filbertrack/entry_host.h
+++ b/include/filbertrack/entry_host.h
@@ -72,7 +72,9 @@
   bool traffic_seen() const { return m_traffic_seen; }
 
   /// Called after each change of directory or configuration.
-  void OnChange(std::function<void()> action) { m_on_change = std::move(action); }
+  void OnChange(std::function<void()> action) {
+    m_on_change = std::move(action);
+  }
 
  private:
   void OnCaller(const std::shared_ptr<HttpExchange>& exchange);
--- a/source/http_client.cc
+++ b/source/http_client.cc
@@ -140,7 +140,7 @@
   bool is_head_request = false;
   bool complete = false;
 
-  void Begin(const HttpCallRequest& call) {
+  void Begin(HttpCallRequest&& call) {
     is_head_request = call.method == HttpMethod::kHead ||
                       call.method_text == HttpMethodName(HttpMethod::kHead);
     idle_timeout = call.idle_timeout;
@@ -393,7 +393,7 @@
   state->pool = m_pool;
   state->address = address;
   state->events = std::move(events);
-  state->Begin(request);
+  state->Begin(std::move(request));
   return std::unique_ptr<HttpCall>(new HttpCall(state));
 }
 
