--- a/include/filbertrack/entry_host.h
+++ b/include/filbertrack/entry_host.h
@@ -38,6 +38,10 @@
   const Address& caller_address() const { return m_caller_address; }
   const Address& ready_address() const { return m_ready_address; }
 
+  /// Takes over what may change while the process runs: the budget of retries
+  /// and the grace time. Addresses stay until the next start.
+  void Reload(const Settings& settings);
+
   /// Goes unready, serves on until the platform's balancer has learned of it
   /// and nothing is in flight, then stops the loop.
   void Drain();
--- a/include/filbertrack/event_loop.h
+++ b/include/filbertrack/event_loop.h
@@ -59,6 +59,9 @@
   /// Calls `action` on SIGTERM and SIGINT.
   void OnStopSignal(std::function<void()> action);
 
+  /// Calls `action` on SIGHUP, which otherwise ends the process.
+  void OnReloadSignal(std::function<void()> action);
+
   void Run();
   void Stop();
 
@@ -66,7 +69,9 @@
   event_base* m_base;
   event* m_terminate = nullptr;
   event* m_interrupt = nullptr;
+  event* m_hangup = nullptr;
   std::function<void()> m_stop_action;
+  std::function<void()> m_reload_action;
 };
 
 }  // namespace filbertrack
--- a/include/filbertrack/program.h
+++ b/include/filbertrack/program.h
@@ -16,6 +16,10 @@
   SettingsSchema schema;
   /// Runs until a stop signal; returns the exit code.
   std::function<int(const Settings&)> run;
+  /// In place of `run`, for programs that read their settings again; the second
+  /// argument does that.
+  std::function<int(const Settings&, std::function<Result<Settings>()>)>
+      run_reloading = nullptr;
 };
 
 int RunProgram(const ProgramInfo& program, int argc, char** argv);
--- a/source/entry_host.cc
+++ b/source/entry_host.cc
@@ -447,6 +447,12 @@
   return false;
 }
 
+void EntryHost::Reload(const Settings& settings) {
+  m_settings = settings;
+  m_retries = RetryBudget(RetryPolicyOf(settings), MonotonicNow());
+  Log(LogLevel::kInfo, "settings-reloaded", nlohmann::json::object());
+}
+
 void EntryHost::Drain() {
   if (m_draining) {
     return;
--- a/source/event_loop.cc
+++ b/source/event_loop.cc
@@ -78,6 +78,9 @@
     event_free(m_terminate);
     event_free(m_interrupt);
   }
+  if (m_hangup != nullptr) {
+    event_free(m_hangup);
+  }
   event_base_free(m_base);
 }
 
@@ -112,6 +115,15 @@
   event_add(m_interrupt, nullptr);
 }
 
+void EventLoop::OnReloadSignal(std::function<void()> action) {
+  m_reload_action = std::move(action);
+  const auto run = [](int, short, void* self) {
+    static_cast<EventLoop*>(self)->m_reload_action();
+  };
+  m_hangup = evsignal_new(m_base, SIGHUP, run, this);
+  event_add(m_hangup, nullptr);
+}
+
 void EventLoop::Run() {
   event_base_dispatch(m_base);
 }
--- a/source/program.cc
+++ b/source/program.cc
@@ -42,6 +42,11 @@
     std::printf("%s: the settings are valid.\n", settings_path.c_str());
     return 0;
   }
+  if (program.run_reloading) {
+    return program.run_reloading(*settings, [&program, &settings_path] {
+      return program.schema.ReadFile(settings_path);
+    });
+  }
   return program.run(*settings);
 }
 
--- a/tests/platform_path_test.cc
+++ b/tests/platform_path_test.cc
@@ -1,6 +1,7 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <csignal>
 
 #include "filbertrack/entry_control.h"
 #include "filbertrack/entry_host.h"
@@ -324,6 +325,24 @@
   }));
 }
 
+TEST_CASE("a signal to reload does not end the process") {
+  // The platform sends SIGHUP when the settings file changed. Unhandled, it
+  // ended every entry host at once, with the requests they had.
+  EventLoop loop;
+  int reloads = 0;
+  loop.OnReloadSignal([&reloads] { ++reloads; });
+  std::raise(SIGHUP);
+  CHECK(RunUntil(loop, [&reloads] { return reloads == 1; }));
+  Site site(0);
+  REQUIRE(RunUntil(site.loop, [&] { return site.host->IsReady(); }));
+  const auto settings = EntrySchema().ParseText(
+      "[node]\nname = e1\ndata_centre = z\n[store]\naddress = "
+      "127.0.0.1:1\n[retries]\nslack = 7\n",
+      "test.ini");
+  site.host->Reload(*settings);
+  CHECK(site.host->IsReady());
+}
+
 TEST_CASE("a stopping host answers what it has and refuses what comes late") {
   // After the balancer had time to learn of the stop, a new request is refused
   // as not run, so that it is not cut at the end of the grace time.
