entry, net: remove dead code and one twin found on a second reading

Cause: an unused list in OnServers, an unused count of targets, a time nobody read in OnLease, a flag nobody read on a connection; and the search for the call of a connection stood twice in the HTTP client. One function serves both now. No behaviour changed, no test touched.

--- a/include/filbertrack/dispatch_board.h
+++ b/include/filbertrack/dispatch_board.h
@@ -147,7 +147,6 @@
   std::vector<std::pair<std::string, TargetLoad>> OwnLoads() const;
 
   bool HasTarget(std::string_view id) const;
-  size_t CountTargets(std::string_view service, std::string_view model) const;
 
   /// Time to the first event at `id` of a prompt of so many tokens.
   Duration Predict(std::string_view id, double prompt_tokens) const;
--- a/include/filbertrack/entry_control.h
+++ b/include/filbertrack/entry_control.h
@@ -58,7 +58,7 @@
 
   void Tick();
   void ReadLease();
-  void OnLease(const StoreAnswer& answer, TimePoint asked);
+  void OnLease(const StoreAnswer& answer);
   void WriteLease(const DomainLease& lease);
   void OnWritten(const DomainLease& lease,
                  const std::string& text,
--- a/source/dispatch_board.cc
+++ b/source/dispatch_board.cc
@@ -112,12 +112,6 @@
   return entry != nullptr && entry->in_use;
 }
 
-size_t DispatchBoard::CountTargets(std::string_view service,
-                                   std::string_view model) const {
-  const auto found = m_groups.find(GroupKey(service, model));
-  return found == m_groups.end() ? 0 : found->second.size();
-}
-
 bool DispatchBoard::IsPaused(const Entry& entry, TimePoint now) const {
   if (entry.failures == 0) {
     return false;
--- a/source/entry_control.cc
+++ b/source/entry_control.cc
@@ -170,16 +170,14 @@
     return;
   }
   m_lease_call_open = true;
-  const TimePoint asked = MonotonicNow();
-  m_last_read = asked;
-  m_records.Read(std::string(kLeaseRecord),
-                 [this, asked](const StoreAnswer& answer) {
-                   m_lease_call_open = false;
-                   OnLease(answer, asked);
-                 });
+  m_last_read = MonotonicNow();
+  m_records.Read(std::string(kLeaseRecord), [this](const StoreAnswer& answer) {
+    m_lease_call_open = false;
+    OnLease(answer);
+  });
 }
 
-void EntryControl::OnLease(const StoreAnswer& answer, TimePoint) {
+void EntryControl::OnLease(const StoreAnswer& answer) {
   // No answer tells nothing: a store that is down must not make a live holder
   // look dead.
   if (answer.status == StoreStatus::kUnavailable || m_stopping) {
--- a/source/entry_host.cc
+++ b/source/entry_host.cc
@@ -299,7 +299,6 @@
   const TimePoint now = MonotonicNow();
   bool changed = !m_servers_known;
   m_servers_known = true;
-  std::vector<BackendServer> newer;
   std::set<std::string, std::less<>> present;
   for (Registration& registration : changes.changed) {
     const std::string& id = registration.server.id;
--- a/source/http_client.cc
+++ b/source/http_client.cc
@@ -64,7 +64,6 @@
   std::shared_ptr<TcpStream> stream;
   std::unique_ptr<HttpMessageParser> parser;
   TimePoint usable_until;
-  bool open = false;
   /// The call that the next answer belongs to; null while idle.
   HttpCall::State* call = nullptr;
 };
@@ -266,26 +265,36 @@
     if (connection == nullptr || connection->call == nullptr) {
       return;
     }
-    connection->open = true;
     connection->call->SendRequest();
   }
 
+  /// The call that waits on the connection. Null: none does, and what came
+  /// makes the connection useless.
+  static std::shared_ptr<State> CallOf(
+      const std::shared_ptr<ServerConnection>& connection,
+      const std::weak_ptr<HttpClient::Pool>& owner,
+      const Address& address) {
+    if (connection == nullptr) {
+      return nullptr;
+    }
+    if (connection->call != nullptr) {
+      return connection->call->shared_from_this();
+    }
+    if (const auto pool = owner.lock()) {
+      pool->Discard(address, connection);
+    }
+    return nullptr;
+  }
+
   static void OnBytes(const std::weak_ptr<ServerConnection>& weak,
                       const std::weak_ptr<HttpClient::Pool>& owner,
                       const Address& address,
                       std::string_view bytes) {
     const auto connection = weak.lock();
-    if (connection == nullptr) {
-      return;
-    }
-    if (connection->call == nullptr) {
-      const auto pool = owner.lock();
-      if (pool != nullptr) {
-        pool->Discard(address, connection);
-      }
+    const std::shared_ptr<State> call = CallOf(connection, owner, address);
+    if (call == nullptr) {
       return;
     }
-    const std::shared_ptr<State> call = connection->call->shared_from_this();
     call->last_byte = MonotonicNow();
     while (!bytes.empty() && connection->call == call.get() &&
            !call->complete) {
@@ -306,17 +315,10 @@
                           const Address& address,
                           StreamEnd end) {
     const auto connection = weak.lock();
-    if (connection == nullptr) {
-      return;
-    }
-    if (connection->call == nullptr) {
-      const auto pool = owner.lock();
-      if (pool != nullptr) {
-        pool->Discard(address, connection);
-      }
+    const std::shared_ptr<State> call = CallOf(connection, owner, address);
+    if (call == nullptr) {
       return;
     }
-    const std::shared_ptr<State> call = connection->call->shared_from_this();
     // A body without length is whole only if its connection ended in order; one
     // that was reset may lack its end.
     if (end == StreamEnd::kClosed && call->head.ends_with_connection) {
