net: the monotonic clock counts suspensions of the host

Cause: the steady clock stands still while a host is suspended. A holder of the lease that wakes believed it still held it, and gave orders beside its successor; engines here obey any order. Ruled out: the check right before each send, which asks the same clock. Change: MonotonicNow() reads the clock that counts suspensions.

--- a/include/filbertrack/base_time.h
+++ b/include/filbertrack/base_time.h
@@ -10,8 +10,9 @@
 
 using Duration = std::chrono::microseconds;
 
-/// A reading of this process's monotonic clock. It means nothing in another
-/// process: only durations (ages) travel between processes.
+/// A reading of this process's monotonic clock, suspensions of the host
+/// included. It means nothing in another process: only durations (ages) travel
+/// between processes.
 using TimePoint = std::chrono::time_point<std::chrono::steady_clock, Duration>;
 
 constexpr Duration Milliseconds(int64_t count) {
--- a/include/filbertrack/event_loop.h
+++ b/include/filbertrack/event_loop.h
@@ -13,7 +13,10 @@
 
 namespace filbertrack {
 
-/// Present time on the monotonic clock.
+/// Present time on the monotonic clock that also counts the time for which the
+/// host was suspended. On one that does not, a lease looks held when the host
+/// wakes although another host has taken it over, and orders of both reach the
+/// members.
 TimePoint MonotonicNow();
 
 /// Wall time in milliseconds; for records that people read and for what
--- a/source/event_loop.cc
+++ b/source/event_loop.cc
@@ -1,6 +1,8 @@
 #include "filbertrack/event_loop.h"
 
+#include <chrono>
 #include <csignal>
+#include <ctime>
 #include <utility>
 
 #include <event2/event.h>
@@ -33,8 +35,11 @@
 }  // namespace
 
 TimePoint MonotonicNow() {
-  return std::chrono::time_point_cast<Duration>(
-      std::chrono::steady_clock::now());
+  timespec now{};
+  clock_gettime(CLOCK_BOOTTIME, &now);
+  return TimePoint(std::chrono::duration_cast<Duration>(
+      std::chrono::seconds(now.tv_sec) +
+      std::chrono::nanoseconds(now.tv_nsec)));
 }
 
 int64_t WallTimeMs() {
