entry: a fence is held for one time only; lost answers do not cost the lease

The planner's memory was cleared, so epochs of that fence began anew at 1, and a second group could get the name and epoch of the first; their members' reports add up to one group that looks whole. Second cause: a call that is never answered blocked the renewal for a second, which with the half second before it is the whole lease. Change: the lease is a class of its own (entry_lease), split from entry_control, with the clock as an argument. A lease that lapsed is taken under the next fence. A call is made again after 0.4 s, and a conflict with an own earlier write counts from when that write began.

--- a/include/filbertrack/entry_control.h
+++ b/include/filbertrack/entry_control.h
@@ -9,9 +9,9 @@
 #include <string>
 
 #include "filbertrack/entry_host.h"
+#include "filbertrack/entry_lease.h"
 #include "filbertrack/entry_peers.h"
 #include "filbertrack/entry_ports.h"
-#include "filbertrack/groups_lease.h"
 #include "filbertrack/replica_plan.h"
 
 namespace filbertrack {
@@ -45,7 +45,7 @@
   /// Gives the lease back, so that a successor need not wait.
   void Stop();
 
-  bool holds_lease() const;
+  bool holds_lease() const { return m_lease.IsHeld(); }
 
  private:
   struct ProbeState {
@@ -57,14 +57,6 @@
   };
 
   void Tick();
-  void ReadLease();
-  void OnLease(const StoreAnswer& answer);
-  void WriteLease(const DomainLease& lease);
-  void OnWritten(const DomainLease& lease,
-                 const std::string& text,
-                 TimePoint began,
-                 const StoreAnswer& answer);
-  void TakeOver(const StoreAnswer& answer);
   void Gained();
   void Lost();
   void ProbeHosts(TimePoint now);
@@ -82,24 +74,11 @@
   void SendOne(const std::string& host_id, const ReplicaOrder& order);
 
   EventLoop& m_loop;
-  std::string m_node;
   ControlPolicy m_policy;
   EntryHost& m_host;
   EntryPeers& m_peers;
   EngineLink& m_engines;
-  RecordStore& m_records;
-
-  // The lease.
-  LeaseKeeper m_keeper;
-  DomainLease m_lease;
-  HolderView m_holder;
-  uint64_t m_lease_version = 0;
-  TimePoint m_lease_seen;
-  uint64_t m_beats = 0;
-  bool m_lease_call_open = false;
-  TimePoint m_last_read;
-  Duration m_rank_delay{0};
-  bool m_leads = false;
+  EntryLease m_lease;
   bool m_stopping = false;
 
   // While this host holds it.
--- a/source/entry_control.cc
+++ b/source/entry_control.cc
@@ -14,11 +14,6 @@
 
 using Json = nlohmann::json;
 
-constexpr std::string_view kLeaseRecord = "groups-lease";
-/// Challengers spread over this time, so that one of them usually wins without
-/// a conflict.
-constexpr Duration kRankSpread = Milliseconds(400);
-constexpr uint64_t kRankSteps = 1000;
 /// How often an entry host without the lease looks at its own state.
 constexpr Duration kFollowerTick = Milliseconds(200);
 constexpr Duration kCountInterval = Seconds(1);
@@ -26,26 +21,6 @@
 /// packet, which is sent again within the timeout of the second.
 constexpr int kMissesToSilent = 2;
 
-std::string FormatLease(const DomainLease& lease, uint64_t beat) {
-  return Json(
-             {{"holder", lease.holder}, {"fence", lease.fence}, {"beat", beat}})
-      .dump();
-}
-
-Result<DomainLease> ParseLease(const std::string& text) {
-  const Json json = Json::parse(text, nullptr, false);
-  const bool valid = json.is_object() && json.contains("holder") &&
-                     json["holder"].is_string() && json.contains("fence") &&
-                     json["fence"].is_number_unsigned();
-  if (!valid) {
-    return Fail(ResultCode::kResourceInvalid,
-                "the lease record holds '" + text +
-                    "'; it must name a holder and a fence.");
-  }
-  return DomainLease{json["holder"].get<std::string>(),
-                     json["fence"].get<uint64_t>()};
-}
-
 std::string_view HealthName(HostHealth health) {
   switch (health) {
     case HostHealth::kAnswers:
@@ -110,18 +85,17 @@
                            EngineLink& engines,
                            RecordStore& records)
     : m_loop(loop),
-      // Two processes of one name must not take each other's lease for their
-      // own.
-      m_node(node + "#" + std::to_string(WallTimeMs())),
       m_policy(policy),
       m_host(host),
       m_peers(peers),
       m_engines(engines),
-      m_records(records) {
-  const uint64_t rank = RendezvousWeight("lease", m_node) % kRankSteps;
-  m_rank_delay = kRankSpread * static_cast<int64_t>(rank) /
-                 static_cast<int64_t>(kRankSteps);
-}
+      // Two processes of one name must not take each other's lease for their
+      // own.
+      m_lease(node + "#" + std::to_string(WallTimeMs()),
+              policy.lease,
+              records,
+              MonotonicNow,
+              {[this] { Gained(); }, [this] { Lost(); }}) {}
 
 EntryControl::~EntryControl() {
   *m_alive = false;
@@ -132,154 +106,44 @@
     m_peers.OnOwnChange();
     PassSoon();
   });
-  m_loop.Call(m_rank_delay, [this] { Tick(); });
-}
-
-bool EntryControl::holds_lease() const {
-  return m_lease.holder == m_node &&
-         m_keeper.IsHeld(m_policy.lease, MonotonicNow());
+  Tick();
 }
 
 void EntryControl::Tick() {
   if (m_stopping) {
     return;
   }
-  const TimePoint now = MonotonicNow();
+  // Only hosts that watch the store anyway stand for the lease: with one
+  // reading a host, the calls would grow with the fleet.
+  m_lease.Tick(m_peers.watches());
   const bool holds = holds_lease();
-  if (m_leads && !holds) {
-    Lost();
-  }
   if (holds) {
-    if (m_keeper.ShouldRenew(m_policy.lease, now)) {
-      WriteLease(m_lease);
-    }
-    ProbeHosts(now);
+    ProbeHosts(MonotonicNow());
     Pass();
-  } else if (m_peers.watches() &&
-             now - m_last_read >= m_policy.lease.renew_every) {
-    // Only hosts that watch the store anyway stand for the lease: with one
-    // reading a host, the calls would grow with the fleet.
-    ReadLease();
   }
   m_tick_timer = m_loop.After(holds ? m_policy.pass_interval : kFollowerTick,
                               [this] { Tick(); });
 }
 
-void EntryControl::ReadLease() {
-  if (m_lease_call_open) {
-    return;
-  }
-  m_lease_call_open = true;
-  m_last_read = MonotonicNow();
-  m_records.Read(std::string(kLeaseRecord), [this](const StoreAnswer& answer) {
-    m_lease_call_open = false;
-    OnLease(answer);
-  });
-}
-
-void EntryControl::OnLease(const StoreAnswer& answer) {
-  // No answer tells nothing: a store that is down must not make a live holder
-  // look dead.
-  if (answer.status == StoreStatus::kUnavailable || m_stopping) {
-    return;
-  }
-  const TimePoint now = MonotonicNow();
-  if (answer.status == StoreStatus::kNotFound) {
-    m_lease_version = 0;
-    WriteLease({m_node, 1});
-    return;
-  }
-  TakeOver(answer);
-  const bool may_take =
-      m_lease.holder.empty() || MayTake(m_lease, m_lease_seen, m_holder,
-                                        m_policy.lease, m_rank_delay, now);
-  if (may_take && !holds_lease()) {
-    WriteLease({m_node, m_lease.fence + 1});
-  }
-}
-
-void EntryControl::TakeOver(const StoreAnswer& answer) {
-  const TimePoint now = MonotonicNow();
-  const Result<DomainLease> lease = ParseLease(answer.object.value);
-  if (!lease) {
-    Log(LogLevel::kError, "lease-invalid", {{"why", lease.error().message}});
-    return;
-  }
-  // A stale read must not take back what a write has shown.
-  if (answer.object.version < m_lease_version) {
-    return;
-  }
-  if (!(m_lease == *lease)) {
-    m_lease_seen = now;
-  }
-  m_lease = *lease;
-  m_lease_version = answer.object.version;
-  ObserveHolder(m_holder, m_lease.holder, m_lease_version, now);
-}
-
-void EntryControl::WriteLease(const DomainLease& lease) {
-  if (m_lease_call_open) {
-    return;
-  }
-  m_lease_call_open = true;
-  const TimePoint began = MonotonicNow();
-  const std::string text = FormatLease(lease, ++m_beats);
-  m_records.Write(std::string(kLeaseRecord), text, m_lease_version,
-                  [this, lease, text, began](const StoreAnswer& answer) {
-                    m_lease_call_open = false;
-                    OnWritten(lease, text, began, answer);
-                  });
-}
-
-void EntryControl::OnWritten(const DomainLease& lease,
-                             const std::string& text,
-                             TimePoint began,
-                             const StoreAnswer& answer) {
-  if (answer.status == StoreStatus::kOk) {
-    m_lease = lease;
-    m_lease_version = answer.object.version;
-    m_keeper.OnWritten(began, m_policy.lease, MonotonicNow());
-    if (!m_leads && holds_lease()) {
-      Gained();
-    }
-    return;
-  }
-  if (answer.status != StoreStatus::kConflict) {
-    return;
-  }
-  // The conflict may be with this very write, whose first answer was lost.
-  const bool own = answer.object.value == text;
-  TakeOver(answer);
-  if (own) {
-    m_keeper.OnWritten(began, m_policy.lease, MonotonicNow());
-  }
-}
-
 void EntryControl::Gained() {
-  m_leads = true;
   m_peers.SetNeedsWatch(true);
   m_memory.clear();
   m_findings.clear();
   m_probes.clear();
   Log(LogLevel::kInfo, "lease-gained",
-      {{"fence", m_lease.fence}, {"version", m_lease_version}});
+      {{"fence", m_lease.fence()}, {"version", m_lease.version()}});
 }
 
 void EntryControl::Lost() {
-  m_leads = false;
   m_peers.SetNeedsWatch(false);
   Log(LogLevel::kWarning, "lease-lost",
-      {{"fence", m_lease.fence}, {"holder", m_lease.holder}});
+      {{"fence", m_lease.fence()}, {"holder", m_lease.holder()}});
 }
 
 void EntryControl::Stop() {
   m_stopping = true;
   m_tick_timer.reset();
-  if (holds_lease() && !m_lease_call_open) {
-    m_lease.holder.clear();
-    m_records.Write(std::string(kLeaseRecord), FormatLease(m_lease, ++m_beats),
-                    m_lease_version, [](const StoreAnswer&) {});
-  }
+  m_lease.GiveBack();
 }
 
 void EntryControl::ProbeHosts(TimePoint now) {
@@ -374,7 +238,7 @@
       continue;
     }
     ReplicaMemory& memory = m_memory[name];
-    memory.term = m_lease.fence;
+    memory.term = m_lease.fence();
     const ReplicaInput input{m_host.directory(), m_findings, service,
                              !m_host.traffic_seen(), AllAsked(name)};
     const TimePoint now = MonotonicNow();
@@ -421,7 +285,7 @@
 void EntryControl::Send(const PlannedOrder& planned) {
   Json line = std::visit(OrderText{}, planned.order);
   line["why"] = planned.reason;
-  line["fence"] = m_lease.fence;
+  line["fence"] = m_lease.fence();
   Log(LogLevel::kInfo, "order", line);
   for (const std::string& host : std::visit(OrderHosts{}, planned.order)) {
     SendOne(host, planned.order);
@@ -439,7 +303,7 @@
   }
   m_engines.Order(
       *host, order,
-      [this, host_id, order, service = host->service, fence = m_lease.fence,
+      [this, host_id, order, service = host->service, fence = m_lease.fence(),
        alive = m_alive](OrderResult result) {
         if (*alive && result == OrderResult::kAccepted) {
           OnAccepted(service, order, fence);
--- /dev/null
+++ b/source/entry_lease.cc
@@ -0,0 +1,215 @@
+#include "filbertrack/entry_lease.h"
+
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
+#include "filbertrack/base_hash.h"
+#include "filbertrack/log.h"
+
+namespace filbertrack {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr std::string_view kLeaseRecord = "groups-lease";
+/// Challengers spread over this time, so that one of them usually wins without
+/// a conflict.
+constexpr Duration kRankSpread = Milliseconds(400);
+constexpr uint64_t kRankSteps = 1000;
+/// A call that is not answered within this time is made again. Some calls are
+/// never answered; with a wait of a second, one of them would cost the lease.
+/// Two tries fit into the time between a renewal and the lapse.
+constexpr Duration kCallPatience = Milliseconds(400);
+
+std::string FormatLease(const DomainLease& lease, uint64_t beat) {
+  return Json(
+             {{"holder", lease.holder}, {"fence", lease.fence}, {"beat", beat}})
+      .dump();
+}
+
+Result<DomainLease> ParseLease(const std::string& text) {
+  const Json json = Json::parse(text, nullptr, false);
+  const bool valid = json.is_object() && json.contains("holder") &&
+                     json["holder"].is_string() && json.contains("fence") &&
+                     json["fence"].is_number_unsigned();
+  if (!valid) {
+    return Fail(ResultCode::kResourceInvalid,
+                "the lease record holds '" + text +
+                    "'; it must name a holder and a fence.");
+  }
+  return DomainLease{json["holder"].get<std::string>(),
+                     json["fence"].get<uint64_t>()};
+}
+
+}  // namespace
+
+EntryLease::EntryLease(std::string holder,
+                       const LeasePolicy& policy,
+                       RecordStore& records,
+                       Clock clock,
+                       Events events)
+    : m_holder(std::move(holder)),
+      m_policy(policy),
+      m_records(records),
+      m_clock(std::move(clock)),
+      m_events(std::move(events)) {
+  const uint64_t rank = RendezvousWeight("lease", m_holder) % kRankSteps;
+  m_rank_delay = kRankSpread * static_cast<int64_t>(rank) /
+                 static_cast<int64_t>(kRankSteps);
+}
+
+EntryLease::~EntryLease() {
+  *m_alive = false;
+}
+
+bool EntryLease::IsHeld() const {
+  return m_lease.holder == m_holder && m_lease.fence == m_confirmed_fence &&
+         m_keeper.IsHeld(m_policy, m_clock());
+}
+
+bool EntryLease::IsWaiting(TimePoint now) const {
+  return m_call_began && now - *m_call_began < kCallPatience;
+}
+
+void EntryLease::Tick(bool may_stand) {
+  const TimePoint now = m_clock();
+  const bool held = IsHeld();
+  if (m_leads && !held) {
+    m_leads = false;
+    m_events.lost();
+  }
+  if (IsWaiting(now)) {
+    return;
+  }
+  if (held) {
+    if (m_keeper.ShouldRenew(m_policy, now)) {
+      Write(m_lease);
+    }
+  } else if (may_stand && now - m_last_read >= m_policy.renew_every) {
+    Read();
+  }
+}
+
+void EntryLease::Read() {
+  m_last_read = m_clock();
+  m_call_began = m_last_read;
+  m_records.Read(std::string(kLeaseRecord),
+                 [this, alive = m_alive](const StoreAnswer& answer) {
+                   if (*alive) {
+                     m_call_began.reset();
+                     OnRead(answer);
+                   }
+                 });
+}
+
+void EntryLease::OnRead(const StoreAnswer& answer) {
+  // No answer tells nothing: a store that is down must not make a live holder
+  // look dead.
+  if (answer.status == StoreStatus::kUnavailable || IsHeld()) {
+    return;
+  }
+  if (answer.status == StoreStatus::kNotFound) {
+    m_version = 0;
+    Write({m_holder, m_lease.fence + 1});
+    return;
+  }
+  if (!Learn(answer.object)) {
+    return;
+  }
+  const bool may_take =
+      m_lease.holder == m_holder ||
+      MayTake(m_lease, m_lease_seen, m_view, m_policy, m_rank_delay, m_clock());
+  if (may_take) {
+    Write({m_holder, m_lease.fence + 1});
+  }
+}
+
+bool EntryLease::Learn(const StoredObject& record) {
+  const TimePoint now = m_clock();
+  const Result<DomainLease> lease = ParseLease(record.value);
+  if (!lease) {
+    Log(LogLevel::kError, "lease-invalid", {{"why", lease.error().message}});
+    return false;
+  }
+  // A stale read must not take back what a write has shown.
+  if (record.version < m_version) {
+    return false;
+  }
+  if (!(m_lease == *lease)) {
+    m_lease_seen = now;
+  }
+  m_lease = *lease;
+  m_version = record.version;
+  ObserveHolder(m_view, m_lease.holder, m_version, now);
+  return true;
+}
+
+void EntryLease::Write(const DomainLease& lease) {
+  const TimePoint began = m_clock();
+  m_call_began = began;
+  if (!m_unanswered_since) {
+    m_unanswered_since = began;
+  }
+  m_records.Write(
+      std::string(kLeaseRecord), FormatLease(lease, ++m_beats), m_version,
+      [this, lease, began, alive = m_alive](const StoreAnswer& answer) {
+        if (*alive) {
+          m_call_began.reset();
+          OnWritten(lease, began, answer);
+        }
+      });
+}
+
+void EntryLease::OnWritten(const DomainLease& lease,
+                           TimePoint began,
+                           const StoreAnswer& answer) {
+  if (answer.status == StoreStatus::kOk) {
+    if (answer.object.version > m_version) {
+      m_version = answer.object.version;
+      OnConfirmed(lease, began);
+    }
+    return;
+  }
+  if (answer.status != StoreStatus::kConflict || !Learn(answer.object)) {
+    return;
+  }
+  // The conflict may be with an earlier write of this process, whose answer was
+  // lost. It took effect after it began.
+  if (m_lease.holder == m_holder && m_unanswered_since) {
+    OnConfirmed(m_lease, *m_unanswered_since);
+  }
+  m_unanswered_since.reset();
+}
+
+void EntryLease::OnConfirmed(const DomainLease& lease, TimePoint began) {
+  const bool lapsed = lease.fence == m_confirmed_fence && !IsHeld();
+  m_lease = lease;
+  m_unanswered_since.reset();
+  if (lapsed) {
+    return;
+  }
+  const bool is_new = lease.fence != m_confirmed_fence;
+  m_confirmed_fence = lease.fence;
+  m_keeper.OnWritten(began, m_policy, m_clock());
+  if (!is_new || !IsHeld()) {
+    return;
+  }
+  if (m_leads) {
+    m_events.lost();
+  }
+  m_leads = true;
+  m_events.gained();
+}
+
+void EntryLease::GiveBack() {
+  if (!IsHeld()) {
+    return;
+  }
+  m_lease.holder.clear();
+  m_records.Write(std::string(kLeaseRecord), FormatLease(m_lease, ++m_beats),
+                  m_version, [](const StoreAnswer&) {});
+}
+
+}  // namespace filbertrack
