entry: a silent stream waits where nothing else can take it up

Change: the next target is chosen before the present one is given up; where there is none the stream goes on, late. Groups that lost a member go by the same rule.

--- a/include/filbertrack/entry_relay.h
+++ b/include/filbertrack/entry_relay.h
@@ -91,6 +91,11 @@
 
   void Feed(const RequestEvent& event);
   void Seek(bool is_retry, uint64_t resume_from);
+  /// A target for the next send, as the board sees it now.
+  DispatchDecision ChooseTarget(TimePoint now);
+  /// Finds where an answer that stands still can be taken up. Where nothing can
+  /// be found it is better left to go on late: to give it up would break it.
+  bool CanMoveOn(TimePoint now);
   void Send(const DispatchChoice& choice);
   HttpCallRequest MakeCall(const DispatchChoice& choice, TimePoint now) const;
   void OnHead(int status, const HttpHeaders& headers);
@@ -125,6 +130,8 @@
   std::string m_answer_body;
   uint64_t m_resume_from = 0;
 
+  /// Where CanMoveOn() found that the answer can be taken up.
+  std::optional<DispatchChoice> m_next_choice;
   std::set<std::string, std::less<>> m_tried;
   std::string m_last_target;
   Duration m_retry_after{0};
--- a/include/filbertrack/request_machine.h
+++ b/include/filbertrack/request_machine.h
@@ -61,6 +61,9 @@
   bool ended = false;
 };
 
+/// Whether the request may be sent once more, if it is one that may run again.
+bool HasTriesLeft(const RequestState& state, const RequestPolicy& policy);
+
 // Events.
 
 /// The driver has sent the request to a target.
--- a/include/filbertrack/request_retry_budget.h
+++ b/include/filbertrack/request_retry_budget.h
@@ -25,6 +25,8 @@
   /// The most retries that are saved up from now on.
   void SetMostSaved(double most);
 
+  bool CanSpend(TimePoint now);
+
   /// Spends one retry; false where none is left.
   bool TrySpend(TimePoint now);
 
--- a/source/entry_relay.cc
+++ b/source/entry_relay.cc
@@ -156,6 +156,21 @@
     Feed(NoTarget{ResultCode::kAttemptRefused});
     return;
   }
+  const DispatchDecision decision =
+      m_next_choice ? DispatchDecision(*m_next_choice) : ChooseTarget(now);
+  m_next_choice.reset();
+  if (const auto* choice = std::get_if<DispatchChoice>(&decision)) {
+    Send(*choice);
+    return;
+  }
+  const auto& refusal = std::get<DispatchRefusal>(decision);
+  m_retry_after = refusal.retry_after;
+  Feed(NoTarget{refusal.reason == DispatchDenial::kNoneServing
+                    ? ResultCode::kNoServingGroup
+                    : ResultCode::kOverloaded});
+}
+
+DispatchDecision EntryRelay::ChooseTarget(TimePoint now) {
   DispatchQuery query;
   query.service = m_request.service;
   query.model = m_request.facts.model;
@@ -164,19 +179,22 @@
   // be before the caller gives up.
   query.time_left = m_request.deadline - now;
   query.time_to_aim =
-      resumes ? query.time_left
-              : m_request.arrived + m_request.route->target_latency - now;
+      m_state.answer_started
+          ? query.time_left
+          : m_request.arrived + m_request.route->target_latency - now;
   query.excluded = &m_tried;
-  const DispatchDecision decision = m_context.board.Choose(query, now);
+  return m_context.board.Choose(query, now);
+}
+
+bool EntryRelay::CanMoveOn(TimePoint now) {
+  if (!HasTriesLeft(m_state, m_policy) || !m_context.retries.CanSpend(now)) {
+    return false;
+  }
+  const DispatchDecision decision = ChooseTarget(now);
   if (const auto* choice = std::get_if<DispatchChoice>(&decision)) {
-    Send(*choice);
-    return;
+    m_next_choice = *choice;
   }
-  const auto& refusal = std::get<DispatchRefusal>(decision);
-  m_retry_after = refusal.retry_after;
-  Feed(NoTarget{refusal.reason == DispatchDenial::kNoneServing
-                    ? ResultCode::kNoServingGroup
-                    : ResultCode::kOverloaded});
+  return m_next_choice.has_value();
 }
 
 void EntryRelay::Send(const DispatchChoice& choice) {
@@ -359,7 +377,8 @@
   if (!m_choice || m_choice->target.id != target) {
     return;
   }
-  if (m_state.traits.idempotent) {
+  const bool may_go = !m_state.answer_started || CanMoveOn(MonotonicNow());
+  if (m_state.traits.idempotent && may_go) {
     Feed(filbertrack::TargetLost{});
   }
 }
@@ -380,7 +399,7 @@
                 now - m_last_byte > std::max(pauses, times.least_silence)
           : !m_context.board.HasTarget(m_choice->target.id) &&
                 now - m_last_byte > times.least_silence;
-  if (silent) {
+  if (silent && (!m_state.answer_started || CanMoveOn(now))) {
     Feed(filbertrack::TargetLost{});
   }
 }
--- a/source/request_machine.cc
+++ b/source/request_machine.cc
@@ -148,8 +148,7 @@
     if (may_have_run && !m_state.traits.idempotent) {
       return Append(std::move(actions), GiveUp(ResultCode::kUpstreamFailed));
     }
-    if (m_state.attempts >= m_policy.most_attempts ||
-        m_state.sends >= m_policy.most_sends) {
+    if (!HasTriesLeft(m_state, m_policy)) {
       return Append(std::move(actions),
                     GiveUp(m_state.known == Outcome::kNotRun
                                ? ResultCode::kAttemptRefused
@@ -192,6 +191,11 @@
 
 }  // namespace
 
+bool HasTriesLeft(const RequestState& state, const RequestPolicy& policy) {
+  return state.attempts < policy.most_attempts &&
+         state.sends < policy.most_sends;
+}
+
 Actions StartRequest(RequestState& state, TimePoint now) {
   if (now >= state.traits.deadline) {
     state.ended = true;
--- a/source/request_retry_budget.cc
+++ b/source/request_retry_budget.cc
@@ -14,9 +14,13 @@
   m_saved = std::min(m_saved, most);
 }
 
-bool RetryBudget::TrySpend(TimePoint now) {
+bool RetryBudget::CanSpend(TimePoint now) {
   Refresh(now);
-  if (m_saved < 1) {
+  return m_saved >= 1;
+}
+
+bool RetryBudget::TrySpend(TimePoint now) {
+  if (!CanSpend(now)) {
     return false;
   }
   m_saved -= 1;
--- a/standins/platform_runner_standin.cc
+++ b/standins/platform_runner_standin.cc
@@ -202,21 +202,22 @@
 void PlatformRunnerStandin::Stream(const Exchange& exchange,
                                    size_t number,
                                    int event) {
-  m_loop.Call(
-      m_options.pause, [this, alive = m_alive, exchange, number, event] {
-        if (!*alive || m_dead || !exchange->IsOpen()) {
-          return;
-        }
-        if (event > m_options.events) {
-          exchange->End();
-          m_seen[number].ended = true;
-          std::erase(m_streams, exchange);
-          return;
-        }
-        exchange->Send("id: " + std::to_string(event) + "\ndata: part " +
-                       std::to_string(event) + "\n\n");
-        Stream(exchange, number, event + 1);
-      });
+  const bool halts = event == m_halt_after + 1;
+  m_loop.Call(halts ? m_halt : m_options.pause, [this, alive = m_alive,
+                                                 exchange, number, event] {
+    if (!*alive || m_dead || !exchange->IsOpen()) {
+      return;
+    }
+    if (event > m_options.events) {
+      exchange->End();
+      m_seen[number].ended = true;
+      std::erase(m_streams, exchange);
+      return;
+    }
+    exchange->Send("id: " + std::to_string(event) + "\ndata: part " +
+                   std::to_string(event) + "\n\n");
+    Stream(exchange, number, event + 1);
+  });
 }
 
 }  // namespace filbertrack
--- a/standins/platform_runner_standin.h
+++ b/standins/platform_runner_standin.h
@@ -48,6 +48,11 @@
   bool is_open() const { return m_state == "open"; }
   /// Its streams have this many events from now on.
   void SetEvents(int events) { m_options.events = events; }
+  /// Its streams stand still once, for this long, after this event.
+  void SetHalt(int after_event, Duration halt) {
+    m_halt_after = after_event;
+    m_halt = halt;
+  }
   const std::vector<std::string>& members() const { return m_members; }
 
   /// Registers anew with `state` as ready or draining.
@@ -82,6 +87,8 @@
   bool m_loses_answers = false;
   bool m_mixes_answers = false;
   uint64_t m_orders = 0;
+  int m_halt_after = -1;
+  Duration m_halt{0};
 
   std::string m_group;
   uint64_t m_epoch = 0;
--- a/tests/platform_path_test.cc
+++ b/tests/platform_path_test.cc
@@ -216,6 +216,23 @@
   CHECK(sends == 1);
 }
 
+TEST_CASE("a silent stream waits where nothing else can take it up") {
+  // The caller gets its whole answer, late. The one group of the model stands
+  // still for over three pauses and then goes on. No other group serves the
+  // model, so to give the stream up would break an answer that still comes.
+  Site site(3);
+  for (const auto& runner : site.runners) {
+    runner->SetHalt(2, Milliseconds(1300));
+  }
+  REQUIRE(RunUntil(site.loop, [&] { return site.CountTargets() == 3; }));
+  HttpClient client(site.loop, 2);
+  Answer answer;
+  const auto call = Ask(site, client, "/s/x", "id-1", answer);
+  REQUIRE(RunUntil(site.loop, [&] { return answer.ended; }));
+  CHECK_FALSE(answer.failed);
+  CHECK(answer.body == WholeStream(5));
+}
+
 TEST_CASE("a request that runs at most once is not sent again") {
   // The server ran it and its answer is lost: the caller is told that nobody
   // knows, and no other server sees the request.
