entry: idle connections to a backend server are shared out among the entry hosts

Change: KeptConnections() gives each host half of the server's connections divided by the hosts heard of; the HTTP client keeps no more. Tests: the shares at 1 to 330 hosts; a call that allows none is followed by a new connection (fails before).

--- a/include/filbertrack/dispatch_board.h
+++ b/include/filbertrack/dispatch_board.h
@@ -37,6 +37,8 @@
   std::string model;
   std::string data_centre;
   int slots = 1;
+  /// Connections that it accepts from all entry hosts.
+  int most_connections = 0;
 };
 
 /// Work at a target.
--- a/include/filbertrack/entry_relay.h
+++ b/include/filbertrack/entry_relay.h
@@ -60,6 +60,8 @@
   DispatchBoard& board;
   RetryBudget& retries;
   RelayTimes times;
+  /// Entry hosts that share the connections of the backend servers.
+  size_t entry_hosts = 1;
 };
 
 class EntryRelay {
--- a/include/filbertrack/http_client.h
+++ b/include/filbertrack/http_client.h
@@ -3,6 +3,7 @@
 /// HTTP/1.1 client on the loop, with kept connections per address.
 
 #include <functional>
+#include <limits>
 #include <map>
 #include <memory>
 #include <string>
@@ -46,6 +47,9 @@
   /// Opens a connection of its own. A kept one may have been closed by the
   /// server just now, and then nobody knows whether the request ran.
   bool fresh_connection = false;
+  /// After the call at most this many idle connections to the address stay
+  /// open, within the client's own bound.
+  size_t most_kept = std::numeric_limits<size_t>::max();
 };
 
 class HttpClient;
--- a/source/entry_host.cc
+++ b/source/entry_host.cc
@@ -79,14 +79,16 @@
       }
       const BackendServer& head = *replica.head();
       targets.push_back({head.id, head.address, name, std::string(model),
-                         head.data_centre, service.engine->slots});
+                         head.data_centre, service.engine->slots,
+                         service.most_connections});
     }
   }
   for (const auto& [id, server] : directory.servers()) {
     const ServiceProfile* service = catalog.FindService(server.service);
     if (service != nullptr && !service->engine && !server.draining) {
       targets.push_back({id, server.address, server.service, "",
-                         server.data_centre, server.slots});
+                         server.data_centre, server.slots,
+                         service->most_connections});
     }
   }
   return targets;
@@ -104,7 +106,7 @@
       m_board(DispatchPolicy{},
               RendezvousWeight("board", settings.Text("node", "name"))),
       m_retries(RetryPolicyOf(settings), MonotonicNow()),
-      m_context{loop, m_upstream, dialect, m_board, m_retries, {}},
+      m_context{loop, m_upstream, dialect, m_board, m_retries, {}, 1},
       m_random(RendezvousWeight("split", settings.Text("node", "name"))) {}
 
 EntryHost::~EntryHost() = default;
@@ -362,6 +364,7 @@
     const std::map<std::string, TargetLoad, std::less<>>& loads,
     size_t hosts) {
   m_board.SetRemoteLoads(loads);
+  m_context.entry_hosts = hosts + 1;
   m_retries.SetMostSaved(MostSavedRetries(m_settings, hosts + 1));
 }
 
--- a/source/entry_relay.cc
+++ b/source/entry_relay.cc
@@ -4,6 +4,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "filbertrack/dispatch_connections.h"
+
 namespace filbertrack {
 
 namespace {
@@ -244,6 +246,8 @@
   // A kept connection may have been closed by the server just now, and then
   // nobody knows whether the request ran.
   call.fresh_connection = !m_state.traits.idempotent;
+  call.most_kept =
+      KeptConnections(choice.target.most_connections, m_context.entry_hosts);
   return call;
 }
 
--- a/source/http_client.cc
+++ b/source/http_client.cc
@@ -114,14 +114,16 @@
 
   void Keep(const Address& address,
             const std::shared_ptr<ServerConnection>& connection,
+            size_t most_kept,
             TimePoint now) {
+    const size_t most = std::min(max_idle, most_kept);
     auto& kept = idle[address];
+    kept.push_back(connection);
     while (!kept.empty() &&
-           (kept.size() >= max_idle || kept.front()->usable_until <= now)) {
+           (kept.size() > most || kept.front()->usable_until <= now)) {
       kept.front()->stream->Close();
       kept.pop_front();
     }
-    kept.push_back(connection);
   }
 };
 
@@ -134,6 +136,7 @@
   std::unique_ptr<Timer> timer;
   TimePoint last_byte;
   uint64_t sent_before = 0;
+  size_t most_kept = 0;
   std::string unsent_request;
   HttpHead head;
   bool is_head_request = false;
@@ -143,6 +146,7 @@
     is_head_request = call.method == HttpMethod::kHead ||
                       call.method_text == HttpMethodName(HttpMethod::kHead);
     idle_timeout = call.idle_timeout;
+    most_kept = call.most_kept;
     unsent_request = FormatRequest(call, address);
     const TimePoint now = MonotonicNow();
     connection = call.fresh_connection ? nullptr : pool->TakeIdle(address, now);
@@ -249,7 +253,7 @@
                        kKeepAliveShare * static_cast<double>(stated->count())))
                  : kUnstatedKeepAlive;
       used->usable_until = now + usable;
-      pool->Keep(address, used, now);
+      pool->Keep(address, used, most_kept, now);
     } else {
       used->stream->Close();
     }
--- a/tests/dispatch_test.cc
+++ b/tests/dispatch_test.cc
@@ -6,6 +6,7 @@
 #include <queue>
 
 #include "filbertrack/dispatch_board.h"
+#include "filbertrack/dispatch_connections.h"
 
 namespace filbertrack {
 namespace {
@@ -42,7 +43,8 @@
                        model.empty() ? "plain" : "llm",
                        model,
                        "dc",
-                       17});
+                       17,
+                       100});
   }
   return targets;
 }
@@ -352,5 +354,21 @@
                         << " without");
 }
 
+TEST_CASE("idle connections leave room for requests that open their own") {
+  // Four servers accept 110 connections each from 70 entry hosts. Every host
+  // serves a request now and then and would keep its connection; together they
+  // take all there are, and a request that runs at most once meets a reset.
+  for (const size_t hosts : {1U, 6U, 7U, 70U, 78U, 330U}) {
+    for (const int most : {0, 48, 110, 260, 660}) {
+      const size_t kept = KeptConnections(most, hosts) * hosts;
+      CHECK(2 * kept <= static_cast<size_t>(most));
+    }
+  }
+  CHECK(KeptConnections(110, 70) == 0);
+  CHECK(KeptConnections(48, 6) == 4);
+  CHECK(KeptConnections(660, 78) == 4);
+  CHECK(KeptConnections(100, 0) == 50);
+}
+
 }  // namespace
 }  // namespace filbertrack
--- a/tests/net_test.cc
+++ b/tests/net_test.cc
@@ -305,6 +305,28 @@
   CHECK(client.connections_opened() == 1);
 }
 
+TEST_CASE("no more idle connections are kept than the call allows") {
+  // The server's connections are shared by many hosts; one that lies idle here
+  // is one that a request elsewhere does not get.
+  EventLoop loop;
+  RawServer server(loop, [](const auto& stream, size_t) {
+    stream->Write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+  });
+  HttpClient client(loop, 4);
+  for (int i = 0; i < 2; ++i) {
+    CallResult result;
+    HttpCallRequest request;
+    request.most_kept = 0;
+    HttpCallEvents events;
+    events.on_end = [&result](int) { result.ended = true; };
+    const auto call =
+        client.Start(server.address, std::move(request), std::move(events));
+    REQUIRE(RunUntil(loop, [&] { return result.ended; }));
+  }
+  CHECK(client.connections_opened() == 2);
+  CHECK(RunUntil(loop, [&] { return !server.streams[1]->is_open(); }));
+}
+
 TEST_CASE("a call that is dropped closes its connection") {
   // The server sees the end: it can stop work that nobody waits for.
   EventLoop loop;
