replicas: spares stand by in memory; heads that lapsed are told to leave; holds by what can still happen

Change: a free host joins a group of its own, never opened, for the model that it has staged; a head whose registration lapsed is told to close, then to leave; members are held for the stall where nothing that is under way can reopen the head, else 12 s longer.

--- a/include/filbertrack/entry_control.h
+++ b/include/filbertrack/entry_control.h
@@ -67,10 +67,7 @@
   static void LogCounts(const std::string& service,
                         const ReplicaCounts& counts);
   void Send(const PlannedOrder& planned);
-  /// A host has confirmed an order.
-  void OnAccepted(const std::string& service,
-                  const ReplicaOrder& order,
-                  uint64_t fence);
+  void OnOrdered(const ReplicaOrder& order, OrderResult result);
   void SendOne(const std::string& host_id, const ReplicaOrder& order);
 
   EventLoop& m_loop;
--- a/include/filbertrack/entry_host.h
+++ b/include/filbertrack/entry_host.h
@@ -71,6 +71,10 @@
       size_t hosts);
 
   const ServerDirectory& directory() const { return m_directory; }
+  /// The head confirmed that it left the group.
+  void OnHeadLeft(const std::string& group, uint64_t epoch) {
+    m_directory.OnHeadLeft(group, epoch);
+  }
   const Catalog* catalog() const { return m_catalog.get(); }
   /// A caller's request has come since the start.
   bool traffic_seen() const { return m_traffic_seen; }
--- a/include/filbertrack/replica_plan.h
+++ b/include/filbertrack/replica_plan.h
@@ -92,6 +92,9 @@
   Duration stall = Seconds(5);
   /// Beyond `stall`, for reports that are under way.
   Duration stall_margin = Seconds(1);
+  /// An order that was not answered may be carried out up to this much later:
+  /// the platform states no bound, 12 s is the longest that its notes name.
+  Duration order_life = Seconds(12);
   /// An order that shows no effect after this is given again.
   Duration order_retry = Milliseconds(1000);
   /// Hosts kept free in each fabric domain, so that a lost member is replaced
@@ -132,9 +135,13 @@
   std::map<std::string, GivenOrder, std::less<>> given;
   /// Epoch of the latest group that each host was ordered to join.
   std::map<std::string, uint64_t, std::less<>> ordered_epoch;
-  /// Heads that confirmed that they left a group, by the group's name. A host
-  /// that does not reach the store answers orders all the same.
-  std::map<std::string, uint64_t, std::less<>> heads_left;
+  /// First pass of the term.
+  std::optional<TimePoint> began;
+  /// Groups whose head was ordered to close, with their epochs. What it was
+  /// ordered late may open it once more.
+  std::map<std::string, uint64_t, std::less<>> closed;
+  /// Groups whose head is not registered any more, since when, by key.
+  std::map<std::string, TimePoint, std::less<>> headless_since;
   /// First sight of each joining group.
   std::map<std::string, TimePoint, std::less<>> joining_since;
   /// Starts of loads in the latest window, and loads that are not done.
@@ -175,7 +182,7 @@
 
 ReplicaCounts CountReplicas(const ReplicaInput& input,
                             const ReplicaPolicy& policy,
-                            const ReplicaMemory& memory,
+                            ReplicaMemory& memory,
                             TimePoint now);
 
 /// Groups wanted of each model when `hosts` hosts may be members: each model
--- a/include/filbertrack/server_directory.h
+++ b/include/filbertrack/server_directory.h
@@ -40,6 +40,11 @@
   bool operator==(const Membership&) const = default;
 };
 
+/// Ends the names of groups of one host that stands by with a model in memory.
+/// They are never opened.
+inline constexpr std::string_view kStandbySuffix = ".standby";
+bool IsStandbyGroup(std::string_view group);
+
 struct BackendServer {
   /// Of this start of the process.
   std::string id;
@@ -73,6 +78,16 @@
   }
 };
 
+/// A host's latest group, which it left while the head had not left it.
+struct Departure {
+  /// Empty: the host had no group when this process first looked.
+  std::string group;
+  uint64_t epoch = 0;
+  TimePoint left_at;
+  /// The same, or later when the head's registration was removed.
+  TimePoint held_from;
+};
+
 struct DirectoryPolicy {
   /// Registrations lapse while the store is away, also those of servers that
   /// live. They are back about two seconds after the store is; what is missing
@@ -111,6 +126,14 @@
   /// there are groups: nobody knows what was before.
   bool IsHeld(std::string_view id, Duration stall, TimePoint now) const;
 
+  /// Why a host is held; null where it is not, or was not since its group's
+  /// head left the group.
+  const Departure* FindDeparture(std::string_view id) const;
+
+  /// The head answered an order to leave the group. Its own registration may
+  /// show that late, or not at all while it does not reach the store.
+  void OnHeadLeft(const std::string& group, uint64_t epoch);
+
   /// Whether the head of this group was seen to leave it: no order can make it
   /// take requests for the group any more.
   bool HeadLeft(std::string_view group, uint64_t epoch) const;
@@ -119,6 +142,14 @@
   std::optional<TimePoint> last_arrival() const { return m_last_arrival; }
 
   const BackendServer* Find(std::string_view id) const;
+
+  /// The head of a group as it was registered last, also after its registration
+  /// was removed. Null: it was never seen.
+  const BackendServer* FindLastHead(std::string_view group,
+                                    uint64_t epoch) const;
+
+  /// As Find(), but also a server whose registration was removed.
+  const BackendServer* FindLast(std::string_view id) const;
   const std::map<std::string, BackendServer, std::less<>>& servers() const {
     return m_servers;
   }
@@ -137,13 +168,6 @@
 
   DirectoryPolicy m_policy;
   std::map<std::string, BackendServer, std::less<>> m_servers;
-  /// A host's latest group, which it left while the head had not left it.
-  struct Departure {
-    std::string group;
-    uint64_t epoch = 0;
-    TimePoint at;
-  };
-
   const BackendServer* FindHead(std::string_view group, uint64_t epoch) const;
   void TakeOut(std::string_view id, TimePoint now);
   void NoteHeadRemoved(const BackendServer& head, TimePoint now);
--- a/source/entry_control.cc
+++ b/source/entry_control.cc
@@ -294,7 +294,8 @@
 
 void EntryControl::SendOne(const std::string& host_id,
                            const ReplicaOrder& order) {
-  const BackendServer* host = m_host.directory().Find(host_id);
+  // A host whose registration lapsed may still answer.
+  const BackendServer* host = m_host.directory().FindLast(host_id);
   // Asked on the clock right before the send: a process that was paused since
   // its decision may have lost the lease, and engines that ignore fencing
   // numbers would obey it.
@@ -303,10 +304,9 @@
   }
   m_engines.Order(
       *host, order,
-      [this, host_id, order, service = host->service, fence = m_lease.fence(),
-       alive = m_alive](OrderResult result) {
-        if (*alive && result == OrderResult::kAccepted) {
-          OnAccepted(service, order, fence);
+      [this, host_id, order, alive = m_alive](OrderResult result) {
+        if (*alive) {
+          OnOrdered(order, result);
         }
         if (result != OrderResult::kAccepted) {
           Log(LogLevel::kInfo, "order-result",
@@ -315,22 +315,18 @@
       });
 }
 
-void EntryControl::OnAccepted(const std::string& service,
-                              const ReplicaOrder& order,
-                              uint64_t fence) {
+void EntryControl::OnOrdered(const ReplicaOrder& order, OrderResult result) {
   const auto* leave = std::get_if<LeaveGroup>(&order);
-  const auto memory = m_memory.find(service);
-  if (leave == nullptr || memory == m_memory.end() ||
-      memory->second.term != fence) {
+  // Where another process has the address, the host's own has ended.
+  const bool left =
+      result == OrderResult::kAccepted || result == OrderResult::kWrongServer;
+  if (leave == nullptr || !left) {
     return;
   }
-  const BackendServer* host = m_host.directory().Find(leave->host);
-  const bool was_head = host != nullptr && host->membership &&
-                        host->membership->rank == 0 &&
-                        host->membership->group == leave->group &&
-                        host->membership->epoch == leave->epoch;
-  if (was_head) {
-    memory->second.heads_left[leave->group] = leave->epoch;
+  const BackendServer* head =
+      m_host.directory().FindLastHead(leave->group, leave->epoch);
+  if (head != nullptr && head->id == leave->host) {
+    m_host.OnHeadLeft(leave->group, leave->epoch);
     PassSoon();
   }
 }
--- a/source/replica_form.cc
+++ b/source/replica_form.cc
@@ -20,6 +20,12 @@
          (!server.membership || m_freed.contains(server.id));
 }
 
+bool ReplicaPass::IsHot(const BackendServer& server, std::string_view model) {
+  return server.model == model &&
+         (!server.membership ||
+          server.membership->state != MembershipState::kJoining);
+}
+
 bool ReplicaPass::IsWarm(const BackendServer& server, std::string_view model) {
   return server.model == model || HasStaged(server, model);
 }
@@ -189,11 +195,10 @@
   if (chosen.size() < size) {
     return false;
   }
-  // Those that had the model in memory are ready soonest.
-  std::stable_partition(chosen.begin(), chosen.end(),
-                        [&model](const BackendServer* host) {
-                          return host->model == model.name;
-                        });
+  // Those that have the model in memory are ready soonest.
+  std::stable_partition(
+      chosen.begin(), chosen.end(),
+      [&model](const BackendServer* host) { return IsHot(*host, model.name); });
   chosen.resize(size);
   Join(domain, model, chosen);
   return true;
@@ -223,11 +228,15 @@
   return true;
 }
 
+uint64_t ReplicaPass::NextEpoch() {
+  return m_memory.term * kEpochsPerTerm + ++m_memory.last_number;
+}
+
 void ReplicaPass::Join(Domain& domain,
                        const ModelProfile& model,
                        const std::vector<const BackendServer*>& chosen) {
   JoinGroup join;
-  join.epoch = m_memory.term * kEpochsPerTerm + ++m_memory.last_number;
+  join.epoch = NextEpoch();
   join.group = model.name + kGroupNameSeparator + std::to_string(join.epoch);
   join.model = model.name;
   for (const BackendServer* host : chosen) {
--- a/source/replica_pass.h
+++ b/source/replica_pass.h
@@ -40,6 +40,9 @@
 
   std::vector<PlannedOrder> Run();
 
+  /// The host left a group whose head may still hold requests.
+  bool IsQuarantined(const std::string& host) const;
+
  private:
   bool IsSettling() const;
 
@@ -52,8 +55,10 @@
   /// The effect of the host's latest order does not show yet.
   bool IsBusy(const std::string& host) const;
 
-  /// The host left a group whose head may still hold requests.
-  bool IsQuarantined(const std::string& host) const;
+  /// No order that is still under way can make the head of the group that the
+  /// host left take requests anew. An order to open that went unanswered does
+  /// nothing to a head that is open, but opens one that was closed meanwhile.
+  bool CannotReopen(const Departure& departure) const;
 
   static bool HasStaged(const BackendServer& server, std::string_view model);
 
@@ -75,6 +80,9 @@
 
   void TendReplica(const ReplicaView& replica);
 
+  /// A host that stands by is free for any group.
+  void TendStandby(const ReplicaView& replica);
+
   /// Some members have not begun to join yet; their orders may be on the way.
   bool IsForming(const ReplicaView& replica);
 
@@ -102,6 +110,11 @@
   void DissolveWithoutHead(const ReplicaView& replica,
                            const BackendServer* head);
 
+  /// Orders to a head that does not reach the store may reach it all the same:
+  /// first to end its requests, then to leave, which frees its members seconds
+  /// before the stall would. False once it had time for both.
+  bool AskLapsedHead(const ReplicaView& replica);
+
   /// Lets the members join other groups. The head leaves first: it may have
   /// opened since its last report, and an order to open it that went astray
   /// could still arrive; a member that joined another group by then would be
@@ -114,6 +127,9 @@
 
   bool IsFree(const BackendServer& server) const;
 
+  /// It has the model in memory and is not busy to get there.
+  static bool IsHot(const BackendServer& server, std::string_view model);
+
   /// Whether the host can join a group of the model without a load.
   static bool IsWarm(const BackendServer& server, std::string_view model);
 
@@ -191,6 +207,14 @@
 
   void StageSpares();
 
+  /// Has free hosts load what they have staged into memory, by a join to a
+  /// group of their own. A host whose last group served the model joins the
+  /// next one in 0.2 s; without that a spare takes the 1.1 to 1.6 s of its
+  /// warm-up while the other members of the group wait for it.
+  void WarmSpares();
+
+  uint64_t NextEpoch();
+
   const ReplicaInput& m_input;
   const EngineProfile& m_engine;
   const ReplicaPolicy& m_policy;
--- a/source/replica_plan.cc
+++ b/source/replica_plan.cc
@@ -13,6 +13,9 @@
 }  // namespace
 
 std::vector<PlannedOrder> ReplicaPass::Run() {
+  if (!m_memory.began) {
+    m_memory.began = m_now;
+  }
   ForgetOld();
   if (IsSettling()) {
     return {};
@@ -22,6 +25,7 @@
   }
   FormGroups();
   StageSpares();
+  WarmSpares();
   return std::move(m_orders);
 }
 
@@ -53,8 +57,33 @@
 }
 
 bool ReplicaPass::IsQuarantined(const std::string& host) const {
-  return m_input.directory.IsHeld(host, m_policy.stall + m_policy.stall_margin,
-                                  m_now);
+  const Departure* departure = m_input.directory.FindDeparture(host);
+  if (departure == nullptr) {
+    return false;
+  }
+  const Duration stall = m_policy.stall + m_policy.stall_margin;
+  if (departure->group.empty()) {
+    return m_now - departure->left_at < stall;
+  }
+  if (CannotReopen(*departure)) {
+    // It stands still since its member left, and has broken by now.
+    return m_now - departure->left_at < stall;
+  }
+  return m_input.directory.IsHeld(host, stall + m_policy.order_life, m_now);
+}
+
+bool ReplicaPass::CannotReopen(const Departure& departure) const {
+  const BackendServer* head =
+      m_input.directory.FindLastHead(departure.group, departure.epoch);
+  const bool was_open =
+      head != nullptr && head->membership->state == MembershipState::kOpen;
+  const auto closed = m_memory.closed.find(departure.group);
+  const bool was_closed =
+      closed != m_memory.closed.end() && closed->second == departure.epoch;
+  const bool orders_known =
+      departure.epoch / kEpochsPerTerm == m_memory.term ||
+      m_now - m_memory.began.value_or(m_now) >= m_policy.order_life;
+  return was_open && !was_closed && orders_known;
 }
 
 bool ReplicaPass::HasStaged(const BackendServer& server,
@@ -103,12 +132,8 @@
   for (const ReplicaView& replica : m_replicas) {
     present.insert(Key(replica));
   }
-  std::set<std::string_view> groups;
-  for (const ReplicaView& replica : m_replicas) {
-    groups.insert(replica.group);
-  }
-  std::erase_if(m_memory.heads_left, [&groups](const auto& entry) {
-    return !groups.contains(entry.first);
+  std::erase_if(m_memory.headless_since, [&present](const auto& entry) {
+    return !present.contains(entry.first);
   });
   std::erase_if(m_memory.joining_since, [&present](const auto& entry) {
     return !present.contains(entry.first);
@@ -123,7 +148,19 @@
   return 2 * longest;
 }
 
+void ReplicaPass::TendStandby(const ReplicaView& replica) {
+  for (const BackendServer* member : replica.members) {
+    if (member != nullptr) {
+      m_freed.insert(member->id);
+    }
+  }
+}
+
 void ReplicaPass::TendReplica(const ReplicaView& replica) {
+  if (IsStandbyGroup(replica.group)) {
+    TendStandby(replica);
+    return;
+  }
   const ModelProfile* model = m_engine.FindModel(ModelOfGroup(replica.group));
   const size_t size =
       model == nullptr ? 0 : static_cast<size_t>(model->members);
@@ -248,6 +285,7 @@
         return;
       }
       Occupy(head->id);
+      m_memory.closed[replica.group] = replica.epoch;
       Give(CloseGroup{head->id, replica.group, replica.epoch, !orderly},
            std::string(why));
       return;
@@ -261,10 +299,7 @@
 }
 
 bool ReplicaPass::HeadLeft(const ReplicaView& replica) const {
-  const auto found = m_memory.heads_left.find(replica.group);
-  return (found != m_memory.heads_left.end() &&
-          found->second == replica.epoch) ||
-         m_input.directory.HeadLeft(replica.group, replica.epoch);
+  return m_input.directory.HeadLeft(replica.group, replica.epoch);
 }
 
 void ReplicaPass::DissolveWithoutHead(const ReplicaView& replica,
@@ -275,6 +310,9 @@
     FreeMembers(replica);
     return;
   }
+  if (head == nullptr && AskLapsedHead(replica)) {
+    return;
+  }
   // The head may live behind a partition and hold requests. Without its
   // members it stands still, and refuses them after the stall.
   for (const BackendServer* member : replica.members) {
@@ -288,6 +326,29 @@
   }
 }
 
+bool ReplicaPass::AskLapsedHead(const ReplicaView& replica) {
+  const BackendServer* head =
+      m_input.directory.FindLastHead(replica.group, replica.epoch);
+  if (head == nullptr) {
+    return false;
+  }
+  const TimePoint since =
+      m_memory.headless_since.try_emplace(Key(replica), m_now).first->second;
+  if (m_memory.given.contains(head->id)) {
+    return m_now - since < 2 * m_policy.order_retry;
+  }
+  Occupy(head->id);
+  if (m_now == since) {
+    m_memory.closed[replica.group] = replica.epoch;
+    Give(CloseGroup{head->id, replica.group, replica.epoch, false},
+         "the head is not registered any more");
+  } else {
+    Give(LeaveGroup{head->id, replica.group, replica.epoch},
+         "the head is not registered any more");
+  }
+  return m_now - since < 2 * m_policy.order_retry;
+}
+
 void ReplicaPass::Free(const ReplicaView& replica) {
   const BackendServer& head = *replica.head();
   if (head.membership->state == MembershipState::kJoining) {
@@ -323,13 +384,18 @@
 
 ReplicaCounts CountReplicas(const ReplicaInput& input,
                             const ReplicaPolicy& policy,
-                            const ReplicaMemory& memory,
+                            ReplicaMemory& memory,
                             TimePoint now) {
   ReplicaCounts counts;
+  const ReplicaPass pass(input, policy, memory, now);
   counts.loading = static_cast<int>(memory.loading.size());
   for (const ReplicaView& replica :
        input.directory.Replicas(input.service.name)) {
     const std::string model(ModelOfGroup(replica.group));
+    if (IsStandbyGroup(replica.group)) {
+      ++counts.standing_by[model];
+      continue;
+    }
     const ModelProfile* profile = input.service.engine->FindModel(model);
     const bool serves =
         profile != nullptr && IsServing(replica, profile->members);
@@ -349,9 +415,7 @@
     if (server.membership) {
       continue;
     }
-    const bool held =
-        input.directory.IsHeld(id, policy.stall + policy.stall_margin, now);
-    counts.quarantined += held ? 1 : 0;
+    counts.quarantined += pass.IsQuarantined(id) ? 1 : 0;
     if (server.staged.empty()) {
       ++counts.empty;
     } else {
--- a/source/replica_stage.cc
+++ b/source/replica_stage.cc
@@ -135,4 +135,28 @@
   }
 }
 
+void ReplicaPass::WarmSpares() {
+  for (const auto& [name, domain] : m_domains) {
+    for (const BackendServer* host : domain.free) {
+      const bool may_warm = !host->membership && !host->staged.empty() &&
+                            host->model != host->staged.back() &&
+                            !IsBusy(host->id);
+      const ModelProfile* model =
+          may_warm ? m_engine.FindModel(host->staged.back()) : nullptr;
+      if (model == nullptr || model->members == 1) {
+        continue;
+      }
+      JoinGroup join;
+      join.epoch = NextEpoch();
+      join.group = model->name + kGroupNameSeparator +
+                   std::to_string(join.epoch) + std::string(kStandbySuffix);
+      join.model = model->name;
+      join.members = {host->id};
+      m_memory.ordered_epoch[host->id] = join.epoch;
+      Occupy(host->id);
+      Give(std::move(join), "a spare loads its weights into memory");
+    }
+  }
+}
+
 }  // namespace filbertrack
--- a/source/server_directory.cc
+++ b/source/server_directory.cc
@@ -12,8 +12,19 @@
 /// Removed servers that are remembered: more than lapse at once.
 constexpr size_t kMostRemoved = 1024;
 
+bool IsHeadOf(const BackendServer& server,
+              std::string_view group,
+              uint64_t epoch) {
+  return server.membership && server.membership->rank == 0 &&
+         server.membership->group == group && server.membership->epoch == epoch;
+}
+
 }  // namespace
 
+bool IsStandbyGroup(std::string_view group) {
+  return group.ends_with(kStandbySuffix);
+}
+
 bool ServerDirectory::Put(BackendServer server, TimePoint now) {
   m_lapsed.erase(server.id);
   const auto [row, arrived] = m_servers.try_emplace(server.id);
@@ -71,9 +82,7 @@
 const BackendServer* ServerDirectory::FindHead(std::string_view group,
                                                uint64_t epoch) const {
   for (const auto& [id, server] : m_servers) {
-    if (server.membership && server.membership->rank == 0 &&
-        server.membership->group == group &&
-        server.membership->epoch == epoch) {
+    if (IsHeadOf(server, group, epoch)) {
       return &server;
     }
   }
@@ -84,7 +93,9 @@
                                     const BackendServer& after,
                                     TimePoint now) {
   NoteHeadDeparture(before, after);
-  if (after.membership) {
+  // A host that stands by is as free as one without a group: an order to stand
+  // by that arrives late must not end the time for which it is held.
+  if (after.membership && !IsStandbyGroup(after.membership->group)) {
     m_departures.erase(after.id);
     return;
   }
@@ -97,7 +108,7 @@
   const bool never_open =
       head != nullptr && head->membership->state == MembershipState::kJoining;
   if (!never_open && !HeadLeft(place.group, place.epoch)) {
-    m_departures[after.id] = {place.group, place.epoch, now};
+    m_departures[after.id] = {place.group, place.epoch, now, now};
   }
 }
 
@@ -111,24 +122,29 @@
       [](const auto& row) { return row.second.membership.has_value(); });
   for (const auto& [id, server] : m_servers) {
     if (any_group && !server.membership) {
-      m_departures[id] = {"", 0, now};
+      m_departures[id] = {"", 0, now, now};
     }
   }
 }
 
+const Departure* ServerDirectory::FindDeparture(std::string_view id) const {
+  const auto found = m_departures.find(id);
+  const bool held = found != m_departures.end() &&
+                    !HeadLeft(found->second.group, found->second.epoch);
+  return held ? &found->second : nullptr;
+}
+
 bool ServerDirectory::IsHeld(std::string_view id,
                              Duration stall,
                              TimePoint now) const {
-  const auto found = m_departures.find(id);
-  if (found == m_departures.end()) {
-    return false;
-  }
-  const Departure& departure = found->second;
-  if (HeadLeft(departure.group, departure.epoch)) {
-    return false;
-  }
-  return now - departure.at < stall ||
-         FindHead(departure.group, departure.epoch) != nullptr;
+  const Departure* departure = FindDeparture(id);
+  return departure != nullptr &&
+         (now - departure->held_from < stall ||
+          FindHead(departure->group, departure->epoch) != nullptr);
+}
+
+void ServerDirectory::OnHeadLeft(const std::string& group, uint64_t epoch) {
+  m_without_head[group] = epoch;
 }
 
 void ServerDirectory::NoteHeadRemoved(const BackendServer& head,
@@ -139,7 +155,7 @@
   for (auto& [id, departure] : m_departures) {
     if (departure.group == head.membership->group &&
         departure.epoch == head.membership->epoch) {
-      departure.at = now;
+      departure.held_from = now;
     }
   }
 }
@@ -199,6 +215,27 @@
   return found == m_servers.end() ? nullptr : &found->second;
 }
 
+const BackendServer* ServerDirectory::FindLast(std::string_view id) const {
+  if (const BackendServer* server = Find(id)) {
+    return server;
+  }
+  const auto found = m_removed.find(id);
+  return found == m_removed.end() ? nullptr : &found->second;
+}
+
+const BackendServer* ServerDirectory::FindLastHead(std::string_view group,
+                                                   uint64_t epoch) const {
+  if (const BackendServer* head = FindHead(group, epoch)) {
+    return head;
+  }
+  for (const auto& [id, server] : m_removed) {
+    if (IsHeadOf(server, group, epoch)) {
+      return &server;
+    }
+  }
+  return nullptr;
+}
+
 std::vector<ReplicaView> ServerDirectory::Replicas(
     std::string_view service) const {
   std::map<std::pair<std::string_view, uint64_t>, ReplicaView> by_epoch;
