news, dispatch: loads of the own data centre are fresh, and its targets go first

Cause: with 70 entry hosts each heard of another's work every 0.65 s on average (eight peers a round of 150 ms), while a group gets a dozen requests a second. Ruled out: more candidates (26 %), too few groups (the same groups served after the change). Change: hosts of a data centre tell each other their own work, hosts of different ones the sum of theirs and whom they heard (FleetNews, no I/O); targets of the own data centre go first while one answers in time. Fleets of up to eight peers are as before. Protocol of the news is 2. Test: a replay of 72 hosts and 40 groups, 0.25 of the requests met a full group before, 0.11 after; sums count each host once.

--- a/include/filbertrack/dispatch_board.h
+++ b/include/filbertrack/dispatch_board.h
@@ -58,6 +58,12 @@
   Duration time_left{0};
   /// Targets that this request was sent to already.
   const std::set<std::string, std::less<>>* excluded = nullptr;
+  /// Targets of this data centre go first while one of them answers in time;
+  /// empty: all are alike. Loads of the own data centre are some 100 ms old,
+  /// others half a second, in which a target gets several requests: of 473
+  /// requests a second from 72 hosts to 40 targets that are 0.8 full, 25 % met
+  /// a full target when all were alike, 11 % so (replayed by a test).
+  std::string_view near_data_centre;
 };
 
 enum class DispatchDenial {
@@ -167,16 +173,30 @@
     int failures = 0;
     TimePoint last_failure;
   };
-  using Group = std::vector<Entry*>;
+  using Targets = std::vector<Entry*>;
+  /// Targets of one service and model.
+  struct Group {
+    Targets all;
+    std::map<std::string, Targets, std::less<>> by_data_centre;
+  };
+  struct Best {
+    const Entry* entry = nullptr;
+    Duration time{0};
+  };
 
   Entry* Find(std::string_view id);
   const Entry* Find(std::string_view id) const;
   static std::string GroupKey(std::string_view service, std::string_view model);
   bool IsPaused(const Entry& entry, TimePoint now) const;
   Duration PredictEntry(const Entry& entry, double prompt_tokens) const;
-  std::vector<Entry*> DrawCandidates(const Group& group,
-                                     const DispatchQuery& query,
-                                     TimePoint now);
+  Targets DrawCandidates(const Targets& targets,
+                         const DispatchQuery& query,
+                         TimePoint now);
+  /// The best of some drawn at random, or `best` where none is better.
+  Best FindBest(const Targets& targets,
+                const DispatchQuery& query,
+                TimePoint now,
+                Best best);
 
   DispatchPolicy m_policy;
   std::mt19937_64 m_random;
--- a/include/filbertrack/entry_host.h
+++ b/include/filbertrack/entry_host.h
@@ -70,6 +70,12 @@
       const std::map<std::string, TargetLoad, std::less<>>& loads,
       size_t hosts);
 
+  /// Targets of the own data centre go first: their loads are the fresh ones.
+  void SetPrefersNear(bool prefers) {
+    m_context.near_data_centre =
+        prefers ? m_settings.Text("node", "data_centre") : std::string();
+  }
+
   const ServerDirectory& directory() const { return m_directory; }
   /// The head confirmed that it left the group.
   void OnHeadLeft(const std::string& group, uint64_t epoch) {
--- a/include/filbertrack/entry_peers.h
+++ b/include/filbertrack/entry_peers.h
@@ -7,10 +7,14 @@
 
 #include <map>
 #include <memory>
+#include <random>
+#include <set>
 #include <string>
+#include <string_view>
 
 #include "filbertrack/entry_host.h"
 #include "filbertrack/entry_ports.h"
+#include "filbertrack/news_fleet.h"
 #include "filbertrack/peer_link.h"
 
 namespace filbertrack {
@@ -30,15 +34,13 @@
   /// from it, all four are in one run of a hundred, and then the next ones
   /// watch as soon as they hear so.
   size_t watchers = 4;
-  /// A peer that was not heard for this long does not count as a watcher.
-  Duration peer_life = Milliseconds(1500);
   /// After the start the hosts that are listed in the store count as peers
   /// until they had time to be heard.
   Duration settle = Seconds(2);
   /// While it settles, the list is read this often: many hosts start together.
   Duration first_list_interval = Milliseconds(400);
-  /// Loads older than this are not counted.
-  Duration load_life = Milliseconds(1200);
+  /// Each other data centre is asked about once in this time.
+  Duration far_interval = Milliseconds(600);
   /// A peer that does not answer is asked this much less often.
   Duration silent_interval = Seconds(1);
 };
@@ -47,6 +49,7 @@
  public:
   EntryPeers(EventLoop& loop,
              const std::string& node,
+             const std::string& data_centre,
              const Address& listen,
              EntryPeersPolicy policy,
              EntryHost& host,
@@ -69,14 +72,12 @@
  private:
   struct Peer {
     Address address;
+    /// Empty: not known yet.
+    std::string data_centre;
     std::unique_ptr<PeerClient> client;
     TimePoint asked_at;
     bool silent = false;
   };
-  struct PeerNews {
-    NewsState state;
-    TimePoint heard_at;
-  };
 
   void LoadSecret();
   void OnSecret(const StoreAnswer& answer);
@@ -90,16 +91,29 @@
   void OnQuestion(std::string_view payload, const PeerServer::Answer& answer);
   void TakeOver(const NewsAnswer& answer);
   void TakeOverConfig(const NewsAnswer& answer);
-  NewsState OwnNews() const;
+  /// What this host tells a peer of that data centre.
+  NewsState OwnNews(std::string_view data_centre) const;
+  bool IsNear(std::string_view data_centre) const;
+  /// Asks the next peers of the own data centre in turn, so that all are asked.
+  void AskNear(TimePoint now);
+  /// Asks one host of each of the next other data centres in turn.
+  void AskFar(TimePoint now);
+  void AskOneOf(std::string_view data_centre, TimePoint now);
+  std::set<std::string, std::less<>> FarDataCentres() const;
+  /// False where the peer is busy, or silent and was asked lately.
+  bool TryAsk(const std::string& name, Peer& peer, TimePoint now);
   /// Asks `name` for its configuration if it is newer and no other is asked.
   void WantConfig(const std::string& name, const NewsState& state);
-  void AddPeer(const std::string& name, const std::string& address);
+  void AddPeer(const std::string& name,
+               const std::string& address,
+               const std::string& data_centre);
   void NoteNews(const NewsState& state, TimePoint now);
   void SumLoads(TimePoint now);
   void ChooseWatch(TimePoint now);
 
   EventLoop& m_loop;
   std::string m_node;
+  std::string m_data_centre;
   Address m_listen;
   EntryPeersPolicy m_policy;
   EntryHost& m_host;
@@ -119,9 +133,12 @@
   std::string m_proposed_secret;
   std::unique_ptr<PeerServer> m_server;
   std::map<std::string, Peer, std::less<>> m_peers;
-  std::map<std::string, PeerNews, std::less<>> m_news;
-  /// Name of the peer that the last round ended with.
-  std::string m_last_asked;
+  FleetNews m_news;
+  /// Names of the peers that the last round ended with.
+  std::string m_last_near;
+  /// Data centre that was asked last.
+  std::string m_last_far;
+  std::mt19937_64 m_random;
   std::unique_ptr<Timer> m_retry_timer;
   std::unique_ptr<Timer> m_list_timer;
   std::unique_ptr<Timer> m_round_timer;
--- a/include/filbertrack/entry_relay.h
+++ b/include/filbertrack/entry_relay.h
@@ -62,6 +62,8 @@
   RelayTimes times;
   /// Entry hosts that share the connections of the backend servers.
   size_t entry_hosts = 1;
+  /// Data centre whose targets go first; empty: all are alike.
+  std::string near_data_centre;
 };
 
 class EntryRelay {
--- /dev/null
+++ b/include/filbertrack/news_fleet.h
@@ -0,0 +1,85 @@
+#pragma once
+
+/// What an entry host has heard of the others: who lives, who reaches the
+/// store, and what work they have at the targets.
+///
+/// Hosts of one data centre tell each other their own work; hosts of different
+/// ones tell the sum of their data centre. So loads of the own data centre are
+/// fresh however many hosts there are, and those of others cost one message for
+/// a data centre and not one for a host.
+
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "filbertrack/base_time.h"
+#include "filbertrack/dispatch_board.h"
+#include "filbertrack/news_message.h"
+
+namespace filbertrack {
+
+struct FleetNewsPolicy {
+  /// Loads that were not told for this long are not counted: eight rounds of
+  /// questions.
+  Duration load_life = Milliseconds(1200);
+  /// A host that was not heard of for this long counts as gone.
+  Duration host_life = Milliseconds(1500);
+};
+
+class FleetNews {
+ public:
+  FleetNews(std::string node, std::string data_centre, FleetNewsPolicy policy)
+      : m_node(std::move(node)),
+        m_data_centre(std::move(data_centre)),
+        m_policy(policy) {}
+
+  /// A peer's message; `now` is when it came.
+  void Note(const NewsState& state, TimePoint now);
+
+  /// Turns this host's own state into one for a host of another data centre.
+  void CoverDataCentre(NewsState& own, TimePoint now) const;
+
+  struct Loads {
+    /// By target.
+    std::map<std::string, TargetLoad, std::less<>> loads;
+    /// Other hosts that were heard of.
+    size_t hosts = 0;
+  };
+  /// Work of all other hosts.
+  Loads SumLoads(TimePoint now) const;
+
+  /// Other hosts that were heard of lately.
+  std::vector<std::string> Hosts(TimePoint now) const;
+  /// Those of them that reach the store, as far as they know.
+  std::vector<std::string> HostsWithStore(TimePoint now) const;
+
+  void ForgetOld(TimePoint now);
+
+ private:
+  struct Heard {
+    NewsState state;
+    TimePoint at;
+  };
+  struct HostSeen {
+    bool store_fails = false;
+    TimePoint at;
+  };
+
+  bool IsFresh(TimePoint heard, TimePoint now) const {
+    return now - heard <= m_policy.load_life;
+  }
+  /// A host's own message is not counted where its data centre's sum has it.
+  bool IsCovered(const Heard& heard, TimePoint now) const;
+
+  std::string m_node;
+  std::string m_data_centre;
+  FleetNewsPolicy m_policy;
+  /// Latest message of each host about itself.
+  std::map<std::string, Heard, std::less<>> m_own;
+  /// Latest sum of each other data centre.
+  std::map<std::string, Heard, std::less<>> m_sums;
+  std::map<std::string, HostSeen, std::less<>> m_hosts;
+};
+
+}  // namespace filbertrack
--- a/include/filbertrack/news_message.h
+++ b/include/filbertrack/news_message.h
@@ -16,7 +16,7 @@
 
 namespace filbertrack {
 
-inline constexpr uint64_t kNewsProtocol = 1;
+inline constexpr uint64_t kNewsProtocol = 2;
 
 /// Work of the sender at one target.
 struct NewsLoad {
@@ -25,9 +25,17 @@
   double prompt_tokens = 0;
 };
 
+/// A host that the sender heard of.
+struct NewsHost {
+  std::string name;
+  bool store_fails = false;
+  Duration age{0};
+};
+
 /// How far the sender knows the store.
 struct NewsState {
   std::string node;
+  std::string data_centre;
   /// Where the sender answers questions of peers.
   std::string address;
   bool ready = false;
@@ -37,7 +45,11 @@
   std::optional<Duration> store_back_for;
   uint64_t config_version = 0;
   uint64_t servers_revision = 0;
+  /// Work of the sender, or of all hosts of its data centre.
   std::vector<NewsLoad> loads;
+  bool covers_data_centre = false;
+  /// The hosts beside the sender that `loads` covers.
+  std::vector<NewsHost> hosts;
 };
 
 struct NewsAsk {
--- a/source/dispatch_board.cc
+++ b/source/dispatch_board.cc
@@ -83,8 +83,10 @@
   m_groups.clear();
   for (auto& [id, entry] : m_entries) {
     if (entry->in_use) {
-      m_groups[GroupKey(entry->target.service, entry->target.model)].push_back(
-          entry.get());
+      Group& group =
+          m_groups[GroupKey(entry->target.service, entry->target.model)];
+      group.all.push_back(entry.get());
+      group.by_data_centre[entry->target.data_centre].push_back(entry.get());
     }
   }
 }
@@ -157,17 +159,16 @@
   return entry == nullptr ? Duration(0) : PredictEntry(*entry, prompt_tokens);
 }
 
-std::vector<DispatchBoard::Entry*> DispatchBoard::DrawCandidates(
-    const Group& group,
-    const DispatchQuery& query,
-    TimePoint now) {
-  std::vector<Entry*> sound;
-  std::vector<Entry*> paused;
+DispatchBoard::Targets DispatchBoard::DrawCandidates(const Targets& targets,
+                                                     const DispatchQuery& query,
+                                                     TimePoint now) {
+  Targets sound;
+  Targets paused;
   // A random start and then in turn: a sample without a copy of the group.
-  const size_t start = m_random() % group.size();
+  const size_t start = m_random() % targets.size();
   const size_t limit = m_policy.candidates;
-  for (size_t i = 0; i < group.size() && sound.size() < limit; ++i) {
-    Entry* entry = group[(start + i) % group.size()];
+  for (size_t i = 0; i < targets.size() && sound.size() < limit; ++i) {
+    Entry* entry = targets[(start + i) % targets.size()];
     const bool tried =
         query.excluded != nullptr && query.excluded->contains(entry->target.id);
     if (tried) {
@@ -176,7 +177,7 @@
     (IsPaused(*entry, now) ? paused : sound).push_back(entry);
   }
   const double least =
-      m_policy.least_in_use * static_cast<double>(group.size());
+      m_policy.least_in_use * static_cast<double>(targets.size());
   // If most of the targets fail at once, it is hardly the targets.
   if (static_cast<double>(paused.size()) > least || sound.empty()) {
     sound.insert(sound.end(), paused.begin(), paused.end());
@@ -184,21 +185,36 @@
   return sound;
 }
 
+DispatchBoard::Best DispatchBoard::FindBest(const Targets& targets,
+                                            const DispatchQuery& query,
+                                            TimePoint now,
+                                            Best best) {
+  for (const Entry* entry : DrawCandidates(targets, query, now)) {
+    const Duration predicted = PredictEntry(*entry, query.prompt_tokens);
+    if (best.entry == nullptr || predicted < best.time) {
+      best = {entry, predicted};
+    }
+  }
+  return best;
+}
+
 DispatchDecision DispatchBoard::Choose(const DispatchQuery& query,
                                        TimePoint now) {
   const auto found = m_groups.find(GroupKey(query.service, query.model));
-  if (found == m_groups.end() || found->second.empty()) {
+  if (found == m_groups.end()) {
     return DispatchRefusal{DispatchDenial::kNoneServing, m_policy.repair_time};
   }
-  const Entry* best = nullptr;
-  Duration best_time{0};
-  for (const Entry* entry : DrawCandidates(found->second, query, now)) {
-    const Duration predicted = PredictEntry(*entry, query.prompt_tokens);
-    if (best == nullptr || predicted < best_time) {
-      best = entry;
-      best_time = predicted;
-    }
+  const Group& group = found->second;
+  Best found_best;
+  const auto near = group.by_data_centre.find(query.near_data_centre);
+  if (near != group.by_data_centre.end()) {
+    found_best = FindBest(near->second, query, now, {});
+  }
+  if (found_best.entry == nullptr || found_best.time > query.time_to_aim) {
+    found_best = FindBest(group.all, query, now, found_best);
   }
+  const Entry* best = found_best.entry;
+  const Duration best_time = found_best.time;
   if (best == nullptr) {
     return DispatchRefusal{DispatchDenial::kNoneServing, m_policy.repair_time};
   }
--- a/source/entry_host.cc
+++ b/source/entry_host.cc
@@ -106,7 +106,7 @@
       m_board(DispatchPolicy{},
               RendezvousWeight("board", settings.Text("node", "name"))),
       m_retries(RetryPolicyOf(settings), MonotonicNow()),
-      m_context{loop, m_upstream, dialect, m_board, m_retries, {}, 1},
+      m_context{loop, m_upstream, dialect, m_board, m_retries, {}, 1, {}},
       m_random(RendezvousWeight("split", settings.Text("node", "name"))) {}
 
 EntryHost::~EntryHost() = default;
--- a/source/entry_peers.cc
+++ b/source/entry_peers.cc
@@ -1,6 +1,7 @@
 #include "filbertrack/entry_peers.h"
 
 #include <algorithm>
+#include <cmath>
 
 #include <nlohmann/json.hpp>
 
@@ -14,6 +15,8 @@
 
 constexpr std::string_view kSecretRecord = "peer-secret";
 constexpr std::string_view kHostPrefix = "entry-host-";
+/// Between the address and the data centre in the record of an entry host.
+constexpr char kFieldSeparator = ' ';
 /// Between tries to read or write the records that a start needs.
 /// The store holds values up to 1 MiB; the text here may be spaced otherwise.
 constexpr size_t kMostConfigBytes = 4 * 1024 * 1024;
@@ -23,6 +26,7 @@
 
 EntryPeers::EntryPeers(EventLoop& loop,
                        const std::string& node,
+                       const std::string& data_centre,
                        const Address& listen,
                        EntryPeersPolicy policy,
                        EntryHost& host,
@@ -31,6 +35,7 @@
                        SiteFeed& feed)
     : m_loop(loop),
       m_node(node),
+      m_data_centre(data_centre),
       m_listen(listen),
       m_policy(policy),
       m_host(host),
@@ -38,7 +43,9 @@
       m_records(records),
       m_feed(feed),
       m_started(MonotonicNow()),
-      m_proposed_secret(RandomId() + RandomId()) {}
+      m_proposed_secret(RandomId() + RandomId()),
+      m_news(node, data_centre, {}),
+      m_random(RendezvousWeight("peers", node)) {}
 
 EntryPeers::~EntryPeers() = default;
 
@@ -87,7 +94,8 @@
 
 void EntryPeers::Register(uint64_t expected_version) {
   m_records.Write(
-      std::string(kHostPrefix) + m_node, m_listen.ToString(), expected_version,
+      std::string(kHostPrefix) + m_node,
+      m_listen.ToString() + kFieldSeparator + m_data_centre, expected_version,
       [this](const StoreAnswer& answer) {
         if (answer.status == StoreStatus::kOk) {
           return;
@@ -118,28 +126,46 @@
 void EntryPeers::OnListed(const std::vector<StoredObject>& records) {
   m_listed = true;
   for (const StoredObject& record : records) {
-    AddPeer(record.key.substr(kHostPrefix.size()), record.value);
+    const size_t address_end = record.value.find(kFieldSeparator);
+    const std::string data_centre = address_end == std::string::npos
+                                        ? ""
+                                        : record.value.substr(address_end + 1);
+    AddPeer(record.key.substr(kHostPrefix.size()),
+            record.value.substr(0, address_end), data_centre);
   }
 }
 
-void EntryPeers::AddPeer(const std::string& name, const std::string& address) {
+void EntryPeers::AddPeer(const std::string& name,
+                         const std::string& address,
+                         const std::string& data_centre) {
   const Result<Address> parsed = ParseAddress(address);
   if (name == m_node || !parsed) {
     return;
   }
   Peer& peer = m_peers[name];
+  peer.data_centre = data_centre;
   if (peer.client == nullptr || !(peer.address == *parsed)) {
     peer.address = *parsed;
     peer.client = std::make_unique<PeerClient>(m_loop, m_secret, *parsed);
   }
 }
 
-NewsState EntryPeers::OwnNews() const {
+NewsState EntryPeers::OwnNews(std::string_view data_centre) const {
   NewsState state = m_host.OwnNews();
   state.address = m_listen.ToString();
+  state.data_centre = m_data_centre;
+  if (!IsNear(data_centre)) {
+    m_news.CoverDataCentre(state, MonotonicNow());
+  }
   return state;
 }
 
+bool EntryPeers::IsNear(std::string_view data_centre) const {
+  // A small fleet needs no sums: each host hears all others in every round.
+  return data_centre.empty() || data_centre == m_data_centre ||
+         m_peers.size() <= m_policy.neighbours;
+}
+
 void EntryPeers::OnOwnChange() {
   const uint64_t config =
       m_host.catalog() == nullptr ? 0 : m_host.catalog()->version();
@@ -158,27 +184,85 @@
   const TimePoint now = MonotonicNow();
   SumLoads(now);
   ChooseWatch(now);
+  AskNear(now);
+  AskFar(now);
+}
+
+void EntryPeers::AskNear(TimePoint now) {
   size_t asked = 0;
-  // In turn, from where the last round ended, so that all are asked.
-  auto next = m_peers.upper_bound(m_last_asked);
+  auto next = m_peers.upper_bound(m_last_near);
   for (size_t i = 0; i < m_peers.size() && asked < m_policy.neighbours; ++i) {
     if (next == m_peers.end()) {
       next = m_peers.begin();
     }
-    Peer& peer = next->second;
-    const Duration pause = peer.silent ? m_policy.silent_interval : Duration(0);
-    if (!peer.client->busy() && now - peer.asked_at >= pause) {
-      Ask(next->first, peer, now);
-      m_last_asked = next->first;
+    if (IsNear(next->second.data_centre) &&
+        TryAsk(next->first, next->second, now)) {
+      m_last_near = next->first;
       ++asked;
     }
     ++next;
   }
 }
 
+std::set<std::string, std::less<>> EntryPeers::FarDataCentres() const {
+  std::set<std::string, std::less<>> far;
+  for (const auto& [name, peer] : m_peers) {
+    if (!IsNear(peer.data_centre)) {
+      far.insert(peer.data_centre);
+    }
+  }
+  return far;
+}
+
+void EntryPeers::AskFar(TimePoint now) {
+  const auto far = FarDataCentres();
+  const double rounds =
+      ToSeconds(m_policy.far_interval) / ToSeconds(m_policy.interval);
+  const auto count =
+      static_cast<size_t>(std::ceil(static_cast<double>(far.size()) / rounds));
+  auto next = far.upper_bound(m_last_far);
+  for (size_t i = 0; i < count; ++i) {
+    if (next == far.end()) {
+      next = far.begin();
+    }
+    m_last_far = *next;
+    AskOneOf(*next, now);
+    ++next;
+  }
+}
+
+void EntryPeers::AskOneOf(std::string_view data_centre, TimePoint now) {
+  std::vector<std::string_view> names;
+  for (const auto& [name, peer] : m_peers) {
+    if (peer.data_centre == data_centre && !peer.client->busy()) {
+      names.push_back(name);
+    }
+  }
+  if (names.empty()) {
+    return;
+  }
+  // From a random one on, past those that are silent.
+  const size_t start = m_random() % names.size();
+  for (size_t i = 0; i < names.size(); ++i) {
+    const auto peer = m_peers.find(names[(start + i) % names.size()]);
+    if (TryAsk(peer->first, peer->second, now)) {
+      return;
+    }
+  }
+}
+
+bool EntryPeers::TryAsk(const std::string& name, Peer& peer, TimePoint now) {
+  const Duration pause = peer.silent ? m_policy.silent_interval : Duration(0);
+  if (peer.client->busy() || now - peer.asked_at < pause) {
+    return false;
+  }
+  Ask(name, peer, now);
+  return true;
+}
+
 void EntryPeers::Ask(const std::string& name, Peer& peer, TimePoint now) {
   peer.asked_at = now;
-  const NewsAsk ask{OwnNews(), name == m_config_from};
+  const NewsAsk ask{OwnNews(peer.data_centre), name == m_config_from};
   peer.client->Ask(
       EncodeNewsAsk(ask), m_policy.ask_timeout,
       [this, name](const std::string* payload) { OnAnswer(name, payload); });
@@ -241,8 +325,8 @@
   }
   const TimePoint now = MonotonicNow();
   NoteNews(ask->state, now);
-  AddPeer(ask->state.node, ask->state.address);
-  const NewsState own = OwnNews();
+  AddPeer(ask->state.node, ask->state.address, ask->state.data_centre);
+  const NewsState own = OwnNews(ask->state.data_centre);
   answer(EncodeNewsAnswer(AnswerNews(
       own, ask->wants_config ? m_host.packed_catalog() : std::string(),
       m_host.server_log(), *ask)));
@@ -301,27 +385,16 @@
 }
 
 void EntryPeers::NoteNews(const NewsState& state, TimePoint now) {
-  m_news[state.node] = {state, now};
+  m_news.Note(state, now);
   if (state.store_back_for) {
     m_host.OnPeerSawStoreReturn(now - *state.store_back_for);
   }
 }
 
 void EntryPeers::SumLoads(TimePoint now) {
-  std::map<std::string, TargetLoad, std::less<>> sums;
-  size_t hosts = 0;
-  for (const auto& [node, news] : m_news) {
-    if (now - news.heard_at > m_policy.load_life) {
-      continue;
-    }
-    ++hosts;
-    for (const NewsLoad& load : news.state.loads) {
-      TargetLoad& sum = sums[load.target];
-      sum.requests += load.requests;
-      sum.prompt_tokens += load.prompt_tokens;
-    }
-  }
-  m_host.OnRemoteLoads(sums, hosts);
+  const FleetNews::Loads heard = m_news.SumLoads(now);
+  m_host.OnRemoteLoads(heard.loads, heard.hosts);
+  m_host.SetPrefersNear(m_peers.size() > m_policy.neighbours);
 }
 
 void EntryPeers::SetNeedsWatch(bool needs) {
@@ -335,9 +408,7 @@
   if (settling && !m_listed && !m_needs_watch) {
     return;
   }
-  std::erase_if(m_news, [this, now](const auto& row) {
-    return now - row.second.heard_at > m_policy.peer_life;
-  });
+  m_news.ForgetOld(now);
   std::vector<std::string> all = {m_node};
   std::vector<std::string> able;
   if (settling) {
@@ -346,12 +417,9 @@
       able.push_back(node);
     }
   } else {
-    for (const auto& [node, news] : m_news) {
-      all.push_back(node);
-      if (!news.state.store_fails) {
-        able.push_back(node);
-      }
-    }
+    const std::vector<std::string> heard = m_news.Hosts(now);
+    all.insert(all.end(), heard.begin(), heard.end());
+    able = m_news.HostsWithStore(now);
   }
   if (!m_host.store_away()) {
     able.push_back(m_node);
@@ -367,7 +435,7 @@
   if (watching != m_watching) {
     m_watching = watching;
     Log(LogLevel::kInfo, watching ? "watch-begins" : "watch-ends",
-        {{"peers", m_news.size()}});
+        {{"peers", m_news.Hosts(now).size()}});
     m_feed.SetWatching(watching);
   }
 }
--- a/source/entry_relay.cc
+++ b/source/entry_relay.cc
@@ -185,6 +185,7 @@
           ? query.time_left
           : m_request.arrived + m_request.route->target_latency - now;
   query.excluded = &m_tried;
+  query.near_data_centre = m_context.near_data_centre;
   return m_context.board.Choose(query, now);
 }
 
--- a/source/news_message.cc
+++ b/source/news_message.cc
@@ -24,11 +24,17 @@
     loads.push_back(Json::array({load.target, load.requests,
                                  static_cast<int64_t>(load.prompt_tokens)}));
   }
+  Json hosts = Json::array();
+  for (const NewsHost& host : state.hosts) {
+    hosts.push_back(
+        Json::array({host.name, host.store_fails, ToMilliseconds(host.age)}));
+  }
   const int64_t back_for =
       state.store_back_for ? ToMilliseconds(*state.store_back_for) : kNever;
   return Json::array({state.node, state.address, state.ready, state.store_fails,
                       back_for, state.config_version, state.servers_revision,
-                      std::move(loads)});
+                      std::move(loads), state.data_centre,
+                      state.covers_data_centre, std::move(hosts)});
 }
 
 NewsState UnpackState(const Json& value) {
@@ -47,6 +53,12 @@
     state.loads.push_back({row.at(0).get<std::string>(), row.at(1).get<int>(),
                            row.at(2).get<double>()});
   }
+  state.data_centre = value.at(8).get<std::string>();
+  state.covers_data_centre = value.at(9).get<bool>();
+  for (const Json& row : value.at(10)) {
+    state.hosts.push_back({row.at(0).get<std::string>(), row.at(1).get<bool>(),
+                           Milliseconds(row.at(2).get<int64_t>())});
+  }
   return state;
 }
 
--- /dev/null
+++ b/tests/news_fleet_test.cc
@@ -0,0 +1,277 @@
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <memory>
+#include <queue>
+#include <random>
+
+#include "filbertrack/news_fleet.h"
+
+namespace filbertrack {
+namespace {
+
+const TimePoint kStart{Seconds(1000)};
+
+NewsState MakeState(const std::string& node,
+                    const std::string& data_centre,
+                    int requests) {
+  NewsState state;
+  state.node = node;
+  state.data_centre = data_centre;
+  state.loads = {{"t", requests, 100.0 * requests}};
+  return state;
+}
+
+TEST_CASE("each host's work is counted once") {
+  // A host of another data centre is heard directly and in its data centre's
+  // sum. Counted twice, its targets would look busier than they are, and
+  // callers would be turned away from free places.
+  FleetNews here("a1", "a", {});
+  FleetNews there("b1", "b", {});
+  there.Note(MakeState("b2", "b", 3), kStart);
+  NewsState sum = MakeState("b1", "b", 4);
+  there.CoverDataCentre(sum, kStart);
+  REQUIRE(sum.loads.size() == 1);
+  CHECK(sum.loads[0].requests == 7);
+  here.Note(MakeState("a2", "a", 1), kStart);
+  here.Note(MakeState("b2", "b", 3), kStart);
+  here.Note(sum, kStart);
+  const FleetNews::Loads heard = here.SumLoads(kStart);
+  CHECK(heard.loads.at("t").requests == 8);
+  CHECK(heard.hosts == 3);
+}
+
+TEST_CASE("loads and hosts that were not told lately are forgotten") {
+  FleetNews news("a1", "a", {});
+  news.Note(MakeState("a2", "a", 5), kStart);
+  CHECK(news.SumLoads(kStart + Milliseconds(1200)).loads.size() == 1);
+  CHECK(news.SumLoads(kStart + Milliseconds(1300)).loads.empty());
+  CHECK(news.Hosts(kStart + Milliseconds(1500)).size() == 1);
+  CHECK(news.Hosts(kStart + Milliseconds(1600)).empty());
+}
+
+TEST_CASE("a host hears through others who reaches the store") {
+  // Without it, each data centre would take only its own hosts for alive, and
+  // choose watchers of the store of its own.
+  FleetNews there("b1", "b", {});
+  NewsState cut_off = MakeState("b2", "b", 0);
+  cut_off.store_fails = true;
+  there.Note(cut_off, kStart);
+  NewsState sum = MakeState("b1", "b", 0);
+  there.CoverDataCentre(sum, kStart + Milliseconds(100));
+  FleetNews here("a1", "a", {});
+  here.Note(sum, kStart + Milliseconds(100));
+  CHECK(here.Hosts(kStart + Milliseconds(200)) ==
+        std::vector<std::string>{"b1", "b2"});
+  CHECK(here.HostsWithStore(kStart + Milliseconds(200)) ==
+        std::vector<std::string>{"b1"});
+}
+
+TEST_CASE("messages keep what they hold on the way") {
+  NewsAsk ask{MakeState("a1", "a", 3), true};
+  ask.state.covers_data_centre = true;
+  ask.state.hosts = {{"a2", true, Milliseconds(40)}};
+  const auto read = DecodeNewsAsk(EncodeNewsAsk(ask));
+  REQUIRE(read);
+  CHECK(read->state.data_centre == "a");
+  CHECK(read->state.covers_data_centre);
+  REQUIRE(read->state.hosts.size() == 1);
+  CHECK(read->state.hosts[0].name == "a2");
+  CHECK(read->state.hosts[0].store_fails);
+  CHECK(read->state.hosts[0].age == Milliseconds(40));
+}
+
+/// 72 entry hosts and 40 groups in four data centres; 473 requests a second,
+/// four fifths of what the groups can take. Each group runs 15 requests at
+/// once, each for about a second.
+class Replay {
+ public:
+  static constexpr int kDataCentres = 4;
+  static constexpr int kHostsEach = 18;
+  static constexpr int kTargets = 40;
+  static constexpr int kSlots = 15;
+  static constexpr double kRate = 473;
+
+  /// `near`: hosts tell loads within their data centre and send there first.
+  explicit Replay(bool near) : m_near(near) {
+    CatalogParts parts;
+    EngineProfile engine;
+    engine.slots = kSlots;
+    engine.step = Duration(7800);
+    engine.prompt_tokens_per_second = 45900;
+    engine.chunk_tokens = 2048;
+    engine.stride = 5;
+    engine.usual_answer_tokens = 180;
+    engine.models = {{"m", 2, 1, 0.6, Seconds(12), Seconds(1)}};
+    parts.services["llm"] = {"llm", 300, engine};
+    const Catalog catalog(std::move(parts));
+    std::vector<DispatchTarget> targets;
+    for (int i = 0; i < kTargets; ++i) {
+      targets.push_back({"t" + std::to_string(i),
+                         {"127.0.0.1", 1},
+                         "llm",
+                         "m",
+                         DataCentre(i),
+                         kSlots,
+                         300});
+    }
+    for (int i = 0; i < kDataCentres * kHostsEach; ++i) {
+      auto host = std::make_unique<Host>(i);
+      host->board.SetTargets(targets, catalog, kStart);
+      m_hosts.push_back(std::move(host));
+    }
+  }
+
+  /// The part of the requests that came to a group whose places were taken.
+  double Run(Duration time) {
+    const TimePoint end = kStart + time;
+    TimePoint now = kStart;
+    TimePoint round = kStart;
+    while (now < end) {
+      now += Duration(static_cast<int64_t>(m_gap(m_random) / kRate * 1e6));
+      for (; round < now; round += Milliseconds(10)) {
+        Exchange(round);
+      }
+      EndUntil(now);
+      Place(now);
+    }
+    return static_cast<double>(m_met_full) / m_placed;
+  }
+
+ private:
+  struct Host {
+    explicit Host(int number)
+        : name("h" + std::to_string(number)),
+          data_centre(DataCentre(number)),
+          board(DispatchPolicy{}, static_cast<uint64_t>(number)),
+          news(name, data_centre, {}) {}
+
+    NewsState Tell() const {
+      NewsState state;
+      state.node = name;
+      state.data_centre = data_centre;
+      for (const auto& [id, load] : board.OwnLoads()) {
+        state.loads.push_back({id, load.requests, load.prompt_tokens});
+      }
+      return state;
+    }
+
+    std::string name;
+    std::string data_centre;
+    DispatchBoard board;
+    FleetNews news;
+    size_t next_peer = 0;
+  };
+  struct Ending {
+    TimePoint at;
+    size_t host;
+    std::string target;
+    bool operator>(const Ending& other) const { return at > other.at; }
+  };
+
+  static std::string DataCentre(int number) {
+    return "dc" + std::to_string(number % kDataCentres);
+  }
+
+  /// A fifteenth of the hosts have their round each 10 ms, as each host asks
+  /// eight others every 150 ms.
+  void Exchange(TimePoint now) {
+    const auto phase = (now - kStart) / Milliseconds(10) % 15;
+    for (size_t i = 0; i < m_hosts.size(); ++i) {
+      if (static_cast<int64_t>(i % 15) != phase) {
+        continue;
+      }
+      Host& host = *m_hosts[i];
+      size_t asked = 0;
+      while (asked < 8) {
+        host.next_peer = (host.next_peer + 1) % m_hosts.size();
+        Host& peer = *m_hosts[host.next_peer];
+        const bool wanted =
+            &peer != &host && (!m_near || peer.data_centre == host.data_centre);
+        if (wanted) {
+          peer.news.Note(host.Tell(), now);
+          host.news.Note(peer.Tell(), now);
+          ++asked;
+        }
+      }
+      if (m_near) {
+        TellFar(host, now);
+      }
+      host.board.SetRemoteLoads(host.news.SumLoads(now).loads);
+    }
+  }
+
+  void TellFar(Host& host, TimePoint now) {
+    Host& peer = *m_hosts[m_random() % m_hosts.size()];
+    if (peer.data_centre == host.data_centre) {
+      return;
+    }
+    NewsState sum = peer.Tell();
+    peer.news.CoverDataCentre(sum, now);
+    host.news.Note(sum, now);
+  }
+
+  void EndUntil(TimePoint now) {
+    while (!m_endings.empty() && m_endings.top().at <= now) {
+      const Ending ending = m_endings.top();
+      m_endings.pop();
+      --m_running[ending.target];
+      m_hosts[ending.host]->board.OnEnded(ending.target, 0, false,
+                                          DispatchResult::kAnswered, ending.at);
+    }
+  }
+
+  void Place(TimePoint now) {
+    const size_t index = m_random() % m_hosts.size();
+    Host& host = *m_hosts[index];
+    DispatchQuery query;
+    query.service = "llm";
+    query.model = "m";
+    query.prompt_tokens = 714;
+    query.time_to_aim = Milliseconds(300);
+    query.time_left = Seconds(6);
+    if (m_near) {
+      query.near_data_centre = host.data_centre;
+    }
+    const auto decision = host.board.Choose(query, now);
+    const auto* choice = std::get_if<DispatchChoice>(&decision);
+    if (choice == nullptr) {
+      return;
+    }
+    const std::string& target = choice->target.id;
+    host.board.OnSent(target, 714);
+    host.board.OnFirstEvent(target, 714, choice->predicted, choice->predicted);
+    ++m_placed;
+    m_met_full += m_running[target]++ >= kSlots ? 1 : 0;
+    const double seconds =
+        std::uniform_real_distribution<double>(0.2, 1.8)(m_random);
+    m_endings.push({now + Duration(static_cast<int64_t>(seconds * 1.06e6)),
+                    index, target});
+  }
+
+  bool m_near;
+  std::vector<std::unique_ptr<Host>> m_hosts;
+  std::map<std::string, int> m_running;
+  std::priority_queue<Ending, std::vector<Ending>, std::greater<>> m_endings;
+  std::mt19937_64 m_random{7};
+  std::exponential_distribution<double> m_gap{1};
+  int m_placed = 0;
+  int m_met_full = 0;
+};
+
+TEST_CASE(
+    "a busy fleet of many hosts: fresh loads keep requests off full groups") {
+  // Callers wait at groups that are full while others have places. Each host
+  // sends a fiftieth of a group's requests, and what it heard of the others'
+  // was up to 0.6 s old, in which a group gets seven more. Loads of the own
+  // data centre are 0.15 s old.
+  const double before = Replay(false).Run(Seconds(8));
+  const double after = Replay(true).Run(Seconds(8));
+  MESSAGE("met a full group: " << before << " from all, " << after
+                               << " from the own data centre");
+  CHECK(before > 0.1);
+  CHECK(after < before / 2);
+}
+
+}  // namespace
+}  // namespace filbertrack
