entry: the two questions to a host overlap; replicas: spares count among their model's hosts

Cause: a lost member was found 0.8 to 1.0 s after its death, two questions of 0.35 s one after the other and two waits for a tick; callers of its group wait as long. Change: EntryProber, split from entry_control, sends the second question 0.15 s after the first and gives up both after 0.4 s; extra groups go by hosts with spares. Tests: five cases of the prober (silent after 0.4 s; one lost question does not count); six and fifteen groups from 60 hosts (7 and 12 before).

--- a/include/filbertrack/entry_control.h
+++ b/include/filbertrack/entry_control.h
@@ -12,6 +12,7 @@
 #include "filbertrack/entry_lease.h"
 #include "filbertrack/entry_peers.h"
 #include "filbertrack/entry_ports.h"
+#include "filbertrack/entry_prober.h"
 #include "filbertrack/replica_plan.h"
 
 namespace filbertrack {
@@ -19,12 +20,7 @@
 struct ControlPolicy {
   LeasePolicy lease{Milliseconds(1500), Milliseconds(500), Milliseconds(300)};
   ReplicaPolicy replicas;
-  /// How often members of groups are asked. Two answers that do not come make a
-  /// host silent: the time to notice a loss is at most this and two timeouts.
-  Duration probe_interval = Milliseconds(500);
-  Duration probe_timeout = Milliseconds(350);
-  /// Hosts without a group are asked this many times less often.
-  int idle_probe_divisor = 4;
+  ProbePolicy probes;
   Duration pass_interval = Milliseconds(200);
   /// Reports that arrive within this time of each other share a pass.
   Duration gather = Milliseconds(10);
@@ -48,22 +44,11 @@
   bool holds_lease() const { return m_lease.IsHeld(); }
 
  private:
-  struct ProbeState {
-    bool open = false;
-    /// At least one question was answered or timed out.
-    bool ended = false;
-    int misses = 0;
-    TimePoint asked_at;
-  };
-
   void Tick();
   void Gained();
   void Lost();
-  void ProbeHosts(TimePoint now);
-  void OnProbe(const std::string& id, const ProbeAnswer& answer);
   void PassSoon();
   void Pass();
-  bool AllAsked(const std::string& service) const;
   static void LogCounts(const std::string& service,
                         const ReplicaCounts& counts);
   void Send(const PlannedOrder& planned);
@@ -76,11 +61,10 @@
   EntryPeers& m_peers;
   EngineLink& m_engines;
   EntryLease m_lease;
+  EntryProber m_prober;
   bool m_stopping = false;
 
   // While this host holds it.
-  HostFindings m_findings;
-  std::map<std::string, ProbeState, std::less<>> m_probes;
   std::map<std::string, ReplicaMemory, std::less<>> m_memory;
   std::unique_ptr<Timer> m_tick_timer;
   TimePoint m_counted_at;
--- a/source/entry_control.cc
+++ b/source/entry_control.cc
@@ -17,21 +17,6 @@
 /// How often an entry host without the lease looks at its own state.
 constexpr Duration kFollowerTick = Milliseconds(200);
 constexpr Duration kCountInterval = Seconds(1);
-/// Misses in a row after which a host counts as silent. One may be a lost
-/// packet, which is sent again within the timeout of the second.
-constexpr int kMissesToSilent = 2;
-
-std::string_view HealthName(HostHealth health) {
-  switch (health) {
-    case HostHealth::kAnswers:
-      return "answers";
-    case HostHealth::kSilent:
-      return "silent";
-    case HostHealth::kGone:
-      return "gone";
-  }
-  return "silent";
-}
 
 /// One order in words, for logs.
 struct OrderText {
@@ -95,7 +80,13 @@
               policy.lease,
               records,
               MonotonicNow,
-              {[this] { Gained(); }, [this] { Lost(); }}) {}
+              {[this] { Gained(); }, [this] { Lost(); }}),
+      m_prober(engines,
+               policy.probes,
+               MonotonicNow,
+               [this](Duration delay, std::function<void()> action) {
+                 m_loop.Call(delay, std::move(action));
+               }) {}
 
 EntryControl::~EntryControl() {
   *m_alive = false;
@@ -118,7 +109,9 @@
   m_lease.Tick(m_peers.watches());
   const bool holds = holds_lease();
   if (holds) {
-    ProbeHosts(MonotonicNow());
+    if (m_host.catalog() != nullptr) {
+      m_prober.Tick(m_host.directory(), *m_host.catalog());
+    }
     Pass();
   }
   m_tick_timer = m_loop.After(holds ? m_policy.pass_interval : kFollowerTick,
@@ -128,8 +121,7 @@
 void EntryControl::Gained() {
   m_peers.SetNeedsWatch(true);
   m_memory.clear();
-  m_findings.clear();
-  m_probes.clear();
+  m_prober.Clear();
   Log(LogLevel::kInfo, "lease-gained",
       {{"fence", m_lease.fence()}, {"version", m_lease.version()}});
 }
@@ -146,70 +138,6 @@
   m_lease.GiveBack();
 }
 
-void EntryControl::ProbeHosts(TimePoint now) {
-  const Catalog* catalog = m_host.catalog();
-  if (catalog == nullptr) {
-    return;
-  }
-  std::erase_if(m_probes, [this](const auto& row) {
-    return m_host.directory().Find(row.first) == nullptr;
-  });
-  std::erase_if(m_findings, [this](const auto& row) {
-    return m_host.directory().Find(row.first) == nullptr;
-  });
-  for (const auto& [id, server] : m_host.directory().servers()) {
-    const ServiceProfile* service = catalog->FindService(server.service);
-    if (service == nullptr || !service->engine || server.draining) {
-      continue;
-    }
-    ProbeState& probe = m_probes[id];
-    const Duration interval =
-        server.membership
-            ? m_policy.probe_interval
-            : m_policy.probe_interval * m_policy.idle_probe_divisor;
-    // A host that missed one question is asked again at once.
-    if (probe.open || (probe.misses != 1 && now - probe.asked_at < interval)) {
-      continue;
-    }
-    probe.open = true;
-    probe.asked_at = now;
-    m_engines.Probe(
-        server, m_policy.probe_timeout,
-        [this, id = id, alive = m_alive](const ProbeAnswer& answer) {
-          if (*alive) {
-            OnProbe(id, answer);
-          }
-        });
-  }
-}
-
-void EntryControl::OnProbe(const std::string& id, const ProbeAnswer& answer) {
-  const auto found = m_probes.find(id);
-  if (found == m_probes.end()) {
-    return;
-  }
-  ProbeState& probe = found->second;
-  probe.open = false;
-  probe.ended = true;
-  probe.misses = answer.answered ? 0 : probe.misses + 1;
-  HostHealth health = HostHealth::kAnswers;
-  if (answer.wrong_server) {
-    health = HostHealth::kGone;
-  } else if (probe.misses >= kMissesToSilent) {
-    health = HostHealth::kSilent;
-  } else if (probe.misses > 0) {
-    return;
-  }
-  HostFinding& finding = m_findings[id];
-  finding.busy = answer.busy;
-  if (finding.health == health) {
-    return;
-  }
-  finding.health = health;
-  Log(LogLevel::kInfo, "host-health",
-      {{"host", id}, {"health", HealthName(health)}, {"misses", probe.misses}});
-}
-
 /// A report that arrives may be what the next order waits for; the tick alone
 /// would add half its interval to every step of a repair.
 void EntryControl::PassSoon() {
@@ -239,8 +167,9 @@
     }
     ReplicaMemory& memory = m_memory[name];
     memory.term = m_lease.fence();
-    const ReplicaInput input{m_host.directory(), m_findings, service,
-                             !m_host.traffic_seen(), AllAsked(name)};
+    const ReplicaInput input{m_host.directory(), m_prober.findings(), service,
+                             !m_host.traffic_seen(),
+                             m_prober.AllAsked(m_host.directory(), name)};
     const TimePoint now = MonotonicNow();
     for (const PlannedOrder& planned :
          PlanReplicas(input, m_policy.replicas, memory, now)) {
@@ -253,21 +182,6 @@
   }
 }
 
-/// Whether each host of the service was asked once under this lease: until
-/// then a host that loads for an earlier controller looks idle.
-bool EntryControl::AllAsked(const std::string& service) const {
-  for (const auto& [id, server] : m_host.directory().servers()) {
-    if (server.service != service || server.draining) {
-      continue;
-    }
-    const auto probe = m_probes.find(id);
-    if (probe == m_probes.end() || !probe->second.ended) {
-      return false;
-    }
-  }
-  return true;
-}
-
 void EntryControl::LogCounts(const std::string& service,
                              const ReplicaCounts& counts) {
   Log(LogLevel::kInfo, "groups",
--- a/source/replica_form.cc
+++ b/source/replica_form.cc
@@ -132,8 +132,8 @@
   for (const ModelProfile& model : m_engine.models) {
     const auto whole = m_whole.find(model.name);
     const int groups = whole == m_whole.end() ? 0 : whole->second;
-    filled.emplace_back(groups * model.members / std::max(model.share, 1e-9),
-                        &model);
+    const int hosts = groups * model.members + CountSpares(model);
+    filled.emplace_back(hosts / std::max(model.share, 1e-9), &model);
   }
   std::stable_sort(filled.begin(), filled.end(),
                    [](const auto& left, const auto& right) {
@@ -147,6 +147,18 @@
   return models;
 }
 
+int ReplicaPass::CountSpares(const ModelProfile& model) const {
+  if (!IsLarge(model)) {
+    return 0;
+  }
+  const auto holding = std::count_if(
+      m_domains.begin(), m_domains.end(), [&model](const auto& row) {
+        const auto groups = row.second.groups.find(model.name);
+        return groups != row.second.groups.end() && groups->second > 0;
+      });
+  return m_policy.spares_per_domain * static_cast<int>(holding);
+}
+
 size_t ReplicaPass::CountWarm(const Domain& domain, const ModelProfile& model) {
   return static_cast<size_t>(std::count_if(domain.free.begin(),
                                            domain.free.end(),
--- a/source/replica_pass.h
+++ b/source/replica_pass.h
@@ -157,7 +157,10 @@
 
   bool FormOne();
 
-  /// Models by the hosts that serve them for their share, the least first.
+  /// Hosts that are kept beside the groups of the model.
+  int CountSpares(const ModelProfile& model) const;
+
+  /// Models by their hosts for their share, spares included, the least first.
   std::vector<const ModelProfile*> ByFill() const;
 
   static size_t CountWarm(const Domain& domain, const ModelProfile& model);
--- /dev/null
+++ b/tests/entry_prober_test.cc
@@ -0,0 +1,139 @@
+#include <doctest/doctest.h>
+
+#include <deque>
+#include <map>
+
+#include "filbertrack/entry_prober.h"
+
+namespace filbertrack {
+namespace {
+
+/// A host that is asked and time that the test moves.
+class Asked : public EngineLink {
+ public:
+  Asked()
+      : prober(
+            *this,
+            {},
+            [this] { return m_now; },
+            [this](Duration delay, std::function<void()> action) {
+              At(m_now + delay, std::move(action));
+            }) {
+    CatalogParts parts;
+    parts.services["llm"] = {"llm", 100, EngineProfile{}};
+    m_catalog = std::make_unique<Catalog>(std::move(parts));
+    BackendServer server;
+    server.id = "h";
+    server.service = "llm";
+    server.membership = Membership{"m/1", 1, 0, MembershipState::kOpen};
+    m_directory.Put(server, m_now);
+  }
+
+  void Order(const BackendServer&,
+             const ReplicaOrder&,
+             std::function<void(OrderResult)>) override {}
+
+  void Probe(const BackendServer&,
+             Duration timeout,
+             std::function<void(const ProbeAnswer&)> done) override {
+    ++questions;
+    const bool answers = !m_lost.empty() && !m_lost.front();
+    if (!m_lost.empty()) {
+      m_lost.pop_front();
+    }
+    ProbeAnswer answer;
+    answer.answered = answers;
+    At(m_now + (answers ? Milliseconds(5) : timeout),
+       [done, answer] { done(answer); });
+  }
+
+  /// Which of the next questions are lost; those after them are, too.
+  void Lose(std::deque<bool> lost) { m_lost = std::move(lost); }
+
+  void RunFor(Duration time) {
+    const TimePoint end = m_now + time;
+    for (TimePoint tick = m_now; tick <= end; tick += Milliseconds(10)) {
+      RunUntil(tick);
+      prober.Tick(m_directory, *m_catalog);
+    }
+    RunUntil(end);
+  }
+
+  HostHealth health() const {
+    const auto found = prober.findings().find("h");
+    return found == prober.findings().end() ? HostHealth::kAnswers
+                                            : found->second.health;
+  }
+
+  EntryProber prober;
+  int questions = 0;
+
+ private:
+  void At(TimePoint at, std::function<void()> action) {
+    m_actions.emplace(at, std::move(action));
+  }
+  void RunUntil(TimePoint end) {
+    while (!m_actions.empty() && m_actions.begin()->first <= end) {
+      auto first = m_actions.extract(m_actions.begin());
+      m_now = std::max(m_now, first.key());
+      first.mapped()();
+    }
+    m_now = std::max(m_now, end);
+  }
+
+  TimePoint m_now{Seconds(100)};
+  std::multimap<TimePoint, std::function<void()>> m_actions;
+  std::deque<bool> m_lost;
+  std::unique_ptr<Catalog> m_catalog;
+  ServerDirectory m_directory{DirectoryPolicy{}};
+};
+
+TEST_CASE("a silent host is found within the patience of one round") {
+  // Callers of a group wait until its lost member is noticed. Both questions
+  // are under way at once, so that takes 0.4 s after the first was asked.
+  Asked asked;
+  asked.RunFor(Milliseconds(390));
+  CHECK(asked.health() == HostHealth::kAnswers);
+  CHECK(asked.questions == 2);
+  asked.RunFor(Milliseconds(30));
+  CHECK(asked.health() == HostHealth::kSilent);
+  CHECK(asked.prober.findings().at("h").health == HostHealth::kSilent);
+}
+
+TEST_CASE("one lost question does not make a host silent") {
+  // The host lives and a packet was lost. Were it given up, its group would be
+  // taken apart and every stream there would break.
+  Asked asked;
+  asked.Lose({true, false});
+  asked.RunFor(Milliseconds(450));
+  CHECK(asked.questions == 2);
+  CHECK(asked.health() == HostHealth::kAnswers);
+}
+
+TEST_CASE("a host that answers is asked once a round") {
+  Asked asked;
+  asked.Lose({false, false, false});
+  asked.RunFor(Milliseconds(990));
+  CHECK(asked.questions == 2);
+  CHECK(asked.health() == HostHealth::kAnswers);
+}
+
+TEST_CASE("a host that was silent and answers again is heard") {
+  Asked asked;
+  asked.Lose({true, true, false});
+  asked.RunFor(Milliseconds(450));
+  CHECK(asked.health() == HostHealth::kSilent);
+  asked.RunFor(Milliseconds(100));
+  CHECK(asked.health() == HostHealth::kAnswers);
+}
+
+TEST_CASE("answers to questions of an earlier lease do not count") {
+  Asked asked;
+  asked.RunFor(Milliseconds(200));
+  asked.prober.Clear();
+  asked.RunFor(Milliseconds(250));
+  CHECK(asked.health() == HostHealth::kAnswers);
+}
+
+}  // namespace
+}  // namespace filbertrack
--- a/tests/replicas_test.cc
+++ b/tests/replicas_test.cc
@@ -84,6 +84,28 @@
   CHECK(run.fleet.violations().empty());
 }
 
+TEST_CASE("spares count among the hosts of their model") {
+  // Callers of the small model, which has half of the work, meet full groups.
+  // With the spares of the large model on top of its share, the small one had
+  // 24 of 60 hosts.
+  Run run(1);
+  for (int domain = 3; domain < 6; ++domain) {
+    for (int i = 0; i < 10; ++i) {
+      run.fleet.AddHost("d" + std::to_string(domain), false, "");
+    }
+  }
+  run.PassFor(Seconds(20));
+  std::map<std::string, int> groups;
+  for (const auto& [id, host] : run.fleet.hosts()) {
+    const auto& place = host.server.membership;
+    if (place && place->rank == 0 && place->state == MembershipState::kOpen) {
+      ++groups[host.server.model];
+    }
+  }
+  CHECK(groups["large"] == 6);
+  CHECK(groups["small"] == 15);
+}
+
 TEST_CASE("no host stands idle where no large group could use it") {
   // Callers of the small model meet a full fleet while hosts that are kept as
   // spares serve nobody. Only domains with a large group keep spares.
