replicas: the models' shares follow what is asked of them; idle hosts load another model

Change: the board tells the pressure of each model (work at its targets for their slots, refusals counted in), the planner smooths it over 4 s and moves shares by at most a factor of two; hosts that idle beside a domain's spares load a model that is short; spares are reserved only for domains that will hold large groups; whatever hosts have a model in memory and are enough for a group form one. Tests: pressure with refusals; three idle hosts make a small group at pressure 1.5 against 0.3, not at 0.8 against 1 nor without traffic (fails before).

--- a/include/filbertrack/dispatch_board.h
+++ b/include/filbertrack/dispatch_board.h
@@ -117,6 +117,12 @@
   /// A repair is under way; the shortest time that is told.
   Duration least_retry_after = Milliseconds(100);
   Duration most_retry_after = Seconds(2);
+  /// Requests of this long ago count about a third in the pressure: shorter
+  /// than a load of weights takes, longer than a burst of a second.
+  Duration recent = Seconds(3);
+  /// Pressure is told up to this: what callers ask again is counted anew, so
+  /// that more says little.
+  double most_pressure = 3;
   /// Weight of the latest measurement in running means.
   double smoothing = 0.2;
 };
@@ -156,6 +162,13 @@
 
   bool HasTarget(std::string_view id) const;
 
+  /// How much of what its targets can do at once is asked of a model: 1 where
+  /// all slots are taken, more where requests are turned away. nullopt: it has
+  /// no target.
+  std::optional<double> Pressure(std::string_view service,
+                                 std::string_view model,
+                                 TimePoint now) const;
+
   /// Time to the first event at `id` of a prompt of so many tokens.
   Duration Predict(std::string_view id, double prompt_tokens) const;
 
@@ -179,6 +192,12 @@
     Targets all;
     std::map<std::string, Targets, std::less<>> by_data_centre;
   };
+  /// Requests that asked for a model lately, older ones counting less.
+  struct Recent {
+    double placed = 0;
+    double refused = 0;
+    TimePoint updated;
+  };
   struct Best {
     const Entry* entry = nullptr;
     Duration time{0};
@@ -193,6 +212,7 @@
                          const DispatchQuery& query,
                          TimePoint now);
   /// The best of some drawn at random, or `best` where none is better.
+  void NoteRecent(const DispatchQuery& query, bool placed, TimePoint now);
   Best FindBest(const Targets& targets,
                 const DispatchQuery& query,
                 TimePoint now,
@@ -204,6 +224,7 @@
   std::map<std::string, EngineProfile, std::less<>> m_engines;
   std::map<std::string, std::unique_ptr<Entry>, std::less<>> m_entries;
   std::unordered_map<std::string, Group> m_groups;
+  std::unordered_map<std::string, Recent> m_recent;
 };
 
 /// Time of one pass of an engine with `requests` writing and a chunk of
--- a/include/filbertrack/entry_host.h
+++ b/include/filbertrack/entry_host.h
@@ -85,6 +85,10 @@
   /// A caller's request has come since the start.
   bool traffic_seen() const { return m_traffic_seen; }
 
+  /// How much of what its groups can do is asked of each model of the service.
+  std::map<std::string, double, std::less<>> Pressure(
+      const ServiceProfile& service) const;
+
   /// Called after each change of directory or configuration.
   void OnChange(std::function<void()> action) {
     m_on_change = std::move(action);
--- a/include/filbertrack/replica_plan.h
+++ b/include/filbertrack/replica_plan.h
@@ -108,6 +108,11 @@
   /// for this long: which hosts share a domain decides what fits together, and
   /// registrations arrive over some seconds.
   Duration settle = Milliseconds(600);
+  /// Pressures are smoothed over this long: a load takes longer, and a burst
+  /// that is over by then must not move hosts.
+  Duration pressure_window = Seconds(4);
+  /// By how much, either way, the pressure may change a model's share.
+  double most_share_change = 2;
   /// A joining group that is not ready after this many times its expected time
   /// is given up.
   double join_patience = 3;
@@ -135,6 +140,9 @@
   std::map<std::string, GivenOrder, std::less<>> given;
   /// Epoch of the latest group that each host was ordered to join.
   std::map<std::string, uint64_t, std::less<>> ordered_epoch;
+  /// Smoothed pressure of each model, and when it was last brought up to date.
+  std::map<std::string, double, std::less<>> pressure;
+  TimePoint pressure_at;
   /// First pass of the term.
   std::optional<TimePoint> began;
   /// Groups whose head was ordered to close, with their epochs. What it was
@@ -157,6 +165,9 @@
   bool before_traffic = false;
   /// Each host was asked at least once whether it loads.
   bool loads_known = true;
+  /// How much of what its groups can do is asked of each model; models of which
+  /// nothing is known are absent.
+  std::map<std::string, double, std::less<>> pressure;
 };
 
 std::vector<PlannedOrder> PlanReplicas(const ReplicaInput& input,
--- a/source/dispatch_board.cc
+++ b/source/dispatch_board.cc
@@ -198,6 +198,43 @@
   return best;
 }
 
+void DispatchBoard::NoteRecent(const DispatchQuery& query,
+                               bool placed,
+                               TimePoint now) {
+  Recent& recent = m_recent[GroupKey(query.service, query.model)];
+  const double kept =
+      std::exp(-ToSeconds(now - recent.updated) / ToSeconds(m_policy.recent));
+  recent.placed = recent.placed * kept + (placed ? 1 : 0);
+  recent.refused = recent.refused * kept + (placed ? 0 : 1);
+  recent.updated = now;
+}
+
+std::optional<double> DispatchBoard::Pressure(std::string_view service,
+                                              std::string_view model,
+                                              TimePoint now) const {
+  const std::string key = GroupKey(service, model);
+  const auto group = m_groups.find(key);
+  if (group == m_groups.end()) {
+    return std::nullopt;
+  }
+  double requests = 0;
+  double slots = 0;
+  for (const Entry* entry : group->second.all) {
+    requests += entry->own.requests + entry->remote.requests;
+    slots += entry->target.slots;
+  }
+  const auto found = m_recent.find(key);
+  double refused_share = 0;
+  if (found != m_recent.end() &&
+      now - found->second.updated <= m_policy.recent) {
+    const Recent& recent = found->second;
+    refused_share = recent.refused / (recent.placed + recent.refused);
+  }
+  const double taken = requests / std::max(1.0, slots);
+  return std::min(m_policy.most_pressure,
+                  taken / std::max(1 - refused_share, 1e-3));
+}
+
 DispatchDecision DispatchBoard::Choose(const DispatchQuery& query,
                                        TimePoint now) {
   const auto found = m_groups.find(GroupKey(query.service, query.model));
@@ -223,10 +260,12 @@
       std::max(Scale(query.time_to_aim, m_policy.aim_slack), Duration(0)));
   if (best_time > bound && best->own.requests + best->remote.requests > 0) {
     const Duration over = best_time - std::min(best_time, query.time_to_aim);
+    NoteRecent(query, false, now);
     return DispatchRefusal{DispatchDenial::kAllBusy,
                            std::clamp(over, m_policy.least_retry_after,
                                       m_policy.most_retry_after)};
   }
+  NoteRecent(query, true, now);
   return DispatchChoice{best->target, best_time};
 }
 
--- a/source/entry_control.cc
+++ b/source/entry_control.cc
@@ -167,9 +167,12 @@
     }
     ReplicaMemory& memory = m_memory[name];
     memory.term = m_lease.fence();
-    const ReplicaInput input{m_host.directory(), m_prober.findings(), service,
+    const ReplicaInput input{m_host.directory(),
+                             m_prober.findings(),
+                             service,
                              !m_host.traffic_seen(),
-                             m_prober.AllAsked(m_host.directory(), name)};
+                             m_prober.AllAsked(m_host.directory(), name),
+                             m_host.Pressure(service)};
     const TimePoint now = MonotonicNow();
     for (const PlannedOrder& planned :
          PlanReplicas(input, m_policy.replicas, memory, now)) {
--- a/source/entry_host.cc
+++ b/source/entry_host.cc
@@ -368,6 +368,19 @@
   m_retries.SetMostSaved(MostSavedRetries(m_settings, hosts + 1));
 }
 
+std::map<std::string, double, std::less<>> EntryHost::Pressure(
+    const ServiceProfile& service) const {
+  std::map<std::string, double, std::less<>> pressure;
+  for (const ModelProfile& model : service.engine->models) {
+    const auto asked =
+        m_board.Pressure(service.name, model.name, MonotonicNow());
+    if (asked) {
+      pressure[model.name] = *asked;
+    }
+  }
+  return pressure;
+}
+
 void EntryHost::OnStoreLost() {
   m_store_away = true;
   Log(LogLevel::kWarning, "store-lost", nlohmann::json::object());
--- a/source/replica_form.cc
+++ b/source/replica_form.cc
@@ -50,15 +50,27 @@
 
 void ReplicaPass::FormGroups() {
   ReadDomains();
-  const int reserve =
-      m_policy.spares_per_domain * static_cast<int>(m_domains.size());
-  m_wanted = WantedReplicas(m_engine, std::max(0, m_usable - reserve));
+  m_wanted = WantedReplicas(m_engine, std::max(0, m_usable - CountReserve()));
   while (FormOne()) {
   }
   while (FormExtra()) {
   }
 }
 
+int ReplicaPass::CountReserve() const {
+  const auto wanted = WantedReplicas(m_engine, m_usable);
+  const int domains = std::max(1, static_cast<int>(m_domains.size()));
+  const int room = std::max(1, m_usable / domains - m_policy.spares_per_domain);
+  int holding = 0;
+  for (const ModelProfile& model : m_engine.models) {
+    if (IsLarge(model)) {
+      const int hosts = wanted.at(model.name) * model.members;
+      holding += (hosts + room - 1) / room;
+    }
+  }
+  return m_policy.spares_per_domain * std::min(holding, domains);
+}
+
 double ReplicaPass::Shortage(const ModelProfile& model) const {
   const auto wanted = m_wanted.find(model.name);
   const auto whole = m_whole.find(model.name);
@@ -159,14 +171,6 @@
   return m_policy.spares_per_domain * static_cast<int>(holding);
 }
 
-size_t ReplicaPass::CountWarm(const Domain& domain, const ModelProfile& model) {
-  return static_cast<size_t>(std::count_if(domain.free.begin(),
-                                           domain.free.end(),
-                                           [&model](const BackendServer* host) {
-                                             return IsWarm(*host, model.name);
-                                           }));
-}
-
 bool ReplicaPass::HoldsLarge(const Domain& domain) const {
   return std::any_of(
       domain.groups.begin(), domain.groups.end(), [this](const auto& row) {
@@ -180,9 +184,8 @@
   for (const ModelProfile* model : ByFill()) {
     const auto size = static_cast<size_t>(model->members);
     for (auto& [name, domain] : m_domains) {
-      const size_t warm_kept = IsLarge(*model) ? spares : 0;
-      if (CountWarm(domain, *model) >= size + warm_kept &&
-          FormWarm(domain, *model)) {
+      // Hosts that have the model and are enough for a group serve it.
+      if (FormWarm(domain, *model)) {
         return true;
       }
       const bool has_large = IsLarge(*model) || HoldsLarge(domain);
--- a/source/replica_pass.h
+++ b/source/replica_pass.h
@@ -76,6 +76,16 @@
 
   Duration LoadPatience() const;
 
+  // What is asked of the models.
+
+  /// Brings the smoothed pressures up to date.
+  void NotePressure();
+
+  /// Sets the models' shares by the work that is asked of them now. The shares
+  /// of the configuration are those at the start; when the mix of requests
+  /// moves, one model's callers are turned away while hosts of another idle.
+  void AdaptShares();
+
   // Groups that are there.
 
   void TendReplica(const ReplicaView& replica);
@@ -144,6 +154,9 @@
 
   void FormGroups();
 
+  /// Hosts that domains with large groups keep as spares.
+  int CountReserve() const;
+
   /// How much of what is wanted of a model is missing; the larger, the more
   /// urgent.
   double Shortage(const ModelProfile& model) const;
@@ -163,8 +176,6 @@
   /// Models by their hosts for their share, spares included, the least first.
   std::vector<const ModelProfile*> ByFill() const;
 
-  static size_t CountWarm(const Domain& domain, const ModelProfile& model);
-
   bool HoldsLarge(const Domain& domain) const;
 
   /// A group beyond those that are wanted, from hosts that would stand idle:
@@ -216,10 +227,19 @@
   /// warm-up while the other members of the group wait for it.
   void WarmSpares();
 
+  /// Has hosts that idle beside what their domain keeps as spares load another
+  /// model of which groups are missing, while no empty host wants the load.
+  void ConvertIdle();
+
+  /// Hosts of the domain that stand by for the model and are not needed there.
+  std::vector<const BackendServer*> FindIdle(const Domain& domain,
+                                             const ModelProfile& model) const;
+
   uint64_t NextEpoch();
 
   const ReplicaInput& m_input;
-  const EngineProfile& m_engine;
+  /// With the shares of the work that the models have now.
+  EngineProfile m_engine;
   const ReplicaPolicy& m_policy;
   ReplicaMemory& m_memory;
   TimePoint m_now;
--- a/source/replica_plan.cc
+++ b/source/replica_plan.cc
@@ -1,6 +1,7 @@
 #include "replica_pass.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace filbertrack {
 
@@ -23,8 +24,11 @@
   for (const ReplicaView& replica : m_replicas) {
     TendReplica(replica);
   }
+  NotePressure();
+  AdaptShares();
   FormGroups();
   StageSpares();
+  ConvertIdle();
   WarmSpares();
   return std::move(m_orders);
 }
--- a/source/replica_stage.cc
+++ b/source/replica_stage.cc
@@ -135,6 +135,48 @@
   }
 }
 
+std::vector<const BackendServer*> ReplicaPass::FindIdle(
+    const Domain& domain,
+    const ModelProfile& model) const {
+  std::vector<const BackendServer*> idle;
+  for (const BackendServer* host : domain.free) {
+    const bool only_this =
+        host->staged.size() == 1 && host->staged.front() == model.name;
+    if (only_this && !IsLoading(*host) && !IsBusy(host->id)) {
+      idle.push_back(host);
+    }
+  }
+  const auto groups = domain.groups.find(model.name);
+  const bool protects =
+      IsLarge(model) && groups != domain.groups.end() && groups->second > 0;
+  const auto kept =
+      protects ? static_cast<size_t>(m_policy.spares_per_domain) : 0;
+  idle.resize(idle.size() - std::min(idle.size(), kept));
+  return idle;
+}
+
+void ReplicaPass::ConvertIdle() {
+  if (m_input.before_traffic) {
+    return;
+  }
+  for (const ModelProfile* wanted : ByShortage()) {
+    const auto size = static_cast<size_t>(wanted->members);
+    for (auto& [name, domain] : m_domains) {
+      for (const ModelProfile& other : m_engine.models) {
+        const size_t present = StandingBy(domain, *wanted);
+        const size_t lacking = present >= size ? 0 : size - present;
+        const auto idle = FindIdle(domain, other);
+        const bool helps = other.name != wanted->name && Shortage(other) <= 0 &&
+                           lacking > 0 && idle.size() >= lacking &&
+                           MayLoad(lacking);
+        for (size_t i = 0; helps && i < lacking; ++i) {
+          Stage(*idle[i], *wanted);
+        }
+      }
+    }
+  }
+}
+
 void ReplicaPass::WarmSpares() {
   for (const auto& [name, domain] : m_domains) {
     for (const BackendServer* host : domain.free) {
--- a/tests/dispatch_test.cc
+++ b/tests/dispatch_test.cc
@@ -354,6 +354,24 @@
                         << " without");
 }
 
+TEST_CASE("pressure tells what is asked of a model, refusals included") {
+  // A model whose slots are all taken looks the same whether callers are turned
+  // away or not; the planner has to tell the two apart.
+  Board board(2);
+  CHECK_FALSE(board.board.Pressure("llm", "other", kStart).has_value());
+  CHECK(*board.board.Pressure("llm", "m", kStart) == 0);
+  board.board.SetRemoteLoads({{"t0", {17, 0}}, {"t1", {17, 0}}});
+  CHECK(*board.board.Pressure("llm", "m", kStart) == doctest::Approx(1));
+  auto late = MakeQuery();
+  late.time_to_aim = Milliseconds(1);
+  for (int i = 0; i < 10; ++i) {
+    REQUIRE(board.Place(late).empty());
+  }
+  CHECK(*board.board.Pressure("llm", "m", kStart) == doctest::Approx(3));
+  CHECK(*board.board.Pressure("llm", "m", kStart + Seconds(4)) ==
+        doctest::Approx(1));
+}
+
 TEST_CASE("idle connections leave room for requests that open their own") {
   // Four servers accept 110 connections each from 70 entry hosts. Every host
   // serves a request now and then and would keep its connection; together they
--- a/tests/replicas_test.cc
+++ b/tests/replicas_test.cc
@@ -39,8 +39,9 @@
   void Pass(double late) {
     fleet.Step(now);
     fleet.Show(directory, findings, now);
-    const ReplicaInput input{directory, findings, service,
-                             now - kStart < Seconds(20), true};
+    const ReplicaInput input{directory, findings,
+                             service,   now - kStart < Seconds(20),
+                             true,      pressure};
     for (const PlannedOrder& planned :
          PlanReplicas(input, ReplicaPolicy{}, memory, now)) {
       const bool answered = fleet.Send(planned.order, now, late);
@@ -72,6 +73,7 @@
   ServiceProfile service = MakeService();
   ServerDirectory directory{DirectoryPolicy{}};
   HostFindings findings;
+  std::map<std::string, double, std::less<>> pressure;
   ReplicaMemory memory;
   TimePoint now = kStart;
 };
@@ -106,6 +108,53 @@
   CHECK(groups["small"] == 15);
 }
 
+/// Serving groups of one model.
+int CountServing(Run& run, const std::string& model) {
+  int count = 0;
+  for (const auto& [id, host] : run.fleet.hosts()) {
+    const auto& place = host.server.membership;
+    count += place && place->rank == 0 && host.alive &&
+             place->state == MembershipState::kOpen &&
+             host.server.model == model;
+  }
+  return count;
+}
+
+/// A domain loses three members of its only large group; the one that is left
+/// and its two spares are too few for another. Serving small groups 20 s later.
+int SmallGroupsAfterLoss(
+    const std::map<std::string, double, std::less<>>& pressure) {
+  Run run(1);
+  run.PassFor(Seconds(25));
+  run.pressure = pressure;
+  run.PassFor(Seconds(15));
+  std::map<std::string, int> heads;
+  for (const auto& [id, host] : run.fleet.hosts()) {
+    heads[host.server.domain] += host.server.model == "large" &&
+                                 host.server.membership->rank == 0 &&
+                                 !IsStandbyGroup(host.server.membership->group);
+  }
+  for (auto& [id, host] : run.fleet.hosts()) {
+    if (heads[host.server.domain] == 1 && host.server.model == "large" &&
+        host.server.membership->rank > 0) {
+      host.alive = false;
+    }
+  }
+  run.PassFor(Seconds(20));
+  CHECK(run.fleet.violations().empty());
+  return CountServing(run, "small");
+}
+
+TEST_CASE(
+    "idle hosts of one model load another whose callers are turned away") {
+  // The mix of requests moves: groups of the small model are full and refuse,
+  // those of the large one are a third full. Three hosts of a broken large
+  // group idle; two of them make a small one.
+  CHECK(SmallGroupsAfterLoss({{"large", 0.3}, {"small", 1.5}}) == 8);
+  CHECK(SmallGroupsAfterLoss({{"large", 1}, {"small", 0.8}}) == 7);
+  CHECK(SmallGroupsAfterLoss({}) == 7);
+}
+
 TEST_CASE("no host stands idle where no large group could use it") {
   // Callers of the small model meet a full fleet while hosts that are kept as
   // spares serve nobody. Only domains with a large group keep spares.
@@ -213,8 +262,8 @@
     }
   }
   run.fleet.Show(run.directory, run.findings, run.now);
-  const ReplicaInput input{run.directory, run.findings, run.service, false,
-                           true};
+  const ReplicaInput input{run.directory, run.findings, run.service,
+                           false,         true,         {}};
   const auto orders = PlanReplicas(input, ReplicaPolicy{}, run.memory, run.now);
   const auto close = std::find_if(
       orders.begin(), orders.end(), [](const PlannedOrder& planned) {
