--- a/include/filbertrack/dispatch_board.h
+++ b/include/filbertrack/dispatch_board.h
@@ -86,6 +86,8 @@
 struct DispatchRefusal {
   DispatchDenial reason = DispatchDenial::kNoneServing;
   Duration retry_after{0};
+  /// Where all are busy: what the best of them would have taken.
+  Duration predicted{0};
 };
 
 using DispatchDecision = std::variant<DispatchChoice, DispatchRefusal>;
--- a/include/filbertrack/entry_relay.h
+++ b/include/filbertrack/entry_relay.h
@@ -90,6 +90,9 @@
   /// The target of the present attempt, or of the last one; empty: none.
   const std::string& last_target() const { return m_last_target; }
   int sends() const { return m_state.sends; }
+  /// What the best target would have taken where all were too busy; nullopt: no
+  /// such refusal.
+  std::optional<Duration> refused_at() const { return m_refused_at; }
   /// What a refused caller was told; nullopt: nothing.
   std::optional<Duration> retry_after() const { return m_told_retry_after; }
   std::optional<TimePoint> first_event_at() const { return m_first_event; }
@@ -147,6 +150,7 @@
   std::string m_last_target;
   Duration m_retry_after{0};
   std::optional<Duration> m_told_retry_after;
+  std::optional<Duration> m_refused_at;
   std::optional<TimePoint> m_first_event;
   bool m_stream_started = false;
   bool m_finished = false;
--- a/source/dispatch_board.cc
+++ b/source/dispatch_board.cc
@@ -241,7 +241,8 @@
                                        TimePoint now) {
   const auto found = m_groups.find(GroupKey(query.service, query.model));
   if (found == m_groups.end()) {
-    return DispatchRefusal{DispatchDenial::kNoneServing, m_policy.repair_time};
+    return DispatchRefusal{
+        DispatchDenial::kNoneServing, m_policy.repair_time, {}};
   }
   const Group& group = found->second;
   Best found_best;
@@ -255,7 +256,8 @@
   const Entry* best = found_best.entry;
   const Duration best_time = found_best.time;
   if (best == nullptr) {
-    return DispatchRefusal{DispatchDenial::kNoneServing, m_policy.repair_time};
+    return DispatchRefusal{
+        DispatchDenial::kNoneServing, m_policy.repair_time, {}};
   }
   const Duration bound = std::min(
       query.time_left,
@@ -263,9 +265,10 @@
   if (best_time > bound && best->own.requests + best->remote.requests > 0) {
     const Duration over = best_time - std::min(best_time, query.time_to_aim);
     NoteRecent(query, false, now);
-    return DispatchRefusal{DispatchDenial::kAllBusy,
-                           std::clamp(over, m_policy.least_retry_after,
-                                      m_policy.most_retry_after)};
+    return DispatchRefusal{
+        DispatchDenial::kAllBusy,
+        std::clamp(over, m_policy.least_retry_after, m_policy.most_retry_after),
+        best_time};
   }
   NoteRecent(query, true, now);
   return DispatchChoice{best->target, best_time, best->own.requests,
--- a/source/entry_host.cc
+++ b/source/entry_host.cc
@@ -248,7 +248,7 @@
     m_metrics.Latency("first_event_seconds").Add(first);
   }
   LogRequest({request, end, relay.last_target(), relay.sends(), first,
-              now - request.arrived, relay.retry_after()});
+              now - request.arrived, relay.retry_after(), relay.refused_at()});
   // The relay's own callback is still running.
   auto row = m_relays.extract(&relay);
   auto ended =
--- a/source/entry_relay.cc
+++ b/source/entry_relay.cc
@@ -168,6 +168,9 @@
   }
   const auto& refusal = std::get<DispatchRefusal>(decision);
   m_retry_after = refusal.retry_after;
+  if (refusal.reason == DispatchDenial::kAllBusy) {
+    m_refused_at = refusal.predicted;
+  }
   Feed(NoTarget{refusal.reason == DispatchDenial::kNoneServing
                     ? ResultCode::kNoServingGroup
                     : ResultCode::kOverloaded});
--- a/source/entry_trail.cc
+++ b/source/entry_trail.cc
@@ -55,6 +55,9 @@
   if (line.retry_after) {
     fields["retry_after_ms"] = ToMilliseconds(*line.retry_after);
   }
+  if (line.refused_at) {
+    fields["predicted_ms"] = ToMilliseconds(*line.refused_at);
+  }
   Log(LogLevel::kInfo, "request", fields);
 }
 
--- a/source/entry_trail.h
+++ b/source/entry_trail.h
@@ -45,6 +45,8 @@
   Duration total{0};
   /// What a refused caller was told.
   std::optional<Duration> retry_after;
+  /// What the best target would have taken where all were too busy.
+  std::optional<Duration> refused_at;
 };
 void LogRequest(const RequestLine& line);
 
--- a/source/explain_request.cc
+++ b/source/explain_request.cc
@@ -103,8 +103,11 @@
         return "Refused as not run: no group served model '" +
                Text(end, "model") + "'." + Groups(end);
       case ResultCode::kOverloaded:
-        return "Refused as not run: every target that was looked at would have "
-               "answered too late; the caller was told to come back after " +
+        return "Refused as not run: the best target that was looked at would "
+               "have answered after " +
+               Milliseconds(Number(end, "predicted_ms")) + ", the aim is " +
+               Milliseconds(Number(end, "aim_ms")) +
+               "; the caller was told to come back after " +
                Milliseconds(Number(end, "retry_after_ms")) + "." + Groups(end);
       case ResultCode::kAttemptRefused:
         return "Refused as not run after " +
