entry: counters and histograms by kind, model and code; figures read when asked for

Cause: /metrics told requests by code and the first event; nothing of resends, pauses, rejections, the age of configuration and loads, calls to the store, dropped lines. Test: a scrape after one answered and one refused request.

--- a/include/filbertrack/dispatch_board.h
+++ b/include/filbertrack/dispatch_board.h
@@ -170,6 +170,11 @@
 
   bool HasTarget(std::string_view id) const;
 
+  size_t CountTargets() const;
+
+  /// Time since the work of other hosts was last told.
+  Duration LoadsAge(TimePoint now) const { return now - m_remote_at; }
+
   /// How much of what its targets can do at once is asked of a model: 1 where
   /// all slots are taken, more where requests are turned away. nullopt: it has
   /// no target.
--- a/include/filbertrack/entry_host.h
+++ b/include/filbertrack/entry_host.h
@@ -9,9 +9,10 @@
 
 #include "filbertrack/change_log.h"
 #include "filbertrack/dispatch_board.h"
+#include "filbertrack/entry_metrics.h"
 #include "filbertrack/entry_ports.h"
 #include "filbertrack/entry_relay.h"
-#include "filbertrack/metrics.h"
+#include "filbertrack/entry_targets.h"
 #include "filbertrack/news_message.h"
 #include "filbertrack/server_directory.h"
 #include "filbertrack/settings.h"
@@ -20,11 +21,6 @@
 
 SettingsSchema EntrySchema();
 
-/// Targets that take requests now: groups that are whole and open, and plain
-/// backend servers that are not leaving.
-std::vector<DispatchTarget> CurrentTargets(const ServerDirectory& directory,
-                                           const Catalog& catalog);
-
 class EntryHost : public SiteListener {
  public:
   EntryHost(EventLoop& loop,
@@ -89,6 +85,8 @@
   std::map<std::string, double, std::less<>> Pressure(
       const ServiceProfile& service) const;
 
+  EntryMetrics& metrics() { return m_metrics; }
+
   /// Called after each change of directory or configuration.
   void OnChange(std::function<void()> action) {
     m_on_change = std::move(action);
@@ -96,6 +94,7 @@
 
  private:
   void OnCaller(const std::shared_ptr<HttpExchange>& exchange);
+  void AddGauges();
   void OnProbe(HttpExchange& exchange);
   /// Null where the request was answered with a refusal.
   bool Admit(const std::shared_ptr<HttpExchange>& exchange,
@@ -108,7 +107,6 @@
   void EndRelay(EntryRelay& relay, const EntryEnd& end);
   void Changed();
   void RefreshTargets();
-  bool StandsStill(const std::string& head_id) const;
   void ScheduleExpiry();
   void CheckSilence();
   void CheckDrained();
@@ -117,6 +115,7 @@
   Settings m_settings;
   const CallDialect& m_dialect;
   std::shared_ptr<const Catalog> m_catalog;
+  TimePoint m_catalog_at;
   std::string m_catalog_text;
   /// Made when a peer first wants it.
   std::string m_packed_catalog;
@@ -131,7 +130,7 @@
   DispatchBoard m_board;
   RetryBudget m_retries;
   RelayContext m_context;
-  Metrics m_metrics;
+  EntryMetrics m_metrics;
   std::unordered_map<const EntryRelay*, std::unique_ptr<EntryRelay>> m_relays;
   std::mt19937_64 m_random;
 
--- a/include/filbertrack/entry_relay.h
+++ b/include/filbertrack/entry_relay.h
@@ -96,6 +96,7 @@
   /// What a refused caller was told; nullopt: nothing.
   std::optional<Duration> retry_after() const { return m_told_retry_after; }
   std::optional<TimePoint> first_event_at() const { return m_first_event; }
+  std::optional<Duration> longest_pause() const { return m_longest_pause; }
 
  private:
   friend struct EntryActions;
@@ -152,6 +153,8 @@
   std::optional<Duration> m_told_retry_after;
   std::optional<Duration> m_refused_at;
   std::optional<TimePoint> m_first_event;
+  TimePoint m_last_event;
+  std::optional<Duration> m_longest_pause;
   bool m_stream_started = false;
   bool m_finished = false;
   /// Destroying the relay ends the loops of its callbacks.
--- a/source/dispatch_board.cc
+++ b/source/dispatch_board.cc
@@ -116,6 +116,12 @@
   return entry != nullptr && entry->in_use;
 }
 
+size_t DispatchBoard::CountTargets() const {
+  return static_cast<size_t>(
+      std::count_if(m_entries.begin(), m_entries.end(),
+                    [](const auto& row) { return row.second->in_use; }));
+}
+
 bool DispatchBoard::IsPaused(const Entry& entry, TimePoint now) const {
   if (entry.failures == 0) {
     return false;
--- a/source/entry_host.cc
+++ b/source/entry_host.cc
@@ -65,36 +65,6 @@
 
 }  // namespace
 
-std::vector<DispatchTarget> CurrentTargets(const ServerDirectory& directory,
-                                           const Catalog& catalog) {
-  std::vector<DispatchTarget> targets;
-  for (const auto& [name, service] : catalog.services()) {
-    if (!service.engine) {
-      continue;
-    }
-    for (const ReplicaView& replica : directory.Replicas(name)) {
-      const std::string_view model = ModelOfGroup(replica.group);
-      const ModelProfile* profile = service.engine->FindModel(model);
-      if (profile == nullptr || !IsServing(replica, profile->members)) {
-        continue;
-      }
-      const BackendServer& head = *replica.head();
-      targets.push_back({head.id, head.address, name, std::string(model),
-                         head.data_centre, service.engine->slots,
-                         service.most_connections});
-    }
-  }
-  for (const auto& [id, server] : directory.servers()) {
-    const ServiceProfile* service = catalog.FindService(server.service);
-    if (service != nullptr && !service->engine && !server.draining) {
-      targets.push_back({id, server.address, server.service, "",
-                         server.data_centre, server.slots,
-                         service->most_connections});
-    }
-  }
-  return targets;
-}
-
 EntryHost::EntryHost(EventLoop& loop,
                      const Settings& settings,
                      const CallDialect& dialect)
@@ -108,7 +78,9 @@
               RendezvousWeight("board", settings.Text("node", "name"))),
       m_retries(RetryPolicyOf(settings), MonotonicNow()),
       m_context{loop, m_upstream, dialect, m_board, m_retries, {}, 1, {}, 0},
-      m_random(RendezvousWeight("split", settings.Text("node", "name"))) {}
+      m_random(RendezvousWeight("split", settings.Text("node", "name"))) {
+  AddGauges();
+}
 
 EntryHost::~EntryHost() = default;
 
@@ -142,6 +114,33 @@
   return !m_draining && m_catalog != nullptr && m_servers_known;
 }
 
+void EntryHost::AddGauges() {
+  m_metrics.AddGauge("filbertrack_ready", "", [this] { return IsReady(); });
+  m_metrics.AddGauge("filbertrack_config_version", "", [this] {
+    return m_catalog == nullptr ? 0.0
+                                : static_cast<double>(m_catalog->version());
+  });
+  m_metrics.AddGauge("filbertrack_config_age_seconds", "", [this] {
+    return m_catalog == nullptr ? 0.0
+                                : ToSeconds(MonotonicNow() - m_catalog_at);
+  });
+  m_metrics.AddGauge("filbertrack_loads_age_seconds", "", [this] {
+    return ToSeconds(m_board.LoadsAge(MonotonicNow()));
+  });
+  m_metrics.AddGauge("filbertrack_store_away", "",
+                     [this] { return m_store_away; });
+  m_metrics.AddGauge("filbertrack_requests_open", "",
+                     [this] { return static_cast<double>(m_relays.size()); });
+  m_metrics.AddGauge("filbertrack_servers", "", [this] {
+    return static_cast<double>(m_directory.servers().size());
+  });
+  m_metrics.AddGauge("filbertrack_targets", "", [this] {
+    return static_cast<double>(m_board.CountTargets());
+  });
+  m_metrics.AddGauge("filbertrack_log_lines_dropped", "",
+                     [] { return static_cast<double>(DroppedLogLines()); });
+}
+
 void EntryHost::OnProbe(HttpExchange& exchange) {
   if (exchange.path() == kReadyPath) {
     exchange.Reply(IsReady() ? kOk : kUnready, {}, "");
@@ -161,8 +160,7 @@
   if (code == ResultCode::kMayBeBehind || code == ResultCode::kDraining) {
     retry_after = kStartRetryAfter;
   }
-  ++m_metrics.Counter(
-      "refused", "code=\"" + std::to_string(static_cast<int>(code)) + "\"");
+  m_metrics.OnRejected(code);
   Log(LogLevel::kInfo, "refused",
       {{"request", request.facts.request_id},
        {"code", static_cast<int>(code)},
@@ -241,12 +239,17 @@
   const TimePoint now = MonotonicNow();
   const EntryRequest& request = relay.request();
   const Duration first = relay.first_event_at().value_or(now) - request.arrived;
-  ++m_metrics.Counter(
-      "requests",
-      "code=\"" + std::to_string(static_cast<int>(end.code)) + "\"");
+  RequestFigures figures;
+  figures.repeat = request.route->repeat;
+  figures.model = request.facts.model;
+  figures.code = end.code;
+  figures.sends = relay.sends();
   if (relay.first_event_at()) {
-    m_metrics.Latency("first_event_seconds").Add(first);
+    figures.first_event = first;
   }
+  figures.longest_pause = relay.longest_pause();
+  figures.total = now - request.arrived;
+  m_metrics.OnRequest(figures);
   LogRequest({request, end, relay.last_target(), relay.sends(), first,
               now - request.arrived, relay.retry_after(), relay.refused_at()});
   // The relay's own callback is still running.
@@ -277,6 +280,7 @@
     return;
   }
   m_catalog = std::move(catalog);
+  m_catalog_at = MonotonicNow();
   m_catalog_text = std::move(text);
   m_packed_catalog.clear();
   const CallerLimits& limits = m_catalog->limits();
@@ -417,7 +421,8 @@
   std::vector<std::pair<EntryRelay*, std::string>> lost;
   for (const auto& [key, relay] : m_relays) {
     const std::string& target = relay->last_target();
-    if (!target.empty() && !m_board.HasTarget(target) && StandsStill(target)) {
+    if (!target.empty() && !m_board.HasTarget(target) &&
+        StandsStill(m_directory, *m_catalog, target)) {
       lost.emplace_back(relay.get(), target);
     }
   }
@@ -428,31 +433,6 @@
   }
 }
 
-/// Whether a group that lost a member holds its requests without saying so. One
-/// that closes in order, or whose members only leave, ends what it has; a head
-/// that is not registered may run on behind a partition, and its silence shows.
-bool EntryHost::StandsStill(const std::string& head_id) const {
-  const BackendServer* head = m_directory.Find(head_id);
-  if (head == nullptr || !head->membership ||
-      head->membership->state != MembershipState::kOpen) {
-    return false;
-  }
-  const ServiceProfile* service = m_catalog->FindService(head->service);
-  const ModelProfile* model =
-      service == nullptr || !service->engine
-          ? nullptr
-          : service->engine->FindModel(ModelOfGroup(head->membership->group));
-  if (model == nullptr) {
-    return false;
-  }
-  for (const ReplicaView& replica : m_directory.Replicas(head->service)) {
-    if (replica.head() == head) {
-      return !IsIntact(replica, model->members);
-    }
-  }
-  return false;
-}
-
 void EntryHost::Reload(const Settings& settings) {
   m_settings = settings;
   m_retries = RetryBudget(RetryPolicyOf(settings), MonotonicNow());
--- a/source/entry_relay.cc
+++ b/source/entry_relay.cc
@@ -367,7 +367,13 @@
 }
 
 void EntryRelay::ForwardEvent(const SseEvent& event) {
-  NoteFirstEvent(MonotonicNow());
+  const TimePoint now = MonotonicNow();
+  if (m_first_event) {
+    m_longest_pause =
+        std::max(m_longest_pause.value_or(Duration(0)), now - m_last_event);
+  }
+  m_last_event = now;
+  NoteFirstEvent(now);
   if (!m_stream_started) {
     m_stream_started = true;
     m_exchange->StartStream(m_answer_status, m_answer_headers);
--- a/tests/platform_path_test.cc
+++ b/tests/platform_path_test.cc
@@ -360,6 +360,38 @@
   CHECK(site.host->IsReady());
 }
 
+TEST_CASE("the metrics tell what callers got and what the host knows") {
+  Site site(3);
+  REQUIRE(RunUntil(site.loop, [&] { return site.CountTargets() == 3; }));
+  HttpClient client(site.loop, 2);
+  Answer answer;
+  const auto call = Ask(site, client, "/s/x", "id-1", answer);
+  REQUIRE(RunUntil(site.loop, [&] { return answer.ended; }));
+  Answer refused;
+  const auto wrong = Ask(site, client, "/s/x", "id-2", refused, "stolen");
+  REQUIRE(RunUntil(site.loop, [&] { return refused.ended; }));
+  Answer metrics;
+  HttpCallRequest request;
+  request.target = "/metrics";
+  HttpCallEvents events;
+  events.on_bytes = [&metrics](std::string_view bytes) {
+    metrics.body += bytes;
+  };
+  events.on_end = [&metrics](int) { metrics.ended = true; };
+  const auto scrape = client.Start(site.host->ready_address(),
+                                   std::move(request), std::move(events));
+  REQUIRE(RunUntil(site.loop, [&] { return metrics.ended; }));
+  for (const std::string_view row :
+       {"filbertrack_requests_total{kind=\"stream\",code=\"0\"} 1",
+        "filbertrack_rejected_total{code=\"100\"} 1",
+        "filbertrack_config_version 1", "filbertrack_targets 3",
+        "filbertrack_store_away 0", "filbertrack_longest_pause_seconds_count 1",
+        "filbertrack_first_event_seconds_count{model=\"m\"} 1"}) {
+    CAPTURE(row);
+    CHECK(metrics.body.find(row) != std::string::npos);
+  }
+}
+
 TEST_CASE("a stopping host answers what it has and refuses what comes late") {
   // After the balancer had time to learn of the stop, a new request is refused
   // as not run, so that it is not cut at the end of the grace time.
