soak: entry hosts as processes under random faults from outside

Change: filbert-soak runs filbert-entry as processes against the stand-ins of the platform behind loopback proxies (delay, reset, one way cut, refusal), pauses, kills, stops and reloads them by signals, loses, drains and lapses runners, changes configurations, in series and overlapping; callers keep their connections.

--- /dev/null
+++ b/soak/soak_callers.cc
@@ -0,0 +1,189 @@
+#include "soak_callers.h"
+
+#include <algorithm>
+#include <iterator>
+
+namespace filbertrack::soak {
+
+namespace {
+
+constexpr size_t kCallers = 12;
+constexpr size_t kConnectionsEach = 1;
+constexpr Duration kPatience = Seconds(4);
+/// A caller gives up this long after its patience has ended.
+constexpr Duration kPatienceMargin = Seconds(2);
+/// An unplanned fault excuses broken connections of requests that were open
+/// this long after it.
+constexpr Duration kAfterFault = Seconds(4);
+constexpr int kEvents = 25;
+
+std::string WholeStream() {
+  std::string text;
+  for (int i = 1; i <= kEvents; ++i) {
+    text += "id: " + std::to_string(i) + "\ndata: part " + std::to_string(i) +
+            "\n\n";
+  }
+  return text;
+}
+
+std::string PathOf(CallKind kind) {
+  switch (kind) {
+    case CallKind::kStream:
+      return "/s/x";
+    case CallKind::kIdempotent:
+      return "/safe/x";
+    case CallKind::kOnce:
+      return "/once/x";
+  }
+  return "/";
+}
+
+}  // namespace
+
+Callers::Callers(EventLoop& loop, Fleet& fleet, uint64_t seed)
+    : m_loop(loop), m_fleet(fleet), m_random(seed) {
+  for (size_t i = 0; i < kCallers; ++i) {
+    m_clients.push_back(std::make_unique<HttpClient>(loop, kConnectionsEach));
+  }
+}
+
+Callers::~Callers() = default;
+
+void Callers::Start(Duration interval) {
+  m_timer = m_loop.Every(interval, [this] { Call(); });
+}
+
+void Callers::Stop() {
+  m_timer.reset();
+}
+
+size_t Callers::CountAnswered() const {
+  return static_cast<size_t>(std::count_if(
+      m_records.begin(), m_records.end(), [](const CallRecord& record) {
+        return !record.broke && record.status == 200;
+      }));
+}
+
+void Callers::Call() {
+  auto& entries = m_fleet.entries();
+  const EntryProcess& entry = *entries[m_random() % entries.size()];
+  m_records.emplace_back();
+  CallRecord& record = m_records.back();
+  record.id = "c" + std::to_string(++m_next);
+  record.kind = static_cast<CallKind>(m_random() % 3);
+  record.entry = entry.name;
+  record.began = MonotonicNow();
+  HttpCallRequest request;
+  request.method = HttpMethod::kPost;
+  request.target = PathOf(record.kind);
+  request.headers = {
+      {"Host", "h.example"},
+      {"X-Attempt-Id", record.id},
+      {"X-Model", "m"},
+      {"X-Token-Usage", "100,50"},
+      {"X-Deadline-Remaining", std::to_string(ToMilliseconds(kPatience))},
+      {"Authorization", "Bearer key"}};
+  const auto end = [this, &record](bool broke) {
+    record.ended = true;
+    record.broke = broke;
+    record.ended_at = MonotonicNow();
+    m_loop.Post([this, id = record.id] {
+      m_open.erase(id);
+      m_limits.erase(id);
+    });
+  };
+  HttpCallEvents events;
+  events.on_head = [&record](int status, const HttpHeaders& headers) {
+    record.status = status;
+    record.answer_id = FindHeader(headers, "X-Attempt-Id");
+    record.seal = FindHeader(headers, "X-Runner-Seal");
+  };
+  events.on_bytes = [&record](std::string_view bytes) { record.body += bytes; };
+  events.on_end = [end](int) { end(false); };
+  events.on_failure = [end](bool) { end(true); };
+  HttpClient& client = *m_clients[m_random() % m_clients.size()];
+  m_open[record.id] =
+      client.Start(entry.callers, std::move(request), std::move(events));
+  m_limits[record.id] =
+      m_loop.After(kPatience + kPatienceMargin, [this, &record] {
+        record.broke = true;
+        record.ended_at = MonotonicNow();
+        m_open.erase(record.id);
+      });
+}
+
+bool Callers::IsCalm(const CallRecord& record) const {
+  return std::none_of(
+      m_unplanned.begin(), m_unplanned.end(), [&record](TimePoint at) {
+        return at >= record.began - kAfterFault && at <= record.ended_at;
+      });
+}
+
+void Callers::CheckAnswer(const CallRecord& record,
+                          std::vector<std::string>& violations) const {
+  const std::string name = record.id + " at " + record.entry;
+  if (record.broke) {
+    const auto ran = m_runs.find(record.id);
+    const bool reached = ran != m_runs.end() && ran->second > 0;
+    if (reached && IsCalm(record)) {
+      violations.push_back(name + ": passed on and cut without a fault (" +
+                           std::to_string(record.status) + ", " +
+                           std::to_string(record.body.size()) + " bytes)");
+    }
+    return;
+  }
+  if (record.status == 401 || record.status == 404) {
+    violations.push_back(name + ": refused with " +
+                         std::to_string(record.status));
+    return;
+  }
+  if (record.status != 200) {
+    return;
+  }
+  const bool stream = record.kind == CallKind::kStream;
+  const bool whole = stream ? record.body == WholeStream()
+                            : record.body.starts_with("answer of p");
+  if (record.answer_id != record.id || record.seal.empty() || !whole) {
+    violations.push_back(name + ": got another answer, or not all of it: " +
+                         record.answer_id + ", " + record.seal + ", " +
+                         std::to_string(record.body.size()) + " bytes");
+  }
+}
+
+void Callers::CheckRuns(const CallRecord& record,
+                        std::vector<std::string>& violations) {
+  if (record.kind != CallKind::kOnce) {
+    return;
+  }
+  const auto found = m_runs.find(record.id);
+  const int runs = found == m_runs.end() ? 0 : found->second;
+  if (runs > 1) {
+    violations.push_back(record.id + " ran " + std::to_string(runs) + " times");
+  }
+  const bool promised =
+      !record.broke && (record.status == 503 || record.status == 429);
+  if (promised && runs > 0) {
+    violations.push_back(record.id + " was told not to have run, and ran");
+  }
+}
+
+void Callers::ReadRuns() {
+  m_runs.clear();
+  for (const auto* hosts : {&m_fleet.runners(), &m_fleet.plain()}) {
+    for (const auto& host : *hosts) {
+      for (const SeenRequest& seen : host->standin->seen()) {
+        ++m_runs[seen.id];
+      }
+    }
+  }
+}
+
+void Callers::Check(std::vector<std::string>& violations) {
+  ReadRuns();
+  for (const CallRecord& record : m_records) {
+    CheckAnswer(record, violations);
+    CheckRuns(record, violations);
+  }
+}
+
+}  // namespace filbertrack::soak
--- /dev/null
+++ b/soak/soak_callers.h
@@ -0,0 +1,76 @@
+#pragma once
+
+/// Callers that keep their connections, and what they may see.
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "filbertrack/http_client.h"
+#include "soak_fleet.h"
+
+namespace filbertrack::soak {
+
+enum class CallKind { kStream, kIdempotent, kOnce };
+
+struct CallRecord {
+  std::string id;
+  CallKind kind = CallKind::kStream;
+  std::string entry;
+  TimePoint began;
+  TimePoint ended_at;
+  bool ended = false;
+  /// The connection broke before the answer was whole.
+  bool broke = false;
+  int status = 0;
+  std::string answer_id;
+  std::string seal;
+  std::string body;
+};
+
+class Callers {
+ public:
+  Callers(EventLoop& loop, Fleet& fleet, uint64_t seed);
+  ~Callers();
+
+  void Start(Duration interval);
+  void Stop();
+  bool idle() const { return m_open.empty(); }
+
+  /// Faults that may break a connection were at work at this time.
+  void NoteUnplanned(TimePoint now) { m_unplanned.push_back(now); }
+
+  /// Checks all calls; to be called when none is open.
+  void Check(std::vector<std::string>& violations);
+
+  size_t count() const { return m_records.size(); }
+  size_t CountAnswered() const;
+
+ private:
+  void Call();
+  void CheckAnswer(const CallRecord& record,
+                   std::vector<std::string>& violations) const;
+  void CheckRuns(const CallRecord& record,
+                 std::vector<std::string>& violations);
+  void ReadRuns();
+  bool IsCalm(const CallRecord& record) const;
+
+  EventLoop& m_loop;
+  Fleet& m_fleet;
+  std::mt19937_64 m_random;
+  std::unique_ptr<Timer> m_timer;
+  /// One client a caller, so that each has connections of its own.
+  std::vector<std::unique_ptr<HttpClient>> m_clients;
+  std::deque<CallRecord> m_records;
+  std::map<std::string, std::unique_ptr<HttpCall>> m_open;
+  std::map<std::string, std::unique_ptr<Timer>> m_limits;
+  std::deque<TimePoint> m_unplanned;
+  /// How often each request ran, by id.
+  std::map<std::string, int> m_runs;
+  uint64_t m_next = 0;
+};
+
+}  // namespace filbertrack::soak
--- /dev/null
+++ b/soak/soak_fleet.cc
@@ -0,0 +1,227 @@
+#include "soak_fleet.h"
+
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+
+#include "platform_config.h"
+
+namespace filbertrack::soak {
+
+namespace {
+
+constexpr Duration kBreakCheck = Milliseconds(50);
+constexpr Duration kProcessCheck = Milliseconds(50);
+/// Beyond the grace time, for a busy machine to take note of the end.
+constexpr Duration kGraceMargin = Seconds(3);
+constexpr int kDomains = 2;
+constexpr int kStreamEvents = 25;
+
+/// A port that the kernel has free now.
+Address FreeAddress() {
+  const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  sockaddr_in at{};
+  at.sin_family = AF_INET;
+  at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  bind(fd, reinterpret_cast<sockaddr*>(&at), sizeof(at));
+  socklen_t size = sizeof(at);
+  getsockname(fd, reinterpret_cast<sockaddr*>(&at), &size);
+  close(fd);
+  return {"127.0.0.1", ntohs(at.sin_port)};
+}
+
+}  // namespace
+
+Fleet::Fleet(EventLoop& loop, const FleetOptions& options)
+    : m_loop(loop), m_options(options), m_store(loop) {
+  std::filesystem::create_directories(options.folder);
+  PutConfig();
+  for (int i = 0; i < options.runners; ++i) {
+    AddRunner();
+  }
+  for (int i = 0; i < options.plain_servers; ++i) {
+    AddPlainServer();
+  }
+  m_break_timer = loop.Every(kBreakCheck, [this] { BreakHeads(); });
+  m_watch_timer = loop.Every(kProcessCheck, [this] { WatchProcesses(); });
+}
+
+Fleet::~Fleet() = default;
+
+bool Fleet::Start() {
+  for (int i = 0; i < m_options.entry_hosts; ++i) {
+    auto entry = std::make_unique<EntryProcess>();
+    entry->name = "e" + std::to_string(i);
+    entry->callers = FreeAddress();
+    entry->ready = FreeAddress();
+    entry->store = std::make_unique<Proxy>(m_loop, m_store.address());
+    const std::string base = m_options.folder + "/" + entry->name;
+    std::ofstream settings(base + ".ini");
+    settings << "[node]\nname = " << entry->name << "\ndata_centre = z\n"
+             << "[callers]\nlisten = " << entry->callers.ToString() << "\n"
+             << "[ready]\nlisten = " << entry->ready.ToString() << "\n"
+             << "[peers]\nlisten = " << FreeAddress().ToString() << "\n"
+             << "[store]\naddress = " << entry->store->address().ToString()
+             << "\n[stop]\ngrace = " << ToMilliseconds(kGrace) << "ms\n"
+             << "[groups]\nstall = " << ToMilliseconds(kStall)
+             << "ms\nspares_per_domain = 1\n";
+    settings.close();
+    entry->process = std::make_unique<Process>(
+        m_options.program,
+        std::vector<std::string>{"--settings", base + ".ini"}, base + ".log");
+    if (!entry->process->Start()) {
+      return false;
+    }
+    m_entries.push_back(std::move(entry));
+  }
+  return true;
+}
+
+std::unique_ptr<RunnerHost> Fleet::MakeHost(const std::string& id, bool plain) {
+  auto host = std::make_unique<RunnerHost>();
+  RunnerStandinOptions options;
+  options.id = id;
+  options.service = plain ? "plain" : "llm";
+  options.is_plain = plain;
+  options.observer = this;
+  options.events = kStreamEvents;
+  options.domain = "d" + std::to_string(m_next_runner % kDomains);
+  options.published = [this, &host](const Address& listening) {
+    host->proxy = std::make_unique<Proxy>(m_loop, listening);
+    return host->proxy->address();
+  };
+  host->standin =
+      std::make_unique<PlatformRunnerStandin>(m_loop, m_store, options);
+  return host;
+}
+
+void Fleet::AddRunner() {
+  m_runners.push_back(MakeHost("r" + std::to_string(m_next_runner), false));
+  ++m_next_runner;
+}
+
+void Fleet::AddPlainServer() {
+  m_plain.push_back(MakeHost("p" + std::to_string(m_next_plain), true));
+  ++m_next_plain;
+}
+
+void Fleet::PutConfig() {
+  Json config = MakeConfig(++m_config_version);
+  config["routes"].push_back(MakeRoute(
+      "new-" + std::to_string(m_config_version),
+      "/new" + std::to_string(m_config_version) + "/", "safe", "plain"));
+  m_store.Put("config", "main", config);
+}
+
+PlatformRunnerStandin* Fleet::Find(std::string_view id) {
+  const auto found = std::find_if(
+      m_runners.begin(), m_runners.end(),
+      [id](const auto& host) { return host->standin->id() == id; });
+  return found == m_runners.end() ? nullptr : (*found)->standin.get();
+}
+
+int Fleet::CountOpen() const {
+  return static_cast<int>(
+      std::count_if(m_runners.begin(), m_runners.end(), [](const auto& host) {
+        return !host->standin->is_dead() && host->standin->is_open();
+      }));
+}
+
+void Fleet::OnJoin(const PlatformRunnerStandin& runner,
+                   const std::string& group) {
+  const auto last = m_last_group.find(runner.id());
+  if (last != m_last_group.end() && last->second != group) {
+    for (const auto& host : m_runners) {
+      const PlatformRunnerStandin& head = *host->standin;
+      const bool is_head = !head.members().empty() &&
+                           head.members().front() == head.id() &&
+                           head.group() == last->second;
+      const bool takes = head.state() == "open" || head.state() == "closing";
+      const auto still = m_still_since.find(head.group());
+      const bool broken = still != m_still_since.end() &&
+                          MonotonicNow() - still->second >= kStall;
+      if (is_head && takes && !head.is_dead() && !broken) {
+        m_violations.push_back(runner.id() + " joined " + group +
+                               " while the head of " + head.group() + ", " +
+                               head.id() + ", was " + head.state());
+      }
+    }
+  }
+  m_last_group[runner.id()] = group;
+}
+
+void Fleet::OnOpen(const PlatformRunnerStandin& runner) {
+  for (const std::string& id : runner.members()) {
+    const PlatformRunnerStandin* member = Find(id);
+    const bool ready = member != nullptr && member->group() == runner.group() &&
+                       member->epoch() == runner.epoch() &&
+                       member->state() == "ready";
+    // One that was lost meanwhile is no fault of the order.
+    const bool lost = member == nullptr || member->is_dead() ||
+                      member->group() != runner.group();
+    if (!ready && !lost) {
+      m_violations.push_back(runner.id() + " opened " + runner.group() +
+                             " while " + id + " was " + member->state());
+    }
+  }
+}
+
+void Fleet::BreakHeads() {
+  const TimePoint now = MonotonicNow();
+  for (const auto& host : m_runners) {
+    PlatformRunnerStandin& head = *host->standin;
+    const bool serves = !head.is_dead() &&
+                        (head.state() == "open" || head.state() == "closing");
+    if (!serves) {
+      continue;
+    }
+    const auto& members = head.members();
+    const bool whole =
+        std::all_of(members.begin(), members.end(), [&](const std::string& id) {
+          const PlatformRunnerStandin* member = Find(id);
+          return member != nullptr && !member->is_dead() &&
+                 member->group() == head.group() &&
+                 member->epoch() == head.epoch();
+        });
+    if (whole) {
+      m_still_since.erase(head.group());
+    } else if (now -
+                   m_still_since.try_emplace(head.group(), now).first->second >=
+               kStall) {
+      head.Break();
+    }
+  }
+}
+
+void Fleet::WatchProcesses() {
+  const TimePoint now = MonotonicNow();
+  for (const auto& entry : m_entries) {
+    const auto end = entry->process->TakeEnd();
+    if (end && !entry->ending_since) {
+      m_violations.push_back(entry->name + " ended by itself with " +
+                             std::to_string(*end));
+    } else if (end && !entry->killed && *end != 0) {
+      m_violations.push_back(entry->name + " ended with " +
+                             std::to_string(*end) + " after a stop signal");
+    }
+    if (end) {
+      // The platform starts it again.
+      entry->ending_since.reset();
+      entry->killed = false;
+      entry->paused = false;
+      entry->process->Start();
+    } else if (entry->ending_since && !entry->killed && !entry->paused &&
+               now - *entry->ending_since > kGrace + kGraceMargin) {
+      m_violations.push_back(entry->name + " still runs after its grace time");
+      entry->killed = true;
+      entry->process->Signal(SIGKILL);
+    }
+  }
+}
+
+}  // namespace filbertrack::soak
--- /dev/null
+++ b/soak/soak_proxy.h
@@ -0,0 +1,68 @@
+#pragma once
+
+/// A loopback proxy in front of one server, whose connections misbehave on
+/// demand.
+
+#include <list>
+#include <memory>
+#include <random>
+
+#include "filbertrack/base_address.h"
+#include "filbertrack/event_loop.h"
+#include "filbertrack/net_stream.h"
+
+struct evconnlistener;
+struct sockaddr;
+
+namespace filbertrack::soak {
+
+struct ProxyFaults {
+  /// Bytes of either direction are held this long.
+  Duration delay{0};
+  /// Bytes to the server vanish; the connection stays open.
+  bool drops_to_server = false;
+  /// Bytes from the server vanish.
+  bool drops_to_client = false;
+  /// New connections are closed at once.
+  bool refuses = false;
+};
+
+class Proxy {
+ public:
+  Proxy(EventLoop& loop, const Address& server);
+  ~Proxy();
+  Proxy(const Proxy&) = delete;
+  Proxy& operator=(const Proxy&) = delete;
+
+  const Address& address() const { return m_address; }
+  ProxyFaults& faults() { return m_faults; }
+  /// Breaks all open connections.
+  void ResetAll();
+
+ private:
+  struct Pair {
+    std::shared_ptr<TcpStream> client;
+    std::shared_ptr<TcpStream> server;
+    bool closed = false;
+  };
+
+  static void OnAccept(evconnlistener* listener,
+                       int fd,
+                       sockaddr* from,
+                       int size,
+                       void* self);
+  void Pass(const std::shared_ptr<Pair>& pair,
+            bool to_server,
+            std::string_view bytes);
+  void End(std::shared_ptr<Pair> pair);
+
+  EventLoop& m_loop;
+  Address m_server;
+  Address m_address;
+  ProxyFaults m_faults;
+  evconnlistener* m_listener;
+  std::list<std::shared_ptr<Pair>> m_pairs;
+  std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
+};
+
+}  // namespace filbertrack::soak
--- a/standins/platform_runner_standin.cc
+++ b/standins/platform_runner_standin.cc
@@ -22,6 +22,8 @@
         Handle(exchange);
       }) {
   m_address = m_server.Listen({"127.0.0.1", 0}).value();
+  m_published =
+      m_options.published ? m_options.published(m_address) : m_address;
   Register("ready");
 }
 
@@ -31,7 +33,7 @@
 
 void PlatformRunnerStandin::Register(const std::string& state) {
   Json spec = {{"service", m_options.service},
-               {"address", m_address.ToString()},
+               {"address", m_published.ToString()},
                {"zone", "z"},
                {"version", "v1"},
                {"slots", 4},
@@ -69,6 +71,16 @@
   m_store.Remove("servers", m_options.id);
 }
 
+void PlatformRunnerStandin::Break() {
+  Close(true);
+  m_state = "broken";
+  Register("ready");
+}
+
+void PlatformRunnerStandin::Lapse() {
+  m_store.Remove("servers", m_options.id);
+}
+
 void PlatformRunnerStandin::Handle(const Exchange& exchange) {
   if (m_dead) {
     exchange->Abort();
@@ -97,9 +109,17 @@
     exchange.Reply(412, {}, "");
     return;
   }
+  const std::string group = order.value("group", "");
+  if (epoch == m_epoch && group == m_group) {
+    exchange.Reply(200, {}, "");
+    return;
+  }
+  if (m_options.observer != nullptr) {
+    m_options.observer->OnJoin(*this, group);
+  }
   m_newest_epoch = epoch;
   m_epoch = epoch;
-  m_group = order.value("group", "");
+  m_group = group;
   m_members = order.value("members", std::vector<std::string>());
   m_model = order.value("model", "");
   m_state = "joining";
@@ -145,6 +165,9 @@
     return;
   }
   if (operation == "open" && m_state == "ready") {
+    if (m_options.observer != nullptr) {
+      m_options.observer->OnOpen(*this);
+    }
     m_state = "open";
   } else if (operation == "close") {
     Close(order.value("closeMode", "") == "cancel");
--- a/standins/platform_runner_standin.h
+++ b/standins/platform_runner_standin.h
@@ -15,8 +15,24 @@
 
 namespace filbertrack {
 
+class PlatformRunnerStandin;
+
+/// Is told what a runner does, for checks while a test runs.
+class RunnerObserver {
+ public:
+  virtual ~RunnerObserver() = default;
+  /// Before the runner leaves its present group, if it has one, for `group`.
+  virtual void OnJoin(const PlatformRunnerStandin& runner,
+                      const std::string& group) = 0;
+  /// Before the runner, a head, opens its group.
+  virtual void OnOpen(const PlatformRunnerStandin& runner) = 0;
+};
+
 struct RunnerStandinOptions {
   std::string id;
+  /// Where others reach it; nullopt: where it listens.
+  std::function<Address(const Address& listening)> published;
+  RunnerObserver* observer = nullptr;
   std::string service = "llm";
   std::string domain = "d";
   bool is_plain = false;
@@ -46,6 +62,10 @@
   const std::string& id() const { return m_options.id; }
   const std::vector<SeenRequest>& seen() const { return m_seen; }
   bool is_open() const { return m_state == "open"; }
+  bool is_dead() const { return m_dead; }
+  const std::string& group() const { return m_group; }
+  uint64_t epoch() const { return m_epoch; }
+  const std::string& state() const { return m_state; }
   /// Its streams have this many events from now on.
   void SetEvents(int events) { m_options.events = events; }
   /// Its streams stand still once, for this long, after this event.
@@ -55,6 +75,10 @@
   }
   const std::vector<std::string>& members() const { return m_members; }
 
+  /// As a head that lost a member: ends what it has and refuses all requests.
+  void Break();
+  /// Its registration lapses; it lives and answers. Register() brings it back.
+  void Lapse();
   /// Registers anew with `state` as ready or draining.
   void Register(const std::string& state);
   /// Stops answering, cuts its streams and leaves the store.
@@ -82,6 +106,7 @@
   RunnerStandinOptions m_options;
   HttpServer m_server;
   Address m_address;
+  Address m_published;
   bool m_dead = false;
   bool m_full = false;
   bool m_loses_answers = false;
