entry, dispatch: a start of the whole fleet serves sooner and takes what groups can do

Ruled out: the groups (all of them served on), the lease (taken 2 s later, nothing hung on it). Change: each host reads configuration and servers once at its start; refusals before that name 0.2 to 0.8 s; hosts that are listed and were not heard yet are taken to have as much as this one.

--- a/include/filbertrack/dispatch_board.h
+++ b/include/filbertrack/dispatch_board.h
@@ -145,9 +145,13 @@
                   TimePoint now);
 
   /// What other entry hosts have at the targets; at those that are not named
-  /// they have nothing.
+  /// they have nothing. `unheard` more hosts exist that told nothing yet; each
+  /// is taken to have as much as this one, evenly spread. After a start of the
+  /// whole fleet callers come back all at once, and hosts that take the groups
+  /// for idle would send them several times what they can do.
   void SetRemoteLoads(
       const std::map<std::string, TargetLoad, std::less<>>& loads,
+      size_t unheard,
       TimePoint now);
 
   DispatchDecision Choose(const DispatchQuery& query, TimePoint now);
@@ -225,6 +229,7 @@
                          const DispatchQuery& query,
                          TimePoint now);
   /// The best of some drawn at random, or `best` where none is better.
+  void AssumeLoads(Targets& targets, size_t unheard);
   void NoteRecent(const DispatchQuery& query, bool placed, TimePoint now);
   Best FindBest(const Targets& targets,
                 const DispatchQuery& query,
--- a/include/filbertrack/entry_host.h
+++ b/include/filbertrack/entry_host.h
@@ -61,10 +61,12 @@
   const std::string& packed_catalog();
   const ChangeLog& server_log() const { return m_server_log; }
 
-  /// Work of all other entry hosts, added up, and how many there are.
+  /// Work of all other entry hosts that were heard, added up; how many those
+  /// are, and how many more there are.
   void OnRemoteLoads(
       const std::map<std::string, TargetLoad, std::less<>>& loads,
-      size_t hosts);
+      size_t hosts,
+      size_t unheard);
 
   /// Targets of the own data centre go first: their loads are the fresh ones.
   void SetPrefersNear(bool prefers) {
--- a/include/filbertrack/entry_ports.h
+++ b/include/filbertrack/entry_ports.h
@@ -178,6 +178,9 @@
  public:
   virtual ~SiteFeed() = default;
 
+  /// Reads all once, at a start. A host that waited for its peers to tell it
+  /// took callers up to a second later.
+  virtual void ReadOnce() = 0;
   /// Watches the store, or leaves that to other entry hosts.
   virtual void SetWatching(bool watching) = 0;
   /// Changes are told at once, or gathered for a while, which takes fewer
--- a/source/dispatch_board.cc
+++ b/source/dispatch_board.cc
@@ -93,12 +93,33 @@
 
 void DispatchBoard::SetRemoteLoads(
     const std::map<std::string, TargetLoad, std::less<>>& loads,
+    size_t unheard,
     TimePoint now) {
   m_remote_at = now;
   for (auto& [id, entry] : m_entries) {
     const auto found = loads.find(id);
     entry->remote = found == loads.end() ? TargetLoad{} : found->second;
   }
+  if (unheard > 0) {
+    for (auto& [key, group] : m_groups) {
+      AssumeLoads(group.all, unheard);
+    }
+  }
+}
+
+void DispatchBoard::AssumeLoads(Targets& targets, size_t unheard) {
+  double requests = 0;
+  double prompts = 0;
+  for (const Entry* entry : targets) {
+    requests += entry->own.requests;
+    prompts += entry->own.prompt_tokens;
+  }
+  const double part =
+      static_cast<double>(unheard) / static_cast<double>(targets.size());
+  for (Entry* entry : targets) {
+    entry->remote.requests += static_cast<int>(std::lround(requests * part));
+    entry->remote.prompt_tokens += prompts * part;
+  }
 }
 
 DispatchBoard::Entry* DispatchBoard::Find(std::string_view id) {
--- a/source/entry_host.cc
+++ b/source/entry_host.cc
@@ -38,8 +38,10 @@
 constexpr Duration kDefaultPatience = Seconds(60);
 /// An answer that is ready just after the route's timeout is still delivered.
 constexpr Duration kTimeoutSlack = Milliseconds(120);
-/// Where there is no configuration yet: about the time of a first read.
-constexpr Duration kStartRetryAfter = Milliseconds(500);
+/// Where there is no configuration yet: the time of a first read, and after it
+/// spread, so that callers that were all turned away do not all come at once.
+constexpr Duration kStartRetryAfter = Milliseconds(200);
+constexpr Duration kStartRetrySpread = Milliseconds(600);
 constexpr int kOk = 200;
 constexpr int kNotFound = 404;
 constexpr int kUnready = 503;
@@ -158,7 +160,9 @@
                        ResultCode code) {
   std::optional<Duration> retry_after;
   if (code == ResultCode::kMayBeBehind || code == ResultCode::kDraining) {
-    retry_after = kStartRetryAfter;
+    const auto spread = std::uniform_int_distribution<int64_t>(
+        0, kStartRetrySpread.count())(m_random);
+    retry_after = kStartRetryAfter + Duration(spread);
   }
   m_metrics.OnRejected(code);
   Log(LogLevel::kInfo, "refused",
@@ -357,10 +361,11 @@
 
 void EntryHost::OnRemoteLoads(
     const std::map<std::string, TargetLoad, std::less<>>& loads,
-    size_t hosts) {
-  m_board.SetRemoteLoads(loads, MonotonicNow());
-  m_context.entry_hosts = hosts + 1;
-  m_retries.SetMostSaved(MostSavedRetries(m_settings, hosts + 1));
+    size_t hosts,
+    size_t unheard) {
+  m_board.SetRemoteLoads(loads, unheard, MonotonicNow());
+  m_context.entry_hosts = hosts + unheard + 1;
+  m_retries.SetMostSaved(MostSavedRetries(m_settings, m_context.entry_hosts));
 }
 
 std::map<std::string, double, std::less<>> EntryHost::Pressure(
--- a/source/entry_peers.cc
+++ b/source/entry_peers.cc
@@ -50,6 +50,7 @@
 EntryPeers::~EntryPeers() = default;
 
 void EntryPeers::Start() {
+  m_feed.ReadOnce();
   LoadSecret();
 }
 
@@ -393,7 +394,12 @@
 
 void EntryPeers::SumLoads(TimePoint now) {
   const FleetNews::Loads heard = m_news.SumLoads(now);
-  m_host.OnRemoteLoads(heard.loads, heard.hosts);
+  // Later a host that is listed and not heard has most likely gone.
+  const bool settling = now - m_started < m_policy.settle;
+  const size_t unheard = settling && m_peers.size() > heard.hosts
+                             ? m_peers.size() - heard.hosts
+                             : 0;
+  m_host.OnRemoteLoads(heard.loads, heard.hosts, unheard);
   m_host.SetPrefersNear(m_peers.size() > m_policy.neighbours);
 }
 
--- a/tests/dispatch_test.cc
+++ b/tests/dispatch_test.cc
@@ -98,11 +98,11 @@
 
 TEST_CASE("work of other entry hosts counts like our own") {
   Board board(2);
-  board.board.SetRemoteLoads({{"t0", {10, 5000}}}, kStart);
+  board.board.SetRemoteLoads({{"t0", {10, 5000}}}, 0, kStart);
   for (int i = 0; i < 5; ++i) {
     CHECK(board.Place(MakeQuery()) == "t1");
   }
-  board.board.SetRemoteLoads({}, kStart);
+  board.board.SetRemoteLoads({}, 0, kStart);
   CHECK(board.Place(MakeQuery()) == "t0");
 }
 
@@ -316,7 +316,7 @@
     for (int i = 0; i < kTargets; ++i) {
       loads["t" + std::to_string(i)] = {i == 4 ? 5 : 6, 0};
     }
-    boards.back()->SetRemoteLoads(loads, kStart);
+    boards.back()->SetRemoteLoads(loads, 0, kStart);
   }
   std::map<std::string, int> placed;
   for (const auto& board : boards) {
@@ -360,7 +360,7 @@
   Board board(2);
   CHECK_FALSE(board.board.Pressure("llm", "other", kStart).has_value());
   CHECK(*board.board.Pressure("llm", "m", kStart) == 0);
-  board.board.SetRemoteLoads({{"t0", {17, 0}}, {"t1", {17, 0}}}, kStart);
+  board.board.SetRemoteLoads({{"t0", {17, 0}}, {"t1", {17, 0}}}, 0, kStart);
   CHECK(*board.board.Pressure("llm", "m", kStart) == doctest::Approx(1));
   auto late = MakeQuery();
   late.time_to_aim = Milliseconds(1);
@@ -372,6 +372,48 @@
         doctest::Approx(1));
 }
 
+/// Requests that 70 hosts take at once for 40 targets of 17 slots, each host
+/// 20 of them, before any has heard of another's work.
+int TakenAfterStart(size_t unheard) {
+  int taken = 0;
+  for (uint64_t host = 0; host < 70; ++host) {
+    DispatchBoard board(DispatchPolicy{}, host);
+    board.SetTargets(MakeTargets(40, "m"), MakeCatalog(), kStart);
+    for (int i = 0; i < 20; ++i) {
+      board.SetRemoteLoads({}, unheard, kStart);
+      const auto decision = board.Choose(MakeQuery(), kStart);
+      if (const auto* choice = std::get_if<DispatchChoice>(&decision)) {
+        board.OnSent(choice->target.id, 714);
+        ++taken;
+      }
+    }
+  }
+  return taken;
+}
+
+TEST_CASE(
+    "a start of the whole fleet: hosts that heard nobody do not take all") {
+  // All hosts lost power. Callers that were turned away come back within a
+  // second, twice what the groups can hold, and each host sees idle groups.
+  // Taken all, everyone's first event is seconds late.
+  DispatchBoard knows_all(DispatchPolicy{}, 1);
+  knows_all.SetTargets(MakeTargets(40, "m"), MakeCatalog(), kStart);
+  int known = 0;
+  for (int i = 0; i < 1400; ++i) {
+    const auto decision = knows_all.Choose(MakeQuery(), kStart);
+    if (const auto* choice = std::get_if<DispatchChoice>(&decision)) {
+      knows_all.OnSent(choice->target.id, 714);
+      ++known;
+    }
+  }
+  const int assumed = TakenAfterStart(69);
+  MESSAGE("taken of 1400: " << known << " by one host that knows all, "
+                            << assumed << " by 70 that heard nobody");
+  CHECK(TakenAfterStart(0) == 1400);
+  CHECK(assumed < known * 5 / 4);
+  CHECK(assumed > known * 3 / 4);
+}
+
 TEST_CASE("idle connections leave room for requests that open their own") {
   // Four servers accept 110 connections each from 70 entry hosts. Every host
   // serves a request now and then and would keep its connection; together they
--- a/tests/news_fleet_test.cc
+++ b/tests/news_fleet_test.cc
@@ -197,7 +197,7 @@
       if (m_near) {
         TellFar(host, now);
       }
-      host.board.SetRemoteLoads(host.news.SumLoads(now).loads, now);
+      host.board.SetRemoteLoads(host.news.SumLoads(now).loads, 0, now);
     }
   }
 
