soak, replicas: findings of the linter; closed groups are forgotten

Change: mended; a closed group is remembered for as long as an order sent before it can arrive, and the stall.

--- a/include/filbertrack/replica_plan.h
+++ b/include/filbertrack/replica_plan.h
@@ -130,6 +130,12 @@
   std::optional<Membership> before;
 };
 
+/// The latest order to close the head of a group.
+struct ClosedGroup {
+  uint64_t epoch = 0;
+  TimePoint at;
+};
+
 /// What the planner remembers between passes of one controller.
 struct ReplicaMemory {
   /// Number of the controller's lease; epochs begin with it.
@@ -145,9 +151,9 @@
   TimePoint pressure_at;
   /// First pass of the term.
   std::optional<TimePoint> began;
-  /// Groups whose head was ordered to close, with their epochs. What it was
-  /// ordered late may open it once more.
-  std::map<std::string, uint64_t, std::less<>> closed;
+  /// Groups whose head was ordered to close. What it was ordered before and did
+  /// not answer may open it once more.
+  std::map<std::string, ClosedGroup, std::less<>> closed;
   /// Groups whose head is not registered any more, since when, by key.
   std::map<std::string, TimePoint, std::less<>> headless_since;
   /// First sight of each joining group.
--- a/soak/main_soak.cc
+++ b/soak/main_soak.cc
@@ -1,13 +1,9 @@
 /// filbert-soak: runs entry hosts as processes under random faults from outside
 /// and checks what callers and backend servers see.
 
-#include <unistd.h>
-
 #include <cstdio>
-#include <filesystem>
 
 #include <CLI/CLI.hpp>
-#include <nlohmann/json.hpp>
 
 #include "soak_callers.h"
 #include "soak_faults.h"
@@ -30,7 +26,6 @@
   int seconds = 20;
   int entry_hosts = 3;
   int runners = 8;
-  bool keep = false;
 };
 
 /// Runs the loop for a time, or until `done`. False where the time came first.
--- a/soak/soak_callers.cc
+++ b/soak/soak_callers.cc
@@ -15,11 +15,10 @@
 /// An unplanned fault excuses broken connections of requests that were open
 /// this long after it.
 constexpr Duration kAfterFault = Seconds(4);
-constexpr int kEvents = 25;
 
 std::string WholeStream() {
   std::string text;
-  for (int i = 1; i <= kEvents; ++i) {
+  for (int i = 1; i <= kStreamEvents; ++i) {
     text += "id: " + std::to_string(i) + "\ndata: part " + std::to_string(i) +
             "\n\n";
   }
--- a/soak/soak_fleet.cc
+++ b/soak/soak_fleet.cc
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <csignal>
+#include <cstdio>
 #include <filesystem>
 #include <fstream>
 
@@ -20,7 +21,6 @@
 /// Beyond the grace time, for a busy machine to take note of the end.
 constexpr Duration kGraceMargin = Seconds(3);
 constexpr int kDomains = 2;
-constexpr int kStreamEvents = 25;
 
 /// A port that the kernel has free now.
 Address FreeAddress() {
@@ -28,7 +28,9 @@
   sockaddr_in at{};
   at.sin_family = AF_INET;
   at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  bind(fd, reinterpret_cast<sockaddr*>(&at), sizeof(at));
+  if (bind(fd, reinterpret_cast<sockaddr*>(&at), sizeof(at)) != 0) {
+    std::perror("no free port");
+  }
   socklen_t size = sizeof(at);
   getsockname(fd, reinterpret_cast<sockaddr*>(&at), &size);
   close(fd);
--- a/soak/soak_fleet.h
+++ b/soak/soak_fleet.h
@@ -22,6 +22,8 @@
 /// users' 5 s, so that more repairs fit into a run.
 inline constexpr Duration kStall = Milliseconds(1500);
 inline constexpr Duration kGrace = Seconds(5);
+/// Events of each streamed answer.
+inline constexpr int kStreamEvents = 25;
 
 struct FleetOptions {
   /// Path of filbert-entry.
--- a/soak/soak_process.cc
+++ b/soak/soak_process.cc
@@ -8,8 +8,6 @@
 #include <csignal>
 #include <utility>
 
-extern char** environ;
-
 namespace filbertrack::soak {
 
 Process::Process(std::string program,
--- a/soak/soak_proxy.cc
+++ b/soak/soak_proxy.cc
@@ -32,7 +32,9 @@
 
 void Proxy::ResetAll() {
   while (!m_pairs.empty()) {
-    End(m_pairs.front());
+    // The list lets go of it while it is ended.
+    const std::shared_ptr<Pair> first = m_pairs.front();
+    End(first);
   }
 }
 
@@ -81,7 +83,7 @@
   m_loop.Call(m_faults.delay, write);
 }
 
-void Proxy::End(std::shared_ptr<Pair> pair) {
+void Proxy::End(const std::shared_ptr<Pair>& pair) {
   if (m_pairs.remove(pair) == 0) {
     return;
   }
--- a/soak/soak_proxy.h
+++ b/soak/soak_proxy.h
@@ -54,7 +54,7 @@
   void Pass(const std::shared_ptr<Pair>& pair,
             bool to_server,
             std::string_view bytes);
-  void End(std::shared_ptr<Pair> pair);
+  void End(const std::shared_ptr<Pair>& pair);
 
   EventLoop& m_loop;
   Address m_server;
--- a/source/replica_plan.cc
+++ b/source/replica_plan.cc
@@ -82,8 +82,8 @@
   const bool was_open =
       head != nullptr && head->membership->state == MembershipState::kOpen;
   const auto closed = m_memory.closed.find(departure.group);
-  const bool was_closed =
-      closed != m_memory.closed.end() && closed->second == departure.epoch;
+  const bool was_closed = closed != m_memory.closed.end() &&
+                          closed->second.epoch == departure.epoch;
   const bool orders_known =
       departure.epoch / kEpochsPerTerm == m_memory.term ||
       m_now - m_memory.began.value_or(m_now) >= m_policy.order_life;
@@ -129,6 +129,13 @@
         server == nullptr || HasStaged(*server, entry.second.model);
     return done || m_now - entry.second.at > LoadPatience();
   });
+  // Nothing that was sent before it is under way any more, and what the head
+  // had stands still and has broken.
+  const Duration settled =
+      m_policy.order_life + m_policy.stall + m_policy.stall_margin;
+  std::erase_if(m_memory.closed, [this, settled](const auto& entry) {
+    return m_now - entry.second.at > settled;
+  });
   std::erase_if(m_memory.ordered_epoch, [this](const auto& entry) {
     return m_input.directory.Find(entry.first) == nullptr;
   });
@@ -289,7 +296,7 @@
         return;
       }
       Occupy(head->id);
-      m_memory.closed[replica.group] = replica.epoch;
+      m_memory.closed[replica.group] = {replica.epoch, m_now};
       Give(CloseGroup{head->id, replica.group, replica.epoch, !orderly},
            std::string(why));
       return;
@@ -343,7 +350,7 @@
   }
   Occupy(head->id);
   if (m_now == since) {
-    m_memory.closed[replica.group] = replica.epoch;
+    m_memory.closed[replica.group] = {replica.epoch, m_now};
     Give(CloseGroup{head->id, replica.group, replica.epoch, false},
          "the head is not registered any more");
   } else {
