--- a/soak/soak_faults.cc
+++ b/soak/soak_faults.cc
@@ -47,11 +47,11 @@
 
 void Faults::Begin() {
   using Fault = void (Faults::*)();
-  constexpr std::array<Fault, 11> kFaults = {
+  constexpr std::array<Fault, 12> kFaults = {
       &Faults::PauseEntry,      &Faults::KillEntry,   &Faults::StopEntry,
       &Faults::ReloadEntry,     &Faults::StoreFault,  &Faults::StoreLinkFault,
       &Faults::RunnerLinkFault, &Faults::LoseRunner,  &Faults::DrainRunner,
-      &Faults::LapseRunner,     &Faults::ChangeConfig};
+      &Faults::LapseRunner,     &Faults::LoseAnswers, &Faults::ChangeConfig};
   ++m_count;
   (this->*kFaults[m_random() % kFaults.size()])();
 }
@@ -225,6 +225,15 @@
   });
 }
 
+void Faults::LoseAnswers() {
+  RunnerHost* host = AnyLiving(m_fleet.plain());
+  if (host == nullptr) {
+    return;
+  }
+  host->standin->SetLosesAnswers(true);
+  Later(kLongestLinkFault, [host] { host->standin->SetLosesAnswers(false); });
+}
+
 void Faults::ChangeConfig() {
   m_fleet.PutConfig();
 }
--- a/soak/soak_faults.h
+++ b/soak/soak_faults.h
@@ -40,6 +40,7 @@
   void LoseRunner();
   void DrainRunner();
   void LapseRunner();
+  void LoseAnswers();
   void ChangeConfig();
 
   EventLoop& m_loop;
--- a/soak/soak_fleet.cc
+++ b/soak/soak_fleet.cc
@@ -117,6 +117,10 @@
   config["routes"].push_back(MakeRoute(
       "new-" + std::to_string(m_config_version),
       "/new" + std::to_string(m_config_version) + "/", "safe", "plain"));
+  for (Json& route : config["routes"]) {
+    // Enough for a second send, so that only what may be repeated decides.
+    route["maxAttempts"] = 3;
+  }
   m_store.Put("config", "main", config);
 }
 
