--- a/source/entry_peers.cc
+++ b/source/entry_peers.cc
@@ -17,9 +17,9 @@
 constexpr std::string_view kHostPrefix = "entry-host-";
 /// Between the address and the data centre in the record of an entry host.
 constexpr char kFieldSeparator = ' ';
-/// Between tries to read or write the records that a start needs.
 /// The store holds values up to 1 MiB; the text here may be spaced otherwise.
 constexpr size_t kMostConfigBytes = 4 * 1024 * 1024;
+/// Between tries to read or write the records that a start needs.
 constexpr Duration kStartRetry = Milliseconds(500);
 
 }  // namespace
--- a/source/explain_request.cc
+++ b/source/explain_request.cc
@@ -100,19 +100,19 @@
       case ResultCode::kOk:
         return OfAnswer(end);
       case ResultCode::kNoServingGroup:
-        return "Refused as not run: no group served model '" +
-               Text(end, "model") + "'." + Groups(end);
+        return Refusal(end) + ": no group served model '" + Text(end, "model") +
+               "'." + Groups(end);
       case ResultCode::kOverloaded:
-        return "Refused as not run: the best target that was looked at would "
+        return Refusal(end) +
+               ": the best target that was looked at would "
                "have answered after " +
                Milliseconds(Number(end, "predicted_ms")) + ", the aim is " +
                Milliseconds(Number(end, "aim_ms")) +
                "; the caller was told to come back after " +
                Milliseconds(Number(end, "retry_after_ms")) + "." + Groups(end);
       case ResultCode::kAttemptRefused:
-        return "Refused as not run after " +
-               std::to_string(Number(end, "sends")) + " sends: " + Attempts() +
-               ", and no retry was left or allowed.";
+        return Refusal(end) + " after " + std::to_string(Number(end, "sends")) +
+               " sends: " + Attempts() + ", and no retry was left or allowed.";
       case ResultCode::kUpstreamFailed:
       case ResultCode::kStreamInterrupted:
         return "Ended without a whole answer: " + Attempts() +
@@ -132,6 +132,16 @@
     }
   }
 
+  /// What was known of the request when it was turned away. An attempt before
+  /// may have run.
+  static std::string Refusal(const TrailLine& end) {
+    const std::string outcome = Text(end, "outcome");
+    return outcome == OutcomeName(Outcome::kNotRun)
+               ? "Refused as not run"
+               : "Given up, outcome " +
+                     (outcome.empty() ? "not told" : outcome);
+  }
+
   std::string OfAnswer(const TrailLine& end) const {
     const int64_t first = Number(end, "first_ms");
     const int64_t aim = Number(end, "aim_ms");
--- a/tests/explain_test.cc
+++ b/tests/explain_test.cc
@@ -16,10 +16,11 @@
 {"event":"attempt-ended","node":"e1","time_ms":1902,"at_us":20,"request":"r1","target":"h1","why":"its group lost a member","after_ms":902}
 {"event":"placed","node":"e1","time_ms":1903,"at_us":21,"request":"r1","target":"h2","send":2}
 {"event":"groups","node":"e9","time_ms":3500,"at_us":50,"serving":{"m":3},"not_serving":{"m":1},"loading":7,"quarantined":2}
-{"event":"request","node":"e2","time_ms":4000,"at_us":3,"request":"r2","code":106,"sends":0,"retry_after_ms":250}
+{"event":"request","node":"e2","time_ms":4000,"at_us":3,"request":"r2","code":106,"outcome":"not-run","sends":0,"retry_after_ms":250}
 {"event":"placed","node":"e2","time_ms":4000,"at_us":4,"request":"r3","target":"h3","predicted_ms":200,"own":2,"others":12}
 {"event":"request","node":"e2","time_ms":5000,"at_us":9,"request":"r3","code":0,"sends":1,"aim_ms":300,"first_ms":700,"total_ms":1000}
 {"event":"refused","node":"e2","time_ms":5000,"at_us":10,"request":"r4","code":9,"config":12}
+{"event":"request","node":"e2","time_ms":5100,"at_us":11,"request":"r6","code":109,"outcome":"unknown","sends":1}
 not a line
 {"no event":1}
 )";
@@ -35,7 +36,7 @@
 
 TEST_CASE("lines are read whatever stands before them") {
   const auto trail = Trail();
-  REQUIRE(trail.size() == 11);
+  REQUIRE(trail.size() == 12);
   CHECK(trail[0].node == "e1");
   CHECK(trail[0].fields["target"] == "h1");
 }
@@ -61,6 +62,15 @@
   CHECK(Contains(told.cause, "7 loading and 2 held"));
 }
 
+TEST_CASE("a request that may have run is not called not run") {
+  // Its first attempt broke, and no retry was left in the budget.
+  const auto trail = Trail();
+  CHECK(Contains(ExplainRequest(trail, "r2").cause, "Refused as not run"));
+  const Explanation told = ExplainRequest(trail, "r6");
+  CHECK(Contains(told.cause, "outcome unknown"));
+  CHECK_FALSE(Contains(told.cause, "not run"));
+}
+
 TEST_CASE("a late answer tells what was predicted and why") {
   const auto trail = Trail();
   const Explanation told = ExplainRequest(trail, "r3");
