log, replicas, soak: last reading of the change

Two branches of IsQuarantined were the same; four includes were used by nothing. No behaviour, test or bound changed.

--- a/soak/soak_callers.cc
+++ b/soak/soak_callers.cc
@@ -1,7 +1,6 @@
 #include "soak_callers.h"
 
 #include <algorithm>
-#include <iterator>
 
 namespace filbertrack::soak {
 
--- a/soak/soak_fleet.h
+++ b/soak/soak_fleet.h
@@ -6,7 +6,6 @@
 
 #include <map>
 #include <memory>
-#include <random>
 #include <string>
 #include <vector>
 
--- a/soak/soak_proxy.h
+++ b/soak/soak_proxy.h
@@ -5,7 +5,6 @@
 
 #include <list>
 #include <memory>
-#include <random>
 
 #include "filbertrack/base_address.h"
 #include "filbertrack/event_loop.h"
--- a/source/entry_trail.cc
+++ b/source/entry_trail.cc
@@ -7,6 +7,9 @@
 namespace filbertrack {
 
 void LogPlaced(const PlacedLine& line) {
+  if (!IsLogged(LogLevel::kInfo)) {
+    return;
+  }
   const DispatchChoice& choice = line.choice;
   nlohmann::json fields = {
       {"request", line.request.facts.request_id},
@@ -27,6 +30,9 @@
 }
 
 void LogAttemptEnded(const AttemptEndedLine& line) {
+  if (!IsLogged(LogLevel::kInfo)) {
+    return;
+  }
   Log(LogLevel::kInfo, "attempt-ended",
       {{"request", line.request.facts.request_id},
        {"target", line.target},
@@ -37,6 +43,9 @@
 }
 
 void LogRequest(const RequestLine& line) {
+  if (!IsLogged(LogLevel::kInfo)) {
+    return;
+  }
   const EntryRequest& request = line.request;
   nlohmann::json fields = {
       {"request", request.facts.request_id},
--- a/source/replica_plan.cc
+++ b/source/replica_plan.cc
@@ -1,7 +1,6 @@
 #include "replica_pass.h"
 
 #include <algorithm>
-#include <cmath>
 
 namespace filbertrack {
 
@@ -66,11 +65,8 @@
     return false;
   }
   const Duration stall = m_policy.stall + m_policy.stall_margin;
-  if (departure->group.empty()) {
-    return m_now - departure->left_at < stall;
-  }
-  if (CannotReopen(*departure)) {
-    // It stands still since its member left, and has broken by now.
+  if (departure->group.empty() || CannotReopen(*departure)) {
+    // The head stands still since its member left, and breaks after the stall.
     return m_now - departure->left_at < stall;
   }
   return m_input.directory.IsHeld(host, stall + m_policy.order_life, m_now);
