--- /dev/null
+++ b/include/filbertrack/explain_account.h
@@ -0,0 +1,65 @@
+#pragma once
+
+/// Adds up, from the log lines of all entry hosts, what callers did not get on
+/// time, and to which decisions it goes back.
+///
+/// One caller's request that was not answered on time is lost; an answer that
+/// comes late is still worth a part of it. A caller that was refused may come
+/// back. Its second request has another id and names less time than callers of
+/// its route name at first, by which it is told apart; what it gets is set
+/// against the loss of the first.
+
+#include <cstdint>
+#include <map>
+#include <span>
+#include <string>
+#include <tuple>
+#include <vector>
+
+#include "filbertrack/explain_request.h"
+
+namespace filbertrack {
+
+struct AccountPolicy {
+  /// What a late answer keeps of an answer on time: between 0 and 1. Users'
+  /// sheets give a quarter for streams.
+  double late_share = 0.25;
+  /// Length of a row in time, in milliseconds.
+  int64_t window_ms = 2000;
+};
+
+/// Loss of one cause at one route in one window.
+struct LossRow {
+  std::string cause;
+  /// Empty where the request was refused before its route was known.
+  std::string route;
+  std::string model;
+  /// Start of the window, in milliseconds since the first request.
+  int64_t window_ms = 0;
+  int requests = 0;
+  /// In requests; below 0 where callers that came back were answered.
+  double lost = 0;
+  /// Means over the decisions that chose a target, or found none: age of the
+  /// other hosts' loads, and time to the first event that was predicted.
+  double loads_age_ms = 0;
+  double predicted_ms = 0;
+};
+
+struct LossAccount {
+  /// Requests of callers that asked for the first time and had a right to.
+  int asked = 0;
+  int on_time = 0;
+  /// `asked` less `on_time`, less what late answers are worth: the sum of the
+  /// rows.
+  double lost = 0;
+  std::vector<LossRow> rows;
+};
+
+LossAccount AccountLosses(std::span<const TrailLine> trail,
+                          const AccountPolicy& policy);
+
+/// The rows added up over what `Field` tells apart, the largest loss first.
+std::vector<LossRow> SumLosses(std::span<const LossRow> rows,
+                               std::string LossRow::*field);
+
+}  // namespace filbertrack
--- a/source/entry_host.cc
+++ b/source/entry_host.cc
@@ -168,6 +168,9 @@
   Log(LogLevel::kInfo, "refused",
       {{"request", request.facts.request_id},
        {"code", static_cast<int>(code)},
+       {"model", request.facts.model},
+       {"left_ms",
+        request.facts.time_left ? ToMilliseconds(*request.facts.time_left) : 0},
        {"config", m_catalog == nullptr ? 0 : m_catalog->version()}});
   RefuseCall(exchange, m_dialect, request.facts.request_id, code,
              Outcome::kNotRun, retry_after);
@@ -255,7 +258,8 @@
   figures.total = now - request.arrived;
   m_metrics.OnRequest(figures);
   LogRequest({request, end, relay.last_target(), relay.sends(), first,
-              now - request.arrived, relay.retry_after(), relay.refused_at()});
+              now - request.arrived, relay.longest_pause(), relay.retry_after(),
+              relay.refused_at(), m_board.LoadsAge(now)});
   // The relay's own callback is still running.
   auto row = m_relays.extract(&relay);
   auto ended =
--- a/source/entry_trail.cc
+++ b/source/entry_trail.cc
@@ -61,11 +61,22 @@
       {"aim_ms", ToMilliseconds(request.route->target_latency)},
       {"first_ms", ToMilliseconds(line.first)},
       {"total_ms", ToMilliseconds(line.total)}};
+  if (request.facts.time_left) {
+    fields["left_ms"] = ToMilliseconds(*request.facts.time_left);
+  }
+  if (request.facts.prompt_tokens > 0) {
+    fields["prompt_tokens"] = request.facts.prompt_tokens;
+  }
+  if (line.longest_pause && request.route->longest_pause > Duration(0)) {
+    fields["pause_ms"] = ToMilliseconds(*line.longest_pause);
+    fields["pause_aim_ms"] = ToMilliseconds(request.route->longest_pause);
+  }
   if (line.retry_after) {
     fields["retry_after_ms"] = ToMilliseconds(*line.retry_after);
   }
   if (line.refused_at) {
     fields["predicted_ms"] = ToMilliseconds(*line.refused_at);
+    fields["loads_age_ms"] = ToMilliseconds(line.loads_age);
   }
   Log(LogLevel::kInfo, "request", fields);
 }
--- a/source/entry_trail.h
+++ b/source/entry_trail.h
@@ -43,10 +43,14 @@
   int sends = 0;
   Duration first{0};
   Duration total{0};
+  /// nullopt: fewer than two events were passed on.
+  std::optional<Duration> longest_pause;
   /// What a refused caller was told.
   std::optional<Duration> retry_after;
   /// What the best target would have taken where all were too busy.
   std::optional<Duration> refused_at;
+  /// How old the other entry hosts' loads were at the end.
+  Duration loads_age{0};
 };
 void LogRequest(const RequestLine& line);
 
--- /dev/null
+++ b/source/explain_account.cc
@@ -0,0 +1,242 @@
+#include "filbertrack/explain_account.h"
+
+#include <algorithm>
+#include <limits>
+#include <optional>
+
+#include "filbertrack/base_result.h"
+
+namespace filbertrack {
+
+namespace {
+
+/// Callers that ask for the first time name the same time to the millisecond;
+/// one that comes back has waited at least 100 ms.
+constexpr int64_t kSameTimeMs = 50;
+
+std::string Text(const TrailLine& line, const char* field) {
+  return line.fields.value(field, "");
+}
+
+std::optional<int64_t> Number(const TrailLine& line, const char* field) {
+  const auto found = line.fields.find(field);
+  if (found == line.fields.end() || !found->is_number()) {
+    return std::nullopt;
+  }
+  return found->get<int64_t>();
+}
+
+ResultCode Code(const TrailLine& line) {
+  return static_cast<ResultCode>(Number(line, "code").value_or(0));
+}
+
+/// The caller had no right to what it asked for.
+bool IsOwed(ResultCode code) {
+  return code != ResultCode::kUnauthorized && code != ResultCode::kNotFound &&
+         code != ResultCode::kBadRequest && code != ResultCode::kBodyTooLarge;
+}
+
+bool IsEnd(const TrailLine& line) {
+  return line.event == "request" || line.event == "refused";
+}
+
+/// Lines of one request beside its end.
+struct Way {
+  const TrailLine* first_placed = nullptr;
+  const TrailLine* first_failed = nullptr;
+};
+
+class Accountant {
+ public:
+  Accountant(std::span<const TrailLine> trail, const AccountPolicy& policy)
+      : m_trail(trail), m_policy(policy) {}
+
+  LossAccount Run() {
+    ReadWays();
+    for (const TrailLine& line : m_trail) {
+      if (IsEnd(line) && IsOwed(Code(line))) {
+        AddEnd(line);
+      }
+    }
+    for (auto& [key, row] : m_rows) {
+      if (row.requests > 0) {
+        row.loads_age_ms /= row.requests;
+        row.predicted_ms /= row.requests;
+      }
+      m_account.lost += row.lost;
+      m_account.rows.push_back(std::move(row));
+    }
+    return std::move(m_account);
+  }
+
+ private:
+  void ReadWays() {
+    for (const TrailLine& line : m_trail) {
+      Way& way = m_ways[Text(line, "request")];
+      if (line.event == "placed" && way.first_placed == nullptr) {
+        way.first_placed = &line;
+      } else if (line.event == "attempt-ended" && way.first_failed == nullptr) {
+        way.first_failed = &line;
+      } else if (IsEnd(line)) {
+        m_began_ms = std::min(m_began_ms, line.time_ms);
+        int64_t& longest = m_time_of_route[Text(line, "route")];
+        longest = std::max(longest, Number(line, "left_ms").value_or(0));
+      }
+    }
+  }
+
+  bool IsFirst(const TrailLine& line) const {
+    const auto left = Number(line, "left_ms");
+    if (!left) {
+      return true;
+    }
+    const auto is_of = [left](const auto& row) {
+      return *left >= row.second - kSameTimeMs &&
+             *left <= row.second + kSameTimeMs;
+    };
+    const std::string route = Text(line, "route");
+    if (!route.empty()) {
+      return is_of(*m_time_of_route.find(route));
+    }
+    return std::any_of(
+        m_time_of_route.begin(), m_time_of_route.end(),
+        [&is_of](const auto& row) { return !row.first.empty() && is_of(row); });
+  }
+
+  static bool IsOnTime(const TrailLine& line) {
+    const int64_t aim = Number(line, "aim_ms").value_or(0);
+    return aim == 0 || Number(line, "first_ms").value_or(0) <= aim;
+  }
+
+  static bool HasLongPause(const TrailLine& line) {
+    return Number(line, "pause_ms").value_or(0) >
+           Number(line, "pause_aim_ms")
+               .value_or(std::numeric_limits<int64_t>::max());
+  }
+
+  static bool IsAnswered(const TrailLine& line) {
+    constexpr int64_t kFirstError = 400;
+    const int64_t status = Number(line, "status").value_or(0);
+    return Code(line) == ResultCode::kOk && status < kFirstError;
+  }
+
+  void AddEnd(const TrailLine& line) {
+    if (!IsFirst(line)) {
+      if (IsAnswered(line)) {
+        Add(line, "came back and was answered late", -m_policy.late_share);
+      } else {
+        Add(line, "came back in vain", 0);
+      }
+      return;
+    }
+    ++m_account.asked;
+    if (!IsAnswered(line)) {
+      Add(line, CauseOfFailure(line), 1);
+    } else if (!IsOnTime(line) || HasLongPause(line)) {
+      Add(line, CauseOfLateness(line), 1 - m_policy.late_share);
+    } else {
+      ++m_account.on_time;
+    }
+  }
+
+  std::string CauseOfFailure(const TrailLine& line) const {
+    const ResultCode code = Code(line);
+    if (code == ResultCode::kOk) {
+      return "error of the backend server";
+    }
+    if (code == ResultCode::kUpstreamFailed ||
+        code == ResultCode::kStreamInterrupted) {
+      return "broken off: " + FirstFailure(line);
+    }
+    return "refused or ended: " + std::string(ResultCodeInfo(code).name);
+  }
+
+  std::string FirstFailure(const TrailLine& line) const {
+    const auto way = m_ways.find(Text(line, "request"));
+    const bool told =
+        way != m_ways.end() && way->second.first_failed != nullptr;
+    return told ? Text(*way->second.first_failed, "why") : "not told";
+  }
+
+  std::string CauseOfLateness(const TrailLine& line) const {
+    if (Number(line, "sends").value_or(0) > 1) {
+      return std::string(IsOnTime(line) ? "late by a pause" : "late at first") +
+             ", moved: " + FirstFailure(line);
+    }
+    if (IsOnTime(line)) {
+      return "late by a pause of its group";
+    }
+    const auto way = m_ways.find(Text(line, "request"));
+    if (way == m_ways.end() || way->second.first_placed == nullptr) {
+      return "late at first, decision not told";
+    }
+    const TrailLine& placed = *way->second.first_placed;
+    const bool foreseen = Number(placed, "predicted_ms").value_or(0) >
+                          Number(line, "aim_ms").value_or(0);
+    return foreseen ? "late at first, as predicted"
+                    : "late at first, against the prediction";
+  }
+
+  void Add(const TrailLine& line, std::string cause, double lost) {
+    const int64_t window =
+        (line.time_ms - m_began_ms) / m_policy.window_ms * m_policy.window_ms;
+    const std::string route = Text(line, "route");
+    LossRow& row = m_rows[{cause, route, window}];
+    row.cause = std::move(cause);
+    row.route = route;
+    row.model = Text(line, "model");
+    row.window_ms = window;
+    ++row.requests;
+    row.lost += lost;
+    const auto way = m_ways.find(Text(line, "request"));
+    const bool placed =
+        way != m_ways.end() && way->second.first_placed != nullptr;
+    const TrailLine& decision = placed ? *way->second.first_placed : line;
+    row.loads_age_ms +=
+        static_cast<double>(Number(decision, "loads_age_ms").value_or(0));
+    row.predicted_ms +=
+        static_cast<double>(Number(decision, "predicted_ms").value_or(0));
+  }
+
+  std::span<const TrailLine> m_trail;
+  AccountPolicy m_policy;
+  std::map<std::string, Way, std::less<>> m_ways;
+  /// Longest time that callers of a route named.
+  std::map<std::string, int64_t, std::less<>> m_time_of_route;
+  int64_t m_began_ms = std::numeric_limits<int64_t>::max();
+  std::map<std::tuple<std::string, std::string, int64_t>, LossRow> m_rows;
+  LossAccount m_account;
+};
+
+}  // namespace
+
+LossAccount AccountLosses(std::span<const TrailLine> trail,
+                          const AccountPolicy& policy) {
+  return Accountant(trail, policy).Run();
+}
+
+std::vector<LossRow> SumLosses(std::span<const LossRow> rows,
+                               std::string LossRow::*field) {
+  std::map<std::string, LossRow> sums;
+  for (const LossRow& row : rows) {
+    LossRow& sum = sums[row.*field];
+    sum.*field = row.*field;
+    const double requests = sum.requests + row.requests;
+    const double part = row.requests / std::max(1.0, requests);
+    sum.loads_age_ms += part * (row.loads_age_ms - sum.loads_age_ms);
+    sum.predicted_ms += part * (row.predicted_ms - sum.predicted_ms);
+    sum.requests += row.requests;
+    sum.lost += row.lost;
+  }
+  std::vector<LossRow> sorted;
+  for (auto& [key, sum] : sums) {
+    sorted.push_back(std::move(sum));
+  }
+  std::stable_sort(sorted.begin(), sorted.end(),
+                   [](const LossRow& left, const LossRow& right) {
+                     return left.lost > right.lost;
+                   });
+  return sorted;
+}
+
+}  // namespace filbertrack
--- a/source/main_filbertctl.cc
+++ b/source/main_filbertctl.cc
@@ -1,12 +1,16 @@
 /// filbertctl: the operator's command.
 
+#include <algorithm>
 #include <cstdio>
 #include <fstream>
 #include <iostream>
+#include <map>
+#include <span>
 
 #include <CLI/CLI.hpp>
 #include <nlohmann/json.hpp>
 
+#include "filbertrack/explain_account.h"
 #include "filbertrack/explain_request.h"
 #include "filbertrack/groups_plan.h"
 #include "filbertrack/operator_client.h"
@@ -29,6 +33,8 @@
   bool explain = false;
   std::string request;
   std::vector<std::string> logs;
+  AccountPolicy account;
+  double window_seconds = 2;
 };
 
 int Report(const Error& error) {
@@ -299,10 +305,82 @@
   return 0;
 }
 
+void PrintLosses(std::string_view title,
+                 std::span<const LossRow> rows,
+                 std::string LossRow::*field,
+                 const LossAccount& account) {
+  std::printf("%.*s\n", static_cast<int>(title.size()), title.data());
+  std::printf("  %8s %7s %9s %8s %8s\n", "lost", "share", "requests", "age ms",
+              "pred. ms");
+  for (const LossRow& row : SumLosses(rows, field)) {
+    std::printf("  %8.1f %7.4f %9d %8.0f %8.0f  %s\n", row.lost,
+                row.lost / std::max(1, account.asked), row.requests,
+                row.loads_age_ms, row.predicted_ms, (row.*field).c_str());
+  }
+}
+
+/// The worst windows, each with its causes.
+void PrintWindows(const LossAccount& account, size_t most) {
+  std::map<int64_t, std::vector<LossRow>> windows;
+  std::vector<std::pair<double, int64_t>> order;
+  for (const LossRow& row : account.rows) {
+    windows[row.window_ms].push_back(row);
+  }
+  for (const auto& [start, rows] : windows) {
+    double lost = 0;
+    for (const LossRow& row : rows) {
+      lost += row.lost;
+    }
+    order.emplace_back(-lost, start);
+  }
+  std::sort(order.begin(), order.end());
+  order.resize(std::min(order.size(), most));
+  for (const auto& [lost, start] : order) {
+    PrintLosses("from second " + std::to_string(start / 1000), windows[start],
+                &LossRow::cause, account);
+  }
+}
+
+int RunAccount(const CommandLine& line) {
+  const Result<std::vector<TrailLine>> trail = ReadLogs(line.logs);
+  if (!trail) {
+    return Report(trail.error());
+  }
+  AccountPolicy policy = line.account;
+  policy.window_ms = static_cast<int64_t>(line.window_seconds * 1000);
+  const LossAccount account = AccountLosses(*trail, policy);
+  if (line.json) {
+    for (const LossRow& row : account.rows) {
+      std::cout << Json({{"event", "loss"},
+                         {"cause", row.cause},
+                         {"route", row.route},
+                         {"model", row.model},
+                         {"window_ms", row.window_ms},
+                         {"requests", row.requests},
+                         {"lost", row.lost},
+                         {"loads_age_ms", row.loads_age_ms},
+                         {"predicted_ms", row.predicted_ms}})
+                       .dump()
+                << "\n";
+    }
+    return 0;
+  }
+  std::printf("asked %d, on time %d, lost %.1f\n", account.asked,
+              account.on_time, account.lost);
+  PrintLosses("by cause", account.rows, &LossRow::cause, account);
+  PrintLosses("by model", account.rows, &LossRow::model, account);
+  PrintLosses("by route", account.rows, &LossRow::route, account);
+  PrintWindows(account, line.most);
+  return 0;
+}
+
 int RunCommand(const std::string& command, const CommandLine& line) {
   if (command == "explain") {
     return RunExplain(line);
   }
+  if (command == "account") {
+    return RunAccount(line);
+  }
   if (line.settings_path.empty()) {
     return Report(Error{ResultCode::kUsage, "The command '" + command +
                                                 "' needs --settings FILE."});
@@ -333,7 +411,8 @@
 
 void DeclareCommands(CLI::App& app, CommandLine& line) {
   app.add_option("-s,--settings", line.settings_path,
-                 "The INI settings file; all commands but explain need it.");
+                 "The INI settings file; all commands but explain and account "
+                 "need it.");
   app.add_flag("--json", line.json, "Print JSON lines.");
   CLI::App* apply = app.add_subcommand("apply", "Apply a change as a whole.");
   apply->add_option("-f,--file", line.file, "JSON file with the change.")
@@ -359,6 +438,22 @@
   explain->add_option("request", line.request, "The request's id.")->required();
   explain->add_option("files", line.logs, "Log files of the entry hosts.")
       ->required();
+  CLI::App* account = app.add_subcommand(
+      "account", "Add up from log files what callers did not get on time.");
+  account->add_option("files", line.logs, "Log files of all entry hosts.")
+      ->required();
+  account
+      ->add_option("--late", line.account.late_share,
+                   "What a late answer keeps of its worth.")
+      ->check(CLI::Range(0.0, 1.0))
+      ->capture_default_str();
+  account
+      ->add_option("--window", line.window_seconds,
+                   "Length of a row in time, in seconds.")
+      ->check(CLI::Range(0.1, 3600.0))
+      ->capture_default_str();
+  account->add_option("--most", line.most, "So many windows, the worst first.")
+      ->capture_default_str();
   app.require_subcommand(1);
 }
 
--- a/tests/explain_test.cc
+++ b/tests/explain_test.cc
@@ -1,8 +1,11 @@
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
 #include <doctest/doctest.h>
 
+#include <algorithm>
+#include <map>
 #include <sstream>
 
+#include "filbertrack/explain_account.h"
 #include "filbertrack/explain_request.h"
 
 namespace filbertrack {
@@ -88,5 +91,43 @@
   CHECK(Contains(none.cause, "No line names this request"));
 }
 
+/// Five callers of one route, of which two are turned away and come back.
+constexpr const char* kLosses = R"(
+{"event":"request","node":"e1","time_ms":1000,"request":"a","route":"r","model":"m","code":0,"status":200,"sends":1,"aim_ms":300,"first_ms":200,"left_ms":6000,"pause_ms":90,"pause_aim_ms":200}
+{"event":"placed","node":"e1","time_ms":1000,"request":"b","predicted_ms":180,"loads_age_ms":70}
+{"event":"request","node":"e1","time_ms":1100,"request":"b","route":"r","model":"m","code":0,"status":200,"sends":1,"aim_ms":300,"first_ms":900,"left_ms":6000}
+{"event":"request","node":"e1","time_ms":1200,"request":"c","route":"r","model":"m","code":106,"status":503,"sends":0,"aim_ms":300,"left_ms":6000,"predicted_ms":700}
+{"event":"request","node":"e2","time_ms":1500,"request":"c2","route":"r","model":"m","code":0,"status":200,"sends":1,"aim_ms":300,"first_ms":100,"left_ms":5700}
+{"event":"refused","node":"e1","time_ms":1300,"request":"d","model":"m","code":118,"left_ms":6000}
+{"event":"request","node":"e2","time_ms":3900,"request":"d2","route":"r","model":"m","code":106,"status":503,"sends":0,"aim_ms":300,"left_ms":5400}
+{"event":"attempt-ended","node":"e2","time_ms":1350,"request":"e","why":"silent"}
+{"event":"request","node":"e2","time_ms":1400,"request":"e","route":"r","model":"m","code":0,"status":200,"sends":2,"aim_ms":300,"first_ms":150,"left_ms":6000,"pause_ms":900,"pause_aim_ms":200}
+{"event":"refused","node":"e1","time_ms":1450,"request":"f","code":100,"left_ms":6000}
+)";
+
+TEST_CASE("an account of losses adds up to what was asked and not had") {
+  // One caller is served on time, one late, two are refused at first: one of
+  // them comes back and is answered, the other in vain. The stream of the fifth
+  // fell silent and went on elsewhere after a long pause. The sixth has no
+  // right to anything.
+  std::istringstream stream(kLosses);
+  const auto trail = ReadTrail(stream);
+  const LossAccount account = AccountLosses(trail, AccountPolicy{0.25, 2000});
+  CHECK(account.asked == 5);
+  CHECK(account.on_time == 1);
+  CHECK(account.lost == doctest::Approx(0.75 + 1 - 0.25 + 1 + 0.75));
+  std::map<std::string, double> by_cause;
+  for (const LossRow& row : SumLosses(account.rows, &LossRow::cause)) {
+    by_cause[row.cause] = row.lost;
+  }
+  CHECK(by_cause["late at first, against the prediction"] == 0.75);
+  CHECK(by_cause["late by a pause, moved: silent"] == 0.75);
+  CHECK(by_cause["came back and was answered late"] == -0.25);
+  CHECK(by_cause.contains("came back in vain"));
+  // Its way back is a row of another window.
+  CHECK(std::any_of(account.rows.begin(), account.rows.end(),
+                    [](const LossRow& row) { return row.window_ms == 2000; }));
+}
+
 }  // namespace
 }  // namespace filbertrack
