explain: an account counts each request by itself

Cause: callers that come back were to be told from new ones by the time that they name.

Change: each request counts by itself; the page says what cannot be told. Loads that were never heard count as 60 s old in the mean age.

--- a/include/filbertrack/explain_account.h
+++ b/include/filbertrack/explain_account.h
@@ -3,11 +3,10 @@
 /// Adds up, from the log lines of all entry hosts, what callers did not get on
 /// time, and to which decisions it goes back.
 ///
-/// One caller's request that was not answered on time is lost; an answer that
-/// comes late is still worth a part of it. A caller that was refused may come
-/// back. Its second request has another id and names less time than callers of
-/// its route name at first, by which it is told apart; what it gets is set
-/// against the loss of the first.
+/// A request that was not answered on time is lost; an answer that comes late
+/// is still worth a part of it. A caller that was refused and comes back counts
+/// as another request: nothing that it sends tells the two apart, since callers
+/// of one route name different times.
 
 #include <cstdint>
 #include <map>
@@ -37,7 +36,7 @@
   /// Start of the window, in milliseconds since the first request.
   int64_t window_ms = 0;
   int requests = 0;
-  /// In requests; below 0 where callers that came back were answered.
+  /// In requests.
   double lost = 0;
   /// Means over the decisions that chose a target, or found none: age of the
   /// other hosts' loads, and time to the first event that was predicted.
@@ -46,7 +45,7 @@
 };
 
 struct LossAccount {
-  /// Requests of callers that asked for the first time and had a right to.
+  /// Requests of callers that had a right to ask.
   int asked = 0;
   int on_time = 0;
   /// `asked` less `on_time`, less what late answers are worth: the sum of the
--- a/source/explain_account.cc
+++ b/source/explain_account.cc
@@ -10,9 +10,8 @@
 
 namespace {
 
-/// Callers that ask for the first time name the same time to the millisecond;
-/// one that comes back has waited at least 100 ms.
-constexpr int64_t kSameTimeMs = 50;
+/// Loads that are told to be older than this were never heard.
+constexpr int64_t kOldestLoadsMs = 60'000;
 
 std::string Text(const TrailLine& line, const char* field) {
   return line.fields.value(field, "");
@@ -79,30 +78,10 @@
         way.first_failed = &line;
       } else if (IsEnd(line)) {
         m_began_ms = std::min(m_began_ms, line.time_ms);
-        int64_t& longest = m_time_of_route[Text(line, "route")];
-        longest = std::max(longest, Number(line, "left_ms").value_or(0));
       }
     }
   }
 
-  bool IsFirst(const TrailLine& line) const {
-    const auto left = Number(line, "left_ms");
-    if (!left) {
-      return true;
-    }
-    const auto is_of = [left](const auto& row) {
-      return *left >= row.second - kSameTimeMs &&
-             *left <= row.second + kSameTimeMs;
-    };
-    const std::string route = Text(line, "route");
-    if (!route.empty()) {
-      return is_of(*m_time_of_route.find(route));
-    }
-    return std::any_of(
-        m_time_of_route.begin(), m_time_of_route.end(),
-        [&is_of](const auto& row) { return !row.first.empty() && is_of(row); });
-  }
-
   static bool IsOnTime(const TrailLine& line) {
     const int64_t aim = Number(line, "aim_ms").value_or(0);
     return aim == 0 || Number(line, "first_ms").value_or(0) <= aim;
@@ -121,14 +100,6 @@
   }
 
   void AddEnd(const TrailLine& line) {
-    if (!IsFirst(line)) {
-      if (IsAnswered(line)) {
-        Add(line, "came back and was answered late", -m_policy.late_share);
-      } else {
-        Add(line, "came back in vain", 0);
-      }
-      return;
-    }
     ++m_account.asked;
     if (!IsAnswered(line)) {
       Add(line, CauseOfFailure(line), 1);
@@ -192,8 +163,8 @@
     const bool placed =
         way != m_ways.end() && way->second.first_placed != nullptr;
     const TrailLine& decision = placed ? *way->second.first_placed : line;
-    row.loads_age_ms +=
-        static_cast<double>(Number(decision, "loads_age_ms").value_or(0));
+    const int64_t age = Number(decision, "loads_age_ms").value_or(0);
+    row.loads_age_ms += static_cast<double>(std::min(age, kOldestLoadsMs));
     row.predicted_ms +=
         static_cast<double>(Number(decision, "predicted_ms").value_or(0));
   }
@@ -201,8 +172,6 @@
   std::span<const TrailLine> m_trail;
   AccountPolicy m_policy;
   std::map<std::string, Way, std::less<>> m_ways;
-  /// Longest time that callers of a route named.
-  std::map<std::string, int64_t, std::less<>> m_time_of_route;
   int64_t m_began_ms = std::numeric_limits<int64_t>::max();
   std::map<std::tuple<std::string, std::string, int64_t>, LossRow> m_rows;
   LossAccount m_account;
