replicas: hosts are held beyond the stall only where an order to open went unanswered

Cause: a host whose group's head stopped answering was held for the stall and 12 s more whenever the head had been closed, or an earlier controller might have closed it.

Change: the planner counts the orders to open a group and which of them were answered. A head can be opened anew only by one that was not, so where there is none its members are held for the stall alone. Of a group of an earlier controller it counts as known once the head has been seen open for the 12 s that an order may be late.

--- a/include/filbertrack/entry_control.h
+++ b/include/filbertrack/entry_control.h
@@ -52,7 +52,9 @@
   static void LogCounts(const std::string& service,
                         const ReplicaCounts& counts);
   void Send(const PlannedOrder& planned);
-  void OnOrdered(const ReplicaOrder& order, OrderResult result);
+  void OnOrdered(const std::string& service,
+                 const ReplicaOrder& order,
+                 OrderResult result);
   void SendOne(const std::string& host_id, const ReplicaOrder& order);
 
   EventLoop& m_loop;
--- a/include/filbertrack/replica_plan.h
+++ b/include/filbertrack/replica_plan.h
@@ -130,10 +130,12 @@
   std::optional<Membership> before;
 };
 
-/// The latest order to close the head of a group.
-struct ClosedGroup {
+/// Orders to open one group that were sent.
+struct OpenOrders {
   uint64_t epoch = 0;
-  TimePoint at;
+  TimePoint last_sent;
+  /// Those that were not answered may still be carried out.
+  int unanswered = 0;
 };
 
 /// What the planner remembers between passes of one controller.
@@ -151,9 +153,8 @@
   TimePoint pressure_at;
   /// First pass of the term.
   std::optional<TimePoint> began;
-  /// Groups whose head was ordered to close. What it was ordered before and did
-  /// not answer may open it once more.
-  std::map<std::string, ClosedGroup, std::less<>> closed;
+  /// Orders to open by group; forgotten once none of them can arrive any more.
+  std::map<std::string, OpenOrders, std::less<>> opens;
   /// Groups whose head is not registered any more, since when, by key.
   std::map<std::string, TimePoint, std::less<>> headless_since;
   /// First sight of each joining group.
@@ -181,6 +182,10 @@
                                        ReplicaMemory& memory,
                                        TimePoint now);
 
+/// The host that an order went to has answered it, whatever it said: the order
+/// will not be carried out later.
+void NoteOrderAnswered(const ReplicaOrder& order, ReplicaMemory& memory);
+
 /// What the hosts of a service do, counted.
 struct ReplicaCounts {
   /// Hosts that may be members.
--- a/include/filbertrack/server_directory.h
+++ b/include/filbertrack/server_directory.h
@@ -138,6 +138,11 @@
   /// take requests for the group any more.
   bool HeadLeft(std::string_view group, uint64_t epoch) const;
 
+  /// Since when the head of this group has been registered as open without a
+  /// break; also after its registration was removed. nullopt: it was not.
+  std::optional<TimePoint> OpenSince(std::string_view group,
+                                     uint64_t epoch) const;
+
   /// When a server was seen for the first time, of all the latest such time.
   std::optional<TimePoint> last_arrival() const { return m_last_arrival; }
 
@@ -161,6 +166,9 @@
  private:
   void NoteHeadDeparture(const BackendServer& before,
                          const BackendServer& after);
+  void NoteOpen(const BackendServer& before,
+                const BackendServer& after,
+                TimePoint now);
   void ForgetEmptyGroups();
   void NoteDeparture(const BackendServer& before,
                      const BackendServer& after,
@@ -178,6 +186,8 @@
   std::map<std::string, BackendServer, std::less<>> m_removed;
   /// Groups whose head left, with their latest epoch; the name tells the group.
   std::map<std::string, uint64_t, std::less<>> m_without_head;
+  /// By id of the head.
+  std::map<std::string, TimePoint, std::less<>> m_open_since;
   bool m_read = false;
   std::optional<TimePoint> m_last_arrival;
   std::map<std::string, TimePoint, std::less<>> m_lapsed;
--- a/source/entry_control.cc
+++ b/source/entry_control.cc
@@ -221,9 +221,10 @@
   }
   m_engines.Order(
       *host, order,
-      [this, host_id, order, alive = m_alive](OrderResult result) {
+      [this, host_id, service = host->service, order,
+       alive = m_alive](OrderResult result) {
         if (*alive) {
-          OnOrdered(order, result);
+          OnOrdered(service, order, result);
         }
         if (result != OrderResult::kAccepted) {
           Log(LogLevel::kInfo, "order-result",
@@ -232,7 +233,13 @@
       });
 }
 
-void EntryControl::OnOrdered(const ReplicaOrder& order, OrderResult result) {
+void EntryControl::OnOrdered(const std::string& service,
+                             const ReplicaOrder& order,
+                             OrderResult result) {
+  const auto memory = m_memory.find(service);
+  if (result != OrderResult::kUnknown && memory != m_memory.end()) {
+    NoteOrderAnswered(order, memory->second);
+  }
   const auto* leave = std::get_if<LeaveGroup>(&order);
   // Where another process has the address, the host's own has ended.
   const bool left =
--- a/source/replica_pass.h
+++ b/source/replica_pass.h
@@ -58,8 +58,12 @@
   /// No order that is still under way can make the head of the group that the
   /// host left take requests anew. An order to open that went unanswered does
   /// nothing to a head that is open, but opens one that was closed meanwhile.
+  /// Only the controller of a group's own term orders it to open.
   bool CannotReopen(const Departure& departure) const;
 
+  /// Orders to open the group of which one may still arrive; null: none.
+  const OpenOrders* FindOpens(std::string_view group, uint64_t epoch) const;
+
   static bool HasStaged(const BackendServer& server, std::string_view model);
 
   /// A load is under way there: one that this controller started, or one of
--- a/source/replica_plan.cc
+++ b/source/replica_plan.cc
@@ -66,24 +66,37 @@
   }
   const Duration stall = m_policy.stall + m_policy.stall_margin;
   if (departure->group.empty() || CannotReopen(*departure)) {
-    // The head stands still since its member left, and breaks after the stall.
-    return m_now - departure->left_at < stall;
+    // The head stands still since its member left, or since it opened after
+    // that, and breaks after the stall.
+    const OpenOrders* opens = FindOpens(departure->group, departure->epoch);
+    const TimePoint opened_by = opens == nullptr
+                                    ? departure->left_at
+                                    : opens->last_sent + m_policy.order_retry;
+    return m_now - std::max(departure->left_at, opened_by) < stall;
   }
   return m_input.directory.IsHeld(host, stall + m_policy.order_life, m_now);
 }
 
+const OpenOrders* ReplicaPass::FindOpens(std::string_view group,
+                                         uint64_t epoch) const {
+  const auto found = m_memory.opens.find(group);
+  const bool is_of =
+      found != m_memory.opens.end() && found->second.epoch == epoch;
+  return is_of ? &found->second : nullptr;
+}
+
 bool ReplicaPass::CannotReopen(const Departure& departure) const {
-  const BackendServer* head =
-      m_input.directory.FindLastHead(departure.group, departure.epoch);
-  const bool was_open =
-      head != nullptr && head->membership->state == MembershipState::kOpen;
-  const auto closed = m_memory.closed.find(departure.group);
-  const bool was_closed = closed != m_memory.closed.end() &&
-                          closed->second.epoch == departure.epoch;
-  const bool orders_known =
-      departure.epoch / kEpochsPerTerm == m_memory.term ||
-      m_now - m_memory.began.value_or(m_now) >= m_policy.order_life;
-  return was_open && !was_closed && orders_known;
+  if (departure.epoch / kEpochsPerTerm == m_memory.term) {
+    const OpenOrders* opens = FindOpens(departure.group, departure.epoch);
+    return opens == nullptr || opens->unanswered == 0;
+  }
+  if (m_now - m_memory.began.value_or(m_now) >= m_policy.order_life) {
+    return true;
+  }
+  // An earlier controller ordered it to open no later than it was seen open.
+  const auto open_since =
+      m_input.directory.OpenSince(departure.group, departure.epoch);
+  return open_since && departure.left_at - *open_since >= m_policy.order_life;
 }
 
 bool ReplicaPass::HasStaged(const BackendServer& server,
@@ -129,8 +142,8 @@
   // had stands still and has broken.
   const Duration settled =
       m_policy.order_life + m_policy.stall + m_policy.stall_margin;
-  std::erase_if(m_memory.closed, [this, settled](const auto& entry) {
-    return m_now - entry.second.at > settled;
+  std::erase_if(m_memory.opens, [this, settled](const auto& entry) {
+    return m_now - entry.second.last_sent > settled;
   });
   std::erase_if(m_memory.ordered_epoch, [this](const auto& entry) {
     return m_input.directory.Find(entry.first) == nullptr;
@@ -221,6 +234,10 @@
       }
       if (!joining && !IsBusy(head.id)) {
         Occupy(head.id);
+        OpenOrders& opens = m_memory.opens[replica.group];
+        opens.epoch = replica.epoch;
+        opens.last_sent = m_now;
+        ++opens.unanswered;
         Give(OpenGroup{head.id, replica.group, replica.epoch},
              "all members are ready");
       }
@@ -292,7 +309,6 @@
         return;
       }
       Occupy(head->id);
-      m_memory.closed[replica.group] = {replica.epoch, m_now};
       Give(CloseGroup{head->id, replica.group, replica.epoch, !orderly},
            std::string(why));
       return;
@@ -346,7 +362,6 @@
   }
   Occupy(head->id);
   if (m_now == since) {
-    m_memory.closed[replica.group] = {replica.epoch, m_now};
     Give(CloseGroup{head->id, replica.group, replica.epoch, false},
          "the head is not registered any more");
   } else {
@@ -389,6 +404,17 @@
   return ReplicaPass(input, policy, memory, now).Run();
 }
 
+void NoteOrderAnswered(const ReplicaOrder& order, ReplicaMemory& memory) {
+  const auto* open = std::get_if<OpenGroup>(&order);
+  if (open == nullptr) {
+    return;
+  }
+  const auto found = memory.opens.find(open->group);
+  if (found != memory.opens.end() && found->second.epoch == open->epoch) {
+    found->second.unanswered = std::max(0, found->second.unanswered - 1);
+  }
+}
+
 ReplicaCounts CountReplicas(const ReplicaInput& input,
                             const ReplicaPolicy& policy,
                             ReplicaMemory& memory,
--- a/source/server_directory.cc
+++ b/source/server_directory.cc
@@ -40,6 +40,7 @@
     return false;
   }
   NoteDeparture(known, server, now);
+  NoteOpen(known, server, now);
   known = std::move(server);
   ForgetEmptyGroups();
   return true;
@@ -59,6 +60,31 @@
   }
 }
 
+void ServerDirectory::NoteOpen(const BackendServer& before,
+                               const BackendServer& after,
+                               TimePoint now) {
+  const bool is_open = after.membership && after.membership->rank == 0 &&
+                       after.membership->state == MembershipState::kOpen;
+  if (!is_open) {
+    m_open_since.erase(after.id);
+    return;
+  }
+  if (before.membership != after.membership) {
+    m_open_since[after.id] = now;
+  }
+}
+
+std::optional<TimePoint> ServerDirectory::OpenSince(std::string_view group,
+                                                    uint64_t epoch) const {
+  const BackendServer* head = FindLastHead(group, epoch);
+  const auto found =
+      head == nullptr ? m_open_since.end() : m_open_since.find(head->id);
+  if (found == m_open_since.end()) {
+    return std::nullopt;
+  }
+  return found->second;
+}
+
 void ServerDirectory::ForgetEmptyGroups() {
   if (m_without_head.size() < kMostGroupsWithoutHead) {
     return;
@@ -164,6 +190,7 @@
   const auto found = m_servers.find(id);
   NoteHeadRemoved(found->second, now);
   if (m_removed.size() >= kMostRemoved) {
+    m_open_since.erase(m_removed.begin()->first);
     m_removed.erase(m_removed.begin());
   }
   m_removed.insert_or_assign(found->first, std::move(found->second));
--- a/tests/replicas_test.cc
+++ b/tests/replicas_test.cc
@@ -45,6 +45,9 @@
     for (const PlannedOrder& planned :
          PlanReplicas(input, ReplicaPolicy{}, memory, now)) {
       const bool answered = fleet.Send(planned.order, now, late);
+      if (answered) {
+        NoteOrderAnswered(planned.order, memory);
+      }
       const auto* leave = std::get_if<LeaveGroup>(&planned.order);
       const BackendServer* head =
           leave == nullptr ? nullptr
@@ -231,6 +234,34 @@
   CHECK(run.fleet.violations().empty());
 }
 
+TEST_CASE("hosts are held for the stall only where no order can arrive late") {
+  // Callers meet full groups while a host that could serve is held. The head of
+  // its group is cut off from the store and then dies, so that neither the
+  // order to close it nor the one to leave is answered. Its order to open was
+  // answered long before: nothing can open it again, and what it holds ends
+  // with the stall.
+  Run run(1);
+  run.PassFor(Seconds(25));
+  const auto is_head = [](const auto& row) {
+    return row.second.server.model == "small" && row.second.server.membership &&
+           row.second.server.membership->rank == 0;
+  };
+  auto& hosts = run.fleet.hosts();
+  auto& head = std::find_if(hosts.begin(), hosts.end(), is_head)->second;
+  const auto& member = hosts.at(head.group_members.back());
+  head.cut = true;
+  run.PassFor(Milliseconds(3700));
+  head.alive = false;
+  run.PassFor(Seconds(10));
+  const ReplicaInput input{run.directory, run.findings, run.service,
+                           false,         true,         {}};
+  REQUIRE_FALSE(member.server.membership.has_value());
+  CHECK(
+      CountReplicas(input, ReplicaPolicy{}, run.memory, run.now).quarantined ==
+      0);
+  CHECK(run.fleet.violations().empty());
+}
+
 TEST_CASE("hosts of a silent head wait until it can hold no request") {
   // The head may live behind a partition. Its members leave, so that it stands
   // still, and join other groups only after the stall.
