entry, platform: a start reads the store again at once while it is away

Cause: where all hosts lost power while the store was away, each read it once, failed, and waited 0.5 s for the record of the peers' secret before anything else was tried; the peers knew as little.

--- a/include/filbertrack/entry_peers.h
+++ b/include/filbertrack/entry_peers.h
@@ -139,6 +139,7 @@
   /// Data centre that was asked last.
   std::string m_last_far;
   std::mt19937_64 m_random;
+  Duration m_start_pause{0};
   std::unique_ptr<Timer> m_retry_timer;
   std::unique_ptr<Timer> m_list_timer;
   std::unique_ptr<Timer> m_round_timer;
--- a/source/entry_peers.cc
+++ b/source/entry_peers.cc
@@ -19,7 +19,10 @@
 constexpr char kFieldSeparator = ' ';
 /// The store holds values up to 1 MiB; the text here may be spaced otherwise.
 constexpr size_t kMostConfigBytes = 4 * 1024 * 1024;
-/// Between tries to read or write the records that a start needs.
+/// Between tries to read or write the records that a start needs: the first
+/// pause, doubled up to the longest. Without peers a host that starts while the
+/// store is away knows nothing until it is back.
+constexpr Duration kFirstStartRetry = Milliseconds(60);
 constexpr Duration kStartRetry = Milliseconds(500);
 
 }  // namespace
@@ -69,7 +72,9 @@
 
 void EntryPeers::OnSecret(const StoreAnswer& answer) {
   if (answer.object.value.empty()) {
-    m_retry_timer = m_loop.After(kStartRetry, [this] { LoadSecret(); });
+    m_start_pause =
+        std::clamp(m_start_pause * 2, kFirstStartRetry, kStartRetry);
+    m_retry_timer = m_loop.After(m_start_pause, [this] { LoadSecret(); });
     return;
   }
   m_secret = answer.object.value;
