dispatch: the time of a plain service is learned; platform: test of a start while the store is away

Cause: a request at a plain backend server was taken to need 60 ms and no less than 30, whatever was measured.

Change: what is measured may be as little as a hundredth of the first guess. The reading that is repeated at a start has its test against the stand-in.

--- a/source/dispatch_board.cc
+++ b/source/dispatch_board.cc
@@ -10,8 +10,13 @@
 /// A target is never predicted slower than this many times its profile, so
 /// that some requests still reach it and can show that it has recovered.
 constexpr double kMostSlowness = 10;
+/// And never faster than this part of the engine's published step times, which
+/// name its pace.
+constexpr double kLeastSlowness = 0.5;
 /// Time of a request at a plain backend server where nothing was measured yet.
+/// No page publishes it; services differ by far more than engines do.
 constexpr Duration kPlainWork = Milliseconds(60);
+constexpr double kLeastPlainSlowness = 0.01;
 constexpr double kPerThousand = 1e-3;
 constexpr double kPerMillion = 1e-6;
 
@@ -345,7 +350,8 @@
   }
   const double ratio = ToSeconds(measured) / bare;
   entry->slowness = std::clamp(
-      entry->slowness + m_policy.smoothing * (ratio - entry->slowness), 0.5,
+      entry->slowness + m_policy.smoothing * (ratio - entry->slowness),
+      entry->engine == nullptr ? kLeastPlainSlowness : kLeastSlowness,
       kMostSlowness);
 }
 
--- a/tests/dispatch_test.cc
+++ b/tests/dispatch_test.cc
@@ -170,6 +170,30 @@
   CHECK(slow <= 2);
 }
 
+TEST_CASE("the time of a plain service is learned") {
+  // A service that answers in 6 ms was taken for one of 30 ms or more, so that
+  // callers with an aim of 40 ms were turned away from a server with two
+  // requests in its queue.
+  DispatchBoard board(LookAtAll(), 1);
+  auto targets = MakeTargets(1, "");
+  targets.front().slots = 1;
+  board.SetTargets(targets, MakeCatalog(), kStart);
+  for (int i = 0; i < 60; ++i) {
+    const Duration predicted = board.Predict("t0", 0);
+    board.OnSent("t0", 0);
+    board.OnFirstEvent("t0", 0, predicted, Milliseconds(6));
+    board.OnEnded("t0", 0, false, DispatchResult::kAnswered, kStart);
+  }
+  CHECK(board.Predict("t0", 0) < Milliseconds(8));
+  board.OnSent("t0", 0);
+  board.OnSent("t0", 0);
+  DispatchQuery query;
+  query.service = "plain";
+  query.time_to_aim = Milliseconds(40);
+  query.time_left = Seconds(1);
+  CHECK(std::holds_alternative<DispatchChoice>(board.Choose(query, kStart)));
+}
+
 /// An engine as its profile says: slots, prompts read a chunk a pass in the
 /// order of arrival, `stride` tokens a pass for each request that writes.
 struct FakeEngine {
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -107,6 +107,30 @@
   return {{"service", "plain"}, {"address", "127.0.0.1:9"}, {"slots", 4}};
 }
 
+TEST_CASE(
+    "a host that starts while the store is away reads it again by itself") {
+  // All entry hosts lost power while the store was away. None has a
+  // configuration to tell the others, and callers are refused until one reads
+  // it. Without further tries that waited for the choice of who watches.
+  EventLoop loop;
+  PlatformStoreStandin store(loop, 3);
+  store.Put("config", "main", MakeConfig(1));
+  store.Put("servers", "s0", MakePlainSpec());
+  store.faults().refuse_with = 503;
+  Listener listener;
+  platform::PlatformStore client(loop, store.address(), {}, listener, 1);
+  client.ReadOnce();
+  REQUIRE(RunUntil(loop, [&store] { return store.calls() >= 4; }));
+  CHECK(listener.versions.empty());
+  store.faults().refuse_with = 0;
+  CHECK(RunUntil(loop, [&listener] {
+    return listener.versions == std::vector<uint64_t>{1} &&
+           listener.servers.size() == 1;
+  }));
+  // It does not watch: nothing follows the first reading.
+  CHECK(store.watches() == 0);
+}
+
 struct StoreFixture {
   StoreFixture()
       : store(loop, 3), client(loop, store.address(), {}, listener, 1) {
