entry: a host that restarts takes its lease back; callers of a host without the store come back later

Change: a process takes a lease that an earlier process of its entry host held, under a new fence; each reads the record once at its start for it, and does not stand otherwise. While the store is away and nothing is known, callers are told one to two seconds. The planner's part that tends groups has its own file; nothing in it changed.

--- a/include/filbertrack/entry_lease.h
+++ b/include/filbertrack/entry_lease.h
@@ -20,6 +20,10 @@
 
 namespace filbertrack {
 
+/// In the name of a holder, between the entry host and the start of its
+/// process.
+inline constexpr char kHolderSeparator = '#';
+
 class EntryLease {
  public:
   using Clock = std::function<TimePoint()>;
@@ -29,7 +33,7 @@
     std::function<void()> lost;
   };
 
-  /// `holder` names this start of the process and no other.
+  /// `holder` names the entry host and this start of its process, and no other.
   EntryLease(std::string holder,
              const LeasePolicy& policy,
              RecordStore& records,
@@ -37,7 +41,8 @@
              Events events);
   ~EntryLease();
 
-  /// Renews the lease, or, where `may_stand`, takes it if nobody holds it.
+  /// Renews the lease, or, where `may_stand`, takes it if nobody holds it. What
+  /// an earlier process of this entry host held is taken in any case.
   void Tick(bool may_stand);
 
   /// Gives the lease back, so that a successor need not wait.
@@ -78,6 +83,8 @@
   /// Beginning of the earliest write since `m_version` that was not answered.
   std::optional<TimePoint> m_unanswered_since;
   TimePoint m_last_read;
+  bool m_may_stand = false;
+  bool m_was_read = false;
   Duration m_rank_delay{0};
   /// `gained` was told, and `lost` was not since.
   bool m_leads = false;
--- a/source/entry_control.cc
+++ b/source/entry_control.cc
@@ -76,7 +76,7 @@
       m_engines(engines),
       // Two processes of one name must not take each other's lease for their
       // own.
-      m_lease(node + "#" + std::to_string(WallTimeMs()),
+      m_lease(node + kHolderSeparator + std::to_string(WallTimeMs()),
               policy.lease,
               records,
               MonotonicNow,
--- a/source/entry_host.cc
+++ b/source/entry_host.cc
@@ -42,6 +42,10 @@
 /// spread, so that callers that were all turned away do not all come at once.
 constexpr Duration kStartRetryAfter = Milliseconds(200);
 constexpr Duration kStartRetrySpread = Milliseconds(600);
+/// The same while the store is away: registrations that lapsed are back up to
+/// two seconds after it is, and many callers come back only once.
+constexpr Duration kStoreRetryAfter = Milliseconds(1000);
+constexpr Duration kStoreRetrySpread = Milliseconds(1000);
 constexpr int kOk = 200;
 constexpr int kNotFound = 404;
 constexpr int kUnready = 503;
@@ -169,9 +173,14 @@
                        ResultCode code) {
   std::optional<Duration> retry_after;
   if (code == ResultCode::kMayBeBehind || code == ResultCode::kDraining) {
-    const auto spread = std::uniform_int_distribution<int64_t>(
-        0, kStartRetrySpread.count())(m_random);
-    retry_after = kStartRetryAfter + Duration(spread);
+    const bool waits_for_store = m_catalog == nullptr && m_store_away;
+    const Duration least =
+        waits_for_store ? kStoreRetryAfter : kStartRetryAfter;
+    const Duration most =
+        waits_for_store ? kStoreRetrySpread : kStartRetrySpread;
+    const auto spread =
+        std::uniform_int_distribution<int64_t>(0, most.count())(m_random);
+    retry_after = least + Duration(spread);
   }
   m_metrics.OnRejected(code);
   Log(LogLevel::kInfo, "refused",
--- a/source/entry_lease.cc
+++ b/source/entry_lease.cc
@@ -23,6 +23,11 @@
 /// Two tries fit into the time between a renewal and the lapse.
 constexpr Duration kCallPatience = Milliseconds(400);
 
+/// The entry host of a holder.
+std::string_view NodeOf(std::string_view holder) {
+  return holder.substr(0, holder.rfind(kHolderSeparator));
+}
+
 std::string FormatLease(const DomainLease& lease, uint64_t beat) {
   return Json(
              {{"holder", lease.holder}, {"fence", lease.fence}, {"beat", beat}})
@@ -83,11 +88,13 @@
   if (IsWaiting(now)) {
     return;
   }
+  m_may_stand = may_stand;
   if (held) {
     if (m_keeper.ShouldRenew(m_policy, now)) {
       Write(m_lease);
     }
-  } else if (may_stand && now - m_last_read >= m_policy.renew_every) {
+  } else if ((may_stand || !m_was_read) &&
+             now - m_last_read >= m_policy.renew_every) {
     Read();
   }
 }
@@ -110,7 +117,11 @@
   if (answer.status == StoreStatus::kUnavailable || IsHeld()) {
     return;
   }
+  m_was_read = true;
   if (answer.status == StoreStatus::kNotFound) {
+    if (!m_may_stand) {
+      return;
+    }
     m_version = 0;
     Write({m_holder, m_lease.fence + 1});
     return;
@@ -118,9 +129,14 @@
   if (!Learn(answer.object)) {
     return;
   }
+  // The process that held it has ended, since this one has its name: after a
+  // loss of power of all hosts the groups had nobody for 2.6 s, the time after
+  // which others may conclude the same. The new fence refuses what the earlier
+  // process still has under way.
+  const bool was_ours = NodeOf(m_lease.holder) == NodeOf(m_holder);
   const bool may_take =
-      m_lease.holder == m_holder ||
-      MayTake(m_lease, m_lease_seen, m_view, m_policy, m_rank_delay, m_clock());
+      was_ours || (m_may_stand && MayTake(m_lease, m_lease_seen, m_view,
+                                          m_policy, m_rank_delay, m_clock()));
   if (may_take) {
     Write({m_holder, m_lease.fence + 1});
   }
--- a/source/explain_account.cc
+++ b/source/explain_account.cc
@@ -198,6 +198,7 @@
     sum.lost += row.lost;
   }
   std::vector<LossRow> sorted;
+  sorted.reserve(sums.size());
   for (auto& [key, sum] : sums) {
     sorted.push_back(std::move(sum));
   }
--- a/tests/entry_test.cc
+++ b/tests/entry_test.cc
@@ -209,5 +209,41 @@
   CHECK(second.now - first.now < Milliseconds(1500));
 }
 
+TEST_CASE("a host that restarts takes back at once what its process held") {
+  // All hosts lost power. Groups that lost a member meanwhile wait for somebody
+  // who gives orders; the others may only conclude from 1.5 s of silence that
+  // the holder is gone. Its own next process knows.
+  FakeRecords records;
+  Claimant before("e1#1", records);
+  Take(before);
+  REQUIRE(before.lease.IsHeld());
+  const uint64_t fence = before.lease.fence();
+  Claimant after("e1#2", records);
+  // It does not stand for the lease of others.
+  after.lease.Tick(false);
+  records.AnswerAll();
+  REQUIRE(after.lease.IsHeld());
+  CHECK(after.lease.fence() > fence);
+}
+
+TEST_CASE("another host's lease is not taken back by a host that starts") {
+  FakeRecords records;
+  Claimant holder("e1#1", records);
+  Take(holder);
+  Claimant other("e12#1", records);
+  for (int i = 0; i < 3; ++i) {
+    other.lease.Tick(false);
+    records.AnswerAll();
+    other.now += Milliseconds(600);
+  }
+  CHECK_FALSE(other.lease.IsHeld());
+  // Nor does a host that does not stand take one that nobody has.
+  FakeRecords empty;
+  Claimant idle("e3#1", empty);
+  idle.lease.Tick(false);
+  empty.AnswerAll();
+  CHECK(empty.version() == 0);
+}
+
 }  // namespace
 }  // namespace filbertrack
--- a/tests/platform_path_test.cc
+++ b/tests/platform_path_test.cc
@@ -282,6 +282,25 @@
   CHECK(site.plain[1]->seen().empty());
 }
 
+TEST_CASE("a host that starts while the store is away says when it may know") {
+  // All hosts lost power while the store was away. A caller that is told to
+  // come back before the registrations can be there is refused once more, and
+  // most come back only once.
+  Site site(0);
+  site.store.faults().refuse_with = 503;
+  HttpClient client(site.loop, 0);
+  REQUIRE(RunUntil(site.loop, [&site] { return site.host->store_away(); }));
+  REQUIRE(site.host->catalog() == nullptr);
+  Answer answer;
+  const auto call = Ask(site, client, "/s/x", "a", answer);
+  REQUIRE(RunUntil(site.loop, [&answer] { return answer.ended; }));
+  CHECK(answer.status == 503);
+  const std::string after(FindHeader(answer.headers, "Retry-After"));
+  REQUIRE_FALSE(after.empty());
+  CHECK(std::stod(after) >= 1);
+  CHECK(std::stod(after) <= 2);
+}
+
 TEST_CASE("an answer that names another request never reaches the caller") {
   Site site(0);
   REQUIRE(RunUntil(site.loop, [&] { return site.host->IsReady(); }));
