--- a/include/filbertrack/replica_plan.h
+++ b/include/filbertrack/replica_plan.h
@@ -102,8 +102,9 @@
   /// is slow.
   Duration order_retry = Milliseconds(500);
   /// A group some members of which do not begin to join is given up after this:
-  /// three further orders to each of them. Where a third of the orders goes
-  /// unanswered, one in 30 groups is given up.
+  /// three further orders to each. With 35 % of the orders astray, two pairs
+  /// that lost a member serve again after 3.1 s, 3.9 s if none is repeated
+  /// (replayed by a test).
   Duration forming_patience = Milliseconds(2000);
   /// The same where the head does not begin, which is not ordered again: longer
   /// than two reports of one group lie apart while the store is slow.
