tests: a host that was cut off alone tells of a return of the store (known red)

One entry host had been cut off from the store alone; its return was told to all as a return of the store, and a server that left without reporting it at that moment was kept for 2.5 s as one whose registration had lapsed, 0.5 s longer than allowed.

--- /dev/null
+++ b/tests/platform_return_test.cc
@@ -0,0 +1,59 @@
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include <doctest/doctest.h>
+
+#include "filbertrack/entry_host.h"
+#include "platform_dialect.h"
+
+/// What an entry host makes of the store's return, without sockets.
+
+namespace filbertrack {
+namespace {
+
+ServerChanges Registered(const std::string& id, uint64_t revision) {
+  BackendServer server;
+  server.id = id;
+  server.service = "plain";
+  ServerChanges changes;
+  changes.revision = revision;
+  changes.changed.push_back({server, revision, "text of " + id});
+  return changes;
+}
+
+struct Host {
+  Host()
+      : settings(*EntrySchema().ParseText("[node]\nname = e1\ndata_centre = z\n"
+                                          "[store]\naddress = 127.0.0.1:9\n",
+                                          "test.ini")),
+        host(loop, settings, dialect) {
+    host.OnServers(Registered("s1", 10));
+  }
+
+  EventLoop loop;
+  platform::PlatformDialect dialect;
+  Settings settings;
+  EntryHost host;
+};
+
+TEST_CASE("a host tells its peers when the store comes back after an outage") {
+  // Registrations that lapsed meanwhile are kept for 2.5 s by all that hear it.
+  Host site;
+  site.host.OnStoreLost();
+  site.host.OnStoreReturned();
+  CHECK(site.host.OwnNews().store_back_for.has_value());
+}
+
+TEST_CASE("a host that was cut off alone tells of no return of the store") {
+  // One host is cut off from the store and hears from its peers what changes
+  // there. When it reaches the store again it tells them that the store is
+  // back. A server that leaves without a word at that moment is taken for one
+  // whose registration lapsed, and is sent requests for 2.5 s; it may end after
+  // 2 s.
+  Host site;
+  site.host.OnStoreLost();
+  site.host.OnServers(Registered("s2", 400));
+  site.host.OnStoreReturned();
+  CHECK_FALSE(site.host.OwnNews().store_back_for.has_value());
+}
+
+}  // namespace
+}  // namespace filbertrack
