site, replicas, platform: restarts under an id, foreign entries, a return of the store for one host alone

A backend server may start again under its id: its entry, or that of a group that it was in, was believed to be of the process that had ended. Entries of another writer were taken as ready servers (state 'banana', slots -5, an epoch of -1e300, whose cast is undefined). A listing in pages went on from the last page's revision, so what changed on an earlier page meanwhile was missed; records beyond the first page of 50 were not read. A server that lapsed and came back unchanged was no target again.

'born' is decoded once; a later life ends what was believed of the earlier one (membership, quarantine, orders and loads under way, what a prober found, learned pace), an earlier one is passed over, a group that lost a ready member stays interrupted whatever comes back under its name and epoch. Each number is checked against a range before a cast; an unreadable entry takes its server out at once, with a line and a counter, also by way of peers. Bytes that are no UTF-8 no longer hide a whole listing. StoreAbsence tells an outage from a host that was away alone by what peers knew meanwhile.

--- a/include/filbertrack/dispatch_board.h
+++ b/include/filbertrack/dispatch_board.h
@@ -39,6 +39,8 @@
   int slots = 1;
   /// Connections that it accepts from all entry hosts.
   int most_connections = 0;
+  /// Start of the process, Unix ms; 0: not told.
+  uint64_t born_ms = 0;
 };
 
 /// Work at a target.
--- a/include/filbertrack/entry_host.h
+++ b/include/filbertrack/entry_host.h
@@ -16,6 +16,7 @@
 #include "filbertrack/news_message.h"
 #include "filbertrack/server_directory.h"
 #include "filbertrack/settings.h"
+#include "filbertrack/store_absence.h"
 
 namespace filbertrack {
 
@@ -57,7 +58,7 @@
 
   /// What this entry host knows of the store and has at the targets.
   NewsState OwnNews() const;
-  bool store_away() const { return m_store_away; }
+  bool store_away() const { return m_absence.is_away(); }
   /// A peer saw the store come back.
   void OnPeerSawStoreReturn(TimePoint returned);
   /// The configuration in force, compressed, for peers.
@@ -111,8 +112,13 @@
   void StartRelay(EntryRequest request,
                   const std::shared_ptr<HttpExchange>& exchange);
   void EndRelay(EntryRelay& relay, const EntryEnd& end);
+  /// True if a server that was known is out.
+  bool TakeUnreadable(const UnreadableServer& server, TimePoint now);
   void Changed();
   void RefreshTargets();
+  /// The process that the request was sent to has ended: another one has its
+  /// name.
+  bool HasRestarted(const EntryRelay& relay) const;
   void ScheduleExpiry();
   void CheckSilence();
   void CheckDrained();
@@ -128,7 +134,9 @@
   ServerDirectory m_directory;
   ChangeLog m_server_log;
   bool m_servers_known = false;
-  bool m_store_away = false;
+  /// Registrations so far that could not be read.
+  uint64_t m_unreadable = 0;
+  StoreAbsence m_absence;
   std::optional<TimePoint> m_store_returned;
   bool m_traffic_seen = false;
 
--- a/include/filbertrack/entry_ports.h
+++ b/include/filbertrack/entry_ports.h
@@ -101,6 +101,8 @@
   bool busy = false;
   /// Over 1: the host is slower than its profile.
   double pace = 1;
+  /// Start of the process that answers, Unix ms; 0: it does not say.
+  uint64_t born_ms = 0;
 };
 
 /// Direct calls to the hosts that groups are made of.
@@ -150,6 +152,16 @@
   uint64_t version = 0;
 };
 
+/// A registration that another writer left, or that a fault damaged: it names
+/// no server to use.
+struct UnreadableServer {
+  std::string id;
+  uint64_t version = 0;
+  /// As it stands in the store, for other entry hosts.
+  std::string text;
+  std::string why;
+};
+
 /// What became known of the registrations at once.
 struct ServerChanges {
   /// `changed` is all there are.
@@ -157,6 +169,7 @@
   /// Everything up to this revision of the store is known with these.
   uint64_t revision = 0;
   std::vector<Registration> changed;
+  std::vector<UnreadableServer> unreadable;
   std::vector<RemovedServer> removed;
 };
 
--- a/include/filbertrack/entry_relay.h
+++ b/include/filbertrack/entry_relay.h
@@ -90,6 +90,11 @@
   const EntryRequest& request() const { return m_request; }
   /// The target of the present attempt, or of the last one; empty: none.
   const std::string& last_target() const { return m_last_target; }
+  /// Start of the process that has the present attempt, Unix ms; 0: there is
+  /// none, or it is not told.
+  uint64_t target_born_ms() const {
+    return m_choice ? m_choice->target.born_ms : 0;
+  }
   int sends() const { return m_state.sends; }
   /// What the best target would have taken where all were too busy; nullopt: no
   /// such refusal.
--- a/include/filbertrack/entry_targets.h
+++ b/include/filbertrack/entry_targets.h
@@ -2,6 +2,7 @@
 
 /// What the registrations say of the targets of requests.
 
+#include <set>
 #include <string_view>
 #include <vector>
 
@@ -16,11 +17,11 @@
 std::vector<DispatchTarget> CurrentTargets(const ServerDirectory& directory,
                                            const Catalog& catalog);
 
-/// Whether a group that lost a member holds its requests without saying so. One
-/// that closes in order, or whose members only leave, ends what it has; a head
-/// that is not registered may run on behind a partition, and its silence shows.
-bool StandsStill(const ServerDirectory& directory,
-                 const Catalog& catalog,
-                 std::string_view head_id);
+/// Heads of groups that lost a member and hold their requests without saying
+/// so. A group that closes in order, or whose members only leave, ends what it
+/// has; a head that is not registered may run on behind a partition, and its
+/// silence shows.
+std::set<std::string_view> HeadsStandingStill(const ServerDirectory& directory,
+                                              const Catalog& catalog);
 
 }  // namespace filbertrack
--- a/include/filbertrack/replica_plan.h
+++ b/include/filbertrack/replica_plan.h
@@ -42,6 +42,8 @@
   HostHealth health = HostHealth::kAnswers;
   /// It carries out an order, such as a load.
   bool busy = false;
+  /// Start of the process that this is about, Unix ms; 0: not told.
+  uint64_t born_ms = 0;
 };
 
 using HostFindings = std::map<std::string, HostFinding, std::less<>>;
@@ -195,6 +197,9 @@
   /// Starts of loads in the latest window, and loads that are not done.
   std::deque<TimePoint> load_starts;
   std::map<std::string, StartedLoad, std::less<>> loading;
+  /// Start of the process of each host, Unix ms: of one that started again,
+  /// orders and loads that were under way are over.
+  std::map<std::string, uint64_t, std::less<>> lives;
 };
 
 struct ReplicaInput {
--- a/include/filbertrack/server_directory.h
+++ b/include/filbertrack/server_directory.h
@@ -45,9 +45,17 @@
 inline constexpr std::string_view kStandbySuffix = ".standby";
 bool IsStandbyGroup(std::string_view group);
 
+/// Whether a process that started at `born_ms` is a later life of the server
+/// whose process started at `known_born_ms`; 0 stands for a time not told.
+inline bool IsLaterLife(uint64_t born_ms, uint64_t known_born_ms) {
+  return known_born_ms != 0 && born_ms > known_born_ms;
+}
+
 struct BackendServer {
-  /// Of this start of the process.
   std::string id;
+  /// Start of the process, Unix ms; 0: not told. A process that starts again
+  /// may keep its id; it then holds nothing of what it held before.
+  uint64_t born_ms = 0;
   std::string service;
   Address address;
   std::string data_centre;
@@ -72,6 +80,10 @@
   std::string domain;
   /// By rank; null where nobody reports that rank.
   std::vector<const BackendServer*> members;
+  /// A member was ready here and then left or started again. The head, if it
+  /// was open, stands still without saying so, also where the member is back
+  /// under the same name and epoch.
+  bool interrupted = false;
 
   const BackendServer* head() const {
     return members.empty() ? nullptr : members.front();
@@ -99,9 +111,15 @@
  public:
   explicit ServerDirectory(DirectoryPolicy policy) : m_policy(policy) {}
 
-  /// A registration; true if it says something new.
+  /// A registration; true if it says something new. One of an earlier life of
+  /// the server is passed over; one of a later life ends all that was known of
+  /// the earlier one.
   bool Put(BackendServer server, TimePoint now);
 
+  /// The registration cannot be read: the server is out at once, whatever the
+  /// store went through. True if it was known.
+  bool Discard(std::string_view id, TimePoint now);
+
   /// A registration was removed. Soon after the store's return it is only
   /// marked; Expire() takes it out later. True if it was taken out.
   bool Remove(std::string_view id, TimePoint now);
@@ -164,6 +182,11 @@
   std::vector<ReplicaView> Replicas(std::string_view service) const;
 
  private:
+  /// The server started again: it left its group as a host that died does.
+  void EndLife(BackendServer& known);
+  void NoteInterruption(const BackendServer& before,
+                        const BackendServer& after);
+  bool IsInterrupted(std::string_view group, uint64_t epoch) const;
   void NoteHeadDeparture(const BackendServer& before,
                          const BackendServer& after);
   void NoteOpen(const BackendServer& before,
@@ -186,6 +209,8 @@
   std::map<std::string, BackendServer, std::less<>> m_removed;
   /// Groups whose head left, with their latest epoch; the name tells the group.
   std::map<std::string, uint64_t, std::less<>> m_without_head;
+  /// Groups that lost a member which was ready, with their latest epoch.
+  std::map<std::string, uint64_t, std::less<>> m_interrupted;
   /// By id of the head.
   std::map<std::string, TimePoint, std::less<>> m_open_since;
   bool m_read = false;
@@ -194,8 +219,8 @@
   std::optional<TimePoint> m_store_returned;
 };
 
-/// Whether all `size` members are still in the group, leaving or not: what runs
-/// there can end.
+/// Whether all `size` members have been in the group since they were ready,
+/// leaving or not: what runs there can end.
 bool IsIntact(const ReplicaView& replica, int size);
 
 /// Whether the replica has all `size` members of its model, each of them in the
--- a/source/dispatch_board.cc
+++ b/source/dispatch_board.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cmath>
 
+#include "filbertrack/server_directory.h"
+
 namespace filbertrack {
 
 namespace {
@@ -72,6 +74,13 @@
     if (entry == nullptr) {
       entry = std::make_unique<Entry>();
     }
+    if (IsLaterLife(target.born_ms, entry->target.born_ms)) {
+      // Measured at an earlier process. Own requests are counted until each of
+      // them ends.
+      entry->slowness = 1;
+      entry->failures = 0;
+      entry->remote = {};
+    }
     const auto engine = m_engines.find(target.service);
     entry->engine = engine == m_engines.end() ? nullptr : &engine->second;
     const ModelProfile* model = entry->engine == nullptr
--- a/source/entry_host.cc
+++ b/source/entry_host.cc
@@ -143,12 +143,14 @@
     return ToSeconds(m_board.LoadsAge(MonotonicNow()));
   });
   m_metrics.AddGauge("filbertrack_store_away", "",
-                     [this] { return m_store_away; });
+                     [this] { return store_away(); });
   m_metrics.AddGauge("filbertrack_requests_open", "",
                      [this] { return static_cast<double>(m_relays.size()); });
   m_metrics.AddGauge("filbertrack_servers", "", [this] {
     return static_cast<double>(m_directory.servers().size());
   });
+  m_metrics.AddGauge("filbertrack_servers_unreadable", "",
+                     [this] { return static_cast<double>(m_unreadable); });
   m_metrics.AddGauge("filbertrack_targets", "", [this] {
     return static_cast<double>(m_board.CountTargets());
   });
@@ -173,7 +175,7 @@
                        ResultCode code) {
   std::optional<Duration> retry_after;
   if (code == ResultCode::kMayBeBehind || code == ResultCode::kDraining) {
-    const bool waits_for_store = m_catalog == nullptr && m_store_away;
+    const bool waits_for_store = m_catalog == nullptr && store_away();
     const Duration least =
         waits_for_store ? kStoreRetryAfter : kStartRetryAfter;
     const Duration most =
@@ -330,6 +332,10 @@
       changed = m_directory.Put(std::move(registration.server), now) || changed;
     }
   }
+  for (const UnreadableServer& foreign : changes.unreadable) {
+    present.insert(foreign.id);
+    changed = TakeUnreadable(foreign, now) || changed;
+  }
   if (changes.whole) {
     for (const LoggedObject& known : m_server_log.All()) {
       if (!present.contains(known.id) && known.version <= changes.revision) {
@@ -342,6 +348,9 @@
       changed = m_directory.Remove(removed.id, now) || changed;
     }
   }
+  if (store_away() && changes.revision > m_server_log.revision()) {
+    m_absence.OnPeersKnewMore(now);
+  }
   m_server_log.Reach(changes.revision);
   m_context.servers_revision = m_server_log.revision();
   m_directory.OnFirstReading(now);
@@ -351,6 +360,18 @@
   ScheduleExpiry();
 }
 
+bool EntryHost::TakeUnreadable(const UnreadableServer& server, TimePoint now) {
+  if (!m_server_log.Put({server.id, server.version, server.text})) {
+    return false;
+  }
+  ++m_unreadable;
+  Log(LogLevel::kWarning, "server-invalid",
+      {{"server", server.id},
+       {"version", server.version},
+       {"why", server.why}});
+  return m_directory.Discard(server.id, now);
+}
+
 const std::string& EntryHost::packed_catalog() {
   if (m_packed_catalog.empty() && !m_catalog_text.empty()) {
     m_packed_catalog = Compress(m_catalog_text);
@@ -364,7 +385,7 @@
   state.ready = IsReady();
   state.config_version = m_catalog == nullptr ? 0 : m_catalog->version();
   state.servers_revision = m_server_log.revision();
-  state.store_fails = m_store_away;
+  state.store_fails = store_away();
   if (m_store_returned && MonotonicNow() - *m_store_returned < kReturnIsNews) {
     state.store_back_for = MonotonicNow() - *m_store_returned;
   }
@@ -405,17 +426,21 @@
 }
 
 void EntryHost::OnStoreLost() {
-  m_store_away = true;
+  m_absence.OnLost(MonotonicNow());
   Log(LogLevel::kWarning, "store-lost", nlohmann::json::object());
 }
 
 void EntryHost::OnStoreReturned() {
-  if (m_store_away) {
-    m_store_away = false;
-    m_store_returned = MonotonicNow();
-    m_directory.OnStoreReturned(*m_store_returned);
-    Log(LogLevel::kInfo, "store-returned", nlohmann::json::object());
+  if (!store_away()) {
+    return;
+  }
+  const TimePoint now = MonotonicNow();
+  const bool was_outage = m_absence.OnReturned(now);
+  if (was_outage) {
+    m_store_returned = now;
+    m_directory.OnStoreReturned(now);
   }
+  Log(LogLevel::kInfo, "store-returned", {{"for_all", was_outage}});
 }
 
 void EntryHost::ScheduleExpiry() {
@@ -446,11 +471,13 @@
   }
   m_board.SetTargets(CurrentTargets(m_directory, *m_catalog), *m_catalog,
                      MonotonicNow());
+  const auto still = HeadsStandingStill(m_directory, *m_catalog);
   std::vector<std::pair<EntryRelay*, std::string>> lost;
   for (const auto& [key, relay] : m_relays) {
     const std::string& target = relay->last_target();
-    if (!target.empty() && !m_board.HasTarget(target) &&
-        StandsStill(m_directory, *m_catalog, target)) {
+    const bool stands_still =
+        !m_board.HasTarget(target) && still.contains(target);
+    if (stands_still || HasRestarted(*relay)) {
       lost.emplace_back(relay.get(), target);
     }
   }
@@ -461,6 +488,12 @@
   }
 }
 
+bool EntryHost::HasRestarted(const EntryRelay& relay) const {
+  const BackendServer* server = m_directory.Find(relay.last_target());
+  return server != nullptr &&
+         IsLaterLife(server->born_ms, relay.target_born_ms());
+}
+
 void EntryHost::Reload(const Settings& settings) {
   if (settings == m_settings) {
     return;
--- a/source/entry_targets.cc
+++ b/source/entry_targets.cc
@@ -20,7 +20,7 @@
       const BackendServer& head = *replica.head();
       targets.push_back({head.id, head.address, name, std::string(model),
                          head.data_centre, service.engine->slots,
-                         service.most_connections});
+                         service.most_connections, head.born_ms});
     }
   }
   for (const auto& [id, server] : directory.servers()) {
@@ -28,34 +28,31 @@
     if (service != nullptr && !service->engine && !server.draining) {
       targets.push_back({id, server.address, server.service, "",
                          server.data_centre, server.slots,
-                         service->most_connections});
+                         service->most_connections, server.born_ms});
     }
   }
   return targets;
 }
 
-bool StandsStill(const ServerDirectory& directory,
-                 const Catalog& catalog,
-                 std::string_view head_id) {
-  const BackendServer* head = directory.Find(head_id);
-  if (head == nullptr || !head->membership ||
-      head->membership->state != MembershipState::kOpen) {
-    return false;
-  }
-  const ServiceProfile* service = catalog.FindService(head->service);
-  const ModelProfile* model =
-      service == nullptr || !service->engine
-          ? nullptr
-          : service->engine->FindModel(ModelOfGroup(head->membership->group));
-  if (model == nullptr) {
-    return false;
-  }
-  for (const ReplicaView& replica : directory.Replicas(head->service)) {
-    if (replica.head() == head) {
-      return !IsIntact(replica, model->members);
+std::set<std::string_view> HeadsStandingStill(const ServerDirectory& directory,
+                                              const Catalog& catalog) {
+  std::set<std::string_view> heads;
+  for (const auto& [name, service] : catalog.services()) {
+    if (!service.engine) {
+      continue;
+    }
+    for (const ReplicaView& replica : directory.Replicas(name)) {
+      const BackendServer* head = replica.head();
+      const ModelProfile* model =
+          service.engine->FindModel(ModelOfGroup(replica.group));
+      const bool open = head != nullptr && model != nullptr &&
+                        head->membership->state == MembershipState::kOpen;
+      if (open && !IsIntact(replica, model->members)) {
+        heads.insert(head->id);
+      }
     }
   }
-  return false;
+  return heads;
 }
 
 }  // namespace filbertrack
--- a/source/replica_pass.h
+++ b/source/replica_pass.h
@@ -43,6 +43,8 @@
   /// The host left a group whose head may still hold requests.
   bool IsQuarantined(const std::string& host) const;
 
+  HostHealth Health(const BackendServer& server) const;
+
  private:
   bool IsSettling() const;
 
@@ -51,8 +53,6 @@
 
   // What is known of a host.
 
-  HostHealth Health(const BackendServer& server) const;
-
   bool IsUsable(const BackendServer* server) const;
 
   /// The effect of the host's latest order does not show yet.
@@ -81,6 +81,10 @@
 
   void ForgetOld();
 
+  /// What was given to the earlier life of a host that started again. The
+  /// epochs that it was ordered to join stay: those orders may still arrive.
+  void ForgetEarlierLives();
+
   Duration LoadPatience() const;
 
   // What is asked of the models.
--- a/source/replica_plan.cc
+++ b/source/replica_plan.cc
@@ -64,8 +64,14 @@
 
 HostHealth ReplicaPass::Health(const BackendServer& server) const {
   const auto found = m_input.findings.find(server.id);
-  return found == m_input.findings.end() ? HostHealth::kAnswers
-                                         : found->second.health;
+  if (found == m_input.findings.end() ||
+      IsLaterLife(server.born_ms, found->second.born_ms)) {
+    return HostHealth::kAnswers;
+  }
+  // The process that registered has ended; the registration is not renewed yet.
+  return IsLaterLife(found->second.born_ms, server.born_ms)
+             ? HostHealth::kGone
+             : found->second.health;
 }
 
 bool ReplicaPass::IsUsable(const BackendServer* server) const {
@@ -155,7 +161,22 @@
       m_now, server == nullptr ? std::nullopt : server->membership};
 }
 
+void ReplicaPass::ForgetEarlierLives() {
+  for (const auto& [id, server] : m_input.directory.servers()) {
+    uint64_t& known = m_memory.lives[id];
+    if (IsLaterLife(server.born_ms, known)) {
+      m_memory.given.erase(id);
+      m_memory.loading.erase(id);
+    }
+    known = server.born_ms;
+  }
+  std::erase_if(m_memory.lives, [this](const auto& row) {
+    return m_input.directory.FindLast(row.first) == nullptr;
+  });
+}
+
 void ReplicaPass::ForgetOld() {
+  ForgetEarlierLives();
   std::erase_if(m_memory.given, [this](const auto& entry) {
     return m_now - entry.second.at > m_policy.order_retry;
   });
@@ -247,9 +268,7 @@
     if (server.service != input.service.name || server.draining) {
       continue;
     }
-    const auto finding = input.findings.find(id);
-    if (finding != input.findings.end() &&
-        finding->second.health != HostHealth::kAnswers) {
+    if (pass.Health(server) != HostHealth::kAnswers) {
       ++counts.silent;
       continue;
     }
--- a/source/replica_tend.cc
+++ b/source/replica_tend.cc
@@ -22,7 +22,8 @@
   const ModelProfile* model = m_engine.FindModel(ModelOfGroup(replica.group));
   const size_t size =
       model == nullptr ? 0 : static_cast<size_t>(model->members);
-  bool whole = replica.members.size() == size && size > 0;
+  bool whole =
+      replica.members.size() == size && size > 0 && !replica.interrupted;
   bool joining = false;
   for (const BackendServer* member : replica.members) {
     whole = whole && IsUsable(member);
@@ -33,7 +34,7 @@
     TendWhole(replica, *model, joining);
     return;
   }
-  if (IsForming(replica)) {
+  if (!replica.interrupted && IsForming(replica)) {
     return;
   }
   Dissolve(replica, "a member is missing, leaving or silent");
@@ -168,11 +169,13 @@
         return;
       }
       // Members that only leave in an orderly way let the requests end.
-      const bool orderly = std::none_of(
-          replica.members.begin(), replica.members.end(),
-          [this](const BackendServer* member) {
-            return member == nullptr || Health(*member) != HostHealth::kAnswers;
-          });
+      const bool orderly =
+          !replica.interrupted &&
+          std::none_of(replica.members.begin(), replica.members.end(),
+                       [this](const BackendServer* member) {
+                         return member == nullptr ||
+                                Health(*member) != HostHealth::kAnswers;
+                       });
       if (orderly && head->membership->state == MembershipState::kClosing) {
         return;
       }
--- a/source/server_directory.cc
+++ b/source/server_directory.cc
@@ -26,6 +26,10 @@
 }
 
 bool ServerDirectory::Put(BackendServer server, TimePoint now) {
+  const BackendServer* last = FindLast(server.id);
+  if (last != nullptr && IsLaterLife(last->born_ms, server.born_ms)) {
+    return false;
+  }
   m_lapsed.erase(server.id);
   const auto [row, arrived] = m_servers.try_emplace(server.id);
   BackendServer& known = row->second;
@@ -37,8 +41,14 @@
     }
   }
   if (known == server) {
-    return false;
+    // One that was taken out and is back as it was is news, too.
+    return arrived;
   }
+  if (IsLaterLife(server.born_ms, known.born_ms)) {
+    EndLife(known);
+    m_last_arrival = now;
+  }
+  NoteInterruption(known, server);
   NoteDeparture(known, server, now);
   NoteOpen(known, server, now);
   known = std::move(server);
@@ -46,6 +56,39 @@
   return true;
 }
 
+void ServerDirectory::EndLife(BackendServer& known) {
+  BackendServer after;
+  after.id = known.id;
+  NoteInterruption(known, after);
+  NoteHeadDeparture(known, after);
+  m_open_since.erase(known.id);
+  // The new process is in no group, so no head can run requests on it.
+  m_departures.erase(known.id);
+  known = std::move(after);
+}
+
+void ServerDirectory::NoteInterruption(const BackendServer& before,
+                                       const BackendServer& after) {
+  if (!before.membership ||
+      before.membership->state == MembershipState::kJoining) {
+    return;
+  }
+  const Membership& place = *before.membership;
+  const bool stays = after.membership &&
+                     after.membership->group == place.group &&
+                     after.membership->epoch == place.epoch &&
+                     after.membership->state != MembershipState::kJoining;
+  if (!stays) {
+    m_interrupted[place.group] = place.epoch;
+  }
+}
+
+bool ServerDirectory::IsInterrupted(std::string_view group,
+                                    uint64_t epoch) const {
+  const auto found = m_interrupted.find(group);
+  return found != m_interrupted.end() && found->second == epoch;
+}
+
 void ServerDirectory::NoteHeadDeparture(const BackendServer& before,
                                         const BackendServer& after) {
   if (!before.membership || before.membership->rank != 0) {
@@ -86,7 +129,8 @@
 }
 
 void ServerDirectory::ForgetEmptyGroups() {
-  if (m_without_head.size() < kMostGroupsWithoutHead) {
+  if (m_without_head.size() < kMostGroupsWithoutHead &&
+      m_interrupted.size() < kMostGroupsWithoutHead) {
     return;
   }
   std::set<std::string_view> present;
@@ -95,9 +139,11 @@
       present.insert(server.membership->group);
     }
   }
-  std::erase_if(m_without_head, [&present](const auto& row) {
+  const auto is_empty = [&present](const auto& row) {
     return !present.contains(row.first);
-  });
+  };
+  std::erase_if(m_without_head, is_empty);
+  std::erase_if(m_interrupted, is_empty);
 }
 
 bool ServerDirectory::HeadLeft(std::string_view group, uint64_t epoch) const {
@@ -215,6 +261,18 @@
   return true;
 }
 
+bool ServerDirectory::Discard(std::string_view id, TimePoint now) {
+  if (!m_servers.contains(id)) {
+    return false;
+  }
+  const auto lapsed = m_lapsed.find(id);
+  if (lapsed != m_lapsed.end()) {
+    m_lapsed.erase(lapsed);
+  }
+  TakeOut(id, now);
+  return true;
+}
+
 bool ServerDirectory::Expire(TimePoint now) {
   bool changed = false;
   for (auto it = m_lapsed.begin(); it != m_lapsed.end();) {
@@ -276,6 +334,7 @@
     replica.epoch = place.epoch;
     replica.service = server.service;
     replica.domain = server.domain;
+    replica.interrupted = IsInterrupted(place.group, place.epoch);
     const auto rank = static_cast<size_t>(std::max(0, place.rank));
     if (replica.members.size() <= rank) {
       replica.members.resize(rank + 1, nullptr);
@@ -291,7 +350,8 @@
 }
 
 bool IsIntact(const ReplicaView& replica, int size) {
-  return replica.members.size() == static_cast<size_t>(size) &&
+  return !replica.interrupted &&
+         replica.members.size() == static_cast<size_t>(size) &&
          std::none_of(
              replica.members.begin(), replica.members.end(),
              [](const BackendServer* member) { return member == nullptr; });
--- a/standins/platform_store_standin.cc
+++ b/standins/platform_store_standin.cc
@@ -10,6 +10,21 @@
 
 constexpr std::string_view kPrefix = "/objects/";
 
+/// What stands for a byte that is no UTF-8, which the JSON library does not
+/// write: the letter U+00FF.
+constexpr std::string_view kStandsForBadByte = "\xC3\xBF";
+
+std::string Dump(const Json& value) {
+  std::string text = value.dump();
+  size_t at = text.find(kStandsForBadByte);
+  while (at != std::string::npos) {
+    text.erase(at, 1);
+    text[at] = '\xFF';
+    at = text.find(kStandsForBadByte, at);
+  }
+  return text;
+}
+
 uint64_t ToNumber(const std::string& text) {
   return text.empty() ? 0 : std::stoull(text);
 }
@@ -77,10 +92,13 @@
     items.push_back(it->second);
   }
   exchange.Reply(200, {},
-                 Json({{"items", items},
+                 Dump({{"items", items},
                        {"hasMore", it != objects.end()},
-                       {"asOf", m_revision}})
-                     .dump());
+                       {"asOf", m_revision}}));
+  ++m_pages;
+  if (m_after_page) {
+    m_after_page(m_pages);
+  }
 }
 
 bool PlatformStoreStandin::AnswerWatch(HttpExchange& exchange,
@@ -96,8 +114,7 @@
   if (events.empty() && !even_empty) {
     return false;
   }
-  exchange.Reply(200, {},
-                 Json({{"events", events}, {"asOf", m_revision}}).dump());
+  exchange.Reply(200, {}, Dump({{"events", events}, {"asOf", m_revision}}));
   return true;
 }
 
--- a/standins/platform_store_standin.h
+++ b/standins/platform_store_standin.h
@@ -5,6 +5,7 @@
 /// watches, and its faults on order.
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -33,7 +34,8 @@
   const Address& address() const { return m_address; }
   StoreStandinFaults& faults() { return m_faults; }
 
-  /// What the operator or a backend server writes; unconditional.
+  /// What the operator or a backend server writes; unconditional. The letter
+  /// U+00FF in it goes out as a byte that is no UTF-8.
   void Put(const std::string& kind,
            const std::string& name,
            const nlohmann::json& spec);
@@ -41,6 +43,11 @@
   /// The spec; null where there is no such object.
   nlohmann::json Get(const std::string& kind, const std::string& name) const;
 
+  /// Runs after each page of a listing was answered; pages count from 1.
+  void AfterPage(std::function<void(int page)> action) {
+    m_after_page = std::move(action);
+  }
+
   /// Forgets the history and ends the watches.
   void Compact();
 
@@ -89,6 +96,8 @@
   std::vector<std::unique_ptr<Waiting>> m_waiting;
   std::vector<Exchange> m_unanswered;
   uint64_t m_calls = 0;
+  int m_pages = 0;
+  std::function<void(int page)> m_after_page;
 };
 
 }  // namespace filbertrack
--- a/tests/fake_fleet.h
+++ b/tests/fake_fleet.h
@@ -6,7 +6,9 @@
 #include <map>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "filbertrack/replica_plan.h"
@@ -29,6 +31,8 @@
     std::vector<std::string> group_members;
     /// Under its present group and epoch it was ready once.
     bool was_ready = false;
+    /// Every group and epoch in which it was ready, in all of its lives.
+    std::set<std::pair<std::string, uint64_t>> ready_in;
     std::optional<TimePoint> ready_at;
     /// The join under way fetches the weights, which takes the place of what
     /// the host has.
@@ -49,6 +53,7 @@
                const std::string& model) {
     Host host;
     host.server.id = "h" + std::to_string(++m_last);
+    host.server.born_ms = 1;
     host.server.service = "llm";
     host.server.domain = domain;
     if (staged) {
@@ -57,6 +62,23 @@
     m_hosts[host.server.id] = host;
   }
 
+  /// The process ends and starts again under its id: it is in no group, knows
+  /// no epoch and has no weights in memory; those on the host's disk stay.
+  static void Restart(Host& host) {
+    ++host.server.born_ms;
+    host.server.membership.reset();
+    host.server.model.clear();
+    host.newest_epoch = 0;
+    host.group_members.clear();
+    host.was_ready = false;
+    host.ready_at.reset();
+    host.loads = false;
+    host.staged_at.reset();
+    host.standing_since.reset();
+    host.last_head.clear();
+    host.last_group.clear();
+  }
+
   bool Chance(double part) {
     return std::uniform_real_distribution<double>(0, 1)(m_random) < part;
   }
@@ -264,11 +286,11 @@
   void CheckOpen(const Host& head) {
     for (const std::string& id : head.group_members) {
       const auto member = m_hosts.find(id);
+      // Also one that was lost or left since must have been ready here once.
       const bool fine =
           member != m_hosts.end() &&
-          (!member->second.alive || member->second.last_group == head.last_group
-               ? member->second.was_ready
-               : true);
+          member->second.ready_in.contains(
+              {head.server.membership->group, head.server.membership->epoch});
       if (!fine) {
         m_violations.push_back("opened before " + id + " was ready");
       }
@@ -313,6 +335,7 @@
         now >= *host.ready_at) {
       place->state = MembershipState::kReady;
       host.was_ready = true;
+      host.ready_in.insert({place->group, place->epoch});
       if (host.loads) {
         host.server.staged = {host.server.model};
       }
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -76,6 +76,148 @@
   CHECK(!platform::DecodeServer("i-1", broken));
 }
 
+Json MakeHostSpec() {
+  return {{"service", "llm"},
+          {"address", "10.0.0.1:80"},
+          {"zone", "z"},
+          {"version", "v1"},
+          {"slots", 17},
+          {"state", "ready"},
+          {"coldRemainingMs", 0},
+          {"seq", 3},
+          {"born", 1796000000000},
+          {"domain", "d1"},
+          {"staged", {"m"}},
+          {"models", {{{"name", "m"}, {"version", 1}}}},
+          {"group",
+           {{"name", "m/1"}, {"epoch", 1}, {"rank", 0}, {"state", "open"}}}};
+}
+
+TEST_CASE("entries of another writer name no server to use") {
+  // A field is missing, of another type or out of range. Taken as it is, such
+  // an entry would be sent requests, or its number cast to a type that cannot
+  // hold it.
+  const Json spec = MakeHostSpec();
+  REQUIRE(platform::DecodeServer("i", spec));
+  CHECK(platform::DecodeServer("i", spec)->born_ms == 1796000000000);
+  const std::vector<std::pair<std::string, Json>> wrong = {
+      {"/state", "banana"},
+      {"/state", nullptr},
+      {"/state", 7},
+      {"/slots", nullptr},
+      {"/slots", -5},
+      {"/slots", 0},
+      {"/slots", 1.5},
+      {"/slots", "17"},
+      {"/slots", 1e300},
+      {"/service", nullptr},
+      {"/service", 5},
+      {"/address", "nowhere"},
+      {"/zone", nullptr},
+      {"/group", "m/1"},
+      {"/group", Json::array()},
+      {"/group/epoch", -1e300},
+      {"/group/epoch", 1e300},
+      {"/group/epoch", 0.5},
+      {"/group/epoch", nullptr},
+      {"/group/rank", -1},
+      {"/group/rank", 1e9},
+      {"/group/state", "sleepy"},
+      {"/group/name", nullptr},
+      {"/born", 1.5},
+      {"/born", "yesterday"},
+      {"/born", -1},
+      {"/seq", "many"},
+      {"/version", 3},
+      {"/coldRemainingMs", "warm"},
+      {"/staged", "m"},
+      {"/models", 3}};
+  for (const auto& [path, value] : wrong) {
+    Json broken = spec;
+    broken[Json::json_pointer(path)] = value;
+    CAPTURE(path);
+    CAPTURE(value.dump());
+    CHECK_FALSE(platform::DecodeServer("i", broken));
+  }
+  for (const Json& other :
+       {Json("text"), Json(), Json::array(), Json::object(), Json(1e300)}) {
+    CHECK_FALSE(platform::DecodeServer("i", other));
+  }
+}
+
+/// Any JSON value, of few levels.
+Json AnyJson(int levels) {
+  const int kind = *rc::gen::inRange(0, levels > 0 ? 8 : 6);
+  switch (kind) {
+    case 0:
+      return nullptr;
+    case 1:
+      return *rc::gen::arbitrary<bool>();
+    case 2:
+      return *rc::gen::arbitrary<int64_t>();
+    case 3:
+      return *rc::gen::element(1e300, -1e300, 0.5, 1e18, -0.0, 9e15);
+    case 4:
+      return *rc::gen::arbitrary<std::string>();
+    case 5:
+      return *rc::gen::element<std::string>("ready", "open", "m", "llm");
+    case 6:
+      return Json::array({AnyJson(levels - 1)});
+    default:
+      return Json{{"name", AnyJson(levels - 1)}};
+  }
+}
+
+TEST_CASE("mutated entries are read whole or refused, as JSON and as CBOR") {
+  REQUIRE(rc::check("mutated entries", [] {
+    Json spec = MakeHostSpec();
+    const int changes = *rc::gen::inRange(1, 4);
+    for (int i = 0; i < changes; ++i) {
+      auto field = spec.begin();
+      std::advance(field, *rc::gen::inRange<size_t>(0, spec.size()));
+      if (*rc::gen::arbitrary<bool>()) {
+        *field = AnyJson(2);
+      } else if (spec.size() > 1) {
+        spec.erase(field);
+      }
+    }
+    const auto copy = Json::from_cbor(Json::to_cbor(spec));
+    const auto read = platform::DecodeServer("i", copy);
+    const auto direct = platform::DecodeServer("i", spec);
+    RC_ASSERT(read.has_value() == direct.has_value());
+    if (read) {
+      RC_ASSERT(*read == *direct);
+      RC_ASSERT(!read->service.empty());
+      RC_ASSERT(read->slots >= 1);
+      RC_ASSERT(!read->membership || read->membership->rank >= 0);
+    }
+    // Neither may end the process.
+    (void)platform::DecodeCatalog(spec);
+    (void)platform::DecodeReport(spec);
+  }));
+}
+
+TEST_CASE("numbers of a configuration are checked before they are used") {
+  const Json config = MakeConfig(1);
+  REQUIRE(platform::DecodeCatalog(config));
+  for (const char* path :
+       {"/version", "/routes/0/timeoutMs", "/routes/0/maxAttempts",
+        "/services/0/engine/slots", "/services/0/engine/step_ms",
+        "/services/0/engine/models/0/size", "/limits/maxBodyBytes",
+        "/limits/idleTimeoutMs"}) {
+    for (const Json& value : {Json(-1e300), Json(1e300), Json("1"), Json(-1)}) {
+      Json broken = config;
+      broken[Json::json_pointer(path)] = value;
+      CAPTURE(path);
+      CAPTURE(value.dump());
+      CHECK_FALSE(platform::DecodeCatalog(broken));
+    }
+  }
+  CHECK_FALSE(platform::DecodeReport({{"running", 1e300}}));
+  CHECK_FALSE(platform::DecodeReport({{"born", 0.5}}));
+  CHECK(platform::DecodeReport({{"born", 5}})->born_ms == 5);
+}
+
 /// Notes what the store client tells.
 struct Listener : SiteListener {
   void OnCatalog(std::shared_ptr<const Catalog> catalog, std::string) override {
@@ -89,6 +231,10 @@
     for (const Registration& registration : changes.changed) {
       servers.insert(registration.server.id);
     }
+    for (const UnreadableServer& foreign : changes.unreadable) {
+      servers.erase(foreign.id);
+      unreadable.insert(foreign.id);
+    }
     for (const RemovedServer& removed : changes.removed) {
       servers.erase(removed.id);
     }
@@ -98,13 +244,17 @@
 
   std::vector<uint64_t> versions;
   std::set<std::string> servers;
+  std::set<std::string> unreadable;
   int listings = 0;
   int lost = 0;
   int returned = 0;
 };
 
 Json MakePlainSpec() {
-  return {{"service", "plain"}, {"address", "127.0.0.1:9"}, {"slots", 4}};
+  return {{"service", "plain"},   {"address", "127.0.0.1:9"},
+          {"zone", "z"},          {"version", "v1"},
+          {"slots", 4},           {"state", "ready"},
+          {"coldRemainingMs", 0}, {"seq", 1}};
 }
 
 TEST_CASE(
@@ -180,6 +330,61 @@
   CHECK(RunUntil(fixture.loop, [&] { return fixture.listener.returned == 1; }));
 }
 
+TEST_CASE("one entry that cannot be read does not hide the others") {
+  // Another writer puts bytes that are no text, then an entry without a state,
+  // in place of a server that was known. The server is out; the others hold.
+  StoreFixture fixture;
+  fixture.store.Put("servers", "s0", "\u00ff garbage");
+  Json foreign = MakePlainSpec();
+  foreign.erase("state");
+  fixture.store.Put("servers", "s1", foreign);
+  CHECK(RunUntil(fixture.loop, [&] {
+    return fixture.listener.unreadable == std::set<std::string>{"s0", "s1"};
+  }));
+  CHECK(fixture.listener.servers.size() == 6);
+  fixture.store.Put("servers", "s1", MakePlainSpec());
+  CHECK(RunUntil(fixture.loop,
+                 [&] { return fixture.listener.servers.contains("s1"); }));
+  CHECK(fixture.listener.lost == 0);
+}
+
+TEST_CASE("what changes while a listing is read is not missed") {
+  // The listing takes three pages. A server of the first page changes while the
+  // second one is read; the watch goes on from the first page's revision.
+  EventLoop loop;
+  Listener listener;
+  PlatformStoreStandin store(loop, 3);
+  store.Put("config", "main", MakeConfig(1));
+  for (int i = 0; i < 8; ++i) {
+    store.Put("servers", "s" + std::to_string(i), MakePlainSpec());
+  }
+  store.AfterPage([&store](int page) {
+    if (page == 1) {
+      store.Remove("servers", "s0");
+    }
+  });
+  platform::PlatformStore client(loop, store.address(), {}, listener, 1);
+  client.SetWatching(true);
+  CHECK(RunUntil(loop, [&] {
+    return listener.servers.size() == 7 && !listener.servers.contains("s0");
+  }));
+}
+
+TEST_CASE("records beyond the first page are read") {
+  // Two hundred entry hosts are listed in pages of three.
+  StoreFixture fixture;
+  for (int i = 0; i < 10; ++i) {
+    fixture.store.Put("filbertrack-records", "host-" + std::to_string(i), "v");
+  }
+  fixture.store.Put("filbertrack-records", "other", "v");
+  size_t read = 0;
+  fixture.client.ReadAll("host-", [&read](StoreStatus, const auto& records) {
+    read = records.size();
+  });
+  CHECK(RunUntil(fixture.loop, [&read] { return read != 0; }));
+  CHECK(read == 10);
+}
+
 TEST_CASE("a store that refuses is not asked again at once") {
   // Twenty calls in a second by every host would use up the rate that all
   // share. Pauses double up to a second.
--- a/tests/replicas_test.cc
+++ b/tests/replicas_test.cc
@@ -375,9 +375,12 @@
   }
 }
 
-/// Random faults for 40 s; the first violation, or nothing.
-std::string RunWithFaults(uint64_t seed) {
+/// Random faults for 40 s, also restarts of hosts under their ids where wanted;
+/// the first violation, or nothing.
+std::string RunWithFaults(uint64_t seed, bool restarts = false) {
   Run run(seed);
+  // Apart, so that the other faults of a seed are the same with and without.
+  std::mt19937_64 restart_random(seed + 1);
   std::mt19937_64 random(seed);
   const auto chance = [&random](double part) {
     return std::uniform_real_distribution<double>(0, 1)(random) < part;
@@ -392,6 +395,9 @@
     if (chance(0.03)) {
       host.cut = !host.cut;
     }
+    if (restarts && restart_random() % 12 == 0) {
+      FakeFleet::Restart(host);
+    }
     if (chance(0.02)) {
       host.server.draining = true;
     }
@@ -415,6 +421,61 @@
   }));
 }
 
+TEST_CASE("hosts that restart under their ids serve in one group only") {
+  // A member or a head ends and starts again between any two orders; its entry
+  // in the store, orders to its earlier process and those of an earlier
+  // controller arrive late. Nothing that was believed of the earlier process
+  // may open a group that is not whole.
+  REQUIRE(rc::check("random faults and restarts", [](uint64_t seed) {
+    const std::string violation = RunWithFaults(seed, true);
+    if (!violation.empty()) {
+      RC_FAIL(violation);
+    }
+  }));
+}
+
+TEST_CASE("a member that restarts under its id is replaced and loads anew") {
+  // Callers wait at a head that stands still. The member's entry is back within
+  // a second and says nothing of the group; the group is taken apart and formed
+  // again, and no host is left over.
+  Run run(1);
+  run.PassFor(Seconds(25));
+  const int before = run.fleet.CountServing();
+  for (auto& [id, host] : run.fleet.hosts()) {
+    if (host.server.membership && host.server.membership->rank == 1) {
+      FakeFleet::Restart(host);
+      break;
+    }
+  }
+  run.Pass(0);
+  CHECK(run.fleet.CountServing() == before - 1);
+  run.PassFor(Seconds(6));
+  CHECK(run.fleet.CountServing() == before);
+  CHECK(run.fleet.violations().empty());
+}
+
+TEST_CASE("a host that answers as a later process is no member any more") {
+  // Its registration still shows the group, because the store is away; its own
+  // answer to a question names a later start.
+  Run run(1);
+  run.PassFor(Seconds(25));
+  std::string head;
+  for (auto& [id, host] : run.fleet.hosts()) {
+    if (host.server.membership && host.server.membership->rank == 1) {
+      head = host.last_head;
+      run.findings[id].born_ms = host.server.born_ms + 1;
+      break;
+    }
+  }
+  const ReplicaInput input{run.directory, run.findings, run.service,
+                           false,         true,         {}};
+  const auto orders = PlanReplicas(input, ReplicaPolicy{}, run.memory, run.now);
+  CHECK(std::any_of(orders.begin(), orders.end(), [&](const auto& planned) {
+    const auto* close = std::get_if<CloseGroup>(&planned.order);
+    return close != nullptr && close->head == head && close->cancel;
+  }));
+}
+
 TEST_CASE("seeds that failed once") {
   // Each is a run of the property above in which a host once joined a group
   // while the head of its last one could run requests:
--- a/tests/site_test.cc
+++ b/tests/site_test.cc
@@ -5,6 +5,7 @@
 #include "filbertrack/change_log.h"
 #include "filbertrack/server_directory.h"
 #include "filbertrack/site_catalog.h"
+#include "filbertrack/store_absence.h"
 
 namespace filbertrack {
 namespace {
@@ -216,5 +217,97 @@
   CHECK(log.Since(5)->size() == 1);
 }
 
+TEST_CASE("an outage is told from a host that was cut off alone") {
+  // After an outage, servers whose registrations lapsed are kept. What peers
+  // tell of while the store is away shows that it served them, but for what it
+  // had told them just before; the first host to return has heard no more.
+  const TimePoint lost{Seconds(100)};
+  const auto returns = [lost](std::optional<Duration> told, Duration after) {
+    StoreAbsence absence;
+    absence.OnLost(lost);
+    CHECK(absence.is_away());
+    if (told) {
+      absence.OnPeersKnewMore(lost + *told);
+    }
+    const bool for_all = absence.OnReturned(lost + after);
+    CHECK_FALSE(absence.is_away());
+    return for_all;
+  };
+  CHECK(returns(std::nullopt, Seconds(5)));
+  CHECK(returns(Milliseconds(150), Seconds(5)));
+  CHECK_FALSE(returns(Seconds(3), Seconds(5)));
+  // An absence in which nothing can lapse.
+  CHECK_FALSE(returns(Milliseconds(150), Milliseconds(300)));
+}
+
+BackendServer MakeMember(const std::string& id, int rank, uint64_t born_ms) {
+  BackendServer server;
+  server.id = id;
+  server.born_ms = born_ms;
+  server.service = "llm";
+  server.membership =
+      Membership{"m/1", 1, rank,
+                 rank == 0 ? MembershipState::kOpen : MembershipState::kReady};
+  return server;
+}
+
+TEST_CASE("a member that starts again under its id is missing in its group") {
+  // Requests of the group stand still. The member's new process says that it is
+  // in no group; a late order to join may even bring it back under the same
+  // name and epoch, and the head goes on standing still.
+  ServerDirectory directory{DirectoryPolicy{}};
+  directory.Put(MakeMember("a", 0, 100), kStart);
+  directory.Put(MakeMember("b", 1, 100), kStart);
+  REQUIRE(IsServing(directory.Replicas("llm").front(), 2));
+  BackendServer again = MakeMember("b", 1, 200);
+  SUBCASE("in no group") {
+    again.membership.reset();
+  }
+  SUBCASE("brought back by a late order") {}
+  CHECK(directory.Put(again, kStart + Seconds(1)));
+  CHECK_FALSE(IsServing(directory.Replicas("llm").front(), 2));
+  CHECK_FALSE(directory.IsHeld("b", kStall, kStart + Seconds(1)));
+  // What the earlier process wrote arrives late and changes nothing.
+  CHECK_FALSE(directory.Put(MakeMember("b", 1, 100), kStart + Seconds(2)));
+  CHECK(directory.Find("b")->born_ms == 200);
+  CHECK_FALSE(IsServing(directory.Replicas("llm").front(), 2));
+}
+
+TEST_CASE("an entry of an ended process does not come back after its removal") {
+  ServerDirectory directory{DirectoryPolicy{}};
+  directory.Put(MakeMember("a", 0, 200), kStart);
+  CHECK(directory.Remove("a", kStart + Seconds(1)));
+  CHECK_FALSE(directory.Put(MakeMember("a", 0, 100), kStart + Seconds(2)));
+  CHECK(directory.Find("a") == nullptr);
+  CHECK(directory.Put(MakeMember("a", 0, 200), kStart + Seconds(3)));
+}
+
+TEST_CASE("a head that starts again holds no requests of its group") {
+  // Its members would be held for the stall if it had only left the store.
+  ServerDirectory directory{DirectoryPolicy{}};
+  directory.Put(MakeMember("a", 0, 100), kStart);
+  directory.Put(MakeMember("b", 1, 100), kStart);
+  BackendServer member = MakeMember("b", 1, 100);
+  member.membership.reset();
+  directory.Put(member, kStart + Seconds(1));
+  CHECK(directory.IsHeld("b", kStall, kStart + Seconds(1)));
+  BackendServer head = MakeMember("a", 0, 200);
+  head.membership.reset();
+  directory.Put(head, kStart + Seconds(2));
+  CHECK(directory.HeadLeft("m/1", 1));
+  CHECK_FALSE(directory.IsHeld("b", kStall, kStart + Seconds(2)));
+}
+
+TEST_CASE("a server whose entry turns unreadable is out at once") {
+  // The store has just returned, so a lapsed registration would be kept.
+  ServerDirectory directory{DirectoryPolicy{}};
+  directory.Put(MakeMember("a", 0, 100), kStart);
+  directory.OnStoreReturned(kStart);
+  CHECK(directory.Discard("a", kStart + Milliseconds(100)));
+  CHECK(directory.Find("a") == nullptr);
+  CHECK_FALSE(directory.Discard("a", kStart + Milliseconds(200)));
+  CHECK(directory.Put(MakeMember("a", 0, 100), kStart + Seconds(1)));
+}
+
 }  // namespace
 }  // namespace filbertrack
