--- a/include/filbertrack/entry_control.h
+++ b/include/filbertrack/entry_control.h
@@ -6,6 +6,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "filbertrack/entry_host.h"
@@ -24,6 +25,10 @@
   Duration pass_interval = Milliseconds(200);
   /// Reports that arrive within this time of each other share a pass.
   Duration gather = Milliseconds(10);
+  /// A host that is much weaker than others gives the lease back once these
+  /// were heard for so long: two times that a host which fell silent counts as
+  /// there.
+  Duration yield_after = Seconds(3);
 };
 
 class EntryControl {
@@ -45,6 +50,8 @@
 
  private:
   void Tick();
+  /// Gives the lease back where much stronger hosts can take it.
+  void YieldToStronger(TimePoint now);
   void Gained();
   void Lost();
   void PassSoon();
@@ -65,6 +72,8 @@
   EntryLease m_lease;
   EntryProber m_prober;
   bool m_stopping = false;
+  /// Since when stronger hosts have been there without a break.
+  std::optional<TimePoint> m_yields_since;
 
   // While this host holds it.
   std::map<std::string, ReplicaMemory, std::less<>> m_memory;
--- a/include/filbertrack/entry_peers.h
+++ b/include/filbertrack/entry_peers.h
@@ -14,6 +14,8 @@
 
 #include "filbertrack/entry_host.h"
 #include "filbertrack/entry_ports.h"
+#include "filbertrack/entry_roster.h"
+#include "filbertrack/news_fetch.h"
 #include "filbertrack/news_fleet.h"
 #include "filbertrack/peer_link.h"
 
@@ -26,30 +28,33 @@
   Duration ask_timeout = Milliseconds(500);
   /// Hosts asked in a round. With more peers than this each round asks others.
   size_t neighbours = 8;
-  /// How often the list of entry hosts is read from the store. Peers make
-  /// themselves known with their questions, so only the first reading matters
-  /// to a host that can be reached.
-  Duration list_interval = Seconds(20);
-  /// Entry hosts that watch the store. Four: with a third of the hosts cut off
-  /// from it, all four are in one run of a hundred, and then the next ones
-  /// watch as soon as they hear so.
+  /// Entry hosts that watch the store, at least. Four: with a third of the
+  /// hosts cut off from it, all four are in one run of a hundred, and then the
+  /// next ones watch as soon as they hear so.
   size_t watchers = 4;
   /// After the start the hosts that are listed in the store count as peers
   /// until they had time to be heard.
   Duration settle = Seconds(2);
-  /// While it settles, the list is read this often: many hosts start together.
-  Duration first_list_interval = Milliseconds(400);
-  /// Each other data centre is asked about once in this time.
-  Duration far_interval = Milliseconds(600);
+  /// In large fleets so many hosts of a data centre ask the other ones; a
+  /// second one, so that the loss of one is no gap.
+  size_t relays = 2;
+  /// Each other data centre is asked by each of them about once in this time.
+  Duration far_interval = Milliseconds(300);
+  /// How often the other hosts ask one of them what it heard: with the interval
+  /// above, half of the time for which loads are counted.
+  Duration relay_interval = Milliseconds(600);
+  /// Time between two fetches of registrations: what changes meanwhile comes in
+  /// one message. A third of a round.
+  Duration fetch_spacing = Milliseconds(50);
   /// A peer that does not answer is asked this much less often.
   Duration silent_interval = Seconds(1);
 };
 
 class EntryPeers {
  public:
+  /// `own` is this host as the others are told of it.
   EntryPeers(EventLoop& loop,
-             const std::string& node,
-             const std::string& data_centre,
+             FleetHost own,
              const Address& listen,
              EntryPeersPolicy policy,
              EntryHost& host,
@@ -69,68 +74,80 @@
   void SetNeedsWatch(bool needs);
   bool watches() const { return m_watching; }
 
+  /// Whether stronger hosts that reach the store are there to give the orders.
+  /// After a start of the fleet the first host that is up takes the lease, and
+  /// one with a tenth of a processor cannot ask hundreds of hosts how they are.
+  bool ShouldYield(TimePoint now) const;
+
+  /// Bytes of messages with other entry hosts, by what they carry.
+  struct Traffic {
+    uint64_t states = 0;
+    uint64_t configs = 0;
+    uint64_t servers = 0;
+  };
+  const Traffic& sent() const { return m_sent; }
+
  private:
   struct Peer {
     Address address;
-    /// Empty: not known yet.
-    std::string data_centre;
+    /// Its data centre is empty where it is not known yet.
+    FleetHost host;
     std::unique_ptr<PeerClient> client;
     TimePoint asked_at;
     bool silent = false;
   };
 
-  void LoadSecret();
-  void OnSecret(const StoreAnswer& answer);
+  EntryRoster::Events RosterEvents();
+  void OnSecret(const std::string& secret);
   void Listen(const std::string& secret);
-  void Register(uint64_t expected_version);
-  void List();
-  void OnListed(const std::vector<StoredObject>& records);
   void Round();
-  void Ask(const std::string& name, Peer& peer, TimePoint now);
+  void Ask(const std::string& name, Peer& peer, bool wants_far, TimePoint now);
   void OnAnswer(const std::string& name, const std::string* payload);
   void OnQuestion(std::string_view payload, const PeerServer::Answer& answer);
-  void TakeOver(const NewsAnswer& answer);
+  void TakeOver(const NewsAnswer& answer, TimePoint now);
   void TakeOverConfig(const NewsAnswer& answer);
   /// What this host tells a peer of that data centre.
   NewsState OwnNews(std::string_view data_centre) const;
+  std::string Answer(const NewsAsk& ask);
   bool IsNear(std::string_view data_centre) const;
   /// Asks the next peers of the own data centre in turn, so that all are asked.
   void AskNear(TimePoint now);
   /// Asks one host of each of the next other data centres in turn.
   void AskFar(TimePoint now);
   void AskOneOf(std::string_view data_centre, TimePoint now);
+  /// Asks one that exchanges loads with other data centres for this host.
+  void AskRelay(const std::vector<std::string>& relays, TimePoint now);
+  /// The hosts of this data centre, with this one.
+  std::vector<FleetHost> NearHosts(TimePoint now) const;
   std::set<std::string, std::less<>> FarDataCentres() const;
   /// False where the peer is busy, or silent and was asked lately.
   bool TryAsk(const std::string& name, Peer& peer, TimePoint now);
-  /// Asks `name` for its configuration if it is newer and no other is asked.
-  void WantConfig(const std::string& name, const NewsState& state);
-  void AddPeer(const std::string& name,
-               const std::string& address,
-               const std::string& data_centre);
+  /// Asks `name` for what it knows more, unless another one is asked for it.
+  void WantNewer(const std::string& name, const NewsState& state);
+  void AddPeer(const FleetHost& host, const std::string& address);
   void NoteNews(const NewsState& state, TimePoint now);
   void SumLoads(TimePoint now);
   void ChooseWatch(TimePoint now);
 
   EventLoop& m_loop;
-  std::string m_node;
-  std::string m_data_centre;
+  FleetHost m_own;
   Address m_listen;
   EntryPeersPolicy m_policy;
   EntryHost& m_host;
   const SiteDecoder& m_decoder;
-  RecordStore& m_records;
   SiteFeed& m_feed;
+  EntryRoster m_roster;
   TimePoint m_started;
   bool m_watching = false;
   bool m_listed = false;
   bool m_needs_watch = false;
-  /// The peer that is asked for its configuration; empty: none.
-  std::string m_config_from;
-  TimePoint m_config_asked_at;
+  /// Whom the configuration, and whom registrations are asked of.
+  NewsFetch m_config_fetch;
+  NewsFetch m_servers_fetch;
   uint64_t m_told_config = 0;
   uint64_t m_told_servers = 0;
+  Traffic m_sent;
   std::string m_secret;
-  std::string m_proposed_secret;
   std::unique_ptr<PeerServer> m_server;
   std::map<std::string, Peer, std::less<>> m_peers;
   FleetNews m_news;
@@ -138,10 +155,8 @@
   std::string m_last_near;
   /// Data centre that was asked last.
   std::string m_last_far;
+  TimePoint m_relay_asked_at;
   std::mt19937_64 m_random;
-  Duration m_start_pause{0};
-  std::unique_ptr<Timer> m_retry_timer;
-  std::unique_ptr<Timer> m_list_timer;
   std::unique_ptr<Timer> m_round_timer;
 };
 
--- a/include/filbertrack/entry_prober.h
+++ b/include/filbertrack/entry_prober.h
@@ -9,6 +9,7 @@
 /// the other the same two questions took 0.7 s and the waits between ticks.
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -19,6 +20,13 @@
 
 namespace filbertrack {
 
+/// A prober whose own link or processor is late hears no answers either. It
+/// would declare hosts silent that live, and the planner would take their
+/// groups apart: 462 of 760 within a second, and no group served any more. So a
+/// host counts as silent only while others that were asked at the same time
+/// answer; where most do not, nothing is said of those that fell silent, and
+/// what the store tells of lapsed registrations stands.
+
 struct ProbePolicy {
   /// How often members of groups are asked.
   Duration interval = Milliseconds(500);
@@ -30,6 +38,14 @@
   bool asks_twice = true;
   /// The second question follows after this: answers come within some 10 ms.
   Duration second_after = Milliseconds(150);
+  /// Rounds that began up to this long before a silent host's are compared with
+  /// it: what delayed that one delayed them too.
+  Duration same_time = Milliseconds(50);
+  /// At least this part of them must have been answered, once they had time to
+  /// be. Half: a third of the fleet may be lost at once.
+  double least_answered = 0.5;
+  /// With fewer rounds to compare, too little is known to doubt oneself.
+  size_t least_rounds = 8;
 };
 
 class EntryProber {
@@ -60,15 +76,34 @@
 
  private:
   struct Probe {
-    /// Counts the rounds of questions to this host.
+    /// The latest round of questions to this host; 0: none yet.
     uint64_t round = 0;
     int open = 0;
     bool answered = false;
     /// At least one round ended.
     bool ended = false;
+    TimePoint asked_at{};
+    /// Of the registration that the rounds are about.
+    uint64_t born_ms = 0;
+  };
+
+  /// One round of questions to one host.
+  struct Round {
     TimePoint asked_at;
+    bool answered = false;
+    /// The host counted as silent already, so its silence says nothing.
+    bool expected = false;
   };
 
+  /// Whether most hosts that were asked at that time, or since, did not answer
+  /// either, though they had time to.
+  bool IsLate(TimePoint asked_at) const;
+  bool IsSilent(std::string_view id) const;
+  void MarkAnswered(uint64_t round);
+  void ForgetOldRounds(TimePoint now);
+  void NoteLate(bool late);
+  /// What was found of an earlier process does not hold for the next one.
+  void ForgetEarlierLife(const BackendServer& server);
   void Ask(const BackendServer& server);
   /// The second question of the round, unless the first was answered.
   void AskAgain(const BackendServer& server, uint64_t round);
@@ -76,7 +111,7 @@
   void OnAnswer(const std::string& id,
                 uint64_t round,
                 const ProbeAnswer& answer);
-  void Note(const std::string& id, HostHealth health, bool busy);
+  void Note(const std::string& id, const HostFinding& now_found);
 
   EngineLink& m_engines;
   ProbePolicy m_policy;
@@ -84,6 +119,10 @@
   Schedule m_schedule;
   HostFindings m_findings;
   std::map<std::string, Probe, std::less<>> m_probes;
+  /// Rounds of all hosts, the oldest first; `m_forgotten_rounds` came before.
+  std::deque<Round> m_rounds;
+  uint64_t m_forgotten_rounds = 0;
+  bool m_was_late = false;
   /// Replaced by Clear(); what was asked before it does not count.
   std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
--- /dev/null
+++ b/include/filbertrack/entry_roster.h
@@ -0,0 +1,67 @@
+#pragma once
+
+/// How an entry host finds the others: each writes a record of itself to the
+/// store and reads those of the rest. The common secret, by which peers know
+/// each other, lies there too.
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "filbertrack/base_address.h"
+#include "filbertrack/entry_ports.h"
+#include "filbertrack/news_message.h"
+
+namespace filbertrack {
+
+struct EntryRosterPolicy {
+  /// How often the records are read. Peers make themselves known with their
+  /// questions, so only the first readings matter to a host that can be
+  /// reached.
+  Duration list_interval = Seconds(20);
+  /// Many hosts start together: for this long the records are read more often.
+  Duration settle = Seconds(2);
+  Duration first_list_interval = Milliseconds(400);
+};
+
+class EntryRoster {
+ public:
+  struct Events {
+    std::function<void(const std::string& secret)> on_secret;
+    std::function<void(const FleetHost& host, const std::string& address)>
+        on_host;
+    /// The records were read whole.
+    std::function<void()> on_listed;
+  };
+
+  /// `own` and `address` are what other hosts are told of this one.
+  EntryRoster(EventLoop& loop,
+              FleetHost own,
+              const Address& address,
+              const EntryRosterPolicy& policy,
+              RecordStore& records,
+              Events events);
+
+  void Start(TimePoint now);
+
+ private:
+  void LoadSecret();
+  void OnSecret(const StoreAnswer& answer);
+  void Register(uint64_t expected_version);
+  void List();
+  void OnListed(const std::vector<StoredObject>& records);
+
+  EventLoop& m_loop;
+  FleetHost m_own;
+  Address m_address;
+  EntryRosterPolicy m_policy;
+  RecordStore& m_records;
+  Events m_events;
+  TimePoint m_started;
+  std::string m_proposed_secret;
+  Duration m_start_pause{0};
+  std::unique_ptr<Timer> m_retry_timer;
+  std::unique_ptr<Timer> m_list_timer;
+};
+
+}  // namespace filbertrack
--- a/include/filbertrack/news_fleet.h
+++ b/include/filbertrack/news_fleet.h
@@ -40,6 +40,9 @@
   /// Turns this host's own state into one for a host of another data centre.
   void CoverDataCentre(NewsState& own, TimePoint now) const;
 
+  /// Adds what was heard of other data centres, for a host of the own one.
+  void PassOnFar(NewsState& own, TimePoint now) const;
+
   struct Loads {
     /// By target.
     std::map<std::string, TargetLoad, std::less<>> loads;
@@ -53,6 +56,8 @@
   std::vector<std::string> Hosts(TimePoint now) const;
   /// Those of them that reach the store, as far as they know.
   std::vector<std::string> HostsWithStore(TimePoint now) const;
+  /// The same hosts, with what they can carry.
+  std::vector<FleetHost> Fleet(TimePoint now) const;
 
   void ForgetOld(TimePoint now);
 
@@ -62,10 +67,19 @@
     TimePoint at;
   };
   struct HostSeen {
-    bool store_fails = false;
+    FleetHost host;
+    TimePoint at;
+  };
+  struct HeardSum {
+    NewsSum sum;
     TimePoint at;
   };
 
+  void NoteHost(const NewsHost& host,
+                std::string_view data_centre,
+                TimePoint at);
+  void NoteSum(const NewsSum& sum, TimePoint at);
+
   bool IsFresh(TimePoint heard, TimePoint now) const {
     return now - heard <= m_policy.load_life;
   }
@@ -78,7 +92,7 @@
   /// Latest message of each host about itself.
   std::map<std::string, Heard, std::less<>> m_own;
   /// Latest sum of each other data centre.
-  std::map<std::string, Heard, std::less<>> m_sums;
+  std::map<std::string, HeardSum, std::less<>> m_sums;
   std::map<std::string, HostSeen, std::less<>> m_hosts;
 };
 
--- a/include/filbertrack/news_message.h
+++ b/include/filbertrack/news_message.h
@@ -16,7 +16,7 @@
 
 namespace filbertrack {
 
-inline constexpr uint64_t kNewsProtocol = 2;
+inline constexpr uint64_t kNewsProtocol = 3;
 
 /// Work of the sender at one target.
 struct NewsLoad {
@@ -25,11 +25,30 @@
   double prompt_tokens = 0;
 };
 
+/// An entry host, as far as the choice of who does what for the others goes.
+struct FleetHost {
+  std::string name;
+  std::string data_centre;
+  /// What its link and its processor can carry (CapacityOf()).
+  int capacity = 0;
+  bool store_fails = false;
+};
+
 /// A host that the sender heard of.
 struct NewsHost {
   std::string name;
   bool store_fails = false;
   Duration age{0};
+  int capacity = 0;
+};
+
+/// The work of all hosts of a data centre.
+struct NewsSum {
+  std::string data_centre;
+  Duration age{0};
+  std::vector<NewsLoad> loads;
+  /// The hosts that `loads` covers.
+  std::vector<NewsHost> hosts;
 };
 
 /// How far the sender knows the store.
@@ -39,6 +58,7 @@
   /// Where the sender answers questions of peers.
   std::string address;
   bool ready = false;
+  int capacity = 0;
   /// The sender tried to watch the store lately and could not.
   bool store_fails = false;
   /// How long ago the store came back after an outage; nullopt: not lately.
@@ -50,6 +70,8 @@
   bool covers_data_centre = false;
   /// The hosts beside the sender that `loads` covers.
   std::vector<NewsHost> hosts;
+  /// What the sender heard of other data centres, for hosts of its own.
+  std::vector<NewsSum> far;
 };
 
 struct NewsAsk {
@@ -57,6 +79,11 @@
   /// A newer configuration may be sent. A host asks one peer at a time for it:
   /// large ones from several at once would fill the link of a small host.
   bool wants_config = false;
+  /// The same for registrations: eight peers that each sent 760 changed ones
+  /// took the link of a host of 20 Mbit/s for a second.
+  bool wants_servers = false;
+  /// Sums of other data centres are wanted.
+  bool wants_far = false;
 };
 
 struct NewsAnswer {
@@ -76,12 +103,27 @@
 Result<NewsAsk> DecodeNewsAsk(std::string_view bytes);
 Result<NewsAnswer> DecodeNewsAnswer(std::string_view bytes);
 
-/// The entry hosts that watch the store for all the others: the first `count`
-/// by rendezvous hashing, so that each host knows without asking. A change
+/// What a host can carry, to compare hosts of one fleet: its link in Mbit/s
+/// times its share of a processor. At least 1.
+int CapacityOf(double link_mbps, double processor_share);
+
+/// Whether `left` is of a higher class than `right`: classes are a factor of
+/// two in capacity apart, so that hosts of about the same kind share the work.
+bool IsStronger(int left, int right);
+
+/// The entry hosts that watch the store for all the others, so that each host
+/// knows without asking: the strongest, by rendezvous hashing among hosts of
+/// one class. One in each data centre, so that changes pass between data
+/// centres once and not once for each host, and at least `count`. A change
 /// costs as many calls as there are watchers, however many hosts there are.
-std::vector<std::string> ChooseWatchers(std::vector<std::string> hosts,
+std::vector<std::string> ChooseWatchers(std::vector<FleetHost> hosts,
                                         size_t count);
 
+/// The `count` hosts, of the given ones of one data centre, that exchange loads
+/// with other data centres for the rest.
+std::vector<std::string> ChooseRelays(std::vector<FleetHost> hosts,
+                                      size_t count);
+
 /// What to answer, given what both sides have. `own_config` is compressed.
 NewsAnswer AnswerNews(const NewsState& own,
                       const std::string& own_config,
--- a/source/entry_control.cc
+++ b/source/entry_control.cc
@@ -107,6 +107,7 @@
   // Only hosts that watch the store anyway stand for the lease: with one
   // reading a host, the calls would grow with the fleet.
   m_lease.Tick(m_peers.watches());
+  YieldToStronger(MonotonicNow());
   const bool holds = holds_lease();
   if (holds) {
     if (m_host.catalog() != nullptr) {
@@ -118,6 +119,21 @@
                               [this] { Tick(); });
 }
 
+void EntryControl::YieldToStronger(TimePoint now) {
+  if (!holds_lease() || !m_peers.ShouldYield(now)) {
+    m_yields_since.reset();
+    return;
+  }
+  if (!m_yields_since) {
+    m_yields_since = now;
+  }
+  if (now - *m_yields_since >= m_policy.yield_after) {
+    Log(LogLevel::kInfo, "lease-yielded", {{"fence", m_lease.fence()}});
+    m_lease.GiveBack();
+    m_lease.Tick(false);
+  }
+}
+
 void EntryControl::Gained() {
   m_peers.SetNeedsWatch(true);
   m_memory.clear();
--- a/source/entry_peers.cc
+++ b/source/entry_peers.cc
@@ -13,23 +13,13 @@
 
 namespace {
 
-constexpr std::string_view kSecretRecord = "peer-secret";
-constexpr std::string_view kHostPrefix = "entry-host-";
-/// Between the address and the data centre in the record of an entry host.
-constexpr char kFieldSeparator = ' ';
 /// The store holds values up to 1 MiB; the text here may be spaced otherwise.
 constexpr size_t kMostConfigBytes = 4 * 1024 * 1024;
-/// Between tries to read or write the records that a start needs: the first
-/// pause, doubled up to the longest. Without peers a host that starts while the
-/// store is away knows nothing until it is back.
-constexpr Duration kFirstStartRetry = Milliseconds(60);
-constexpr Duration kStartRetry = Milliseconds(500);
 
 }  // namespace
 
 EntryPeers::EntryPeers(EventLoop& loop,
-                       const std::string& node,
-                       const std::string& data_centre,
+                       FleetHost own,
                        const Address& listen,
                        EntryPeersPolicy policy,
                        EntryHost& host,
@@ -37,50 +27,37 @@
                        RecordStore& records,
                        SiteFeed& feed)
     : m_loop(loop),
-      m_node(node),
-      m_data_centre(data_centre),
+      m_own(std::move(own)),
       m_listen(listen),
       m_policy(policy),
       m_host(host),
       m_decoder(decoder),
-      m_records(records),
       m_feed(feed),
+      m_roster(loop, m_own, listen, {}, records, RosterEvents()),
       m_started(MonotonicNow()),
-      m_proposed_secret(RandomId() + RandomId()),
-      m_news(node, data_centre, {}),
-      m_random(RendezvousWeight("peers", node)) {}
+      m_config_fetch(policy.ask_timeout, Duration(0)),
+      m_servers_fetch(policy.ask_timeout, policy.fetch_spacing),
+      m_news(m_own.name, m_own.data_centre, {}),
+      m_random(RendezvousWeight("peers", m_own.name)) {}
 
 EntryPeers::~EntryPeers() = default;
 
-void EntryPeers::Start() {
-  m_feed.ReadOnce();
-  LoadSecret();
+EntryRoster::Events EntryPeers::RosterEvents() {
+  return {[this](const std::string& secret) { OnSecret(secret); },
+          [this](const FleetHost& host, const std::string& address) {
+            AddPeer(host, address);
+          },
+          [this] { m_listed = true; }};
 }
 
-void EntryPeers::LoadSecret() {
-  m_records.Read(std::string(kSecretRecord), [this](const StoreAnswer& answer) {
-    if (answer.status == StoreStatus::kNotFound) {
-      // The first writer wins; the others are told what it wrote.
-      m_records.Write(
-          std::string(kSecretRecord), m_proposed_secret, 0,
-          [this](const StoreAnswer& written) { OnSecret(written); });
-      return;
-    }
-    OnSecret(answer);
-  });
+void EntryPeers::Start() {
+  m_feed.ReadOnce();
+  m_roster.Start(m_started);
 }
 
-void EntryPeers::OnSecret(const StoreAnswer& answer) {
-  if (answer.object.value.empty()) {
-    m_start_pause =
-        std::clamp(m_start_pause * 2, kFirstStartRetry, kStartRetry);
-    m_retry_timer = m_loop.After(m_start_pause, [this] { LoadSecret(); });
-    return;
-  }
-  m_secret = answer.object.value;
-  Listen(m_secret);
-  Register(0);
-  List();
+void EntryPeers::OnSecret(const std::string& secret) {
+  m_secret = secret;
+  Listen(secret);
   m_round_timer = m_loop.Every(m_policy.interval, [this] { Round(); });
 }
 
@@ -98,58 +75,13 @@
   }
 }
 
-void EntryPeers::Register(uint64_t expected_version) {
-  m_records.Write(
-      std::string(kHostPrefix) + m_node,
-      m_listen.ToString() + kFieldSeparator + m_data_centre, expected_version,
-      [this](const StoreAnswer& answer) {
-        if (answer.status == StoreStatus::kOk) {
-          return;
-        }
-        // An earlier process of this name left a record; this one's address
-        // replaces it.
-        const uint64_t version =
-            answer.status == StoreStatus::kConflict ? answer.object.version : 0;
-        m_retry_timer =
-            m_loop.After(kStartRetry, [this, version] { Register(version); });
-      });
-}
-
-void EntryPeers::List() {
-  m_records.ReadAll(
-      std::string(kHostPrefix),
-      [this](StoreStatus status, const std::vector<StoredObject>& records) {
-        if (status == StoreStatus::kOk) {
-          OnListed(records);
-        }
-        const bool settled = MonotonicNow() - m_started >= m_policy.settle;
-        m_list_timer = m_loop.After(
-            settled ? m_policy.list_interval : m_policy.first_list_interval,
-            [this] { List(); });
-      });
-}
-
-void EntryPeers::OnListed(const std::vector<StoredObject>& records) {
-  m_listed = true;
-  for (const StoredObject& record : records) {
-    const size_t address_end = record.value.find(kFieldSeparator);
-    const std::string data_centre = address_end == std::string::npos
-                                        ? ""
-                                        : record.value.substr(address_end + 1);
-    AddPeer(record.key.substr(kHostPrefix.size()),
-            record.value.substr(0, address_end), data_centre);
-  }
-}
-
-void EntryPeers::AddPeer(const std::string& name,
-                         const std::string& address,
-                         const std::string& data_centre) {
+void EntryPeers::AddPeer(const FleetHost& host, const std::string& address) {
   const Result<Address> parsed = ParseAddress(address);
-  if (name == m_node || !parsed) {
+  if (host.name == m_own.name || !parsed) {
     return;
   }
-  Peer& peer = m_peers[name];
-  peer.data_centre = data_centre;
+  Peer& peer = m_peers[host.name];
+  peer.host = host;
   if (peer.client == nullptr || !(peer.address == *parsed)) {
     peer.address = *parsed;
     peer.client = std::make_unique<PeerClient>(m_loop, m_secret, *parsed);
@@ -159,7 +91,8 @@
 NewsState EntryPeers::OwnNews(std::string_view data_centre) const {
   NewsState state = m_host.OwnNews();
   state.address = m_listen.ToString();
-  state.data_centre = m_data_centre;
+  state.data_centre = m_own.data_centre;
+  state.capacity = m_own.capacity;
   if (!IsNear(data_centre)) {
     m_news.CoverDataCentre(state, MonotonicNow());
   }
@@ -168,7 +101,7 @@
 
 bool EntryPeers::IsNear(std::string_view data_centre) const {
   // A small fleet needs no sums: each host hears all others in every round.
-  return data_centre.empty() || data_centre == m_data_centre ||
+  return data_centre.empty() || data_centre == m_own.data_centre ||
          m_peers.size() <= m_policy.neighbours;
 }
 
@@ -179,9 +112,12 @@
   if (config == m_told_config && servers == m_told_servers) {
     return;
   }
+  // Registrations change often, so only those who hear of it from the store
+  // tell the others at once.
+  const bool tells = m_watching || config != m_told_config;
   m_told_config = config;
   m_told_servers = servers;
-  if (m_watching && m_round_timer != nullptr) {
+  if (tells && m_round_timer != nullptr) {
     Round();
   }
 }
@@ -191,7 +127,34 @@
   SumLoads(now);
   ChooseWatch(now);
   AskNear(now);
-  AskFar(now);
+  const auto relays = ChooseRelays(NearHosts(now), m_policy.relays);
+  if (std::find(relays.begin(), relays.end(), m_own.name) != relays.end()) {
+    AskFar(now);
+  } else {
+    AskRelay(relays, now);
+  }
+}
+
+std::vector<FleetHost> EntryPeers::NearHosts(TimePoint now) const {
+  std::vector<FleetHost> hosts = {m_own};
+  for (FleetHost& host : m_news.Fleet(now)) {
+    if (host.data_centre == m_own.data_centre) {
+      hosts.push_back(std::move(host));
+    }
+  }
+  return hosts;
+}
+
+void EntryPeers::AskRelay(const std::vector<std::string>& relays,
+                          TimePoint now) {
+  if (now - m_relay_asked_at < m_policy.relay_interval) {
+    return;
+  }
+  const auto peer = m_peers.find(relays[m_random() % relays.size()]);
+  if (peer != m_peers.end() && !peer->second.client->busy()) {
+    m_relay_asked_at = now;
+    Ask(peer->first, peer->second, true, now);
+  }
 }
 
 void EntryPeers::AskNear(TimePoint now) {
@@ -201,7 +164,7 @@
     if (next == m_peers.end()) {
       next = m_peers.begin();
     }
-    if (IsNear(next->second.data_centre) &&
+    if (IsNear(next->second.host.data_centre) &&
         TryAsk(next->first, next->second, now)) {
       m_last_near = next->first;
       ++asked;
@@ -213,8 +176,8 @@
 std::set<std::string, std::less<>> EntryPeers::FarDataCentres() const {
   std::set<std::string, std::less<>> far;
   for (const auto& [name, peer] : m_peers) {
-    if (!IsNear(peer.data_centre)) {
-      far.insert(peer.data_centre);
+    if (!IsNear(peer.host.data_centre)) {
+      far.insert(peer.host.data_centre);
     }
   }
   return far;
@@ -240,7 +203,7 @@
 void EntryPeers::AskOneOf(std::string_view data_centre, TimePoint now) {
   std::vector<std::string_view> names;
   for (const auto& [name, peer] : m_peers) {
-    if (peer.data_centre == data_centre && !peer.client->busy()) {
+    if (peer.host.data_centre == data_centre && !peer.client->busy()) {
       names.push_back(name);
     }
   }
@@ -262,15 +225,21 @@
   if (peer.client->busy() || now - peer.asked_at < pause) {
     return false;
   }
-  Ask(name, peer, now);
+  Ask(name, peer, false, now);
   return true;
 }
 
-void EntryPeers::Ask(const std::string& name, Peer& peer, TimePoint now) {
+void EntryPeers::Ask(const std::string& name,
+                     Peer& peer,
+                     bool wants_far,
+                     TimePoint now) {
   peer.asked_at = now;
-  const NewsAsk ask{OwnNews(peer.data_centre), name == m_config_from};
+  const NewsAsk ask{OwnNews(peer.host.data_centre), m_config_fetch.IsFrom(name),
+                    m_servers_fetch.IsFrom(name), wants_far};
+  std::string message = EncodeNewsAsk(ask);
+  m_sent.states += message.size();
   peer.client->Ask(
-      EncodeNewsAsk(ask), m_policy.ask_timeout,
+      std::move(message), m_policy.ask_timeout,
       [this, name](const std::string* payload) { OnAnswer(name, payload); });
 }
 
@@ -284,10 +253,10 @@
     Log(LogLevel::kInfo, payload == nullptr ? "peer-lost" : "peer-back",
         {{"peer", name}});
   }
+  const TimePoint now = MonotonicNow();
   if (payload == nullptr) {
-    if (name == m_config_from) {
-      m_config_from.clear();
-    }
+    m_config_fetch.End(name, now);
+    m_servers_fetch.End(name, now);
     return;
   }
   const Result<NewsAnswer> answer = DecodeNewsAnswer(*payload);
@@ -296,30 +265,32 @@
         {{"peer", name}, {"why", answer.error().message}});
     return;
   }
-  NoteNews(answer->state, MonotonicNow());
-  TakeOver(*answer);
-  WantConfig(name, answer->state);
+  NoteNews(answer->state, now);
+  TakeOver(*answer, now);
+  WantNewer(name, answer->state);
 }
 
-void EntryPeers::WantConfig(const std::string& name, const NewsState& state) {
+void EntryPeers::WantNewer(const std::string& name, const NewsState& state) {
   const TimePoint now = MonotonicNow();
   const uint64_t own =
       m_host.catalog() == nullptr ? 0 : m_host.catalog()->version();
-  if (state.config_version <= own) {
-    if (name == m_config_from) {
-      m_config_from.clear();
-    }
-    return;
-  }
-  const bool asking =
-      !m_config_from.empty() && now - m_config_asked_at < m_policy.ask_timeout;
+  const bool config =
+      state.config_version > own && m_config_fetch.MayBegin(now);
+  const bool servers =
+      state.servers_revision > m_host.server_log().revision() &&
+      m_servers_fetch.MayBegin(now);
   const auto peer = m_peers.find(name);
-  if (asking || peer == m_peers.end() || peer->second.client->busy()) {
+  if ((!config && !servers) || peer == m_peers.end() ||
+      peer->second.client->busy()) {
     return;
   }
-  m_config_from = name;
-  m_config_asked_at = now;
-  Ask(name, peer->second, now);
+  if (config) {
+    m_config_fetch.Begin(name, now);
+  }
+  if (servers) {
+    m_servers_fetch.Begin(name, now);
+  }
+  Ask(name, peer->second, false, now);
 }
 
 void EntryPeers::OnQuestion(std::string_view payload,
@@ -329,25 +300,32 @@
     Log(LogLevel::kWarning, "peer-refused", {{"why", ask.error().message}});
     return;
   }
-  const TimePoint now = MonotonicNow();
-  NoteNews(ask->state, now);
-  AddPeer(ask->state.node, ask->state.address, ask->state.data_centre);
-  const NewsState own = OwnNews(ask->state.data_centre);
-  answer(EncodeNewsAnswer(AnswerNews(
-      own, ask->wants_config ? m_host.packed_catalog() : std::string(),
-      m_host.server_log(), *ask)));
-  // The asker knows more: ask back at once, so that a change passes on at the
-  // speed of the network and not of the rounds.
-  const auto peer = m_peers.find(ask->state.node);
-  if (peer != m_peers.end() && !peer->second.client->busy() &&
-      ask->state.servers_revision > own.servers_revision) {
-    Ask(peer->first, peer->second, now);
-  }
-  WantConfig(ask->state.node, ask->state);
+  const NewsState& asker = ask->state;
+  NoteNews(asker, MonotonicNow());
+  AddPeer({asker.node, asker.data_centre, asker.capacity, asker.store_fails},
+          asker.address);
+  answer(Answer(*ask));
+  // The asker may know more: it is asked back at once, so that a change passes
+  // on at the speed of the network and not of the rounds.
+  WantNewer(asker.node, asker);
+}
+
+std::string EntryPeers::Answer(const NewsAsk& ask) {
+  NewsState own = OwnNews(ask.state.data_centre);
+  if (ask.wants_far) {
+    m_news.PassOnFar(own, MonotonicNow());
+  }
+  const NewsAnswer answer = AnswerNews(
+      own, ask.wants_config ? m_host.packed_catalog() : std::string(),
+      m_host.server_log(), ask);
+  std::string message = EncodeNewsAnswer(answer);
+  m_sent.configs += answer.config.size();
+  (answer.servers.empty() ? m_sent.states : m_sent.servers) +=
+      message.size() - answer.config.size();
+  return message;
 }
 
 void EntryPeers::TakeOverConfig(const NewsAnswer& answer) {
-  m_config_from.clear();
   const auto text = Decompress(answer.config, kMostConfigBytes);
   Result<Catalog> catalog =
       text ? m_decoder.ReadCatalog(*text)
@@ -363,13 +341,15 @@
   }
 }
 
-void EntryPeers::TakeOver(const NewsAnswer& answer) {
+void EntryPeers::TakeOver(const NewsAnswer& answer, TimePoint now) {
   if (!answer.config.empty()) {
     TakeOverConfig(answer);
+    m_config_fetch.End(answer.state.node, now);
   }
   if (answer.servers.empty() && !answer.servers_whole) {
     return;
   }
+  m_servers_fetch.End(answer.state.node, now);
   ServerChanges changes;
   changes.whole = answer.servers_whole;
   changes.revision = answer.state.servers_revision;
@@ -383,8 +363,8 @@
       changes.changed.push_back(
           {std::move(*server), object.version, object.text});
     } else {
-      Log(LogLevel::kWarning, "server-invalid",
-          {{"peer", answer.state.node}, {"why", server.error().message}});
+      changes.unreadable.push_back(
+          {object.id, object.version, object.text, server.error().message});
     }
   }
   m_host.OnServers(std::move(changes));
@@ -420,27 +400,25 @@
     return;
   }
   m_news.ForgetOld(now);
-  std::vector<std::string> all = {m_node};
-  std::vector<std::string> able;
+  std::vector<FleetHost> all;
   if (settling) {
     for (const auto& [node, peer] : m_peers) {
-      all.push_back(node);
-      able.push_back(node);
+      all.push_back(peer.host);
     }
   } else {
-    const std::vector<std::string> heard = m_news.Hosts(now);
-    all.insert(all.end(), heard.begin(), heard.end());
-    able = m_news.HostsWithStore(now);
-  }
-  if (!m_host.store_away()) {
-    able.push_back(m_node);
+    all = m_news.Fleet(now);
   }
+  FleetHost own = m_own;
+  own.store_fails = m_host.store_away();
+  all.push_back(own);
+  std::vector<FleetHost> able = all;
+  std::erase_if(able, [](const FleetHost& host) { return host.store_fails; });
   // Those that cannot reach the store keep trying, so that the watch returns to
   // them; others stand in meanwhile.
   const auto first = ChooseWatchers(std::move(all), m_policy.watchers);
   const auto stand_in = ChooseWatchers(std::move(able), m_policy.watchers);
   const auto has = [this](const std::vector<std::string>& hosts) {
-    return std::find(hosts.begin(), hosts.end(), m_node) != hosts.end();
+    return std::find(hosts.begin(), hosts.end(), m_own.name) != hosts.end();
   };
   const bool watching = m_needs_watch || has(first) || has(stand_in);
   if (watching != m_watching) {
@@ -451,4 +429,11 @@
   }
 }
 
+bool EntryPeers::ShouldYield(TimePoint now) const {
+  const std::vector<FleetHost> fleet = m_news.Fleet(now);
+  return std::any_of(fleet.begin(), fleet.end(), [this](const auto& host) {
+    return !host.store_fails && IsStronger(host.capacity, m_own.capacity);
+  });
+}
+
 }  // namespace filbertrack
--- a/source/entry_prober.cc
+++ b/source/entry_prober.cc
@@ -57,10 +57,12 @@
   std::erase_if(m_probes, is_unknown);
   std::erase_if(m_findings, is_unknown);
   const TimePoint now = m_clock();
+  ForgetOldRounds(now);
   for (const auto& [id, server] : directory.servers()) {
     if (!IsProbed(server, catalog)) {
       continue;
     }
+    ForgetEarlierLife(server);
     const Probe& probe = m_probes[id];
     const Duration interval = server.membership
                                   ? m_policy.interval
@@ -72,9 +74,20 @@
   }
 }
 
+void EntryProber::ForgetEarlierLife(const BackendServer& server) {
+  Probe& probe = m_probes[server.id];
+  if (IsLaterLife(server.born_ms, probe.born_ms)) {
+    // Answers that are still to come belong to a round that is none now.
+    probe = Probe{};
+    m_findings.erase(server.id);
+  }
+  probe.born_ms = server.born_ms;
+}
+
 void EntryProber::Ask(const BackendServer& server) {
   Probe& probe = m_probes[server.id];
-  ++probe.round;
+  m_rounds.push_back({m_clock(), false, IsSilent(server.id)});
+  probe.round = m_forgotten_rounds + m_rounds.size();
   probe.answered = false;
   probe.asked_at = m_clock();
   const uint64_t round = probe.round;
@@ -124,33 +137,87 @@
   }
   Probe& probe = found->second;
   --probe.open;
+  if (answer.wrong_server || answer.answered) {
+    MarkAnswered(round);
+  }
   if (answer.wrong_server) {
     probe.answered = true;
     probe.ended = true;
-    Note(id, HostHealth::kGone, false);
+    Note(id, {HostHealth::kGone, false, probe.born_ms});
     return;
   }
   if (answer.answered) {
     probe.answered = true;
     probe.ended = true;
-    Note(id, HostHealth::kAnswers, answer.busy);
+    Note(id, {HostHealth::kAnswers, answer.busy, answer.born_ms});
+    return;
+  }
+  if (probe.open > 0 || probe.answered) {
     return;
   }
-  if (probe.open == 0 && !probe.answered) {
+  const bool late = IsLate(probe.asked_at);
+  NoteLate(late);
+  if (!late) {
     probe.ended = true;
-    Note(id, HostHealth::kSilent, false);
+    Note(id, {HostHealth::kSilent, false, probe.born_ms});
+  }
+}
+
+bool EntryProber::IsSilent(std::string_view id) const {
+  const auto found = m_findings.find(id);
+  return found != m_findings.end() &&
+         found->second.health != HostHealth::kAnswers;
+}
+
+void EntryProber::MarkAnswered(uint64_t round) {
+  if (round > m_forgotten_rounds) {
+    m_rounds[round - m_forgotten_rounds - 1].answered = true;
   }
 }
 
-void EntryProber::Note(const std::string& id, HostHealth health, bool busy) {
+bool EntryProber::IsLate(TimePoint asked_at) const {
+  const TimePoint now = m_clock();
+  size_t rounds = 0;
+  size_t answered = 0;
+  for (const Round& round : m_rounds) {
+    const bool counts = round.asked_at >= asked_at - m_policy.same_time &&
+                        now - round.asked_at >= m_policy.second_after &&
+                        !round.expected;
+    rounds += counts ? 1 : 0;
+    answered += counts && round.answered ? 1 : 0;
+  }
+  return rounds >= m_policy.least_rounds &&
+         static_cast<double>(answered) <
+             m_policy.least_answered * static_cast<double>(rounds);
+}
+
+void EntryProber::ForgetOldRounds(TimePoint now) {
+  const Duration life = m_policy.patience + m_policy.same_time;
+  while (!m_rounds.empty() && now - m_rounds.front().asked_at > 2 * life) {
+    m_rounds.pop_front();
+    ++m_forgotten_rounds;
+  }
+}
+
+void EntryProber::NoteLate(bool late) {
+  if (late != m_was_late) {
+    m_was_late = late;
+    Log(LogLevel::kWarning, late ? "prober-late" : "prober-timely",
+        {{"rounds", m_rounds.size()}});
+  }
+}
+
+void EntryProber::Note(const std::string& id, const HostFinding& now_found) {
   HostFinding& finding = m_findings[id];
-  finding.busy = busy;
-  if (finding.health == health) {
-    return;
+  const bool restarted = IsLaterLife(now_found.born_ms, finding.born_ms);
+  const bool changed = finding.health != now_found.health;
+  finding = now_found;
+  if (changed || restarted) {
+    Log(LogLevel::kInfo, "host-health",
+        {{"host", id},
+         {"health", HealthName(finding.health)},
+         {"restarted", restarted}});
   }
-  finding.health = health;
-  Log(LogLevel::kInfo, "host-health",
-      {{"host", id}, {"health", HealthName(health)}});
 }
 
 bool EntryProber::AllAsked(const ServerDirectory& directory,
--- a/source/news_message.cc
+++ b/source/news_message.cc
@@ -1,10 +1,14 @@
 #include "filbertrack/news_message.h"
 
 #include <algorithm>
+#include <bit>
+#include <cmath>
+#include <set>
 
 #include <nlohmann/json.hpp>
 
 #include "filbertrack/base_cbor.h"
+#include "filbertrack/base_compress.h"
 #include "filbertrack/base_hash.h"
 
 namespace filbertrack {
@@ -15,26 +19,66 @@
 
 /// Stands for a time that did not come.
 constexpr int64_t kNever = -1;
+/// Unpacked registrations of one message: 3,300 of some hundred bytes each take
+/// a tenth of it.
+constexpr size_t kMostServersBytes = 16 * 1024 * 1024;
+/// Capacities are compared as whole numbers.
+constexpr double kMostCapacity = 1e9;
 
 enum class NewsKind : int { kAsk = 1, kAnswer = 2 };
 
-Json Pack(const NewsState& state) {
-  Json loads = Json::array();
-  for (const NewsLoad& load : state.loads) {
-    loads.push_back(Json::array({load.target, load.requests,
-                                 static_cast<int64_t>(load.prompt_tokens)}));
+Json PackLoads(const std::vector<NewsLoad>& loads) {
+  Json rows = Json::array();
+  for (const NewsLoad& load : loads) {
+    rows.push_back(Json::array({load.target, load.requests,
+                                static_cast<int64_t>(load.prompt_tokens)}));
+  }
+  return rows;
+}
+
+std::vector<NewsLoad> UnpackLoads(const Json& rows) {
+  std::vector<NewsLoad> loads;
+  loads.reserve(rows.size());
+  for (const Json& row : rows) {
+    loads.push_back({row.at(0).get<std::string>(), row.at(1).get<int>(),
+                     row.at(2).get<double>()});
+  }
+  return loads;
+}
+
+Json PackHosts(const std::vector<NewsHost>& hosts) {
+  Json rows = Json::array();
+  for (const NewsHost& host : hosts) {
+    rows.push_back(Json::array({host.name, host.store_fails,
+                                ToMilliseconds(host.age), host.capacity}));
   }
-  Json hosts = Json::array();
-  for (const NewsHost& host : state.hosts) {
-    hosts.push_back(
-        Json::array({host.name, host.store_fails, ToMilliseconds(host.age)}));
+  return rows;
+}
+
+std::vector<NewsHost> UnpackHosts(const Json& rows) {
+  std::vector<NewsHost> hosts;
+  hosts.reserve(rows.size());
+  for (const Json& row : rows) {
+    hosts.push_back({row.at(0).get<std::string>(), row.at(1).get<bool>(),
+                     Milliseconds(row.at(2).get<int64_t>()),
+                     row.at(3).get<int>()});
   }
+  return hosts;
+}
+
+Json Pack(const NewsState& state) {
   const int64_t back_for =
       state.store_back_for ? ToMilliseconds(*state.store_back_for) : kNever;
+  Json far = Json::array();
+  for (const NewsSum& sum : state.far) {
+    far.push_back(Json::array({sum.data_centre, ToMilliseconds(sum.age),
+                               PackLoads(sum.loads), PackHosts(sum.hosts)}));
+  }
   return Json::array({state.node, state.address, state.ready, state.store_fails,
                       back_for, state.config_version, state.servers_revision,
-                      std::move(loads), state.data_centre,
-                      state.covers_data_centre, std::move(hosts)});
+                      PackLoads(state.loads), state.data_centre,
+                      state.covers_data_centre, PackHosts(state.hosts),
+                      state.capacity, std::move(far)});
 }
 
 NewsState UnpackState(const Json& value) {
@@ -49,15 +93,15 @@
   }
   state.config_version = value.at(5).get<uint64_t>();
   state.servers_revision = value.at(6).get<uint64_t>();
-  for (const Json& row : value.at(7)) {
-    state.loads.push_back({row.at(0).get<std::string>(), row.at(1).get<int>(),
-                           row.at(2).get<double>()});
-  }
+  state.loads = UnpackLoads(value.at(7));
   state.data_centre = value.at(8).get<std::string>();
   state.covers_data_centre = value.at(9).get<bool>();
-  for (const Json& row : value.at(10)) {
-    state.hosts.push_back({row.at(0).get<std::string>(), row.at(1).get<bool>(),
-                           Milliseconds(row.at(2).get<int64_t>())});
+  state.hosts = UnpackHosts(value.at(10));
+  state.capacity = value.at(11).get<int>();
+  for (const Json& row : value.at(12)) {
+    state.far.push_back({row.at(0).get<std::string>(),
+                         Milliseconds(row.at(1).get<int64_t>()),
+                         UnpackLoads(row.at(2)), UnpackHosts(row.at(3))});
   }
   return state;
 }
@@ -66,6 +110,37 @@
   return Json::binary(std::vector<uint8_t>(text.begin(), text.end()));
 }
 
+/// Registrations are texts that are much alike: packed, 760 of them take an
+/// eighth of their bytes.
+Json PackServers(const std::vector<LoggedObject>& servers) {
+  if (servers.empty()) {
+    return ToBytes("");
+  }
+  Json rows = Json::array();
+  for (const LoggedObject& object : servers) {
+    rows.push_back(Json::array({object.id, object.version, object.text}));
+  }
+  return ToBytes(Compress(ToCbor(rows)));
+}
+
+std::vector<LoggedObject> UnpackServers(const Json& value) {
+  const auto& packed = value.get_binary();
+  if (packed.empty()) {
+    return {};
+  }
+  const auto bytes =
+      Decompress({reinterpret_cast<const char*>(packed.data()), packed.size()},
+                 kMostServersBytes);
+  const auto rows = bytes ? ParseCbor(*bytes) : std::nullopt;
+  std::vector<LoggedObject> servers;
+  // Bytes that cannot be unpacked make no array, and at() below throws.
+  for (const Json& row : rows ? *rows : Json::array({Json()})) {
+    servers.push_back({row.at(0).get<std::string>(), row.at(1).get<uint64_t>(),
+                       row.at(2).get<std::string>()});
+  }
+  return servers;
+}
+
 Json Envelope(NewsKind kind, Json body) {
   return Json::array({kNewsProtocol, static_cast<int>(kind), std::move(body)});
 }
@@ -101,23 +176,21 @@
 
 std::string EncodeNewsAsk(const NewsAsk& ask) {
   return ToCbor(Envelope(NewsKind::kAsk,
-                         Json::array({Pack(ask.state), ask.wants_config})));
+                         Json::array({Pack(ask.state), ask.wants_config,
+                                      ask.wants_servers, ask.wants_far})));
 }
 
 std::string EncodeNewsAnswer(const NewsAnswer& answer) {
-  Json servers = Json::array();
-  for (const LoggedObject& object : answer.servers) {
-    servers.push_back(Json::array({object.id, object.version, object.text}));
-  }
-  return ToCbor(
-      Envelope(NewsKind::kAnswer,
-               Json::array({Pack(answer.state), ToBytes(answer.config),
-                            std::move(servers), answer.servers_whole})));
+  return ToCbor(Envelope(
+      NewsKind::kAnswer,
+      Json::array({Pack(answer.state), ToBytes(answer.config),
+                   PackServers(answer.servers), answer.servers_whole})));
 }
 
 Result<NewsAsk> DecodeNewsAsk(std::string_view bytes) {
   return Decode<NewsAsk>(bytes, NewsKind::kAsk, [](const Json& body) {
-    return NewsAsk{UnpackState(body.at(0)), body.at(1).get<bool>()};
+    return NewsAsk{UnpackState(body.at(0)), body.at(1).get<bool>(),
+                   body.at(2).get<bool>(), body.at(3).get<bool>()};
   });
 }
 
@@ -127,27 +200,71 @@
     answer.state = UnpackState(body.at(0));
     const auto& config = body.at(1).get_binary();
     answer.config.assign(config.begin(), config.end());
-    for (const Json& row : body.at(2)) {
-      answer.servers.push_back({row.at(0).get<std::string>(),
-                                row.at(1).get<uint64_t>(),
-                                row.at(2).get<std::string>()});
-    }
+    answer.servers = UnpackServers(body.at(2));
     answer.servers_whole = body.at(3).get<bool>();
     return answer;
   });
 }
 
-std::vector<std::string> ChooseWatchers(std::vector<std::string> hosts,
+int CapacityOf(double link_mbps, double processor_share) {
+  return static_cast<int>(
+      std::clamp(std::round(link_mbps * processor_share), 1.0, kMostCapacity));
+}
+
+namespace {
+
+int ClassOf(int capacity) {
+  return std::bit_width(static_cast<unsigned>(std::max(1, capacity)));
+}
+
+/// The strongest first; for one purpose always the same order.
+void Rank(std::string_view purpose, std::vector<FleetHost>& hosts) {
+  std::sort(hosts.begin(), hosts.end(),
+            [purpose](const FleetHost& left, const FleetHost& right) {
+              const int left_class = ClassOf(left.capacity);
+              const int right_class = ClassOf(right.capacity);
+              if (left_class != right_class) {
+                return left_class > right_class;
+              }
+              return RendezvousWeight(purpose, left.name) >
+                     RendezvousWeight(purpose, right.name);
+            });
+}
+
+}  // namespace
+
+bool IsStronger(int left, int right) {
+  return ClassOf(left) > ClassOf(right);
+}
+
+std::vector<std::string> ChooseWatchers(std::vector<FleetHost> hosts,
                                         size_t count) {
-  const size_t chosen = std::min(count, hosts.size());
-  std::partial_sort(hosts.begin(),
-                    hosts.begin() + static_cast<ptrdiff_t>(chosen), hosts.end(),
-                    [](const std::string& left, const std::string& right) {
-                      return RendezvousWeight("watch", left) >
-                             RendezvousWeight("watch", right);
-                    });
-  hosts.resize(chosen);
-  return hosts;
+  Rank("watch", hosts);
+  std::set<std::string_view> covered;
+  std::vector<std::string> chosen;
+  std::vector<std::string> others;
+  for (const FleetHost& host : hosts) {
+    const bool first = covered.insert(host.data_centre).second;
+    (first ? chosen : others).push_back(host.name);
+  }
+  for (const std::string& other : others) {
+    if (chosen.size() < count) {
+      chosen.push_back(other);
+    }
+  }
+  return chosen;
+}
+
+std::vector<std::string> ChooseRelays(std::vector<FleetHost> hosts,
+                                      size_t count) {
+  Rank("relay", hosts);
+  std::vector<std::string> chosen;
+  for (const FleetHost& host : hosts) {
+    if (chosen.size() < count) {
+      chosen.push_back(host.name);
+    }
+  }
+  return chosen;
 }
 
 NewsAnswer AnswerNews(const NewsState& own,
@@ -160,7 +277,7 @@
   if (ask.wants_config && asker.config_version < own.config_version) {
     answer.config = own_config;
   }
-  if (asker.servers_revision >= own.servers_revision) {
+  if (!ask.wants_servers || asker.servers_revision >= own.servers_revision) {
     return answer;
   }
   auto missed = servers.Since(asker.servers_revision);
--- a/tests/entry_prober_test.cc
+++ b/tests/entry_prober_test.cc
@@ -1,7 +1,9 @@
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <deque>
 #include <map>
+#include <set>
 
 #include "filbertrack/entry_prober.h"
 
@@ -135,5 +137,108 @@
   CHECK(asked.health() == HostHealth::kAnswers);
 }
 
+/// Forty hosts, some of which do not answer, asked by a prober whose own link
+/// may stand still.
+class AskedFleet : public EngineLink {
+ public:
+  static constexpr int kHosts = 40;
+
+  AskedFleet()
+      : prober(
+            *this,
+            {},
+            [this] { return m_now; },
+            [this](Duration delay, std::function<void()> action) {
+              m_actions.emplace(m_now + delay, std::move(action));
+            }) {
+    CatalogParts parts;
+    parts.services["llm"] = {"llm", 100, EngineProfile{}};
+    m_catalog = std::make_unique<Catalog>(std::move(parts));
+    for (int i = 0; i < kHosts; ++i) {
+      BackendServer server;
+      server.id = "h" + std::to_string(100 + i);
+      server.service = "llm";
+      server.membership = Membership{"m/" + std::to_string(i / 4), 1, i % 4,
+                                     MembershipState::kReady};
+      directory.Put(server, m_now);
+    }
+  }
+
+  void Order(const BackendServer&,
+             const ReplicaOrder&,
+             std::function<void(OrderResult)>) override {}
+
+  void Probe(const BackendServer& host,
+             Duration timeout,
+             std::function<void(const ProbeAnswer&)> done) override {
+    const bool answers = !link_stands && !dead.contains(host.id);
+    ProbeAnswer answer;
+    answer.answered = answers;
+    m_actions.emplace(m_now + (answers ? Milliseconds(5) : timeout),
+                      [done, answer] { done(answer); });
+  }
+
+  void RunFor(Duration time) {
+    const TimePoint end = m_now + time;
+    for (; m_now < end; m_now += Milliseconds(10)) {
+      while (!m_actions.empty() && m_actions.begin()->first <= m_now) {
+        auto first = m_actions.extract(m_actions.begin());
+        first.mapped()();
+      }
+      prober.Tick(directory, *m_catalog);
+    }
+  }
+
+  int CountSilent() const {
+    return static_cast<int>(
+        std::count_if(prober.findings().begin(), prober.findings().end(),
+                      [](const auto& row) {
+                        return row.second.health == HostHealth::kSilent;
+                      }));
+  }
+
+  EntryProber prober;
+  ServerDirectory directory{DirectoryPolicy{}};
+  std::set<std::string> dead;
+  bool link_stands = false;
+
+ private:
+  TimePoint m_now{Seconds(100)};
+  std::multimap<TimePoint, std::function<void()>> m_actions;
+  std::unique_ptr<Catalog> m_catalog;
+};
+
+TEST_CASE("a prober that hears nobody declares nobody silent") {
+  // Its own link is full for two seconds. Were all hosts declared silent, the
+  // planner would close every group, and callers of the whole fleet would be
+  // turned away.
+  AskedFleet fleet;
+  fleet.RunFor(Seconds(2));
+  fleet.link_stands = true;
+  fleet.RunFor(Seconds(2));
+  CHECK(fleet.CountSilent() == 0);
+  fleet.link_stands = false;
+  fleet.RunFor(Seconds(1));
+  CHECK(fleet.CountSilent() == 0);
+}
+
+TEST_CASE("a third of the fleet lost at once is found within a round") {
+  // As soon as with one host lost: 0.4 s after the next question.
+  AskedFleet fleet;
+  fleet.RunFor(Seconds(2));
+  for (int i = 0; i < AskedFleet::kHosts / 3; ++i) {
+    fleet.dead.insert("h" + std::to_string(100 + i));
+  }
+  fleet.RunFor(Milliseconds(920));
+  CHECK(fleet.CountSilent() == AskedFleet::kHosts / 3);
+  // Half of what is left goes too: those that are silent already do not make
+  // the prober doubt itself.
+  for (int i = 0; i < 26; ++i) {
+    fleet.dead.insert("h" + std::to_string(100 + i));
+  }
+  fleet.RunFor(Milliseconds(920));
+  CHECK(fleet.CountSilent() == 26);
+}
+
 }  // namespace
 }  // namespace filbertrack
--- a/tests/news_test.cc
+++ b/tests/news_test.cc
@@ -2,6 +2,10 @@
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
 
+#include <algorithm>
+#include <set>
+
+#include "filbertrack/news_fetch.h"
 #include "filbertrack/news_message.h"
 
 namespace filbertrack {
@@ -24,7 +28,7 @@
   log.Put({"c", 6, ""});
   log.Reach(6);
   const NewsAnswer behind =
-      AnswerNews(MakeState(3, 6), "config", log, {MakeState(2, 4), true});
+      AnswerNews(MakeState(3, 6), "config", log, {MakeState(2, 4), true, true});
   CHECK(behind.config == "config");
   REQUIRE(behind.servers.size() == 2);
   CHECK(behind.servers[0].id == "b");
@@ -33,12 +37,14 @@
   // A peer that asks elsewhere for the configuration is not sent it again.
   CHECK(AnswerNews(MakeState(3, 6), "config", log, {MakeState(2, 4), false})
             .config.empty());
+  CHECK(AnswerNews(MakeState(3, 6), "config", log, {MakeState(2, 4), true})
+            .servers.empty());
   const NewsAnswer level =
-      AnswerNews(MakeState(3, 6), "config", log, {MakeState(3, 6), true});
+      AnswerNews(MakeState(3, 6), "config", log, {MakeState(3, 6), true, true});
   CHECK(level.config.empty());
   CHECK(level.servers.empty());
   const NewsAnswer ahead =
-      AnswerNews(MakeState(3, 6), "config", log, {MakeState(4, 9), true});
+      AnswerNews(MakeState(3, 6), "config", log, {MakeState(4, 9), true, true});
   CHECK(ahead.config.empty());
   CHECK(ahead.servers.empty());
 }
@@ -52,7 +58,7 @@
   log.Put({"c", 3, ""});
   log.Reach(3);
   const NewsAnswer answer =
-      AnswerNews(MakeState(1, 3), "", log, {MakeState(1, 0), true});
+      AnswerNews(MakeState(1, 3), "", log, {MakeState(1, 0), true, true});
   CHECK(answer.servers_whole);
   REQUIRE(answer.servers.size() == 1);
   CHECK(answer.servers[0].id == "a");
@@ -88,20 +94,99 @@
 TEST_CASE("all hosts choose the same watchers, and losing one changes one") {
   REQUIRE(rc::check("watchers", [] {
     const auto count = *rc::gen::inRange(1, 60);
-    std::vector<std::string> hosts;
+    std::vector<FleetHost> hosts;
     for (int i = 0; i < count; ++i) {
-      hosts.push_back("host-" + std::to_string(i));
+      hosts.push_back({"host-" + std::to_string(i), "dc", 100});
     }
     const auto chosen = ChooseWatchers(hosts, 4);
     std::reverse(hosts.begin(), hosts.end());
     RC_ASSERT(ChooseWatchers(hosts, 4) == chosen);
     RC_ASSERT(chosen.size() == static_cast<size_t>(std::min(count, 4)));
-    std::erase(hosts, chosen.front());
+    std::erase_if(hosts, [&chosen](const FleetHost& host) {
+      return host.name == chosen.front();
+    });
     const auto after = ChooseWatchers(hosts, 4);
     RC_ASSERT(std::equal(chosen.begin() + 1, chosen.end(), after.begin()));
   }));
 }
 
+TEST_CASE("the strongest hosts watch, one in each data centre") {
+  // A host of 20 Mbit/s that passed 760 registrations on to 195 hosts took its
+  // link for seconds, and took those that it asked for lost.
+  std::vector<FleetHost> hosts;
+  for (int i = 0; i < 60; ++i) {
+    hosts.push_back({"host-" + std::to_string(i), "dc" + std::to_string(i % 5),
+                     i < 10 ? 100 : 2});
+  }
+  const auto chosen = ChooseWatchers(hosts, 4);
+  REQUIRE(chosen.size() == 5);
+  std::set<std::string> data_centres;
+  for (const FleetHost& host : hosts) {
+    if (std::find(chosen.begin(), chosen.end(), host.name) != chosen.end()) {
+      CHECK(host.capacity == 100);
+      data_centres.insert(host.data_centre);
+    }
+  }
+  CHECK(data_centres.size() == 5);
+  // Without the strong ones the others do it.
+  hosts.erase(hosts.begin(), hosts.begin() + 10);
+  CHECK(ChooseWatchers(hosts, 4).size() == 5);
+}
+
+TEST_CASE("capacity counts the link and the processor, in classes") {
+  CHECK(CapacityOf(200, 0.5) == 100);
+  CHECK(CapacityOf(20, 0.12) == 2);
+  CHECK(CapacityOf(0.001, 0.001) == 1);
+  CHECK(IsStronger(100, 2));
+  CHECK_FALSE(IsStronger(2, 100));
+  CHECK_FALSE(IsStronger(100, 100));
+  CHECK_FALSE(IsStronger(120, 100));
+}
+
+TEST_CASE("one peer at a time is asked for what is large") {
+  // Eight peers that know more would each send the same 300 KB.
+  const TimePoint start{Seconds(100)};
+  NewsFetch fetch(Milliseconds(500), Milliseconds(50));
+  CHECK(fetch.MayBegin(start));
+  fetch.Begin("a", start);
+  CHECK(fetch.IsFrom("a"));
+  CHECK_FALSE(fetch.MayBegin(start + Milliseconds(499)));
+  // One that does not answer is given up for another.
+  CHECK(fetch.MayBegin(start + Milliseconds(500)));
+  fetch.Begin("b", start + Milliseconds(500));
+  fetch.End("a", start + Milliseconds(510));
+  CHECK_FALSE(fetch.MayBegin(start + Milliseconds(510)));
+  fetch.End("b", start + Milliseconds(520));
+  CHECK_FALSE(fetch.MayBegin(start + Milliseconds(560)));
+  CHECK(fetch.MayBegin(start + Milliseconds(570)));
+}
+
+TEST_CASE("760 registrations take an eighth of their bytes on the way") {
+  NewsAnswer answer;
+  answer.state = MakeState(1, 2);
+  size_t plain = 0;
+  for (int i = 0; i < 760; ++i) {
+    const std::string id = "i-" + std::to_string(1000003 * i);
+    answer.servers.push_back(
+        {id, 500 + static_cast<uint64_t>(i),
+         R"({"service":"huvo11a","address":"10.128.)" +
+             std::to_string(i % 256) +
+             R"(.9:8080","zone":"hall-a","version":"v1","slots":14,"state":)" +
+             R"("ready","coldRemainingMs":0,"stage":"both","models":[{"name":)" +
+             R"("daka510000","version":1,"adapters":[]}],"group":{"name":")" +
+             R"(daka510000/100)" + std::to_string(i / 8) + R"(","epoch":100)" +
+             std::to_string(i / 8) + R"(,"rank":)" + std::to_string(i % 8) +
+             R"(,"state":"ready"},"seq":4})"});
+    plain += answer.servers.back().text.size();
+  }
+  const std::string message = EncodeNewsAnswer(answer);
+  MESSAGE(plain << " bytes of text in " << message.size());
+  CHECK(message.size() < plain / 8);
+  const auto read = DecodeNewsAnswer(message);
+  REQUIRE(read);
+  CHECK(read->servers == answer.servers);
+}
+
 TEST_CASE("other bytes are refused with a reason") {
   REQUIRE(rc::check("any bytes", [](const std::string& bytes) {
     RC_ASSERT(!DecodeNewsAsk(bytes));
--- a/tests/platform_path_test.cc
+++ b/tests/platform_path_test.cc
@@ -49,7 +49,7 @@
     client = std::make_unique<platform::PlatformStore>(
         loop, store.address(), platform::PlatformStorePolicy{}, *host, 1);
     EntryPeersPolicy peer_policy;
-    peers = std::make_unique<EntryPeers>(loop, "e1", "z",
+    peers = std::make_unique<EntryPeers>(loop, FleetHost{"e1", "z"},
                                          Address{"127.0.0.1", 0}, peer_policy,
                                          *host, decoder, *client, *client);
     engines = std::make_unique<platform::PlatformEngines>(loop);
