entry: a start of the whole fleet takes fewer calls to the store

The record is written only where the list lacks it or it differs; the list is read three times in the first two seconds. Test with counted calls: none written at a start with the same address, two before.

--- a/include/filbertrack/entry_roster.h
+++ b/include/filbertrack/entry_roster.h
@@ -20,8 +20,10 @@
   /// reached.
   Duration list_interval = Seconds(20);
   /// Many hosts start together: for this long the records are read more often.
+  /// Three readings: hosts that start within a second of each other are in the
+  /// second one, and each reading costs as many calls as there are pages.
   Duration settle = Seconds(2);
-  Duration first_list_interval = Milliseconds(400);
+  Duration first_list_interval = Milliseconds(900);
 };
 
 class EntryRoster {
@@ -47,7 +49,13 @@
  private:
   void LoadSecret();
   void OnSecret(const StoreAnswer& answer);
+  /// Writes the record of this host unless `known`, the one in the store, says
+  /// the same already. A host that restarts has the address that it had; with
+  /// a write that conflicts and a second one, a start of 195 hosts took 390
+  /// writing calls more.
+  void EnsureRegistered(const StoredObject* known);
   void Register(uint64_t expected_version);
+  std::string OwnRecord() const;
   void List();
   void OnListed(const std::vector<StoredObject>& records);
 
@@ -59,6 +67,7 @@
   Events m_events;
   TimePoint m_started;
   std::string m_proposed_secret;
+  bool m_registers = false;
   Duration m_start_pause{0};
   std::unique_ptr<Timer> m_retry_timer;
   std::unique_ptr<Timer> m_list_timer;
--- a/source/entry_roster.cc
+++ b/source/entry_roster.cc
@@ -71,16 +71,28 @@
     return;
   }
   m_events.on_secret(answer.object.value);
-  Register(0);
   List();
 }
 
+std::string EntryRoster::OwnRecord() const {
+  return m_address.ToString() + kFieldSeparator + m_own.data_centre +
+         kFieldSeparator + std::to_string(m_own.capacity);
+}
+
+void EntryRoster::EnsureRegistered(const StoredObject* known) {
+  if (m_registers) {
+    return;
+  }
+  m_registers = true;
+  if (known == nullptr || known->value != OwnRecord()) {
+    Register(known == nullptr ? 0 : known->version);
+  }
+}
+
 void EntryRoster::Register(uint64_t expected_version) {
   m_records.Write(
-      std::string(kHostPrefix) + m_own.name,
-      m_address.ToString() + kFieldSeparator + m_own.data_centre +
-          kFieldSeparator + std::to_string(m_own.capacity),
-      expected_version, [this](const StoreAnswer& answer) {
+      std::string(kHostPrefix) + m_own.name, OwnRecord(), expected_version,
+      [this](const StoreAnswer& answer) {
         if (answer.status == StoreStatus::kOk) {
           return;
         }
@@ -109,6 +121,11 @@
 
 void EntryRoster::OnListed(const std::vector<StoredObject>& records) {
   m_events.on_listed();
+  const std::string own_key = std::string(kHostPrefix) + m_own.name;
+  const auto own =
+      std::find_if(records.begin(), records.end(),
+                   [&own_key](const auto& row) { return row.key == own_key; });
+  EnsureRegistered(own == records.end() ? nullptr : &*own);
   for (const StoredObject& record : records) {
     FleetHost host;
     host.name = record.key.substr(kHostPrefix.size());
