prober: one that is late asks less often, and spreads its questions

A weak host that stands in for the lease cannot ask hundreds of hosts twice a second; late, it says nothing of any of them, so lost members are found by the store's lapse only. Intervals are doubled while it is late, up to 16 times, and questions are spread over them; with few rounds to compare it judges a silent host only after enough others were asked since.

--- a/include/filbertrack/entry_prober.h
+++ b/include/filbertrack/entry_prober.h
@@ -13,6 +13,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -46,6 +47,15 @@
   double least_answered = 0.5;
   /// With fewer rounds to compare, too little is known to doubt oneself.
   size_t least_rounds = 8;
+  /// A prober that is late asks less often, twice the interval each time, up to
+  /// this many times: a host with a twelfth of the capacity may have to stand
+  /// in, and lost hosts found late are better than none.
+  int most_stretch = 16;
+  /// While questions are spread, part of the even rate that is allowed: over 1,
+  /// so that a host whose turn was late catches up.
+  double spread_headroom = 1.5;
+  /// After so long without being late it asks twice as often again.
+  Duration recovery = Seconds(10);
 };
 
 class EntryProber {
@@ -83,6 +93,8 @@
     /// At least one round ended.
     bool ended = false;
     TimePoint asked_at{};
+    /// Beginning of the first of the rounds that went unanswered in a row.
+    std::optional<TimePoint> unanswered_since{};
     /// Of the registration that the rounds are about.
     uint64_t born_ms = 0;
   };
@@ -95,13 +107,26 @@
     bool expected = false;
   };
 
-  /// Whether most hosts that were asked at that time, or since, did not answer
-  /// either, though they had time to.
-  bool IsLate(TimePoint asked_at) const;
+  enum class Verdict {
+    /// Others that were asked at that time, or since, answered.
+    kSilent,
+    /// Most of them did not answer either, though they had time to.
+    kLate,
+    /// Questions are spread, and too few were asked since to tell.
+    kUndecided,
+  };
+  /// What it means that a host has not answered since it was asked then.
+  Verdict Judge(TimePoint asked_at) const;
+  void OnUnanswered(const std::string& id, Probe& probe);
   bool IsSilent(std::string_view id) const;
   void MarkAnswered(uint64_t round);
   void ForgetOldRounds(TimePoint now);
-  void NoteLate(bool late);
+  void NoteLate(bool late, TimePoint now);
+  void Recover(TimePoint now);
+  /// How many hosts may be asked in this tick. While the intervals are
+  /// stretched, questions are spread over them: asked all at once they would
+  /// queue on the link again.
+  size_t Allowance(size_t hosts, TimePoint now);
   /// What was found of an earlier process does not hold for the next one.
   void ForgetEarlierLife(const BackendServer& server);
   void Ask(const BackendServer& server);
@@ -123,6 +148,13 @@
   std::deque<Round> m_rounds;
   uint64_t m_forgotten_rounds = 0;
   bool m_was_late = false;
+  /// Intervals are this many times as long.
+  int m_stretch = 1;
+  /// Last change of it, or last time that the prober was late.
+  TimePoint m_stretched_at{};
+  /// Questions that may be asked, while they are spread.
+  double m_allowance = 0;
+  TimePoint m_ticked_at{};
   /// Replaced by Clear(); what was asked before it does not count.
   std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
--- a/source/entry_prober.cc
+++ b/source/entry_prober.cc
@@ -1,5 +1,6 @@
 #include "filbertrack/entry_prober.h"
 
+#include <algorithm>
 #include <utility>
 
 #include <nlohmann/json.hpp>
@@ -47,6 +48,7 @@
   m_alive = std::make_shared<bool>(true);
   m_findings.clear();
   m_probes.clear();
+  m_stretch = 1;
 }
 
 void EntryProber::Tick(const ServerDirectory& directory,
@@ -58,17 +60,21 @@
   std::erase_if(m_findings, is_unknown);
   const TimePoint now = m_clock();
   ForgetOldRounds(now);
+  Recover(now);
+  size_t allowed = Allowance(directory.servers().size(), now);
   for (const auto& [id, server] : directory.servers()) {
     if (!IsProbed(server, catalog)) {
       continue;
     }
     ForgetEarlierLife(server);
     const Probe& probe = m_probes[id];
-    const Duration interval = server.membership
-                                  ? m_policy.interval
-                                  : m_policy.interval * m_policy.idle_divisor;
-    const bool due = probe.round == 0 || now - probe.asked_at >= interval;
-    if (probe.open == 0 && due) {
+    const int divisor = server.membership ? 1 : m_policy.idle_divisor;
+    const Duration interval = m_policy.interval * divisor * m_stretch;
+    const bool due = probe.round == 0 || probe.unanswered_since ||
+                     now - probe.asked_at >= interval;
+    if (probe.open == 0 && due && allowed > 0) {
+      --allowed;
+      m_allowance -= 1;
       Ask(server);
     }
   }
@@ -139,6 +145,7 @@
   --probe.open;
   if (answer.wrong_server || answer.answered) {
     MarkAnswered(round);
+    probe.unanswered_since.reset();
   }
   if (answer.wrong_server) {
     probe.answered = true;
@@ -152,12 +159,22 @@
     Note(id, {HostHealth::kAnswers, answer.busy, answer.born_ms});
     return;
   }
-  if (probe.open > 0 || probe.answered) {
+  if (probe.open == 0 && !probe.answered) {
+    OnUnanswered(id, probe);
+  }
+}
+
+void EntryProber::OnUnanswered(const std::string& id, Probe& probe) {
+  if (!probe.unanswered_since) {
+    probe.unanswered_since = probe.asked_at;
+  }
+  const Verdict verdict = Judge(*probe.unanswered_since);
+  if (verdict == Verdict::kUndecided) {
     return;
   }
-  const bool late = IsLate(probe.asked_at);
-  NoteLate(late);
-  if (!late) {
+  NoteLate(verdict == Verdict::kLate, m_clock());
+  probe.unanswered_since.reset();
+  if (verdict == Verdict::kSilent) {
     probe.ended = true;
     Note(id, {HostHealth::kSilent, false, probe.born_ms});
   }
@@ -175,7 +192,7 @@
   }
 }
 
-bool EntryProber::IsLate(TimePoint asked_at) const {
+EntryProber::Verdict EntryProber::Judge(TimePoint asked_at) const {
   const TimePoint now = m_clock();
   size_t rounds = 0;
   size_t answered = 0;
@@ -186,24 +203,58 @@
     rounds += counts ? 1 : 0;
     answered += counts && round.answered ? 1 : 0;
   }
-  return rounds >= m_policy.least_rounds &&
-         static_cast<double>(answered) <
-             m_policy.least_answered * static_cast<double>(rounds);
+  if (rounds < m_policy.least_rounds) {
+    return m_stretch > 1 ? Verdict::kUndecided : Verdict::kSilent;
+  }
+  const bool late = static_cast<double>(answered) <
+                    m_policy.least_answered * static_cast<double>(rounds);
+  return late ? Verdict::kLate : Verdict::kSilent;
 }
 
 void EntryProber::ForgetOldRounds(TimePoint now) {
-  const Duration life = m_policy.patience + m_policy.same_time;
-  while (!m_rounds.empty() && now - m_rounds.front().asked_at > 2 * life) {
+  const Duration life =
+      2 * m_stretch * (m_policy.patience + m_policy.same_time);
+  while (!m_rounds.empty() && now - m_rounds.front().asked_at > life) {
     m_rounds.pop_front();
     ++m_forgotten_rounds;
   }
 }
 
-void EntryProber::NoteLate(bool late) {
+void EntryProber::NoteLate(bool late, TimePoint now) {
   if (late != m_was_late) {
     m_was_late = late;
     Log(LogLevel::kWarning, late ? "prober-late" : "prober-timely",
-        {{"rounds", m_rounds.size()}});
+        {{"rounds", m_rounds.size()}, {"stretch", m_stretch}});
+  }
+  if (!late) {
+    return;
+  }
+  // What was asked before the latest change still comes back late.
+  const Duration settled = m_policy.patience + m_policy.interval;
+  if (m_stretch < m_policy.most_stretch && now - m_stretched_at > settled) {
+    m_stretch *= 2;
+    m_stretched_at = now;
+  }
+}
+
+size_t EntryProber::Allowance(size_t hosts, TimePoint now) {
+  const Duration since = now - m_ticked_at;
+  m_ticked_at = now;
+  if (m_stretch == 1) {
+    m_allowance = 0;
+    return hosts;
+  }
+  const double interval = ToSeconds(m_policy.interval * m_stretch);
+  const double earned = m_policy.spread_headroom * static_cast<double>(hosts) *
+                        ToSeconds(since) / interval;
+  m_allowance = std::min(std::max(0.0, m_allowance) + earned, earned + 1);
+  return static_cast<size_t>(m_allowance);
+}
+
+void EntryProber::Recover(TimePoint now) {
+  if (m_stretch > 1 && now - m_stretched_at > m_policy.recovery) {
+    m_stretch /= 2;
+    m_stretched_at = now;
   }
 }
 
--- a/tests/entry_prober_test.cc
+++ b/tests/entry_prober_test.cc
@@ -171,11 +171,16 @@
   void Probe(const BackendServer& host,
              Duration timeout,
              std::function<void(const ProbeAnswer&)> done) override {
-    const bool answers = !link_stands && !dead.contains(host.id);
+    ++questions;
+    m_link_free = std::max(m_link_free, m_now) + a_question_takes;
+    const Duration wait = m_link_free - m_now;
+    const bool answers =
+        !link_stands && !dead.contains(host.id) && wait < timeout;
     ProbeAnswer answer;
     answer.answered = answers;
-    m_actions.emplace(m_now + (answers ? Milliseconds(5) : timeout),
-                      [done, answer] { done(answer); });
+    m_actions.emplace(
+        m_now + (answers ? std::max(wait, Milliseconds(5)) : timeout),
+        [done, answer] { done(answer); });
   }
 
   void RunFor(Duration time) {
@@ -201,13 +206,36 @@
   ServerDirectory directory{DirectoryPolicy{}};
   std::set<std::string> dead;
   bool link_stands = false;
+  /// On the prober's link.
+  Duration a_question_takes{0};
+  int questions = 0;
 
  private:
   TimePoint m_now{Seconds(100)};
+  TimePoint m_link_free{};
   std::multimap<TimePoint, std::function<void()>> m_actions;
   std::unique_ptr<Catalog> m_catalog;
 };
 
+TEST_CASE(
+    "a weak host that stands in as prober asks less often and still finds") {
+  // Forty hosts twice a second are more questions than its link carries. It
+  // declares nobody silent that lives, and finds the one that is lost.
+  AskedFleet fleet;
+  fleet.a_question_takes = Milliseconds(20);
+  fleet.RunFor(Seconds(8));
+  CHECK(fleet.CountSilent() == 0);
+  fleet.dead.insert("h105");
+  fleet.RunFor(Seconds(5));
+  CHECK(fleet.CountSilent() == 1);
+  // Once there is room it asks as often as any other.
+  fleet.a_question_takes = Duration(0);
+  fleet.RunFor(Seconds(40));
+  fleet.questions = 0;
+  fleet.RunFor(Seconds(2));
+  CHECK(fleet.questions >= 4 * AskedFleet::kHosts);
+}
+
 TEST_CASE("a prober that hears nobody declares nobody silent") {
   // Its own link is full for two seconds. Were all hosts declared silent, the
   // planner would close every group, and callers of the whole fleet would be
