news: numbers of peers' messages are checked before they are cast

Cause. tools/fuzz.sh after 31,000 inputs: a protocol number that is no number was cast to an unsigned one, which is undefined; ages could overflow. Whole numbers with bounds; a message outside them is refused.

--- a/source/news_message.cc
+++ b/source/news_message.cc
@@ -3,7 +3,9 @@
 #include <algorithm>
 #include <bit>
 #include <cmath>
+#include <limits>
 #include <set>
+#include <utility>
 
 #include <nlohmann/json.hpp>
 
@@ -25,8 +27,53 @@
 /// Capacities are compared as whole numbers.
 constexpr double kMostCapacity = 1e9;
 
+/// Ages and times since an event: messages tell of seconds.
+constexpr int64_t kMostAgeMs = 1'000'000'000;
+/// Tokens that wait at one target.
+constexpr int64_t kMostTokens = 1'000'000'000'000;
+
+/// A number that the product cannot use: thrown within this file only.
+struct OutOfRange {
+  std::string message;
+};
+
+bool IsAboveSigned(const Json& value) {
+  return value.is_number_unsigned() &&
+         !std::in_range<int64_t>(value.get<uint64_t>());
+}
+
 enum class NewsKind : int { kAsk = 1, kAnswer = 2 };
 
+/// A whole number within the bounds. The library casts whatever number it
+/// finds, which is undefined for one that the type cannot hold.
+template <typename Number>
+Number ReadWhole(const Json& value, Number least, Number most) {
+  // As signed; larger ones are refused with those below `least`.
+  const bool whole = value.is_number_integer();
+  const int64_t number = whole && !IsAboveSigned(value)
+                             ? value.get<int64_t>()
+                             : std::numeric_limits<int64_t>::min();
+  if (!std::in_range<Number>(number) || static_cast<Number>(number) < least ||
+      static_cast<Number>(number) > most) {
+    throw OutOfRange{value.dump() + " is no whole number from " +
+                     std::to_string(least) + " to " + std::to_string(most) +
+                     "."};
+  }
+  return static_cast<Number>(number);
+}
+
+int ReadCount(const Json& value) {
+  return ReadWhole<int>(value, 0, std::numeric_limits<int>::max());
+}
+
+uint64_t ReadVersion(const Json& value) {
+  return ReadWhole<uint64_t>(value, 0, std::numeric_limits<int64_t>::max());
+}
+
+Duration ReadAge(const Json& value) {
+  return Milliseconds(ReadWhole<int64_t>(value, 0, kMostAgeMs));
+}
+
 Json PackLoads(const std::vector<NewsLoad>& loads) {
   Json rows = Json::array();
   for (const NewsLoad& load : loads) {
@@ -40,8 +87,9 @@
   std::vector<NewsLoad> loads;
   loads.reserve(rows.size());
   for (const Json& row : rows) {
-    loads.push_back({row.at(0).get<std::string>(), row.at(1).get<int>(),
-                     row.at(2).get<double>()});
+    loads.push_back(
+        {row.at(0).get<std::string>(), ReadCount(row.at(1)),
+         static_cast<double>(ReadWhole<int64_t>(row.at(2), 0, kMostTokens))});
   }
   return loads;
 }
@@ -60,8 +108,7 @@
   hosts.reserve(rows.size());
   for (const Json& row : rows) {
     hosts.push_back({row.at(0).get<std::string>(), row.at(1).get<bool>(),
-                     Milliseconds(row.at(2).get<int64_t>()),
-                     row.at(3).get<int>()});
+                     ReadAge(row.at(2)), ReadCount(row.at(3))});
   }
   return hosts;
 }
@@ -87,20 +134,19 @@
   state.address = value.at(1).get<std::string>();
   state.ready = value.at(2).get<bool>();
   state.store_fails = value.at(3).get<bool>();
-  const auto back_for = value.at(4).get<int64_t>();
+  const auto back_for = ReadWhole<int64_t>(value.at(4), kNever, kMostAgeMs);
   if (back_for != kNever) {
     state.store_back_for = Milliseconds(back_for);
   }
-  state.config_version = value.at(5).get<uint64_t>();
-  state.servers_revision = value.at(6).get<uint64_t>();
+  state.config_version = ReadVersion(value.at(5));
+  state.servers_revision = ReadVersion(value.at(6));
   state.loads = UnpackLoads(value.at(7));
   state.data_centre = value.at(8).get<std::string>();
   state.covers_data_centre = value.at(9).get<bool>();
   state.hosts = UnpackHosts(value.at(10));
-  state.capacity = value.at(11).get<int>();
+  state.capacity = ReadCount(value.at(11));
   for (const Json& row : value.at(12)) {
-    state.far.push_back({row.at(0).get<std::string>(),
-                         Milliseconds(row.at(1).get<int64_t>()),
+    state.far.push_back({row.at(0).get<std::string>(), ReadAge(row.at(1)),
                          UnpackLoads(row.at(2)), UnpackHosts(row.at(3))});
   }
   return state;
@@ -135,7 +181,7 @@
   std::vector<LoggedObject> servers;
   // Bytes that cannot be unpacked make no array, and at() below throws.
   for (const Json& row : rows ? *rows : Json::array({Json()})) {
-    servers.push_back({row.at(0).get<std::string>(), row.at(1).get<uint64_t>(),
+    servers.push_back({row.at(0).get<std::string>(), ReadVersion(row.at(1)),
                        row.at(2).get<std::string>()});
   }
   return servers;
@@ -153,13 +199,13 @@
     return Fail(ResultCode::kBadRequest, "a peer sent bytes that are no CBOR.");
   }
   try {
-    if (value->at(0).get<uint64_t>() != kNewsProtocol) {
+    if (ReadVersion(value->at(0)) != kNewsProtocol) {
       return Fail(ResultCode::kBadRequest,
                   "a peer speaks protocol " + value->at(0).dump() +
                       "; this host speaks " + std::to_string(kNewsProtocol) +
                       ".");
     }
-    if (value->at(1).get<int>() != static_cast<int>(kind)) {
+    if (ReadCount(value->at(1)) != static_cast<int>(kind)) {
       return Fail(ResultCode::kBadRequest,
                   "a peer sent a message of kind " + value->at(1).dump() +
                       "; expected " + std::to_string(static_cast<int>(kind)) +
@@ -169,6 +215,9 @@
   } catch (const Json::exception& bad) {
     return Fail(ResultCode::kBadRequest,
                 std::string("a peer's message cannot be read: ") + bad.what());
+  } catch (const OutOfRange& bad) {
+    return Fail(ResultCode::kBadRequest,
+                "a peer's message cannot be read: " + bad.message);
   }
 }
 
--- a/tests/news_test.cc
+++ b/tests/news_test.cc
@@ -187,6 +187,18 @@
   CHECK(read->servers == answer.servers);
 }
 
+TEST_CASE("numbers of a message that no type holds are refused") {
+  // A peer's version is a number that is none (found by the fuzzer), or an age
+  // that overflows when it is turned into a time.
+  const std::string whole = EncodeNewsAsk({MakeState(1, 2)});
+  REQUIRE(DecodeNewsAsk(whole));
+  const std::string not_a_number("\x83\xF9\xFE\x00\x01\x80", 6);
+  CHECK_FALSE(DecodeNewsAsk(not_a_number));
+  NewsAsk ask{MakeState(1, 2)};
+  ask.state.hosts = {{"h", false, Seconds(2'000'000'000)}};
+  CHECK_FALSE(DecodeNewsAsk(EncodeNewsAsk(ask)));
+}
+
 TEST_CASE("other bytes are refused with a reason") {
   REQUIRE(rc::check("any bytes", [](const std::string& bytes) {
     RC_ASSERT(!DecodeNewsAsk(bytes));
--- a/tests/platform_return_test.cc
+++ b/tests/platform_return_test.cc
@@ -4,7 +4,8 @@
 #include "filbertrack/entry_host.h"
 #include "platform_dialect.h"
 
-/// What an entry host makes of the store's return, without sockets.
+/// What an entry host makes of the store's return, and of entries that cannot
+/// be read, without sockets.
 
 namespace filbertrack {
 namespace {
@@ -55,5 +56,27 @@
   CHECK_FALSE(site.host.OwnNews().store_back_for.has_value());
 }
 
+TEST_CASE(
+    "an entry that turns unreadable takes its server out, also for peers") {
+  // Another writer puts something else in the place of a server's entry. No
+  // request goes there any more; peers are passed the text as it stands, and
+  // judge it by themselves. The server is back with its next own entry.
+  Host site;
+  ServerChanges foreign;
+  foreign.revision = 20;
+  foreign.unreadable.push_back({"s1", 20, "banana", "no service"});
+  site.host.OnServers(foreign);
+  CHECK(site.host.directory().Find("s1") == nullptr);
+  const auto told = site.host.server_log().Since(10);
+  REQUIRE(told);
+  REQUIRE(told->size() == 1);
+  CHECK(told->front().text == "banana");
+  // An older word of it changes nothing.
+  site.host.OnServers(Registered("s1", 15));
+  CHECK(site.host.directory().Find("s1") == nullptr);
+  site.host.OnServers(Registered("s1", 30));
+  CHECK(site.host.directory().Find("s1") != nullptr);
+}
+
 }  // namespace
 }  // namespace filbertrack
