--- a/include/filbertrack/entry_roster.h
+++ b/include/filbertrack/entry_roster.h
@@ -6,6 +6,7 @@
 
 #include <functional>
 #include <memory>
+#include <set>
 #include <string>
 
 #include "filbertrack/base_address.h"
@@ -19,11 +20,13 @@
   /// questions, so only the first readings matter to a host that can be
   /// reached.
   Duration list_interval = Seconds(20);
-  /// Many hosts start together: for this long the records are read more often.
-  /// Three readings: hosts that start within a second of each other are in the
-  /// second one, and each reading costs as many calls as there are pages.
-  Duration settle = Seconds(2);
-  Duration first_list_interval = Milliseconds(900);
+  /// Until a reading brings nothing new, they are read this often: each reading
+  /// costs as many calls as there are pages.
+  Duration first_list_interval = Milliseconds(1500);
+  /// A reading may be seconds old: of a fleet that starts together the first
+  /// ones show nobody, or a part, whoever is there. A host that knows a part of
+  /// the others watches the store in vain, as if it were alone.
+  Duration settle = Seconds(3);
 };
 
 class EntryRoster {
@@ -57,7 +60,8 @@
   void Register(uint64_t expected_version);
   std::string OwnRecord() const;
   void List();
-  void OnListed(const std::vector<StoredObject>& records);
+  /// True if a host was not known before.
+  bool OnListed(const std::vector<StoredObject>& records);
 
   EventLoop& m_loop;
   FleetHost m_own;
@@ -68,6 +72,7 @@
   TimePoint m_started;
   std::string m_proposed_secret;
   bool m_registers = false;
+  std::set<std::string, std::less<>> m_known;
   Duration m_start_pause{0};
   std::unique_ptr<Timer> m_retry_timer;
   std::unique_ptr<Timer> m_list_timer;
--- a/source/entry_roster.cc
+++ b/source/entry_roster.cc
@@ -109,24 +109,25 @@
   m_records.ReadAll(
       std::string(kHostPrefix),
       [this](StoreStatus status, const std::vector<StoredObject>& records) {
-        if (status == StoreStatus::kOk) {
-          OnListed(records);
-        }
-        const bool settled = MonotonicNow() - m_started >= m_policy.settle;
+        const bool complete = status == StoreStatus::kOk && !OnListed(records);
+        const bool settled =
+            complete && MonotonicNow() - m_started >= m_policy.settle;
         m_list_timer = m_loop.After(
             settled ? m_policy.list_interval : m_policy.first_list_interval,
             [this] { List(); });
       });
 }
 
-void EntryRoster::OnListed(const std::vector<StoredObject>& records) {
+bool EntryRoster::OnListed(const std::vector<StoredObject>& records) {
   m_events.on_listed();
   const std::string own_key = std::string(kHostPrefix) + m_own.name;
   const auto own =
       std::find_if(records.begin(), records.end(),
                    [&own_key](const auto& row) { return row.key == own_key; });
   EnsureRegistered(own == records.end() ? nullptr : &*own);
+  bool any_new = false;
   for (const StoredObject& record : records) {
+    any_new = m_known.insert(record.key).second || any_new;
     FleetHost host;
     host.name = record.key.substr(kHostPrefix.size());
     std::string_view rest = record.value;
@@ -135,6 +136,7 @@
     std::from_chars(rest.data(), rest.data() + rest.size(), host.capacity);
     m_events.on_host(host, address);
   }
+  return any_new;
 }
 
 }  // namespace filbertrack
