entry: weak hosts that start do not watch the store before they could hear others

Hosts that start together list nobody at first, so each watched the store: a start of the large site took 2,469 priced calls in its first 22 s. While it settles, a host that has heard nobody waits for 8 s over its capacity (32 ms with 1,000 Mbit/s and a quarter of a core; all of the settling time with 20 Mbit/s and 0.12).

--- a/include/filbertrack/entry_peers.h
+++ b/include/filbertrack/entry_peers.h
@@ -35,6 +35,11 @@
   /// After the start the hosts that are listed in the store count as peers
   /// until they had time to be heard.
   Duration settle = Seconds(2);
+  /// While it settles, a host that has heard nobody watches the store only
+  /// after this over its capacity: the weaker it is, the surer that stronger
+  /// ones do. A whole fleet that starts would watch otherwise, 1,500 calls of
+  /// 195 hosts.
+  Duration alone_after = Seconds(8);
   /// In large fleets so many hosts of a data centre ask the other ones; a
   /// second one, so that the loss of one is no gap.
   size_t relays = 2;
@@ -128,6 +133,8 @@
   void NoteNews(const NewsState& state, TimePoint now);
   void SumLoads(TimePoint now);
   void ChooseWatch(TimePoint now);
+  /// Nobody was heard yet, and others may be there.
+  bool MayNotBeAlone(TimePoint now) const;
 
   EventLoop& m_loop;
   FleetHost m_own;
--- a/source/entry_peers.cc
+++ b/source/entry_peers.cc
@@ -396,7 +396,8 @@
 
 void EntryPeers::ChooseWatch(TimePoint now) {
   const bool settling = now - m_started < m_policy.settle;
-  if (settling && !m_listed && !m_needs_watch) {
+  const bool too_early = settling && (!m_listed || MayNotBeAlone(now));
+  if (too_early && !m_needs_watch) {
     return;
   }
   m_news.ForgetOld(now);
@@ -429,6 +430,11 @@
   }
 }
 
+bool EntryPeers::MayNotBeAlone(TimePoint now) const {
+  return m_news.Hosts(now).empty() &&
+         now - m_started < m_policy.alone_after / std::max(1, m_own.capacity);
+}
+
 bool EntryPeers::ShouldYield(TimePoint now) const {
   const std::vector<FleetHost> fleet = m_news.Fleet(now);
   return std::any_of(fleet.begin(), fleet.end(), [this](const auto& host) {
