--- a/tests/fake_fleet.h
+++ b/tests/fake_fleet.h
@@ -3,6 +3,7 @@
 /// Hosts that obey orders as the users' page says, for tests of the planner.
 
 #include <algorithm>
+#include <limits>
 #include <map>
 #include <optional>
 #include <random>
@@ -132,11 +133,18 @@
 
   /// Registrations and direct answers as the controller sees them.
   void Show(ServerDirectory& directory, HostFindings& findings, TimePoint now) {
-    for (auto& [id, host] : m_hosts) {
+    size_t shown = 0;
+    for (const std::string& id : ShowOrder()) {
+      Host& host = m_hosts.at(id);
       const bool registers = host.alive && !host.cut;
       if (registers) {
         host.silent_since.reset();
-        directory.Put(host.server, now);
+        const BackendServer* known = directory.Find(id);
+        const bool changed = known == nullptr || !(*known == host.server);
+        if (changed && shown++ < m_most_shown) {
+          directory.Put(host.server, now);
+          m_last_shown = id;
+        }
       } else if (!host.silent_since) {
         host.silent_since = now;
       } else if (now - *host.silent_since > Milliseconds(3600)) {
@@ -147,6 +155,10 @@
     }
   }
 
+  /// Changed registrations that the store takes between two looks; the others
+  /// wait for their turn.
+  void SetMostShown(size_t most) { m_most_shown = most; }
+
   /// Loads take a tenth of their time before the first request.
   void SetTraffic(bool traffic) { m_traffic = traffic; }
 
@@ -168,6 +180,18 @@
     ReplicaOrder order;
   };
 
+  /// All hosts, from the one after the last that was shown on.
+  std::vector<std::string> ShowOrder() const {
+    std::vector<std::string> order;
+    for (const auto& [id, host] : m_hosts) {
+      order.push_back(id);
+    }
+    const auto next =
+        std::upper_bound(order.begin(), order.end(), m_last_shown);
+    std::rotate(order.begin(), next, order.end());
+    return order;
+  }
+
   Duration LoadTime() const {
     return m_traffic ? Seconds(16) : Milliseconds(1600);
   }
@@ -361,6 +385,8 @@
   std::vector<std::string> m_violations;
   int m_last = 0;
   bool m_traffic = false;
+  size_t m_most_shown = std::numeric_limits<size_t>::max();
+  std::string m_last_shown;
 };
 
 }  // namespace filbertrack
--- a/tests/replicas_test.cc
+++ b/tests/replicas_test.cc
@@ -91,6 +91,23 @@
   CHECK(run.fleet.violations().empty());
 }
 
+TEST_CASE("a fleet whose reports come late forms its groups all the same") {
+  // The store takes 40 changed registrations a second, so that 330 hosts have
+  // reported a join only after 8 s. Were a host that took its order free
+  // again until then, it would be ordered into a second group, and the first
+  // one given up; callers found no group at all.
+  Run run(1);
+  for (int domain = 3; domain < 33; ++domain) {
+    for (int i = 0; i < 10; ++i) {
+      run.fleet.AddHost("d" + std::to_string(domain), false, "");
+    }
+  }
+  run.fleet.SetMostShown(4);
+  run.PassFor(Seconds(20));
+  CHECK(run.fleet.CountServing() >= 100);
+  CHECK(run.fleet.violations().empty());
+}
+
 TEST_CASE("spares count among the hosts of their model") {
   // Callers of the small model, which has half of the work, meet full groups.
   // With the spares of the large model on top of its share, the small one had
