--- a/include/filbertrack/request_retry_budget.h
+++ b/include/filbertrack/request_retry_budget.h
@@ -13,9 +13,6 @@
   double most_saved = 50;
   /// Earned without load, so that a quiet host may retry at all.
   double earned_per_second = 1;
-  /// Beside `most_saved`, what the requests of about so long earned is kept.
-  /// Zero keeps none.
-  Duration carry{0};
 };
 
 class RetryBudget {
@@ -40,14 +37,10 @@
  private:
   void Earn(double amount);
   void Refresh(TimePoint now);
-  /// The most that may be saved now.
-  double Bound() const;
 
   RetryBudgetPolicy m_policy;
   double m_saved;
   TimePoint m_updated;
-  /// Requests, those longer ago than `carry` counting about a third.
-  double m_recent = 0;
 };
 
 }  // namespace filbertrack
--- a/source/entry_host.cc
+++ b/source/entry_host.cc
@@ -56,15 +56,6 @@
 /// servers refuse, which count as well.
 constexpr double kRetryShare = 0.7;
 
-/// Retries that were earned this long ago are still there. A group that breaks
-/// turns all that waited there away at once, while each of many hosts has
-/// earned less than one retry a second: of 32,000 requests of a day with 195
-/// hosts, 874 were refused after one send for want of a saved retry, though the
-/// fleet had spent a sixth of what it may. With the share above, what a host
-/// can spend in a window of 10 s stays within the ratio and its part of the
-/// slack.
-constexpr Duration kRetryCarry = Seconds(3);
-
 /// Each entry host's part of the retries that are allowed beside the ratio.
 double MostSavedRetries(const Settings& settings, size_t entry_hosts) {
   const double slack = settings.Number("retries", "slack");
@@ -83,8 +74,7 @@
   const double ratio = settings.Number("retries", "ratio");
   const auto hosts =
       static_cast<size_t>(settings.Integer("retries", "entry_hosts"));
-  return {ratio * kRetryShare, MostSavedRetries(settings, hosts), 0,
-          kRetryCarry};
+  return {ratio * kRetryShare, MostSavedRetries(settings, hosts), 0};
 }
 
 }  // namespace
--- a/tests/request_test.cc
+++ b/tests/request_test.cc
@@ -2,10 +2,6 @@
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
 
-#include <algorithm>
-#include <random>
-#include <vector>
-
 #include "filbertrack/base_hash.h"
 #include "filbertrack/request_intake.h"
 #include "filbertrack/request_machine.h"
@@ -306,55 +302,5 @@
   CHECK(budget.TrySpend(kStart + Seconds(2)));
 }
 
-TEST_CASE("retries come in bursts: what was earned lately is kept") {
-  // One of 195 hosts, with its part of the slack, gets six requests a second.
-  // Two groups break at once, and four of its requests are turned away; without
-  // what it earned in the seconds before, it could send one of them again.
-  const auto spent_at_once = [](Duration carry) {
-    RetryBudget budget({0.14, 1.7, 0, carry}, kStart);
-    TimePoint now = kStart;
-    for (int i = 0; i < 120; ++i) {
-      now += Milliseconds(167);
-      budget.OnRequest(now);
-    }
-    int spent = 0;
-    while (budget.TrySpend(now)) {
-      ++spent;
-    }
-    return spent;
-  };
-  CHECK(spent_at_once(Duration(0)) == 1);
-  CHECK(spent_at_once(Seconds(3)) == 4);
-}
-
-TEST_CASE("what is kept stays within the allowed part of each window") {
-  // Whenever it is spent: 0.2 of the requests of 10 s, and the host's slack.
-  RetryBudget budget({0.14, 1.7, 0, Seconds(3)}, kStart);
-  std::vector<TimePoint> spent;
-  std::vector<TimePoint> asked;
-  TimePoint now = kStart;
-  std::mt19937_64 random(1);
-  for (int i = 0; i < 3000; ++i) {
-    now += Milliseconds(static_cast<int64_t>(random() % 334));
-    budget.OnRequest(now);
-    asked.push_back(now);
-    // Quiet times and times in which all is spent at once.
-    const bool in_burst = (now - kStart) / Seconds(7) % 2 == 0;
-    while (in_burst && budget.TrySpend(now)) {
-      spent.push_back(now);
-    }
-  }
-  const auto count = [](const std::vector<TimePoint>& times, TimePoint from) {
-    return std::count_if(times.begin(), times.end(), [from](TimePoint time) {
-      return time >= from && time < from + Seconds(10);
-    });
-  };
-  for (const TimePoint from : spent) {
-    // 2.4: this host's part of the slack; 0.7 of it is the policy's 1.7.
-    CHECK(static_cast<double>(count(spent, from)) <=
-          0.2 * static_cast<double>(count(asked, from)) + 2.4 + 1);
-  }
-}
-
 }  // namespace
 }  // namespace filbertrack
