--- a/include/filbertrack/entry_control.h
+++ b/include/filbertrack/entry_control.h
@@ -11,6 +11,7 @@
 
 #include "filbertrack/entry_host.h"
 #include "filbertrack/entry_lease.h"
+#include "filbertrack/entry_outbox.h"
 #include "filbertrack/entry_peers.h"
 #include "filbertrack/entry_ports.h"
 #include "filbertrack/entry_prober.h"
@@ -25,6 +26,8 @@
   Duration pass_interval = Milliseconds(200);
   /// Reports that arrive within this time of each other share a pass.
   Duration gather = Milliseconds(10);
+  /// Between batches of orders: answers and the lease come first.
+  Duration batch_pause = Milliseconds(2);
   /// A host that is much weaker than others gives the lease back once these
   /// were heard for so long: two times that a host which fell silent counts as
   /// there.
@@ -58,7 +61,9 @@
   void Pass();
   static void LogCounts(const std::string& service,
                         const ReplicaCounts& counts);
-  void Send(const PlannedOrder& planned);
+  void Queue(const PlannedOrder& planned);
+  /// Sends a batch of what waits, and the rest from later turns of the loop.
+  void SendBatch();
   void OnOrdered(const std::string& service,
                  const ReplicaOrder& order,
                  OrderResult result);
@@ -77,6 +82,7 @@
 
   // While this host holds it.
   std::map<std::string, ReplicaMemory, std::less<>> m_memory;
+  EntryOutbox m_outbox;
   std::unique_ptr<Timer> m_tick_timer;
   TimePoint m_counted_at;
   bool m_pass_pending = false;
--- a/source/entry_control.cc
+++ b/source/entry_control.cc
@@ -137,6 +137,7 @@
 void EntryControl::Gained() {
   m_peers.SetNeedsWatch(true);
   m_memory.clear();
+  m_outbox.Clear();
   m_prober.Clear();
   Log(LogLevel::kInfo, "lease-gained",
       {{"fence", m_lease.fence()}, {"version", m_lease.version()}});
@@ -174,7 +175,7 @@
 
 void EntryControl::Pass() {
   const Catalog* catalog = m_host.catalog();
-  if (catalog == nullptr) {
+  if (catalog == nullptr || !m_outbox.empty()) {
     return;
   }
   for (const auto& [name, service] : catalog->services()) {
@@ -192,13 +193,14 @@
     const TimePoint now = MonotonicNow();
     for (const PlannedOrder& planned :
          PlanReplicas(input, m_policy.replicas, memory, now)) {
-      Send(planned);
+      Queue(planned);
     }
     if (now - m_counted_at >= kCountInterval) {
       m_counted_at = now;
       LogCounts(name, CountReplicas(input, m_policy.replicas, memory, now));
     }
   }
+  SendBatch();
 }
 
 void EntryControl::LogCounts(const std::string& service,
@@ -215,7 +217,7 @@
        {"standing_by", counts.standing_by}});
 }
 
-void EntryControl::Send(const PlannedOrder& planned) {
+void EntryControl::Queue(const PlannedOrder& planned) {
   Json line = std::visit(OrderText{}, planned.order);
   line["why"] = planned.reason;
   line["fence"] = m_lease.fence();
@@ -224,10 +226,24 @@
                          ? std::visit(OrderHosts{}, planned.order)
                          : planned.only;
   for (const std::string& host : hosts) {
-    SendOne(host, planned.order);
+    m_outbox.Push(host, planned.order);
   }
 }
 
+void EntryControl::SendBatch() {
+  for (const WaitingOrder& waiting : m_outbox.TakeBatch()) {
+    SendOne(waiting.host, waiting.order);
+  }
+  if (m_outbox.empty()) {
+    return;
+  }
+  m_loop.Call(m_policy.batch_pause, [this, alive = m_alive] {
+    if (*alive) {
+      SendBatch();
+    }
+  });
+}
+
 void EntryControl::SendOne(const std::string& host_id,
                            const ReplicaOrder& order) {
   // A host whose registration lapsed may still answer.
