--- a/source/replica_form.cc
+++ b/source/replica_form.cc
@@ -130,8 +130,11 @@
     if (!m_input.before_traffic) {
       continue;
     }
+    if (StageFirstSpare(*model)) {
+      return true;
+    }
     for (Domain* domain : domains) {
-      if (StageFirstSpare(*model) || FormCold(*domain, *model)) {
+      if (FormCold(*domain, *model)) {
         return true;
       }
     }
