--- a/include/filbertrack/entry_host.h
+++ b/include/filbertrack/entry_host.h
@@ -25,6 +25,13 @@
 /// Whether a mechanism of the section [mechanisms] is switched on.
 bool IsOn(const Settings& settings, std::string_view mechanism);
 
+/// What the settings say of single parts.
+DispatchPolicy DispatchPolicyOf(const Settings& settings);
+RetryBudgetPolicy RetryPolicyOf(const Settings& settings);
+
+/// Each entry host's part of the retries that are allowed beside the ratio.
+double MostSavedRetries(const Settings& settings, size_t entry_hosts);
+
 class EntryHost : public SiteListener {
  public:
   EntryHost(EventLoop& loop,
--- a/include/filbertrack/entry_peers.h
+++ b/include/filbertrack/entry_peers.h
@@ -109,7 +109,7 @@
   void Ask(const std::string& name, Peer& peer, bool wants_far, TimePoint now);
   void OnAnswer(const std::string& name, const std::string* payload);
   void OnQuestion(std::string_view payload, const PeerServer::Answer& answer);
-  void TakeOver(const NewsAnswer& answer, TimePoint now);
+  void TakeOver(const NewsAnswer& answer);
   void TakeOverConfig(const NewsAnswer& answer);
   /// What this host tells a peer of that data centre.
   NewsState OwnNews(std::string_view data_centre) const;
--- a/source/entry_host.cc
+++ b/source/entry_host.cc
@@ -52,31 +52,6 @@
 constexpr std::string_view kReadyPath = "/ready";
 constexpr std::string_view kMetricsPath = "/metrics";
 
-/// Part of the retries that the rules allow; the rest covers requests that
-/// servers refuse, which count as well.
-constexpr double kRetryShare = 0.7;
-
-/// Each entry host's part of the retries that are allowed beside the ratio.
-double MostSavedRetries(const Settings& settings, size_t entry_hosts) {
-  const double slack = settings.Number("retries", "slack");
-  return std::max(1.0, slack * kRetryShare / static_cast<double>(entry_hosts));
-}
-
-DispatchPolicy DispatchPolicyOf(const Settings& settings) {
-  DispatchPolicy policy;
-  policy.looks_wider = IsOn(settings, "looks_wider");
-  policy.pauses_failing = IsOn(settings, "pauses_failing");
-  policy.learns_speed = IsOn(settings, "learns_speed");
-  return policy;
-}
-
-RetryBudgetPolicy RetryPolicyOf(const Settings& settings) {
-  const double ratio = settings.Number("retries", "ratio");
-  const auto hosts =
-      static_cast<size_t>(settings.Integer("retries", "entry_hosts"));
-  return {ratio * kRetryShare, MostSavedRetries(settings, hosts), 0};
-}
-
 }  // namespace
 
 EntryHost::EntryHost(EventLoop& loop,
--- a/source/entry_peers.cc
+++ b/source/entry_peers.cc
@@ -254,9 +254,11 @@
         {{"peer", name}});
   }
   const TimePoint now = MonotonicNow();
+  // Whatever it says: a fetch begins with its own question, and a peer has one
+  // question at a time.
+  m_config_fetch.End(name, now);
+  m_servers_fetch.End(name, now);
   if (payload == nullptr) {
-    m_config_fetch.End(name, now);
-    m_servers_fetch.End(name, now);
     return;
   }
   const Result<NewsAnswer> answer = DecodeNewsAnswer(*payload);
@@ -266,7 +268,7 @@
     return;
   }
   NoteNews(answer->state, now);
-  TakeOver(*answer, now);
+  TakeOver(*answer);
   WantNewer(name, answer->state);
 }
 
@@ -341,15 +343,13 @@
   }
 }
 
-void EntryPeers::TakeOver(const NewsAnswer& answer, TimePoint now) {
+void EntryPeers::TakeOver(const NewsAnswer& answer) {
   if (!answer.config.empty()) {
     TakeOverConfig(answer);
-    m_config_fetch.End(answer.state.node, now);
   }
   if (answer.servers.empty() && !answer.servers_whole) {
     return;
   }
-  m_servers_fetch.End(answer.state.node, now);
   ServerChanges changes;
   changes.whole = answer.servers_whole;
   changes.revision = answer.state.servers_revision;
--- /dev/null
+++ b/tests/replica_run.h
@@ -0,0 +1,82 @@
+#pragma once
+
+/// One controller's planner over a fake fleet, for tests of the planner.
+
+#include "fake_fleet.h"
+#include "filbertrack/replica_plan.h"
+
+namespace filbertrack {
+
+inline const TimePoint kStart{Seconds(1000)};
+inline constexpr Duration kStep = Milliseconds(100);
+
+inline ServiceProfile MakeService() {
+  EngineProfile engine;
+  engine.slots = 17;
+  engine.loads_per_second = 5;
+  engine.loads_at_once = 7;
+  ModelProfile large{"large", 4, 0.5, 1, Seconds(16), Milliseconds(1600)};
+  ModelProfile small{"small", 2, 0.5, 0.6, Seconds(12), Milliseconds(1100)};
+  engine.models = {large, small};
+  return {"llm", 300, engine};
+}
+
+/// One controller over a fake fleet.
+struct Run {
+  explicit Run(uint64_t seed) : fleet(seed) {
+    for (int domain = 0; domain < 3; ++domain) {
+      for (int i = 0; i < 10; ++i) {
+        fleet.AddHost("d" + std::to_string(domain), false, "");
+      }
+    }
+    memory.term = 1;
+  }
+
+  void Pass(double late) {
+    fleet.SetTraffic(now - kStart >= Seconds(20));
+    fleet.Step(now);
+    fleet.Show(directory, findings, now);
+    const ReplicaInput input{directory, findings,
+                             service,   now - kStart < Seconds(20),
+                             true,      pressure};
+    for (const PlannedOrder& planned :
+         PlanReplicas(input, policy, memory, now)) {
+      const bool answered = fleet.Send(planned, now, late);
+      if (answered) {
+        NoteOrderAnswered(planned.order, memory);
+      }
+      const auto* leave = std::get_if<LeaveGroup>(&planned.order);
+      const BackendServer* head =
+          leave == nullptr ? nullptr
+                           : directory.FindLastHead(leave->group, leave->epoch);
+      if (answered && head != nullptr && head->id == leave->host) {
+        directory.OnHeadLeft(leave->group, leave->epoch);
+      }
+    }
+    now += kStep;
+  }
+
+  void PassFor(Duration time, double late = 0) {
+    const TimePoint end = now + time;
+    while (now < end) {
+      Pass(late);
+    }
+  }
+
+  void TakeOver() {
+    const uint64_t term = memory.term + 1;
+    memory = {};
+    memory.term = term;
+  }
+
+  FakeFleet fleet;
+  ServiceProfile service = MakeService();
+  ServerDirectory directory{DirectoryPolicy{}};
+  HostFindings findings;
+  std::map<std::string, double, std::less<>> pressure;
+  ReplicaPolicy policy;
+  ReplicaMemory memory;
+  TimePoint now = kStart;
+};
+
+}  // namespace filbertrack
