--- a/source/entry_host.cc
+++ b/source/entry_host.cc
@@ -46,11 +46,6 @@
 /// two seconds after it is, and many callers come back only once.
 constexpr Duration kStoreRetryAfter = Milliseconds(1000);
 constexpr Duration kStoreRetrySpread = Milliseconds(1000);
-constexpr int kOk = 200;
-constexpr int kNotFound = 404;
-constexpr int kUnready = 503;
-constexpr std::string_view kReadyPath = "/ready";
-constexpr std::string_view kMetricsPath = "/metrics";
 
 }  // namespace
 
@@ -104,47 +99,6 @@
   return !m_draining && m_catalog != nullptr && m_servers_known;
 }
 
-void EntryHost::AddGauges() {
-  m_metrics.AddGauge("filbertrack_ready", "", [this] { return IsReady(); });
-  m_metrics.AddGauge("filbertrack_config_version", "", [this] {
-    return m_catalog == nullptr ? 0.0
-                                : static_cast<double>(m_catalog->version());
-  });
-  m_metrics.AddGauge("filbertrack_config_age_seconds", "", [this] {
-    return m_catalog == nullptr ? 0.0
-                                : ToSeconds(MonotonicNow() - m_catalog_at);
-  });
-  m_metrics.AddGauge("filbertrack_loads_age_seconds", "", [this] {
-    return ToSeconds(m_board.LoadsAge(MonotonicNow()));
-  });
-  m_metrics.AddGauge("filbertrack_store_away", "",
-                     [this] { return store_away(); });
-  m_metrics.AddGauge("filbertrack_requests_open", "",
-                     [this] { return static_cast<double>(m_relays.size()); });
-  m_metrics.AddGauge("filbertrack_servers", "", [this] {
-    return static_cast<double>(m_directory.servers().size());
-  });
-  m_metrics.AddGauge("filbertrack_servers_unreadable", "",
-                     [this] { return static_cast<double>(m_unreadable); });
-  m_metrics.AddGauge("filbertrack_targets", "", [this] {
-    return static_cast<double>(m_board.CountTargets());
-  });
-  m_metrics.AddGauge("filbertrack_log_lines_dropped", "",
-                     [] { return static_cast<double>(DroppedLogLines()); });
-}
-
-void EntryHost::OnProbe(HttpExchange& exchange) {
-  if (exchange.path() == kReadyPath) {
-    exchange.Reply(IsReady() ? kOk : kUnready, {}, "");
-    return;
-  }
-  if (exchange.path() == kMetricsPath) {
-    exchange.Reply(kOk, {{"Content-Type", "text/plain"}}, m_metrics.Text());
-    return;
-  }
-  exchange.Reply(kNotFound, {}, "");
-}
-
 void EntryHost::Reject(HttpExchange& exchange,
                        const EntryRequest& request,
                        ResultCode code) {
