--- a/include/filbertrack/entry_prober.h
+++ b/include/filbertrack/entry_prober.h
@@ -7,6 +7,13 @@
 /// delays one question by the time until it is sent again, which is less than
 /// the second question takes, so a host is not given up for it. Asked one after
 /// the other the same two questions took 0.7 s and the waits between ticks.
+///
+/// A prober whose own link or processor is late hears no answers either. It
+/// would declare hosts silent that live, and the planner would take their
+/// groups apart: 462 of 760 within a second, and no group served any more. So a
+/// host counts as silent only while others that were asked at the same time
+/// answer; where most do not, nothing is said of those that fell silent, and
+/// what the store tells of lapsed registrations stands.
 
 #include <cstdint>
 #include <deque>
@@ -21,13 +28,6 @@
 
 namespace filbertrack {
 
-/// A prober whose own link or processor is late hears no answers either. It
-/// would declare hosts silent that live, and the planner would take their
-/// groups apart: 462 of 760 within a second, and no group served any more. So a
-/// host counts as silent only while others that were asked at the same time
-/// answer; where most do not, nothing is said of those that fell silent, and
-/// what the store tells of lapsed registrations stands.
-
 struct ProbePolicy {
   /// How often members of groups are asked.
   Duration interval = Milliseconds(500);
--- a/include/filbertrack/entry_roster.h
+++ b/include/filbertrack/entry_roster.h
@@ -71,7 +71,9 @@
   Events m_events;
   TimePoint m_started;
   std::string m_proposed_secret;
+  /// The own record is written, or is being written, or need not be.
   bool m_registers = false;
+  /// Keys of the records that were read so far.
   std::set<std::string, std::less<>> m_known;
   Duration m_start_pause{0};
   std::unique_ptr<Timer> m_retry_timer;
