--- a/source/entry_host.cc
+++ b/source/entry_host.cc
@@ -400,12 +400,16 @@
   }
   m_board.SetTargets(CurrentTargets(m_directory, *m_catalog), *m_catalog,
                      MonotonicNow());
-  const auto still = HeadsStandingStill(m_directory, *m_catalog);
+  // Adding up all groups again is left out where no request needs it.
+  std::optional<std::set<std::string_view>> still;
   std::vector<std::pair<EntryRelay*, std::string>> lost;
   for (const auto& [key, relay] : m_relays) {
     const std::string& target = relay->last_target();
-    const bool stands_still =
-        !m_board.HasTarget(target) && still.contains(target);
+    const bool is_lost = !target.empty() && !m_board.HasTarget(target);
+    if (is_lost && !still) {
+      still = HeadsStandingStill(m_directory, *m_catalog);
+    }
+    const bool stands_still = is_lost && still->contains(target);
     if (stands_still || HasRestarted(*relay)) {
       lost.emplace_back(relay.get(), target);
     }
