entry: lines tell which requests a server had when it ended, and name the work

Cause: in the incident's lines equal workspace and prompt length had to stand for the name of a request that comes again, and nothing told a server that ended from a connection that broke. So the hypotheses could not be told apart. Change: DigestRequest() names what a request asks (method, host name, path, workspace, body; not ids, keys, headers); attempt-ended has it where a connection broke. ServerEndCheck asks a server directly just after an answer broke off there and writes server-ended with its evidence and the digests; nothing is decided by it yet. Measured: tests of the platform library pass; cost of the questions is not measured, one for each server on whose connections an answer broke off.

--- a/include/filbertrack/entry_host.h
+++ b/include/filbertrack/entry_host.h
@@ -36,7 +36,8 @@
  public:
   EntryHost(EventLoop& loop,
             const Settings& settings,
-            const CallDialect& dialect);
+            const CallDialect& dialect,
+            EngineLink& engines);
   ~EntryHost() override;
 
   /// Listens on the addresses of the settings.
@@ -126,7 +127,13 @@
   /// The process that the request was sent to has ended: another one has its
   /// name.
   bool HasRestarted(const EntryRelay& relay) const;
+  /// If the process that has the relay's attempt ended, says so.
+  void NoteRestart(const EntryRelay& relay);
   void ScheduleExpiry();
+  void OnBroken(const DispatchTarget& target, BrokenAttempt attempt);
+  void OnServerEnded(const ServerEnd& end);
+  /// The server of the target, as the process that the target stands for.
+  std::optional<BackendServer> ServerOf(const DispatchTarget& target) const;
   void CheckSilence();
   void CheckDrained();
 
@@ -151,6 +158,9 @@
   DispatchBoard m_board;
   RetryBudget m_retries;
   RelayContext m_context;
+  ServerEndCheck m_ends;
+  /// Attempts of this host that ended with their server.
+  uint64_t m_attempts_ended = 0;
   EntryMetrics m_metrics;
   std::unordered_map<const EntryRelay*, std::unique_ptr<EntryRelay>> m_relays;
   std::mt19937_64 m_random;
--- a/include/filbertrack/entry_relay.h
+++ b/include/filbertrack/entry_relay.h
@@ -12,6 +12,7 @@
 
 #include "filbertrack/dispatch_board.h"
 #include "filbertrack/entry_ports.h"
+#include "filbertrack/entry_server_ends.h"
 #include "filbertrack/http_client.h"
 #include "filbertrack/http_server.h"
 #include "filbertrack/request_machine.h"
@@ -67,6 +68,9 @@
   std::string near_data_centre;
   /// Revision of the store up to which the targets are known.
   uint64_t servers_revision = 0;
+  /// A request that was sent to `target` broke off there.
+  std::function<void(const DispatchTarget& target, BrokenAttempt attempt)>
+      on_broken;
 };
 
 class EntryRelay {
@@ -95,6 +99,14 @@
   uint64_t target_born_ms() const {
     return m_choice ? m_choice->target.born_ms : 0;
   }
+  /// Of the present attempt; null: there is none.
+  const DispatchTarget* target() const {
+    return m_choice ? &m_choice->target : nullptr;
+  }
+  /// The present attempt, as it would be if its connection broke now.
+  BrokenAttempt AttemptSoFar() const { return {digest(), Progress()}; }
+  /// Names what the request asks, whoever sends it again.
+  const RequestDigest& digest() const;
   int sends() const { return m_state.sends; }
   /// What the best target would have taken where all were too busy; nullopt: no
   /// such refusal.
@@ -119,6 +131,8 @@
   void OnHead(int status, const HttpHeaders& headers);
   void OnBytes(std::string_view bytes);
   void OnComplete();
+  void OnFailure(bool may_have_left);
+  AttemptProgress Progress() const;
   void CloseAttempt(bool failed);
   void NoteFirstEvent(TimePoint now);
   void ForwardEvent(const SseEvent& event);
@@ -154,6 +168,8 @@
   /// Where CanMoveOn() found that the answer can be taken up.
   std::optional<DispatchChoice> m_next_choice;
   std::set<std::string, std::less<>> m_tried;
+  /// Made when it is first asked for: most requests never need it.
+  mutable RequestDigest m_digest;
   std::string m_last_target;
   Duration m_retry_after{0};
   std::optional<Duration> m_told_retry_after;
--- a/source/entry_host.cc
+++ b/source/entry_host.cc
@@ -51,7 +51,8 @@
 
 EntryHost::EntryHost(EventLoop& loop,
                      const Settings& settings,
-                     const CallDialect& dialect)
+                     const CallDialect& dialect,
+                     EngineLink& engines)
     : m_loop(loop),
       m_settings(settings),
       m_dialect(dialect),
@@ -61,7 +62,22 @@
       m_board(DispatchPolicyOf(settings),
               RendezvousWeight("board", settings.Text("node", "name"))),
       m_retries(RetryPolicyOf(settings), MonotonicNow()),
-      m_context{loop, m_upstream, dialect, m_board, m_retries, {}, 1, {}, 0},
+      m_context{loop,
+                m_upstream,
+                dialect,
+                m_board,
+                m_retries,
+                {},
+                1,
+                {},
+                0,
+                [this](const DispatchTarget& target, BrokenAttempt attempt) {
+                  OnBroken(target, std::move(attempt));
+                }},
+      m_ends(engines,
+             {},
+             MonotonicNow,
+             [this](const ServerEnd& end) { OnServerEnded(end); }),
       m_random(RendezvousWeight("split", settings.Text("node", "name"))) {
   m_context.times.moves_silent = IsOn(settings, "moves_silent");
   AddGauges();
@@ -219,6 +235,30 @@
   }
 }
 
+std::optional<BackendServer> EntryHost::ServerOf(
+    const DispatchTarget& target) const {
+  const BackendServer* server = m_directory.FindLast(target.id);
+  if (server == nullptr) {
+    return std::nullopt;
+  }
+  BackendServer process = *server;
+  process.address = target.address;
+  process.born_ms = target.born_ms;
+  return process;
+}
+
+void EntryHost::OnBroken(const DispatchTarget& target, BrokenAttempt attempt) {
+  const auto server = ServerOf(target);
+  // A server that leaves in order ends by itself, whatever it runs.
+  if (server && !server->draining) {
+    m_ends.OnBroken(*server, std::move(attempt));
+  }
+}
+
+void EntryHost::OnServerEnded(const ServerEnd& end) {
+  m_attempts_ended += end.attempts.size();
+}
+
 void EntryHost::CheckSilence() {
   const TimePoint now = MonotonicNow();
   std::vector<EntryRelay*> relays;
@@ -416,6 +456,7 @@
   }
   for (const auto& [relay, target] : lost) {
     if (m_relays.contains(relay)) {
+      NoteRestart(*relay);
       relay->TargetLost(target);
     }
   }
@@ -427,6 +468,14 @@
          IsLaterLife(server->born_ms, relay.target_born_ms());
 }
 
+void EntryHost::NoteRestart(const EntryRelay& relay) {
+  const DispatchTarget* target = relay.target();
+  const auto server = target == nullptr ? std::nullopt : ServerOf(*target);
+  if (server && HasRestarted(relay)) {
+    m_ends.OnRegisteredAnew(*server, relay.AttemptSoFar());
+  }
+}
+
 void EntryHost::Reload(const Settings& settings) {
   if (settings == m_settings) {
     return;
--- a/source/entry_host_probe.cc
+++ b/source/entry_host_probe.cc
@@ -38,6 +38,8 @@
   });
   m_metrics.AddGauge("filbertrack_servers_unreadable", "",
                      [this] { return static_cast<double>(m_unreadable); });
+  m_metrics.AddGauge("filbertrack_attempts_ended_with_server", "",
+                     [this] { return static_cast<double>(m_attempts_ended); });
   m_metrics.AddGauge("filbertrack_targets", "", [this] {
     return static_cast<double>(m_board.CountTargets());
   });
--- a/source/entry_relay.cc
+++ b/source/entry_relay.cc
@@ -231,10 +231,7 @@
   };
   events.on_bytes = [this](std::string_view bytes) { OnBytes(bytes); };
   events.on_end = [this](int) { OnComplete(); };
-  events.on_failure = [this](bool may_have_left) {
-    m_why_ended = may_have_left ? "connection broke" : "no connection";
-    Feed(AttemptFailed{may_have_left});
-  };
+  events.on_failure = [this](bool may_have_left) { OnFailure(may_have_left); };
   m_call = m_context.http.Start(choice.target.address, MakeCall(choice, now),
                                 std::move(events));
 }
@@ -331,6 +328,31 @@
   Feed(AttemptComplete{});
 }
 
+void EntryRelay::OnFailure(bool may_have_left) {
+  m_why_ended = may_have_left ? "connection broke" : "no connection";
+  if (may_have_left && m_choice) {
+    m_context.on_broken(m_choice->target, AttemptSoFar());
+  }
+  Feed(AttemptFailed{may_have_left});
+}
+
+AttemptProgress EntryRelay::Progress() const {
+  if (m_attempt_first_event) {
+    return AttemptProgress::kAnswering;
+  }
+  return m_attempt_status == 0 ? AttemptProgress::kNoAnswer
+                               : AttemptProgress::kBegun;
+}
+
+const RequestDigest& EntryRelay::digest() const {
+  if (m_digest.empty()) {
+    m_digest = DigestRequest({m_exchange->method_text(),
+                              m_request.facts.hostname, m_exchange->target(),
+                              m_request.workspace, m_exchange->body()});
+  }
+  return m_digest;
+}
+
 void EntryRelay::CloseAttempt(bool failed) {
   m_call.reset();
   if (!m_choice) {
@@ -339,7 +361,8 @@
   if (failed) {
     const TimePoint now = MonotonicNow();
     LogAttemptEnded({m_request, m_choice->target.id, m_why_ended,
-                     m_attempt_status, now - m_sent_at, now - m_last_byte});
+                     m_attempt_status, now - m_sent_at, now - m_last_byte,
+                     m_digest});
   }
   DispatchResult result = DispatchResult::kAnswered;
   if (m_not_run) {
--- a/source/entry_trail.cc
+++ b/source/entry_trail.cc
@@ -33,13 +33,16 @@
   if (!IsLogged(LogLevel::kInfo)) {
     return;
   }
-  Log(LogLevel::kInfo, "attempt-ended",
-      {{"request", line.request.facts.request_id},
-       {"target", line.target},
-       {"why", line.why},
-       {"status", line.status},
-       {"after_ms", ToMilliseconds(line.after)},
-       {"silent_ms", ToMilliseconds(line.since_last_byte)}});
+  nlohmann::json fields = {{"request", line.request.facts.request_id},
+                           {"target", line.target},
+                           {"why", line.why},
+                           {"status", line.status},
+                           {"after_ms", ToMilliseconds(line.after)},
+                           {"silent_ms", ToMilliseconds(line.since_last_byte)}};
+  if (!line.digest.empty()) {
+    fields["digest"] = line.digest;
+  }
+  Log(LogLevel::kInfo, "attempt-ended", fields);
 }
 
 void LogRequest(const RequestLine& line) {
--- a/source/entry_trail.h
+++ b/source/entry_trail.h
@@ -32,6 +32,8 @@
   int status = 0;
   Duration after{0};
   Duration since_last_byte{0};
+  /// Empty where nobody needed it.
+  std::string_view digest;
 };
 void LogAttemptEnded(const AttemptEndedLine& line);
 
--- /dev/null
+++ b/source/poison_digest.cc
@@ -0,0 +1,38 @@
+#include "filbertrack/poison_digest.h"
+
+#include <algorithm>
+#include <cctype>
+#include <initializer_list>
+
+#include "filbertrack/base_hash.h"
+
+namespace filbertrack {
+
+namespace {
+
+/// 128 bits: no two requests of a fleet's life share a digest by chance.
+constexpr size_t kDigits = 32;
+
+std::string LowerCase(std::string_view text) {
+  std::string lower(text);
+  std::transform(lower.begin(), lower.end(), lower.begin(), [](char letter) {
+    return static_cast<char>(std::tolower(static_cast<unsigned char>(letter)));
+  });
+  return lower;
+}
+
+}  // namespace
+
+RequestDigest DigestRequest(const RequestIdentity& identity) {
+  const std::string hostname = LowerCase(identity.hostname);
+  std::string text;
+  // Each part with its length, so that no two requests make one text.
+  for (const std::string_view part :
+       {identity.method, std::string_view(hostname), identity.target,
+        identity.workspace, identity.body}) {
+    text.append(std::to_string(part.size())).append(":").append(part);
+  }
+  return Sha256Hex(text).substr(0, kDigits);
+}
+
+}  // namespace filbertrack
--- a/tests/platform_path_test.cc
+++ b/tests/platform_path_test.cc
@@ -44,7 +44,8 @@
         "[peers]\nlisten = 127.0.0.1:0\n[store]\naddress = " +
             store.address().ToString() + "\n",
         "test.ini");
-    host = std::make_unique<EntryHost>(loop, *settings, dialect);
+    engines = std::make_unique<platform::PlatformEngines>(loop);
+    host = std::make_unique<EntryHost>(loop, *settings, dialect, *engines);
     listening = host->Listen().has_value();
     client = std::make_unique<platform::PlatformStore>(
         loop, store.address(), platform::PlatformStorePolicy{}, *host, 1);
@@ -52,7 +53,6 @@
     peers = std::make_unique<EntryPeers>(loop, FleetHost{"e1", "z"},
                                          Address{"127.0.0.1", 0}, peer_policy,
                                          *host, decoder, *client, *client);
-    engines = std::make_unique<platform::PlatformEngines>(loop);
     ControlPolicy policy;
     policy.replicas.settle = Milliseconds(50);
     policy.replicas.spares_per_domain = 1;
@@ -81,11 +81,11 @@
   std::vector<std::unique_ptr<PlatformRunnerStandin>> plain;
   platform::PlatformDialect dialect;
   platform::PlatformDecoder decoder;
+  std::unique_ptr<platform::PlatformEngines> engines;
   std::unique_ptr<EntryHost> host;
   bool listening = false;
   std::unique_ptr<platform::PlatformStore> client;
   std::unique_ptr<EntryPeers> peers;
-  std::unique_ptr<platform::PlatformEngines> engines;
   std::unique_ptr<EntryControl> control;
 };
 
--- a/tests/platform_return_test.cc
+++ b/tests/platform_return_test.cc
@@ -3,6 +3,7 @@
 
 #include "filbertrack/entry_host.h"
 #include "platform_dialect.h"
+#include "platform_engines.h"
 
 /// What an entry host makes of the store's return, and of entries that cannot
 /// be read, without sockets.
@@ -25,13 +26,15 @@
       : settings(*EntrySchema().ParseText("[node]\nname = e1\ndata_centre = z\n"
                                           "[store]\naddress = 127.0.0.1:9\n",
                                           "test.ini")),
-        host(loop, settings, dialect) {
+        engines(loop),
+        host(loop, settings, dialect, engines) {
     host.OnServers(Registered("s1", 10));
   }
 
   EventLoop loop;
   platform::PlatformDialect dialect;
   Settings settings;
+  platform::PlatformEngines engines;
   EntryHost host;
 };
 
