--- a/include/filbertrack/base_result.h
+++ b/include/filbertrack/base_result.h
@@ -42,6 +42,7 @@
   kDraining = 116,
   kCallerGone = 117,
   kMayBeBehind = 118,
+  kEndsServers = 119,
 };
 
 /// One row of the table of result codes.
--- a/include/filbertrack/entry_host.h
+++ b/include/filbertrack/entry_host.h
@@ -10,6 +10,7 @@
 #include "filbertrack/change_log.h"
 #include "filbertrack/dispatch_board.h"
 #include "filbertrack/entry_metrics.h"
+#include "filbertrack/entry_poison.h"
 #include "filbertrack/entry_ports.h"
 #include "filbertrack/entry_relay.h"
 #include "filbertrack/entry_targets.h"
@@ -102,6 +103,12 @@
 
   EntryMetrics& metrics() { return m_metrics; }
 
+  /// Requests under which servers end.
+  EntryPoison& poison() { return m_poison; }
+  const EntryPoison& poison() const { return m_poison; }
+  /// Decides which those are, and ends the copies that wait.
+  void SettlePoison();
+
   /// Called after each change of directory or configuration.
   void OnChange(std::function<void()> action) {
     m_on_change = std::move(action);
@@ -130,10 +137,7 @@
   /// If the process that has the relay's attempt ended, says so.
   void NoteRestart(const EntryRelay& relay);
   void ScheduleExpiry();
-  void OnBroken(const DispatchTarget& target, BrokenAttempt attempt);
-  void OnServerEnded(const ServerEnd& end);
-  /// The server of the target, as the process that the target stands for.
-  std::optional<BackendServer> ServerOf(const DispatchTarget& target) const;
+  std::vector<EntryRelay*> OpenRelays() const;
   void CheckSilence();
   void CheckDrained();
 
@@ -157,10 +161,8 @@
   HttpClient m_upstream;
   DispatchBoard m_board;
   RetryBudget m_retries;
+  EntryPoison m_poison;
   RelayContext m_context;
-  ServerEndCheck m_ends;
-  /// Attempts of this host that ended with their server.
-  uint64_t m_attempts_ended = 0;
   EntryMetrics m_metrics;
   std::unordered_map<const EntryRelay*, std::unique_ptr<EntryRelay>> m_relays;
   std::mt19937_64 m_random;
--- a/include/filbertrack/entry_peers.h
+++ b/include/filbertrack/entry_peers.h
@@ -100,6 +100,8 @@
     std::unique_ptr<PeerClient> client;
     TimePoint asked_at;
     bool silent = false;
+    /// Its facts of requests under which servers end are known up to here.
+    uint64_t poison_known = 0;
   };
 
   EntryRoster::Events RosterEvents();
--- /dev/null
+++ b/include/filbertrack/entry_poison.h
@@ -0,0 +1,82 @@
+#pragma once
+
+/// What an entry host does about requests under which servers end: lays ends of
+/// servers to the requests that they had, exchanges that with the other hosts,
+/// and says which requests reach no further server.
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string_view>
+#include <vector>
+
+#include "filbertrack/dispatch_board.h"
+#include "filbertrack/entry_server_ends.h"
+#include "filbertrack/poison_ledger.h"
+#include "filbertrack/server_directory.h"
+
+namespace filbertrack {
+
+class EntryPoison {
+ public:
+  using Clock = ServerEndCheck::Clock;
+
+  /// `first_revision` as in PoisonLedger.
+  EntryPoison(const ServerDirectory& directory,
+              EngineLink& engines,
+              Clock clock,
+              uint64_t first_revision);
+
+  /// An attempt at the target broke off: the target may have ended.
+  void OnBroken(const DispatchTarget& target, BrokenAttempt attempt);
+
+  /// The process that had the attempt has ended: a later one is registered.
+  void OnRestarted(const DispatchTarget& target, BrokenAttempt attempt);
+
+  /// The target answered an attempt that was sent at `sent`.
+  void OnAnswer(const DispatchTarget& target, TimePoint sent);
+
+  /// A request was answered to its end.
+  void OnServed(const RequestDigest& digest);
+
+  /// Whether there is nothing known of any request, as most of the time: no
+  /// digest need be made then.
+  bool IsIdle() const { return m_ledger.IsEmpty(); }
+  bool IsMarked(const RequestDigest& digest) const {
+    return m_ledger.IsMarked(digest);
+  }
+
+  /// Decides on what is known by now. True if requests were marked since the
+  /// last call, here or elsewhere: copies that wait must not be sent.
+  bool Settle(TimePoint now);
+
+  /// What the peer lacks that knows this host's facts up to `known`.
+  PoisonNews Since(uint64_t known, TimePoint now) const {
+    return m_ledger.Since(known, now);
+  }
+  void OnNews(const PoisonNews& news, std::string_view peer, TimePoint now);
+
+  /// The marks in force, and what the fleet's record of them says.
+  std::vector<Marked> Marks() const { return m_ledger.Marks(); }
+  void OnRecorded(const Marked& mark, TimePoint now);
+  void OnLifted(const RequestDigest& digest, TimePoint now);
+
+  /// Attempts of this host that ended with their server.
+  uint64_t attempts_ended() const { return m_attempts_ended; }
+  size_t CountSuspectedEnds() const { return m_ledger.CountEnds(); }
+
+ private:
+  void OnEnd(const ServerEnd& end);
+  /// The server of the target, as the process that the target stands for.
+  std::optional<BackendServer> ServerOf(const DispatchTarget& target) const;
+  void LogMark(const Marked& mark, std::string_view from);
+
+  const ServerDirectory& m_directory;
+  Clock m_clock;
+  PoisonLedger m_ledger;
+  ServerEndCheck m_ends;
+  uint64_t m_attempts_ended = 0;
+  bool m_has_new_marks = false;
+};
+
+}  // namespace filbertrack
--- a/include/filbertrack/entry_relay.h
+++ b/include/filbertrack/entry_relay.h
@@ -11,8 +11,8 @@
 #include <string>
 
 #include "filbertrack/dispatch_board.h"
+#include "filbertrack/entry_poison.h"
 #include "filbertrack/entry_ports.h"
-#include "filbertrack/entry_server_ends.h"
 #include "filbertrack/http_client.h"
 #include "filbertrack/http_server.h"
 #include "filbertrack/request_machine.h"
@@ -61,6 +61,7 @@
   const CallDialect& dialect;
   DispatchBoard& board;
   RetryBudget& retries;
+  EntryPoison& poison;
   RelayTimes times;
   /// Entry hosts that share the connections of the backend servers.
   size_t entry_hosts = 1;
@@ -68,9 +69,6 @@
   std::string near_data_centre;
   /// Revision of the store up to which the targets are known.
   uint64_t servers_revision = 0;
-  /// A request that was sent to `target` broke off there.
-  std::function<void(const DispatchTarget& target, BrokenAttempt attempt)>
-      on_broken;
 };
 
 class EntryRelay {
@@ -88,6 +86,10 @@
   /// The target, if it is the present one, does not answer any more.
   void TargetLost(std::string_view target);
 
+  /// Ends the request if servers end under it and this one's has not answered
+  /// yet: a copy in a server's queue would end it as well.
+  void CheckMark();
+
   /// Looks for a stream that has fallen silent.
   void CheckSilence(TimePoint now);
 
@@ -132,6 +134,10 @@
   void OnBytes(std::string_view bytes);
   void OnComplete();
   void OnFailure(bool may_have_left);
+  /// Servers end under what this request asks.
+  bool IsMarked() const;
+  /// The request was answered to its end.
+  void NoteServed();
   AttemptProgress Progress() const;
   void CloseAttempt(bool failed);
   void NoteFirstEvent(TimePoint now);
--- a/include/filbertrack/news_message.h
+++ b/include/filbertrack/news_message.h
@@ -13,6 +13,7 @@
 #include "filbertrack/base_result.h"
 #include "filbertrack/base_time.h"
 #include "filbertrack/change_log.h"
+#include "filbertrack/poison_ledger.h"
 
 namespace filbertrack {
 
@@ -84,6 +85,9 @@
   bool wants_servers = false;
   /// Sums of other data centres are wanted.
   bool wants_far = false;
+  /// The answerer's facts of requests under which servers end are known up to
+  /// this revision of its own.
+  uint64_t poison_known = 0;
 };
 
 struct NewsAnswer {
@@ -94,6 +98,8 @@
   std::vector<LoggedObject> servers;
   /// `servers` is all there are.
   bool servers_whole = false;
+  /// What the asker lacks of the answerer's facts. At rest a number only.
+  PoisonNews poison;
 };
 
 std::string EncodeNewsAsk(const NewsAsk& ask);
--- a/include/filbertrack/poison_digest.h
+++ b/include/filbertrack/poison_digest.h
@@ -27,4 +27,7 @@
 
 RequestDigest DigestRequest(const RequestIdentity& identity);
 
+/// Whether the text has the form of a digest: others tell them too.
+bool IsRequestDigest(std::string_view text);
+
 }  // namespace filbertrack
--- /dev/null
+++ b/include/filbertrack/poison_ledger.h
@@ -0,0 +1,222 @@
+#pragma once
+
+/// Finds the request under which servers end, from reports of all entry hosts,
+/// and keeps it from further servers.
+///
+/// The load that it is made for: one request ends each server that begins to
+/// run it, and comes again several times a second, under new ids, at any entry
+/// host, among hundreds of requests that run beside it on the same servers. No
+/// entry host sees three of its ends, and each end takes a dozen innocent
+/// requests along, some of which follow it to the next server.
+///
+/// Whom an end is laid to: of the requests that a server had when it ended,
+/// those that were at most other ends as well, above all where they had just
+/// begun to run. Whoever was there by chance is at fewer ends than the culprit,
+/// or has an answer by now, which clears it.
+///
+/// Facts are sets that only grow, and are told with their age. So hosts that
+/// heard the same facts in any order, and any number of times, decide alike.
+
+#include <compare>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "filbertrack/base_time.h"
+#include "filbertrack/poison_digest.h"
+
+namespace filbertrack {
+
+/// One process of a backend server.
+struct ServerLife {
+  std::string id;
+  /// Start of the process, Unix ms; 0: not told.
+  uint64_t born_ms = 0;
+
+  auto operator<=>(const ServerLife&) const = default;
+};
+
+/// How far a server had come with a request when it ended.
+enum class EndProgress : int {
+  /// Parts of the answer had come, so it had run for a while.
+  kAnswering = 0,
+  /// Nothing had come: it may have waited in a queue.
+  kNoAnswer = 1,
+  /// The answer had begun and held nothing yet.
+  kBegun = 2,
+};
+
+// Facts.
+
+/// A server ended while it had the request.
+struct EndedUnder {
+  ServerLife server;
+  RequestDigest digest;
+  EndProgress progress = EndProgress::kNoAnswer;
+};
+/// A server that was said to have ended has answered since.
+struct FoundAlive {
+  ServerLife server;
+};
+/// The request was answered to its end, or an operator lifted its mark.
+struct Cleared {
+  RequestDigest digest;
+};
+/// So many servers ended under the request: it reaches no more. It holds since
+/// the first of these ends, so that an answer after that speaks against it.
+struct Marked {
+  RequestDigest digest;
+  int ends = 0;
+};
+using PoisonFact = std::variant<EndedUnder, FoundAlive, Cleared, Marked>;
+
+struct TimedPoisonFact {
+  PoisonFact fact;
+  Duration age{0};
+};
+
+/// Facts for another entry host.
+struct PoisonNews {
+  /// The teller's facts up to this revision are told with these.
+  uint64_t revision = 0;
+  std::vector<TimedPoisonFact> facts;
+};
+
+struct PoisonPolicy {
+  /// What a request is turned away at: three ends at which it had just begun. A
+  /// second end may be chance where many servers end at once.
+  int evidence_to_mark = 60;
+  /// What one end is worth, by how far the request was. Those that ran for a
+  /// while, or may have waited, are at ends by chance much more often, so they
+  /// need a fourth and a fifth end.
+  int begun_evidence = 20;
+  int no_answer_evidence = 15;
+  int answering_evidence = 12;
+  /// An end counts after this: reports of other entry hosts, who had the
+  /// culprit there, take up to three rounds of questions.
+  Duration settle = Milliseconds(500);
+  /// Ends further apart than this are not connected.
+  Duration fact_life = Seconds(600);
+  /// A mark that nobody lifts ends after a day: what made the servers end may
+  /// be mended. One more end marks the request again.
+  Duration mark_life = Seconds(24 * 3600);
+  /// Bounds memory to about 200 KB. Ends of requests that were at one end only
+  /// go first, so that ever new requests do not push out one that comes again.
+  size_t most_ends = 1024;
+  size_t most_marks = 256;
+  /// Words that clear a request or a server, kept against late reports of ends.
+  size_t most_words = 1024;
+  /// Facts in one message: 15 KB.
+  size_t most_told = 256;
+};
+
+class PoisonLedger {
+ public:
+  /// Revisions begin above `first_revision`: random, so that a host that starts
+  /// again is not taken for the one before.
+  PoisonLedger(PoisonPolicy policy, uint64_t first_revision)
+      : m_policy(policy), m_revision(first_revision) {}
+
+  /// Takes up a fact that held at `at`; false where it says nothing new.
+  bool Note(const PoisonFact& fact, TimePoint at);
+
+  /// Forgets what is old, and marks requests. Returns the new marks.
+  std::vector<Marked> Settle(TimePoint now);
+
+  /// Whether the request must reach no further server.
+  bool IsMarked(const RequestDigest& digest) const;
+  /// Whether a server ended under the request, so that its answer is news.
+  bool IsSuspect(const RequestDigest& digest) const;
+  /// Neither ends nor marks are known.
+  bool IsEmpty() const { return m_ends.empty() && m_marks.empty(); }
+  /// When this life of a server was last said to have ended.
+  std::optional<TimePoint> EndedAt(const ServerLife& server) const;
+  /// Marks in force.
+  std::vector<Marked> Marks() const;
+  /// Servers whose ends are laid to the request now.
+  std::vector<std::string> EndsLaidTo(const RequestDigest& digest,
+                                      TimePoint now) const;
+  size_t CountEnds() const { return m_end_rows; }
+
+  uint64_t revision() const { return m_revision; }
+  /// Facts that came after `known`, a revision of this ledger, the oldest
+  /// first; all of them where it is none.
+  PoisonNews Since(uint64_t known, TimePoint now) const;
+
+ private:
+  struct End {
+    EndProgress progress = EndProgress::kNoAnswer;
+    TimePoint at;
+    uint64_t revision = 0;
+  };
+  struct Stamp {
+    TimePoint at;
+    uint64_t revision = 0;
+  };
+  struct Mark {
+    int ends = 0;
+    TimePoint at;
+    uint64_t revision = 0;
+    bool lapsed = false;
+    /// Stronger marked requests explain its ends.
+    bool doubted = false;
+
+    bool IsInForce() const { return !lapsed && !doubted; }
+  };
+  using Suspects = std::map<RequestDigest, End>;
+
+  bool Take(const EndedUnder& fact, TimePoint at);
+  bool Take(const FoundAlive& fact, TimePoint at);
+  bool Take(const Cleared& fact, TimePoint at);
+  bool Take(const Marked& fact, TimePoint at);
+
+  void EraseEnd(const ServerLife& server, const RequestDigest& digest);
+  /// All hosts had time to tell of it. A host knows its own requests' part in
+  /// an end before it hears of the culprit that another host had there.
+  bool IsTold(const End& end, TimePoint now) const {
+    return now - end.at >= m_policy.settle;
+  }
+  /// How strongly a request is suspected: the evidence of all its ends. A
+  /// request beside the culprit may be at one end more where the report of that
+  /// one was lost with its host; it does not outweigh it for that.
+  int Weight(const RequestDigest& digest, TimePoint now) const;
+  bool IsLaidTo(const Suspects& suspects,
+                const RequestDigest& digest,
+                TimePoint now) const;
+  struct Verdict {
+    /// Ends laid to the request that all hosts had time to tell of.
+    int ends = 0;
+    int evidence = 0;
+    TimePoint first_end;
+  };
+  Verdict Judge(const RequestDigest& digest, TimePoint now) const;
+  int EvidenceOf(EndProgress progress) const;
+  /// A host that was cut off from the one which had the culprit may have marked
+  /// a request that was at the same ends. With that host's reports its mark is
+  /// in force no more. Nothing is erased: all hosts see it alike.
+  void DoubtMarks(TimePoint now);
+  /// Evidence of the ends that no stronger marked request was at.
+  int UnexplainedEvidence(const RequestDigest& digest, TimePoint now) const;
+  void ForgetOld(TimePoint now);
+  void BoundEnds();
+  void BoundMarks();
+  /// Drops the oldest word above the bound.
+  template <typename Words>
+  void BoundWords(Words& words) const;
+
+  PoisonPolicy m_policy;
+  uint64_t m_revision;
+  std::map<ServerLife, Suspects> m_ends;
+  std::map<RequestDigest, std::set<ServerLife>> m_ends_of;
+  size_t m_end_rows = 0;
+  std::map<ServerLife, Stamp> m_alive;
+  std::map<RequestDigest, Stamp> m_cleared;
+  std::map<RequestDigest, Mark> m_marks;
+};
+
+}  // namespace filbertrack
--- a/source/base_result.cc
+++ b/source/base_result.cc
@@ -56,6 +56,9 @@
     {kCallerGone, "caller-gone", 499, "The caller closed its connection."},
     {kMayBeBehind, "may-be-behind", 503,
      "This entry host may not have the configuration that is in force."},
+    {kEndsServers, "ends-servers", 503,
+     "Backend servers end while they run this request; do not send it again as "
+     "it is."},
 });
 
 }  // namespace
--- a/source/entry_host.cc
+++ b/source/entry_host.cc
@@ -20,9 +20,6 @@
 /// Removed registrations that are remembered for entry hosts that missed them:
 /// more than are removed while a partition of some minutes lasts.
 constexpr size_t kMostRemovedServers = 2000;
-/// Two sightings of a return of the store are of the same one if they are no
-/// further apart than this.
-constexpr Duration kSameReturn = Seconds(2);
 /// A return of the store is told to peers for this long: registrations that
 /// lapsed are back well before.
 constexpr Duration kReturnIsNews = Seconds(5);
@@ -47,6 +44,15 @@
 constexpr Duration kStoreRetryAfter = Milliseconds(1000);
 constexpr Duration kStoreRetrySpread = Milliseconds(1000);
 
+/// Facts of an earlier process of this name must not pass for this one's: one
+/// start differs from the next by milliseconds.
+uint64_t FirstPoisonRevision(const Settings& settings) {
+  constexpr int kSpareBits = 16;
+  const std::string start =
+      settings.Text("node", "name") + std::to_string(WallTimeMs()) + RandomId();
+  return Hash64(start) >> kSpareBits;
+}
+
 }  // namespace
 
 EntryHost::EntryHost(EventLoop& loop,
@@ -62,22 +68,12 @@
       m_board(DispatchPolicyOf(settings),
               RendezvousWeight("board", settings.Text("node", "name"))),
       m_retries(RetryPolicyOf(settings), MonotonicNow()),
-      m_context{loop,
-                m_upstream,
-                dialect,
-                m_board,
-                m_retries,
-                {},
-                1,
-                {},
-                0,
-                [this](const DispatchTarget& target, BrokenAttempt attempt) {
-                  OnBroken(target, std::move(attempt));
-                }},
-      m_ends(engines,
-             {},
-             MonotonicNow,
-             [this](const ServerEnd& end) { OnServerEnded(end); }),
+      m_poison(m_directory,
+               engines,
+               MonotonicNow,
+               FirstPoisonRevision(settings)),
+      m_context{loop,     m_upstream, dialect, m_board, m_retries,
+                m_poison, {},         1,       {},      0},
       m_random(RendezvousWeight("split", settings.Text("node", "name"))) {
   m_context.times.moves_silent = IsOn(settings, "moves_silent");
   AddGauges();
@@ -224,7 +220,9 @@
   m_metrics.OnRequest(figures);
   LogRequest({request, end, relay.last_target(), relay.sends(), first,
               now - request.arrived, relay.longest_pause(), relay.retry_after(),
-              relay.refused_at(), m_board.LoadsAge(now)});
+              relay.refused_at(), m_board.LoadsAge(now),
+              end.code == ResultCode::kEndsServers ? relay.digest()
+                                                   : std::string_view()});
   // The relay's own callback is still running.
   auto row = m_relays.extract(&relay);
   auto ended =
@@ -235,110 +233,31 @@
   }
 }
 
-std::optional<BackendServer> EntryHost::ServerOf(
-    const DispatchTarget& target) const {
-  const BackendServer* server = m_directory.FindLast(target.id);
-  if (server == nullptr) {
-    return std::nullopt;
+void EntryHost::SettlePoison() {
+  if (m_poison.IsIdle() || !m_poison.Settle(MonotonicNow())) {
+    return;
   }
-  BackendServer process = *server;
-  process.address = target.address;
-  process.born_ms = target.born_ms;
-  return process;
-}
-
-void EntryHost::OnBroken(const DispatchTarget& target, BrokenAttempt attempt) {
-  const auto server = ServerOf(target);
-  // A server that leaves in order ends by itself, whatever it runs.
-  if (server && !server->draining) {
-    m_ends.OnBroken(*server, std::move(attempt));
+  for (EntryRelay* relay : OpenRelays()) {
+    relay->CheckMark();
   }
 }
 
-void EntryHost::OnServerEnded(const ServerEnd& end) {
-  m_attempts_ended += end.attempts.size();
-}
-
-void EntryHost::CheckSilence() {
-  const TimePoint now = MonotonicNow();
+std::vector<EntryRelay*> EntryHost::OpenRelays() const {
   std::vector<EntryRelay*> relays;
   relays.reserve(m_relays.size());
   for (const auto& [key, relay] : m_relays) {
     relays.push_back(relay.get());
   }
-  for (EntryRelay* relay : relays) {
-    relay->CheckSilence(now);
-  }
+  return relays;
 }
 
-void EntryHost::OnCatalog(std::shared_ptr<const Catalog> catalog,
-                          std::string text) {
-  if (!SupersedesCatalog(m_catalog.get(), *catalog)) {
-    return;
-  }
-  m_catalog = std::move(catalog);
-  m_catalog_at = MonotonicNow();
-  m_catalog_text = std::move(text);
-  m_packed_catalog.clear();
-  const CallerLimits& limits = m_catalog->limits();
-  m_caller_server->SetLimits({limits.max_header_bytes, limits.max_body_bytes,
-                              limits.header_timeout, limits.idle_timeout});
-  Log(LogLevel::kInfo, "config",
-      {{"config", m_catalog->version()}, {"routes", m_catalog->route_count()}});
-  Changed();
-}
-
-void EntryHost::OnServers(ServerChanges changes) {
+void EntryHost::CheckSilence() {
   const TimePoint now = MonotonicNow();
-  bool changed = !m_servers_known;
-  m_servers_known = true;
-  std::set<std::string, std::less<>> present;
-  for (Registration& registration : changes.changed) {
-    const std::string& id = registration.server.id;
-    present.insert(id);
-    // The store and the peers tell the same; the newer word counts.
-    if (m_server_log.Put({id, registration.version, registration.text})) {
-      changed = m_directory.Put(std::move(registration.server), now) || changed;
-    }
-  }
-  for (const UnreadableServer& foreign : changes.unreadable) {
-    present.insert(foreign.id);
-    changed = TakeUnreadable(foreign, now) || changed;
-  }
-  if (changes.whole) {
-    for (const LoggedObject& known : m_server_log.All()) {
-      if (!present.contains(known.id) && known.version <= changes.revision) {
-        changes.removed.push_back({known.id, changes.revision});
-      }
-    }
-  }
-  for (const RemovedServer& removed : changes.removed) {
-    if (m_server_log.Put({removed.id, removed.version, ""})) {
-      changed = m_directory.Remove(removed.id, now) || changed;
-    }
-  }
-  if (store_away() && changes.revision > m_server_log.revision()) {
-    m_absence.OnPeersKnewMore(now);
-  }
-  m_server_log.Reach(changes.revision);
-  m_context.servers_revision = m_server_log.revision();
-  m_directory.OnFirstReading(now);
-  if (changed) {
-    Changed();
-  }
-  ScheduleExpiry();
-}
-
-bool EntryHost::TakeUnreadable(const UnreadableServer& server, TimePoint now) {
-  if (!m_server_log.Put({server.id, server.version, server.text})) {
-    return false;
+  // A relay that ends stays valid until the loop's next turn.
+  for (EntryRelay* relay : OpenRelays()) {
+    relay->CheckSilence(now);
   }
-  ++m_unreadable;
-  Log(LogLevel::kWarning, "server-invalid",
-      {{"server", server.id},
-       {"version", server.version},
-       {"why", server.why}});
-  return m_directory.Discard(server.id, now);
+  SettlePoison();
 }
 
 const std::string& EntryHost::packed_catalog() {
@@ -364,13 +283,6 @@
   return state;
 }
 
-void EntryHost::OnPeerSawStoreReturn(TimePoint returned) {
-  if (!m_store_returned || returned > *m_store_returned + kSameReturn) {
-    m_store_returned = returned;
-    m_directory.OnStoreReturned(returned);
-  }
-}
-
 void EntryHost::OnRemoteLoads(
     const std::map<std::string, TargetLoad, std::less<>>& loads,
     size_t hosts,
@@ -394,39 +306,6 @@
   return pressure;
 }
 
-void EntryHost::OnStoreLost() {
-  m_absence.OnLost(MonotonicNow());
-  Log(LogLevel::kWarning, "store-lost", nlohmann::json::object());
-}
-
-void EntryHost::OnStoreReturned() {
-  if (!store_away()) {
-    return;
-  }
-  const TimePoint now = MonotonicNow();
-  const bool was_outage = m_absence.OnReturned(now);
-  if (was_outage) {
-    m_store_returned = now;
-    m_directory.OnStoreReturned(now);
-  }
-  Log(LogLevel::kInfo, "store-returned", {{"for_all", was_outage}});
-}
-
-void EntryHost::ScheduleExpiry() {
-  const auto next = m_directory.NextExpiry();
-  if (!next) {
-    m_expiry_timer.reset();
-    return;
-  }
-  m_expiry_timer =
-      m_loop.After(std::max(Duration(0), *next - MonotonicNow()), [this] {
-        if (m_directory.Expire(MonotonicNow())) {
-          Changed();
-        }
-        ScheduleExpiry();
-      });
-}
-
 void EntryHost::Changed() {
   RefreshTargets();
   if (m_on_change) {
@@ -470,9 +349,8 @@
 
 void EntryHost::NoteRestart(const EntryRelay& relay) {
   const DispatchTarget* target = relay.target();
-  const auto server = target == nullptr ? std::nullopt : ServerOf(*target);
-  if (server && HasRestarted(relay)) {
-    m_ends.OnRegisteredAnew(*server, relay.AttemptSoFar());
+  if (target != nullptr && HasRestarted(relay)) {
+    m_poison.OnRestarted(*target, relay.AttemptSoFar());
   }
 }
 
--- a/source/entry_host_probe.cc
+++ b/source/entry_host_probe.cc
@@ -38,8 +38,15 @@
   });
   m_metrics.AddGauge("filbertrack_servers_unreadable", "",
                      [this] { return static_cast<double>(m_unreadable); });
-  m_metrics.AddGauge("filbertrack_attempts_ended_with_server", "",
-                     [this] { return static_cast<double>(m_attempts_ended); });
+  m_metrics.AddGauge("filbertrack_attempts_ended_with_server", "", [this] {
+    return static_cast<double>(m_poison.attempts_ended());
+  });
+  m_metrics.AddGauge("filbertrack_suspected_ends", "", [this] {
+    return static_cast<double>(m_poison.CountSuspectedEnds());
+  });
+  m_metrics.AddGauge("filbertrack_marked_requests", "", [this] {
+    return static_cast<double>(m_poison.Marks().size());
+  });
   m_metrics.AddGauge("filbertrack_targets", "", [this] {
     return static_cast<double>(m_board.CountTargets());
   });
--- /dev/null
+++ b/source/entry_host_site.cc
@@ -0,0 +1,132 @@
+#include <algorithm>
+#include <set>
+
+#include <nlohmann/json.hpp>
+
+#include "filbertrack/entry_host.h"
+#include "filbertrack/log.h"
+
+/// What an entry host learns of its site, from the store or from peers: the
+/// configuration, the registered servers, and whether the store is there.
+
+namespace filbertrack {
+
+namespace {
+
+/// Two sightings of a return of the store are of the same one if they are no
+/// further apart than this.
+constexpr Duration kSameReturn = Seconds(2);
+
+}  // namespace
+
+void EntryHost::OnCatalog(std::shared_ptr<const Catalog> catalog,
+                          std::string text) {
+  if (!SupersedesCatalog(m_catalog.get(), *catalog)) {
+    return;
+  }
+  m_catalog = std::move(catalog);
+  m_catalog_at = MonotonicNow();
+  m_catalog_text = std::move(text);
+  m_packed_catalog.clear();
+  const CallerLimits& limits = m_catalog->limits();
+  m_caller_server->SetLimits({limits.max_header_bytes, limits.max_body_bytes,
+                              limits.header_timeout, limits.idle_timeout});
+  Log(LogLevel::kInfo, "config",
+      {{"config", m_catalog->version()}, {"routes", m_catalog->route_count()}});
+  Changed();
+}
+
+void EntryHost::OnServers(ServerChanges changes) {
+  const TimePoint now = MonotonicNow();
+  bool changed = !m_servers_known;
+  m_servers_known = true;
+  std::set<std::string, std::less<>> present;
+  for (Registration& registration : changes.changed) {
+    const std::string& id = registration.server.id;
+    present.insert(id);
+    // The store and the peers tell the same; the newer word counts.
+    if (m_server_log.Put({id, registration.version, registration.text})) {
+      changed = m_directory.Put(std::move(registration.server), now) || changed;
+    }
+  }
+  for (const UnreadableServer& foreign : changes.unreadable) {
+    present.insert(foreign.id);
+    changed = TakeUnreadable(foreign, now) || changed;
+  }
+  if (changes.whole) {
+    for (const LoggedObject& known : m_server_log.All()) {
+      if (!present.contains(known.id) && known.version <= changes.revision) {
+        changes.removed.push_back({known.id, changes.revision});
+      }
+    }
+  }
+  for (const RemovedServer& removed : changes.removed) {
+    if (m_server_log.Put({removed.id, removed.version, ""})) {
+      changed = m_directory.Remove(removed.id, now) || changed;
+    }
+  }
+  if (store_away() && changes.revision > m_server_log.revision()) {
+    m_absence.OnPeersKnewMore(now);
+  }
+  m_server_log.Reach(changes.revision);
+  m_context.servers_revision = m_server_log.revision();
+  m_directory.OnFirstReading(now);
+  if (changed) {
+    Changed();
+  }
+  ScheduleExpiry();
+}
+
+bool EntryHost::TakeUnreadable(const UnreadableServer& server, TimePoint now) {
+  if (!m_server_log.Put({server.id, server.version, server.text})) {
+    return false;
+  }
+  ++m_unreadable;
+  Log(LogLevel::kWarning, "server-invalid",
+      {{"server", server.id},
+       {"version", server.version},
+       {"why", server.why}});
+  return m_directory.Discard(server.id, now);
+}
+
+void EntryHost::OnPeerSawStoreReturn(TimePoint returned) {
+  if (!m_store_returned || returned > *m_store_returned + kSameReturn) {
+    m_store_returned = returned;
+    m_directory.OnStoreReturned(returned);
+  }
+}
+
+void EntryHost::OnStoreLost() {
+  m_absence.OnLost(MonotonicNow());
+  Log(LogLevel::kWarning, "store-lost", nlohmann::json::object());
+}
+
+void EntryHost::OnStoreReturned() {
+  if (!store_away()) {
+    return;
+  }
+  const TimePoint now = MonotonicNow();
+  const bool was_outage = m_absence.OnReturned(now);
+  if (was_outage) {
+    m_store_returned = now;
+    m_directory.OnStoreReturned(now);
+  }
+  Log(LogLevel::kInfo, "store-returned", {{"for_all", was_outage}});
+}
+
+void EntryHost::ScheduleExpiry() {
+  const auto next = m_directory.NextExpiry();
+  if (!next) {
+    m_expiry_timer.reset();
+    return;
+  }
+  m_expiry_timer =
+      m_loop.After(std::max(Duration(0), *next - MonotonicNow()), [this] {
+        if (m_directory.Expire(MonotonicNow())) {
+          Changed();
+        }
+        ScheduleExpiry();
+      });
+}
+
+}  // namespace filbertrack
--- a/source/entry_peers.cc
+++ b/source/entry_peers.cc
@@ -125,6 +125,7 @@
 void EntryPeers::Round() {
   const TimePoint now = MonotonicNow();
   SumLoads(now);
+  m_host.SettlePoison();
   ChooseWatch(now);
   AskNear(now);
   const auto relays = ChooseRelays(NearHosts(now), m_policy.relays);
@@ -235,7 +236,7 @@
                      TimePoint now) {
   peer.asked_at = now;
   const NewsAsk ask{OwnNews(peer.host.data_centre), m_config_fetch.IsFrom(name),
-                    m_servers_fetch.IsFrom(name), wants_far};
+                    m_servers_fetch.IsFrom(name), wants_far, peer.poison_known};
   std::string message = EncodeNewsAsk(ask);
   m_sent.states += message.size();
   peer.client->Ask(
@@ -268,6 +269,8 @@
     return;
   }
   NoteNews(answer->state, now);
+  peer->second.poison_known = answer->poison.revision;
+  m_host.poison().OnNews(answer->poison, name, now);
   TakeOver(*answer);
   WantNewer(name, answer->state);
 }
@@ -317,9 +320,10 @@
   if (ask.wants_far) {
     m_news.PassOnFar(own, MonotonicNow());
   }
-  const NewsAnswer answer = AnswerNews(
+  NewsAnswer answer = AnswerNews(
       own, ask.wants_config ? m_host.packed_catalog() : std::string(),
       m_host.server_log(), ask);
+  answer.poison = m_host.poison().Since(ask.poison_known, MonotonicNow());
   std::string message = EncodeNewsAnswer(answer);
   m_sent.configs += answer.config.size();
   (answer.servers.empty() ? m_sent.states : m_sent.servers) +=
--- /dev/null
+++ b/source/entry_poison.cc
@@ -0,0 +1,143 @@
+#include "filbertrack/entry_poison.h"
+
+#include <nlohmann/json.hpp>
+
+#include "filbertrack/log.h"
+
+namespace filbertrack {
+
+namespace {
+
+/// A process that starts again under its name is registered anew within this
+/// time. Until then its answers must not be taken for those of the process that
+/// ended.
+constexpr Duration kRegistersWithin = Seconds(1);
+
+EndProgress ProgressAtEnd(AttemptProgress progress) {
+  switch (progress) {
+    case AttemptProgress::kNoAnswer:
+      return EndProgress::kNoAnswer;
+    case AttemptProgress::kBegun:
+      return EndProgress::kBegun;
+    case AttemptProgress::kAnswering:
+      return EndProgress::kAnswering;
+  }
+  return EndProgress::kNoAnswer;
+}
+
+}  // namespace
+
+EntryPoison::EntryPoison(const ServerDirectory& directory,
+                         EngineLink& engines,
+                         Clock clock,
+                         uint64_t first_revision)
+    : m_directory(directory),
+      m_clock(clock),
+      m_ledger({}, first_revision),
+      m_ends(engines, {}, std::move(clock), [this](const ServerEnd& end) {
+        OnEnd(end);
+      }) {}
+
+std::optional<BackendServer> EntryPoison::ServerOf(
+    const DispatchTarget& target) const {
+  const BackendServer* server = m_directory.FindLast(target.id);
+  if (server == nullptr) {
+    return std::nullopt;
+  }
+  BackendServer process = *server;
+  process.address = target.address;
+  process.born_ms = target.born_ms;
+  return process;
+}
+
+void EntryPoison::OnBroken(const DispatchTarget& target,
+                           BrokenAttempt attempt) {
+  const auto server = ServerOf(target);
+  // A server that leaves in order ends by itself, whatever it runs.
+  if (server && !server->draining) {
+    m_ends.OnBroken(*server, std::move(attempt));
+  }
+}
+
+void EntryPoison::OnRestarted(const DispatchTarget& target,
+                              BrokenAttempt attempt) {
+  const auto server = ServerOf(target);
+  if (server && !server->draining) {
+    m_ends.OnRegisteredAnew(*server, std::move(attempt));
+  }
+}
+
+void EntryPoison::OnEnd(const ServerEnd& end) {
+  m_attempts_ended += end.attempts.size();
+  const TimePoint now = m_clock();
+  for (const BrokenAttempt& attempt : end.attempts) {
+    m_ledger.Note(EndedUnder{{end.server.id, end.server.born_ms},
+                             attempt.digest,
+                             ProgressAtEnd(attempt.progress)},
+                  now);
+  }
+}
+
+void EntryPoison::OnAnswer(const DispatchTarget& target, TimePoint sent) {
+  const ServerLife life{target.id, target.born_ms};
+  const auto ended = m_ledger.EndedAt(life);
+  if (!ended || sent < *ended + kRegistersWithin) {
+    return;
+  }
+  Log(LogLevel::kInfo, "server-lives",
+      {{"server", life.id}, {"born_ms", life.born_ms}});
+  m_ledger.Note(FoundAlive{life}, m_clock());
+}
+
+void EntryPoison::OnServed(const RequestDigest& digest) {
+  if (!m_ledger.IsSuspect(digest)) {
+    return;
+  }
+  if (m_ledger.IsMarked(digest)) {
+    Log(LogLevel::kInfo, "request-unmarked",
+        {{"digest", digest}, {"why", "a copy was answered"}});
+  }
+  m_ledger.Note(Cleared{digest}, m_clock());
+}
+
+bool EntryPoison::Settle(TimePoint now) {
+  for (const Marked& mark : m_ledger.Settle(now)) {
+    LogMark(mark, "own");
+  }
+  return std::exchange(m_has_new_marks, false);
+}
+
+void EntryPoison::LogMark(const Marked& mark, std::string_view from) {
+  m_has_new_marks = true;
+  Log(LogLevel::kWarning, "request-marked",
+      {{"digest", mark.digest},
+       {"ends", mark.ends},
+       {"servers", m_ledger.EndsLaidTo(mark.digest, m_clock())},
+       {"from", from}});
+}
+
+void EntryPoison::OnNews(const PoisonNews& news,
+                         std::string_view peer,
+                         TimePoint now) {
+  for (const TimedPoisonFact& row : news.facts) {
+    const bool is_new = m_ledger.Note(row.fact, now - row.age);
+    const auto* mark = std::get_if<Marked>(&row.fact);
+    if (is_new && mark != nullptr) {
+      LogMark(*mark, peer);
+    }
+  }
+}
+
+void EntryPoison::OnRecorded(const Marked& mark, TimePoint now) {
+  if (!m_ledger.IsMarked(mark.digest) && m_ledger.Note(mark, now)) {
+    LogMark(mark, "record");
+  }
+}
+
+void EntryPoison::OnLifted(const RequestDigest& digest, TimePoint now) {
+  Log(LogLevel::kInfo, "request-unmarked",
+      {{"digest", digest}, {"why", "lifted by an operator"}});
+  m_ledger.Note(Cleared{digest}, now);
+}
+
+}  // namespace filbertrack
--- /dev/null
+++ b/source/entry_poison_record.cc
@@ -0,0 +1,168 @@
+#include "filbertrack/entry_poison_record.h"
+
+#include <algorithm>
+#include <charconv>
+
+#include <nlohmann/json.hpp>
+
+#include "filbertrack/log.h"
+
+namespace filbertrack {
+
+namespace {
+
+constexpr std::string_view kRecord = "poison-requests";
+constexpr std::string_view kLifted = "lifted";
+
+std::string_view TakeUntil(std::string_view& text, char end) {
+  const size_t size = std::min(text.find(end), text.size());
+  const std::string_view taken = text.substr(0, size);
+  text.remove_prefix(std::min(size + 1, text.size()));
+  return taken;
+}
+
+}  // namespace
+
+std::string FormatPoisonRecord(const std::vector<Marked>& marks) {
+  std::string text;
+  for (const Marked& mark : marks) {
+    text.append(mark.digest)
+        .append(" ")
+        .append(std::to_string(mark.ends))
+        .append("\n");
+  }
+  return text;
+}
+
+PoisonRecordText ParsePoisonRecord(std::string_view text) {
+  PoisonRecordText record;
+  while (!text.empty()) {
+    std::string_view line = TakeUntil(text, '\n');
+    const RequestDigest digest(TakeUntil(line, ' '));
+    int ends = 0;
+    const auto read =
+        std::from_chars(line.data(), line.data() + line.size(), ends);
+    const bool is_number =
+        read.ec == std::errc() && read.ptr == line.data() + line.size();
+    if (!IsRequestDigest(digest)) {
+      Log(LogLevel::kWarning, "poison-record-invalid", {{"digest", digest}});
+    } else if (line == kLifted) {
+      record.lifted.push_back(digest);
+    } else if (is_number && ends > 0) {
+      record.marks.push_back({digest, ends});
+    } else {
+      Log(LogLevel::kWarning, "poison-record-invalid",
+          {{"digest", digest}, {"value", line}});
+    }
+  }
+  return record;
+}
+
+EntryPoisonRecord::EntryPoisonRecord(EventLoop& loop,
+                                     PoisonRecordPolicy policy,
+                                     EntryPoison& poison,
+                                     RecordStore& records,
+                                     std::function<bool()> is_writer)
+    : m_loop(loop),
+      m_policy(policy),
+      m_poison(poison),
+      m_records(records),
+      m_is_writer(std::move(is_writer)) {}
+
+EntryPoisonRecord::~EntryPoisonRecord() {
+  *m_alive = false;
+}
+
+void EntryPoisonRecord::Start() {
+  Read();
+  m_timer = m_loop.Every(m_policy.interval, [this] { Round(); });
+}
+
+void EntryPoisonRecord::Read() {
+  m_busy = true;
+  m_read_at = MonotonicNow();
+  m_records.Read(std::string(kRecord),
+                 [this, alive = m_alive](const StoreAnswer& answer) {
+                   if (*alive) {
+                     m_busy = false;
+                     OnRead(answer);
+                   }
+                 });
+}
+
+void EntryPoisonRecord::OnRead(const StoreAnswer& answer) {
+  if (answer.status == StoreStatus::kOk) {
+    ++m_start_reads;
+    TakeOver(answer.object);
+  } else if (answer.status == StoreStatus::kNotFound) {
+    ++m_start_reads;
+  }
+}
+
+void EntryPoisonRecord::TakeOver(const StoredObject& object) {
+  // A cheap read may be older than what is known.
+  if (object.version <= m_version) {
+    return;
+  }
+  m_version = object.version;
+  m_text = object.value;
+  const TimePoint now = MonotonicNow();
+  const PoisonRecordText record = ParsePoisonRecord(object.value);
+  for (const Marked& mark : record.marks) {
+    m_poison.OnRecorded(mark, now);
+  }
+  for (const RequestDigest& digest : record.lifted) {
+    m_poison.OnLifted(digest, now);
+  }
+}
+
+void EntryPoisonRecord::Round() {
+  const TimePoint now = MonotonicNow();
+  if (m_busy) {
+    return;
+  }
+  const bool starting = m_start_reads < m_policy.start_reads;
+  if (starting && now - m_read_at >= m_policy.start_spacing) {
+    Read();
+    return;
+  }
+  if (m_start_reads == 0 || !m_is_writer()) {
+    return;
+  }
+  if (Wanted() != m_text) {
+    Write();
+  } else if (!m_text.empty() && now - m_read_at >= m_policy.read_interval) {
+    Read();
+  }
+}
+
+std::string EntryPoisonRecord::Wanted() const {
+  return FormatPoisonRecord(m_poison.Marks());
+}
+
+void EntryPoisonRecord::Write() {
+  m_busy = true;
+  const std::string text = Wanted();
+  m_records.Write(std::string(kRecord), text, m_version,
+                  [this, alive = m_alive, text](const StoreAnswer& answer) {
+                    if (!*alive) {
+                      return;
+                    }
+                    m_busy = false;
+                    if (answer.status == StoreStatus::kOk) {
+                      m_version = std::max(m_version, answer.object.version);
+                      m_text = text;
+                      return;
+                    }
+                    if (answer.status == StoreStatus::kConflict) {
+                      TakeOver(answer.object);
+                    } else if (answer.status == StoreStatus::kNotFound) {
+                      m_version = 0;
+                    } else {
+                      // It may have been written all the same.
+                      Read();
+                    }
+                  });
+}
+
+}  // namespace filbertrack
--- a/source/entry_relay.cc
+++ b/source/entry_relay.cc
@@ -155,6 +155,11 @@
     Feed(NoTarget{ResultCode::kStreamInterrupted});
     return;
   }
+  // Before the budget: it must take no retries from others.
+  if (IsMarked()) {
+    Feed(NoTarget{ResultCode::kEndsServers});
+    return;
+  }
   if (is_retry && !m_context.retries.TrySpend(now)) {
     Feed(NoTarget{ResultCode::kAttemptRefused});
     return;
@@ -265,6 +270,9 @@
 void EntryRelay::OnHead(int status, const HttpHeaders& headers) {
   const AnswerFacts facts = m_context.dialect.ReadAnswer(status, headers);
   m_last_byte = MonotonicNow();
+  if (m_choice && !facts.wrong_server) {
+    m_context.poison.OnAnswer(m_choice->target, m_sent_at);
+  }
   m_not_run = facts.not_run || facts.wrong_server;
   const bool names_other = !facts.request_id.empty() &&
                            facts.request_id != m_request.facts.request_id;
@@ -331,11 +339,28 @@
 void EntryRelay::OnFailure(bool may_have_left) {
   m_why_ended = may_have_left ? "connection broke" : "no connection";
   if (may_have_left && m_choice) {
-    m_context.on_broken(m_choice->target, AttemptSoFar());
+    m_context.poison.OnBroken(m_choice->target, AttemptSoFar());
   }
   Feed(AttemptFailed{may_have_left});
 }
 
+bool EntryRelay::IsMarked() const {
+  return !m_context.poison.IsIdle() && m_context.poison.IsMarked(digest());
+}
+
+void EntryRelay::NoteServed() {
+  if (!m_context.poison.IsIdle()) {
+    m_context.poison.OnServed(digest());
+  }
+}
+
+void EntryRelay::CheckMark() {
+  if (!m_state.answer_started && IsMarked()) {
+    m_why_ended = "servers end under it";
+    Feed(NoTarget{ResultCode::kEndsServers});
+  }
+}
+
 AttemptProgress EntryRelay::Progress() const {
   if (m_attempt_first_event) {
     return AttemptProgress::kAnswering;
@@ -409,6 +434,7 @@
 }
 
 void EntryRelay::FinishStream() {
+  NoteServed();
   if (!m_stream_started) {
     m_exchange->StartStream(m_answer_status, m_answer_headers);
   }
@@ -417,6 +443,7 @@
 }
 
 void EntryRelay::ForwardAnswer() {
+  NoteServed();
   NoteFirstEvent(MonotonicNow());
   m_exchange->Reply(m_answer_status, m_answer_headers, m_answer_body);
   Finish({ResultCode::kOk, Outcome::kRan, m_answer_status});
@@ -424,7 +451,10 @@
 
 void EntryRelay::Refuse(ResultCode code, Outcome outcome) {
   std::optional<Duration> retry_after;
-  if (outcome == Outcome::kNotRun && code != ResultCode::kDeadlinePassed) {
+  // Neither gains by coming back.
+  const bool is_final =
+      code == ResultCode::kDeadlinePassed || code == ResultCode::kEndsServers;
+  if (outcome == Outcome::kNotRun && !is_final) {
     retry_after = m_retry_after;
   }
   m_told_retry_after = retry_after;
--- a/source/entry_trail.cc
+++ b/source/entry_trail.cc
@@ -81,6 +81,9 @@
     fields["predicted_ms"] = ToMilliseconds(*line.refused_at);
     fields["loads_age_ms"] = ToMilliseconds(line.loads_age);
   }
+  if (!line.digest.empty()) {
+    fields["digest"] = line.digest;
+  }
   Log(LogLevel::kInfo, "request", fields);
 }
 
--- a/source/entry_trail.h
+++ b/source/entry_trail.h
@@ -53,6 +53,8 @@
   std::optional<Duration> refused_at;
   /// How old the other entry hosts' loads were at the end.
   Duration loads_age{0};
+  /// Of a request under which servers end; else empty.
+  std::string_view digest;
 };
 void LogRequest(const RequestLine& line);
 
--- a/source/news_message.cc
+++ b/source/news_message.cc
@@ -12,13 +12,13 @@
 #include "filbertrack/base_cbor.h"
 #include "filbertrack/base_compress.h"
 #include "filbertrack/base_hash.h"
+#include "news_poison.h"
+#include "news_read.h"
 
 namespace filbertrack {
 
 namespace {
 
-using Json = nlohmann::json;
-
 /// Stands for a time that did not come.
 constexpr int64_t kNever = -1;
 /// Unpacked registrations of one message: 3,300 of some hundred bytes each take
@@ -27,53 +27,15 @@
 /// Capacities are compared as whole numbers.
 constexpr double kMostCapacity = 1e9;
 
-/// Ages and times since an event: messages tell of seconds.
-constexpr int64_t kMostAgeMs = 1'000'000'000;
 /// Tokens that wait at one target.
 constexpr int64_t kMostTokens = 1'000'000'000'000;
 
-/// A number that the product cannot use: thrown within this file only.
-struct OutOfRange {
-  std::string message;
-};
-
-bool IsAboveSigned(const Json& value) {
-  return value.is_number_unsigned() &&
-         !std::in_range<int64_t>(value.get<uint64_t>());
-}
+/// Place of what concerns requests under which servers end, in questions and
+/// answers alike.
+constexpr size_t kPoisonField = 4;
 
 enum class NewsKind : int { kAsk = 1, kAnswer = 2 };
 
-/// A whole number within the bounds. The library casts whatever number it
-/// finds, which is undefined for one that the type cannot hold.
-template <typename Number>
-Number ReadWhole(const Json& value, Number least, Number most) {
-  // As signed; larger ones are refused with those below `least`.
-  const bool whole = value.is_number_integer();
-  const int64_t number = whole && !IsAboveSigned(value)
-                             ? value.get<int64_t>()
-                             : std::numeric_limits<int64_t>::min();
-  if (!std::in_range<Number>(number) || static_cast<Number>(number) < least ||
-      static_cast<Number>(number) > most) {
-    throw OutOfRange{value.dump() + " is no whole number from " +
-                     std::to_string(least) + " to " + std::to_string(most) +
-                     "."};
-  }
-  return static_cast<Number>(number);
-}
-
-int ReadCount(const Json& value) {
-  return ReadWhole<int>(value, 0, std::numeric_limits<int>::max());
-}
-
-uint64_t ReadVersion(const Json& value) {
-  return ReadWhole<uint64_t>(value, 0, std::numeric_limits<int64_t>::max());
-}
-
-Duration ReadAge(const Json& value) {
-  return Milliseconds(ReadWhole<int64_t>(value, 0, kMostAgeMs));
-}
-
 Json PackLoads(const std::vector<NewsLoad>& loads) {
   Json rows = Json::array();
   for (const NewsLoad& load : loads) {
@@ -224,22 +186,29 @@
 }  // namespace
 
 std::string EncodeNewsAsk(const NewsAsk& ask) {
-  return ToCbor(Envelope(NewsKind::kAsk,
-                         Json::array({Pack(ask.state), ask.wants_config,
-                                      ask.wants_servers, ask.wants_far})));
+  return ToCbor(Envelope(
+      NewsKind::kAsk,
+      Json::array({Pack(ask.state), ask.wants_config, ask.wants_servers,
+                   ask.wants_far, ask.poison_known})));
 }
 
 std::string EncodeNewsAnswer(const NewsAnswer& answer) {
-  return ToCbor(Envelope(
-      NewsKind::kAnswer,
-      Json::array({Pack(answer.state), ToBytes(answer.config),
-                   PackServers(answer.servers), answer.servers_whole})));
+  return ToCbor(
+      Envelope(NewsKind::kAnswer,
+               Json::array({Pack(answer.state), ToBytes(answer.config),
+                            PackServers(answer.servers), answer.servers_whole,
+                            PackPoison(answer.poison)})));
 }
 
 Result<NewsAsk> DecodeNewsAsk(std::string_view bytes) {
   return Decode<NewsAsk>(bytes, NewsKind::kAsk, [](const Json& body) {
-    return NewsAsk{UnpackState(body.at(0)), body.at(1).get<bool>(),
-                   body.at(2).get<bool>(), body.at(3).get<bool>()};
+    NewsAsk ask{UnpackState(body.at(0)), body.at(1).get<bool>(),
+                body.at(2).get<bool>(), body.at(3).get<bool>()};
+    // Hosts of the version before do not tell it.
+    if (body.size() > kPoisonField) {
+      ask.poison_known = ReadVersion(body.at(kPoisonField));
+    }
+    return ask;
   });
 }
 
@@ -251,6 +220,9 @@
     answer.config.assign(config.begin(), config.end());
     answer.servers = UnpackServers(body.at(2));
     answer.servers_whole = body.at(3).get<bool>();
+    if (body.size() > kPoisonField) {
+      answer.poison = UnpackPoison(body.at(kPoisonField));
+    }
     return answer;
   });
 }
--- /dev/null
+++ b/source/news_poison.cc
@@ -0,0 +1,94 @@
+#include "news_poison.h"
+
+#include "news_read.h"
+
+namespace filbertrack {
+
+namespace {
+
+enum class FactKind : int {
+  kEndedUnder = 1,
+  kFoundAlive = 2,
+  kCleared = 3,
+  kMarked = 4,
+};
+
+/// Ends under one request: more than a fleet has servers.
+constexpr int kMostEnds = 1'000'000;
+
+/// A fact as [kind, age in ms, ...].
+struct PackFact {
+  int64_t age_ms;
+
+  Json operator()(const EndedUnder& fact) const {
+    return Json::array({static_cast<int>(FactKind::kEndedUnder), age_ms,
+                        fact.digest, fact.server.id, fact.server.born_ms,
+                        static_cast<int>(fact.progress)});
+  }
+  Json operator()(const FoundAlive& fact) const {
+    return Json::array({static_cast<int>(FactKind::kFoundAlive), age_ms,
+                        fact.server.id, fact.server.born_ms});
+  }
+  Json operator()(const Cleared& fact) const {
+    return Json::array(
+        {static_cast<int>(FactKind::kCleared), age_ms, fact.digest});
+  }
+  Json operator()(const Marked& fact) const {
+    return Json::array(
+        {static_cast<int>(FactKind::kMarked), age_ms, fact.digest, fact.ends});
+  }
+};
+
+RequestDigest ReadDigest(const Json& value) {
+  RequestDigest digest = value.get<std::string>();
+  if (!IsRequestDigest(digest)) {
+    throw OutOfRange{value.dump() + " is no digest of a request."};
+  }
+  return digest;
+}
+
+EndProgress ReadProgress(const Json& value) {
+  return static_cast<EndProgress>(
+      ReadWhole<int>(value, static_cast<int>(EndProgress::kAnswering),
+                     static_cast<int>(EndProgress::kBegun)));
+}
+
+PoisonFact UnpackFact(const Json& row) {
+  const auto kind =
+      ReadWhole<int>(row.at(0), static_cast<int>(FactKind::kEndedUnder),
+                     static_cast<int>(FactKind::kMarked));
+  switch (static_cast<FactKind>(kind)) {
+    case FactKind::kEndedUnder:
+      return EndedUnder{{row.at(3).get<std::string>(), ReadVersion(row.at(4))},
+                        ReadDigest(row.at(2)),
+                        ReadProgress(row.at(5))};
+    case FactKind::kFoundAlive:
+      return FoundAlive{{row.at(2).get<std::string>(), ReadVersion(row.at(3))}};
+    case FactKind::kCleared:
+      return Cleared{ReadDigest(row.at(2))};
+    case FactKind::kMarked:
+      return Marked{ReadDigest(row.at(2)),
+                    ReadWhole<int>(row.at(3), 1, kMostEnds)};
+  }
+  throw OutOfRange{row.at(0).dump() + " is no kind of fact."};
+}
+
+}  // namespace
+
+Json PackPoison(const PoisonNews& news) {
+  Json rows = Json::array();
+  for (const TimedPoisonFact& row : news.facts) {
+    rows.push_back(std::visit(PackFact{ToMilliseconds(row.age)}, row.fact));
+  }
+  return Json::array({news.revision, std::move(rows)});
+}
+
+PoisonNews UnpackPoison(const Json& value) {
+  PoisonNews news{ReadVersion(value.at(0)), {}};
+  for (const Json& row : value.at(1)) {
+    news.facts.push_back({UnpackFact(row), ReadAge(row.at(1))});
+  }
+  return news;
+}
+
+}  // namespace filbertrack
--- /dev/null
+++ b/source/news_poison.h
@@ -0,0 +1,16 @@
+#pragma once
+
+/// Facts of requests under which servers end, as peers' messages hold them.
+
+#include <nlohmann/json.hpp>
+
+#include "filbertrack/poison_ledger.h"
+
+namespace filbertrack {
+
+nlohmann::json PackPoison(const PoisonNews& news);
+
+/// Throws as the reading of a peer's message does.
+PoisonNews UnpackPoison(const nlohmann::json& value);
+
+}  // namespace filbertrack
--- a/source/poison_digest.cc
+++ b/source/poison_digest.cc
@@ -35,4 +35,12 @@
   return Sha256Hex(text).substr(0, kDigits);
 }
 
+bool IsRequestDigest(std::string_view text) {
+  return text.size() == kDigits &&
+         std::all_of(text.begin(), text.end(), [](char digit) {
+           return (digit >= '0' && digit <= '9') ||
+                  (digit >= 'a' && digit <= 'f');
+         });
+}
+
 }  // namespace filbertrack
--- a/tests/platform_site.h
+++ b/tests/platform_site.h
@@ -10,6 +10,7 @@
 #include "filbertrack/entry_control.h"
 #include "filbertrack/entry_host.h"
 #include "filbertrack/entry_peers.h"
+#include "filbertrack/entry_poison_record.h"
 #include "platform_config.h"
 #include "platform_decode.h"
 #include "platform_dialect.h"
@@ -53,8 +54,12 @@
               decoder,
               client,
               client),
-        control(loop, name, MakePolicy(), host, peers, engines, client) {
+        control(loop, name, MakePolicy(), host, peers, engines, client),
+        poison_record(loop, {}, host.poison(), client, [this] {
+          return control.holds_lease();
+        }) {
     peers.Start();
+    poison_record.Start();
     control.Start();
   }
 
@@ -79,6 +84,7 @@
   platform::PlatformStore client;
   EntryPeers peers;
   EntryControl control;
+  EntryPoisonRecord poison_record;
 };
 
 /// `runners` hosts for groups, two plain servers, and `entry_hosts`.
