poison: two copies of a marked request are let through, one host of the fleet each

A plain server's answer comes whole, so 'nothing had come' counted less there than 'had just begun', which it is. Change: after 5 s and once more after 60 s one copy is let through by the host that the digest names among those heard; an answer takes the mark off. Trials are told and recorded with the mark. Tests: trials, the answer that a marked request gets, marks after the loss of all entry hosts.

--- a/include/filbertrack/entry_peers.h
+++ b/include/filbertrack/entry_peers.h
@@ -124,6 +124,8 @@
   void AskOneOf(std::string_view data_centre, TimePoint now);
   /// Asks one that exchanges loads with other data centres for this host.
   void AskRelay(const std::vector<std::string>& relays, TimePoint now);
+  /// Tells who may let a copy of a marked request through.
+  void NameTrialHosts(TimePoint now);
   /// The hosts of this data centre, with this one.
   std::vector<FleetHost> NearHosts(TimePoint now) const;
   std::set<std::string, std::less<>> FarDataCentres() const;
--- a/include/filbertrack/entry_poison.h
+++ b/include/filbertrack/entry_poison.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <functional>
 #include <optional>
+#include <string>
 #include <string_view>
 #include <vector>
 
@@ -46,6 +47,22 @@
     return m_ledger.IsMarked(digest);
   }
 
+  enum class Passage {
+    kFree,
+    /// Marked; this copy alone shows whether servers still end under it.
+    kTrial,
+    kRefused,
+  };
+  /// Whether a copy of the request may be sent now.
+  Passage MayPass(const RequestDigest& digest, TimePoint now) const;
+  /// The copy that may be sent for a trial goes out.
+  void BeginTrial(const RequestDigest& digest, TimePoint now);
+
+  /// The entry hosts that are heard, with this one: each marked request has one
+  /// of them that may let a copy through. Empty: this host may be cut off from
+  /// the others, and must not.
+  void SetFleet(std::string own, std::vector<std::string> hosts);
+
   /// Decides on what is known by now. True if requests were marked since the
   /// last call, here or elsewhere: copies that wait must not be sent.
   bool Settle(TimePoint now);
@@ -69,12 +86,16 @@
   void OnEnd(const ServerEnd& end);
   /// The server of the target, as the process that the target stands for.
   std::optional<BackendServer> ServerOf(const DispatchTarget& target) const;
+  /// Whether this host is the one that may let a copy through.
+  bool IsTrialHost(const RequestDigest& digest) const;
   void LogMark(const Marked& mark, std::string_view from);
 
   const ServerDirectory& m_directory;
   Clock m_clock;
   PoisonLedger m_ledger;
   ServerEndCheck m_ends;
+  std::string m_own;
+  std::vector<std::string> m_fleet;
   uint64_t m_attempts_ended = 0;
   bool m_has_new_marks = false;
 };
--- a/include/filbertrack/entry_relay.h
+++ b/include/filbertrack/entry_relay.h
@@ -134,8 +134,8 @@
   void OnBytes(std::string_view bytes);
   void OnComplete();
   void OnFailure(bool may_have_left);
-  /// Servers end under what this request asks.
-  bool IsMarked() const;
+  /// False where servers end under what this request asks.
+  bool MayPass(TimePoint now);
   /// The request was answered to its end.
   void NoteServed();
   AttemptProgress Progress() const;
@@ -176,6 +176,8 @@
   std::set<std::string, std::less<>> m_tried;
   /// Made when it is first asked for: most requests never need it.
   mutable RequestDigest m_digest;
+  /// The present attempt shows whether servers still end under the request.
+  bool m_on_trial = false;
   std::string m_last_target;
   Duration m_retry_after{0};
   std::optional<Duration> m_told_retry_after;
--- a/include/filbertrack/poison_ledger.h
+++ b/include/filbertrack/poison_ledger.h
@@ -17,6 +17,7 @@
 /// Facts are sets that only grow, and are told with their age. So hosts that
 /// heard the same facts in any order, and any number of times, decide alike.
 
+#include <array>
 #include <compare>
 #include <cstdint>
 #include <map>
@@ -72,8 +73,16 @@
 struct Marked {
   RequestDigest digest;
   int ends = 0;
+  /// Copies let through since.
+  int trials = 0;
 };
-using PoisonFact = std::variant<EndedUnder, FoundAlive, Cleared, Marked>;
+/// A marked request was let through this many times, to see whether servers
+/// still end under it.
+struct Tried {
+  RequestDigest digest;
+  int trials = 0;
+};
+using PoisonFact = std::variant<EndedUnder, FoundAlive, Cleared, Marked, Tried>;
 
 struct TimedPoisonFact {
   PoisonFact fact;
@@ -102,6 +111,12 @@
   Duration settle = Milliseconds(500);
   /// Ends further apart than this are not connected.
   Duration fact_life = Seconds(600);
+  /// One copy is let through after these times, over the whole fleet. All
+  /// servers of a service that lose power together end under the requests that
+  /// callers send all the time; an answer to the copy takes their mark off. Two
+  /// copies, so that with one that two hosts let through at once a culprit
+  /// still reaches three servers at most.
+  std::array<Duration, 2> trial_pauses = {Seconds(5), Seconds(60)};
   /// A mark that nobody lifts ends after a day: what made the servers end may
   /// be mended. One more end marks the request again.
   Duration mark_life = Seconds(24 * 3600);
@@ -130,6 +145,9 @@
 
   /// Whether the request must reach no further server.
   bool IsMarked(const RequestDigest& digest) const;
+  /// Whether a copy of the marked request may be let through now.
+  bool MayTry(const RequestDigest& digest, TimePoint now) const;
+  void BeginTrial(const RequestDigest& digest, TimePoint now);
   /// Whether a server ended under the request, so that its answer is news.
   bool IsSuspect(const RequestDigest& digest) const;
   /// Neither ends nor marks are known.
@@ -162,6 +180,8 @@
     int ends = 0;
     TimePoint at;
     uint64_t revision = 0;
+    int trials = 0;
+    TimePoint tried_at;
     bool lapsed = false;
     /// Stronger marked requests explain its ends.
     bool doubted = false;
@@ -174,6 +194,7 @@
   bool Take(const FoundAlive& fact, TimePoint at);
   bool Take(const Cleared& fact, TimePoint at);
   bool Take(const Marked& fact, TimePoint at);
+  bool Take(const Tried& fact, TimePoint at);
 
   void EraseEnd(const ServerLife& server, const RequestDigest& digest);
   /// All hosts had time to tell of it. A host knows its own requests' part in
--- a/source/entry_peers.cc
+++ b/source/entry_peers.cc
@@ -126,6 +126,7 @@
   const TimePoint now = MonotonicNow();
   SumLoads(now);
   m_host.SettlePoison();
+  NameTrialHosts(now);
   ChooseWatch(now);
   AskNear(now);
   const auto relays = ChooseRelays(NearHosts(now), m_policy.relays);
@@ -136,6 +137,21 @@
   }
 }
 
+void EntryPeers::NameTrialHosts(TimePoint now) {
+  if (m_host.poison().IsIdle()) {
+    return;
+  }
+  std::vector<std::string> hosts = m_news.Hosts(now);
+  // A host that hears few of the others may be cut off from them: they have one
+  // that lets a copy through as well.
+  if (hosts.size() * 2 < m_peers.size()) {
+    hosts.clear();
+  } else {
+    hosts.push_back(m_own.name);
+  }
+  m_host.poison().SetFleet(m_own.name, std::move(hosts));
+}
+
 std::vector<FleetHost> EntryPeers::NearHosts(TimePoint now) const {
   std::vector<FleetHost> hosts = {m_own};
   for (FleetHost& host : m_news.Fleet(now)) {
--- a/source/entry_poison.cc
+++ b/source/entry_poison.cc
@@ -1,7 +1,11 @@
 #include "filbertrack/entry_poison.h"
 
+#include <algorithm>
+#include <utility>
+
 #include <nlohmann/json.hpp>
 
+#include "filbertrack/base_hash.h"
 #include "filbertrack/log.h"
 
 namespace filbertrack {
@@ -13,10 +17,13 @@
 /// ended.
 constexpr Duration kRegistersWithin = Seconds(1);
 
-EndProgress ProgressAtEnd(AttemptProgress progress) {
+EndProgress ProgressAtEnd(const BackendServer& server,
+                          AttemptProgress progress) {
+  // A plain server answers whole: it runs what it has and not answered.
+  const bool is_plain = server.domain.empty();
   switch (progress) {
     case AttemptProgress::kNoAnswer:
-      return EndProgress::kNoAnswer;
+      return is_plain ? EndProgress::kBegun : EndProgress::kNoAnswer;
     case AttemptProgress::kBegun:
       return EndProgress::kBegun;
     case AttemptProgress::kAnswering:
@@ -73,7 +80,7 @@
   for (const BrokenAttempt& attempt : end.attempts) {
     m_ledger.Note(EndedUnder{{end.server.id, end.server.born_ms},
                              attempt.digest,
-                             ProgressAtEnd(attempt.progress)},
+                             ProgressAtEnd(end.server, attempt.progress)},
                   now);
   }
 }
@@ -100,6 +107,35 @@
   m_ledger.Note(Cleared{digest}, m_clock());
 }
 
+void EntryPoison::SetFleet(std::string own, std::vector<std::string> hosts) {
+  m_own = std::move(own);
+  m_fleet = std::move(hosts);
+}
+
+bool EntryPoison::IsTrialHost(const RequestDigest& digest) const {
+  const auto owner = std::max_element(
+      m_fleet.begin(), m_fleet.end(),
+      [&digest](const std::string& left, const std::string& right) {
+        return RendezvousWeight(digest, left) < RendezvousWeight(digest, right);
+      });
+  return owner != m_fleet.end() && *owner == m_own;
+}
+
+EntryPoison::Passage EntryPoison::MayPass(const RequestDigest& digest,
+                                          TimePoint now) const {
+  if (!m_ledger.IsMarked(digest)) {
+    return Passage::kFree;
+  }
+  return m_ledger.MayTry(digest, now) && IsTrialHost(digest)
+             ? Passage::kTrial
+             : Passage::kRefused;
+}
+
+void EntryPoison::BeginTrial(const RequestDigest& digest, TimePoint now) {
+  Log(LogLevel::kInfo, "request-tried", {{"digest", digest}});
+  m_ledger.BeginTrial(digest, now);
+}
+
 bool EntryPoison::Settle(TimePoint now) {
   for (const Marked& mark : m_ledger.Settle(now)) {
     LogMark(mark, "own");
--- a/source/entry_poison_record.cc
+++ b/source/entry_poison_record.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <optional>
 
 #include <nlohmann/json.hpp>
 
@@ -21,6 +22,16 @@
   return taken;
 }
 
+std::optional<int> ReadCount(std::string_view text) {
+  int count = 0;
+  const char* end = text.data() + text.size();
+  const auto read = std::from_chars(text.data(), end, count);
+  if (read.ec != std::errc() || read.ptr != end || count < 0) {
+    return std::nullopt;
+  }
+  return count;
+}
+
 }  // namespace
 
 std::string FormatPoisonRecord(const std::vector<Marked>& marks) {
@@ -29,6 +40,8 @@
     text.append(mark.digest)
         .append(" ")
         .append(std::to_string(mark.ends))
+        .append(" ")
+        .append(std::to_string(mark.trials))
         .append("\n");
   }
   return text;
@@ -37,22 +50,19 @@
 PoisonRecordText ParsePoisonRecord(std::string_view text) {
   PoisonRecordText record;
   while (!text.empty()) {
-    std::string_view line = TakeUntil(text, '\n');
-    const RequestDigest digest(TakeUntil(line, ' '));
-    int ends = 0;
-    const auto read =
-        std::from_chars(line.data(), line.data() + line.size(), ends);
-    const bool is_number =
-        read.ec == std::errc() && read.ptr == line.data() + line.size();
-    if (!IsRequestDigest(digest)) {
-      Log(LogLevel::kWarning, "poison-record-invalid", {{"digest", digest}});
-    } else if (line == kLifted) {
+    const std::string_view line = TakeUntil(text, '\n');
+    std::string_view rest = line;
+    const RequestDigest digest(TakeUntil(rest, ' '));
+    if (IsRequestDigest(digest) && rest == kLifted) {
       record.lifted.push_back(digest);
-    } else if (is_number && ends > 0) {
-      record.marks.push_back({digest, ends});
+      continue;
+    }
+    const auto ends = ReadCount(TakeUntil(rest, ' '));
+    const auto trials = ReadCount(rest);
+    if (IsRequestDigest(digest) && ends && trials) {
+      record.marks.push_back({digest, *ends, *trials});
     } else {
-      Log(LogLevel::kWarning, "poison-record-invalid",
-          {{"digest", digest}, {"value", line}});
+      Log(LogLevel::kWarning, "poison-record-invalid", {{"line", line}});
     }
   }
   return record;
--- a/source/entry_relay.cc
+++ b/source/entry_relay.cc
@@ -156,7 +156,7 @@
     return;
   }
   // Before the budget: it must take no retries from others.
-  if (IsMarked()) {
+  if (!MayPass(now)) {
     Feed(NoTarget{ResultCode::kEndsServers});
     return;
   }
@@ -214,6 +214,9 @@
   m_choice = choice;
   m_last_target = choice.target.id;
   m_tried.insert(choice.target.id);
+  if (m_on_trial) {
+    m_context.poison.BeginTrial(digest(), now);
+  }
   m_sent_at = now;
   m_last_byte = now;
   m_attempt_first_event = false;
@@ -344,8 +347,13 @@
   Feed(AttemptFailed{may_have_left});
 }
 
-bool EntryRelay::IsMarked() const {
-  return !m_context.poison.IsIdle() && m_context.poison.IsMarked(digest());
+bool EntryRelay::MayPass(TimePoint now) {
+  if (m_context.poison.IsIdle()) {
+    return true;
+  }
+  const EntryPoison::Passage passage = m_context.poison.MayPass(digest(), now);
+  m_on_trial = passage == EntryPoison::Passage::kTrial;
+  return passage != EntryPoison::Passage::kRefused;
 }
 
 void EntryRelay::NoteServed() {
@@ -355,7 +363,8 @@
 }
 
 void EntryRelay::CheckMark() {
-  if (!m_state.answer_started && IsMarked()) {
+  if (!m_state.answer_started && !m_on_trial &&
+      m_context.poison.IsMarked(digest())) {
     m_why_ended = "servers end under it";
     Feed(NoTarget{ResultCode::kEndsServers});
   }
--- a/source/news_poison.cc
+++ b/source/news_poison.cc
@@ -11,6 +11,7 @@
   kFoundAlive = 2,
   kCleared = 3,
   kMarked = 4,
+  kTried = 5,
 };
 
 /// Ends under one request: more than a fleet has servers.
@@ -37,6 +38,10 @@
     return Json::array(
         {static_cast<int>(FactKind::kMarked), age_ms, fact.digest, fact.ends});
   }
+  Json operator()(const Tried& fact) const {
+    return Json::array(
+        {static_cast<int>(FactKind::kTried), age_ms, fact.digest, fact.trials});
+  }
 };
 
 RequestDigest ReadDigest(const Json& value) {
@@ -56,7 +61,7 @@
 PoisonFact UnpackFact(const Json& row) {
   const auto kind =
       ReadWhole<int>(row.at(0), static_cast<int>(FactKind::kEndedUnder),
-                     static_cast<int>(FactKind::kMarked));
+                     static_cast<int>(FactKind::kTried));
   switch (static_cast<FactKind>(kind)) {
     case FactKind::kEndedUnder:
       return EndedUnder{{row.at(3).get<std::string>(), ReadVersion(row.at(4))},
@@ -69,6 +74,9 @@
     case FactKind::kMarked:
       return Marked{ReadDigest(row.at(2)),
                     ReadWhole<int>(row.at(3), 1, kMostEnds)};
+    case FactKind::kTried:
+      return Tried{ReadDigest(row.at(2)),
+                   ReadWhole<int>(row.at(3), 1, kMostEnds)};
   }
   throw OutOfRange{row.at(0).dump() + " is no kind of fact."};
 }
--- a/source/poison_ledger.cc
+++ b/source/poison_ledger.cc
@@ -88,11 +88,46 @@
   if (is_known && mark.ends >= fact.ends && (!mark.lapsed || mark.at >= at)) {
     return false;
   }
-  mark = {std::max(mark.ends, fact.ends), at, ++m_revision, false, false};
+  mark.ends = std::max(mark.ends, fact.ends);
+  mark.at = at;
+  mark.revision = ++m_revision;
+  mark.trials = std::max(mark.trials, fact.trials);
+  mark.lapsed = false;
   BoundMarks();
   return true;
 }
 
+bool PoisonLedger::Take(const Tried& fact, TimePoint at) {
+  const auto mark = m_marks.find(fact.digest);
+  if (mark == m_marks.end() || mark->second.trials >= fact.trials) {
+    return false;
+  }
+  mark->second.trials = fact.trials;
+  mark->second.tried_at = at;
+  mark->second.revision = ++m_revision;
+  return true;
+}
+
+bool PoisonLedger::MayTry(const RequestDigest& digest, TimePoint now) const {
+  const Mark& mark = m_marks.at(digest);
+  const auto trials = static_cast<size_t>(mark.trials);
+  if (trials >= m_policy.trial_pauses.size()) {
+    return false;
+  }
+  TimePoint since = std::max(mark.at, mark.tried_at);
+  const auto ends = m_ends_of.find(digest);
+  if (ends != m_ends_of.end()) {
+    for (const ServerLife& server : ends->second) {
+      since = std::max(since, m_ends.at(server).at(digest).at);
+    }
+  }
+  return now - since >= m_policy.trial_pauses[trials];
+}
+
+void PoisonLedger::BeginTrial(const RequestDigest& digest, TimePoint now) {
+  Take(Tried{digest, m_marks.at(digest).trials + 1}, now);
+}
+
 void PoisonLedger::EraseEnd(const ServerLife& server,
                             const RequestDigest& digest) {
   const auto ended = m_ends.find(server);
@@ -202,7 +237,7 @@
     }
     const Verdict verdict = Judge(digest, now);
     if (verdict.evidence >= m_policy.evidence_to_mark) {
-      marked.push_back({digest, verdict.ends});
+      marked.push_back({digest, verdict.ends, 0});
       since.push_back(verdict.first_end);
     }
   }
@@ -254,7 +289,7 @@
   std::vector<Marked> marks;
   for (const auto& [digest, mark] : m_marks) {
     if (mark.IsInForce()) {
-      marks.push_back({digest, mark.ends});
+      marks.push_back({digest, mark.ends, mark.trials});
     }
   }
   return marks;
@@ -365,15 +400,21 @@
   }
   for (const auto& [digest, mark] : m_marks) {
     if (!mark.lapsed) {
-      add(mark.revision, mark.at, Marked{digest, mark.ends});
+      add(mark.revision, mark.at, Marked{digest, mark.ends, 0});
+    }
+    if (!mark.lapsed && mark.trials > 0) {
+      add(mark.revision, mark.tried_at, Tried{digest, mark.trials});
     }
   }
-  std::sort(rows.begin(), rows.end(), [](const auto& left, const auto& right) {
-    return left.first < right.first;
-  });
+  // A mark stands before its trials, which have its revision.
+  std::stable_sort(rows.begin(), rows.end(),
+                   [](const auto& left, const auto& right) {
+                     return left.first < right.first;
+                   });
   if (rows.size() > m_policy.most_told) {
     rows.resize(m_policy.most_told);
-    news.revision = rows.back().first;
+    // The next part begins with what may have the same revision.
+    news.revision = rows.back().first - 1;
   }
   for (auto& [revision, row] : rows) {
     news.facts.push_back(std::move(row));
--- a/tests/platform_poison_test.cc
+++ b/tests/platform_poison_test.cc
@@ -99,6 +99,64 @@
   }
 }
 
+/// Ends servers until the request is refused everywhere.
+void Mark(PoisonSite& site) {
+  const auto is_known = [&site] {
+    return std::all_of(
+        site.nodes.begin(), site.nodes.end(),
+        [](const auto& node) { return !node->host.poison().Marks().empty(); });
+  };
+  while (site.CountEnded() < kEndsThatTell) {
+    REQUIRE(site.copies < 10);
+    site.SendCopy("/s/poison");
+  }
+  REQUIRE(RunUntil(site.loop, is_known));
+}
+
+TEST_CASE("the caller of a request that ends servers is told so at once") {
+  // Nothing ran, and to come back with the same would end more servers: the
+  // answer says both, and no time to return.
+  PoisonSite site(20, 2);
+  REQUIRE(site.IsUp(10));
+  Mark(site);
+  const Answer answer = site.SendCopy("/s/poison");
+  CHECK(answer.status == 503);
+  CHECK(FindHeader(answer.headers, "Retry-After").empty());
+  const Json body = Json::parse(answer.body);
+  CHECK(body["name"] == "ends-servers");
+  CHECK(body["outcome"] == "not-run");
+  for (const auto& runner : site.runners) {
+    for (const SeenRequest& seen : runner->seen()) {
+      CHECK(seen.id != "copy-" + std::to_string(site.copies));
+    }
+  }
+}
+
+TEST_CASE("a mark outlasts the loss of all entry hosts") {
+  // All entry hosts lose power at once, and with them what they told each
+  // other. The request that they had marked comes again to hosts that know
+  // nothing of it but what they read from the store as they start.
+  PoisonSite site(20, 2);
+  REQUIRE(site.IsUp(10));
+  Mark(site);
+  const auto is_written = [&site] {
+    return !site.store.Get("filbertrack-records", "poison-requests").is_null();
+  };
+  REQUIRE(RunUntil(site.loop, is_written));
+  site.nodes.clear();
+  EntryNode& fresh = site.AddEntryHost();
+  const auto has_read = [&fresh] {
+    return !fresh.host.poison().Marks().empty();
+  };
+  REQUIRE(RunUntil(site.loop, has_read));
+  const int ended = site.CountEnded();
+  REQUIRE(site.IsUp(1));
+  for (int i = 0; i < kCopiesAfter; ++i) {
+    CHECK(site.SendCopy("/s/poison").status == 503);
+  }
+  CHECK(site.CountEnded() == ended);
+}
+
 TEST_CASE("requests beside one that ends servers are served") {
   // Two callers of the same workspace have streams on the servers that end, and
   // their streams break off with each. They are not to blame: taken up or sent
--- a/tests/poison_test.cc
+++ b/tests/poison_test.cc
@@ -176,6 +176,36 @@
   CHECK(ledger.IsMarked(Name(0)));
 }
 
+TEST_CASE(
+    "two copies of a marked request are let through, and an answer takes "
+    "the mark off") {
+  // All servers of a service lose power together, each with a copy of what
+  // callers ask all the time. It is marked; when the servers are back one copy
+  // is answered, and all are served again.
+  PoisonLedger ledger = MakeLedger();
+  for (int server = 1; server <= 3; ++server) {
+    End(ledger, server, {}, 0, kStart);
+  }
+  REQUIRE(ledger.Settle(kStart + kSettled).size() == 1);
+  CHECK_FALSE(ledger.MayTry(Name(0), kStart + Seconds(4)));
+  TimePoint now = kStart + Seconds(6);
+  REQUIRE(ledger.MayTry(Name(0), now));
+  ledger.BeginTrial(Name(0), now);
+  CHECK_FALSE(ledger.MayTry(Name(0), now + Seconds(30)));
+  // Another host hears of both at once.
+  PoisonLedger other = MakeLedger();
+  for (const TimedPoisonFact& row : ledger.Since(0, now).facts) {
+    other.Note(row.fact, now - row.age);
+  }
+  CHECK_FALSE(other.MayTry(Name(0), now + Seconds(30)));
+  now += Seconds(61);
+  REQUIRE(other.MayTry(Name(0), now));
+  other.BeginTrial(Name(0), now);
+  CHECK_FALSE(other.MayTry(Name(0), now + Seconds(3600)));
+  other.Note(Cleared{Name(0)}, now);
+  CHECK_FALSE(other.IsMarked(Name(0)));
+}
+
 TEST_CASE("a host that starts is told all, in parts if need be") {
   PoisonLedger ledger = MakeLedger();
   for (int i = 0; i < 600; ++i) {
