entry, explain: from a refused copy to the ends of servers that were laid to it

Cause: the line of a server's end named digests only, and explain knew nothing of the new result code; the facts for a peer were copied before it was seen that the peer has them, which large fleets would pay 50 times a second. Change: server-ended tells evidence, its age, how far each request was and at how many ends it was; explain follows the digest to the mark and the ends; facts are made of new rows only; the record's reader is under the fuzzer.

--- a/include/filbertrack/entry_server_ends.h
+++ b/include/filbertrack/entry_server_ends.h
@@ -50,9 +50,13 @@
 struct ServerEnd {
   BackendServer server;
   EndEvidence evidence = EndEvidence::kNoAnswer;
+  /// From the first connection that broke until it was certain.
+  Duration age{0};
   std::vector<BrokenAttempt> attempts;
 };
 
+std::string_view EndEvidenceName(EndEvidence evidence);
+
 struct ServerEndPolicy {
   /// A server answers a direct question within milliseconds, whatever it runs;
   /// a lost packet is sent again within a fifth of a second.
@@ -95,14 +99,12 @@
   struct Check {
     BackendServer server;
     std::vector<BrokenAttempt> attempts;
+    TimePoint since;
     int asked = 0;
   };
 
   void Ask(const std::string& id);
   void OnAnswer(const std::string& id, const ProbeAnswer& answer);
-  void Tell(const BackendServer& server,
-            EndEvidence evidence,
-            std::vector<BrokenAttempt> attempts) const;
 
   EngineLink& m_engines;
   ServerEndPolicy m_policy;
--- a/include/filbertrack/poison_ledger.h
+++ b/include/filbertrack/poison_ledger.h
@@ -18,13 +18,12 @@
 /// heard the same facts in any order, and any number of times, decide alike.
 
 #include <array>
-#include <compare>
 #include <cstdint>
 #include <map>
 #include <optional>
 #include <set>
 #include <string>
-#include <utility>
+#include <tuple>
 #include <variant>
 #include <vector>
 
@@ -39,7 +38,9 @@
   /// Start of the process, Unix ms; 0: not told.
   uint64_t born_ms = 0;
 
-  auto operator<=>(const ServerLife&) const = default;
+  bool operator<(const ServerLife& other) const {
+    return std::tie(id, born_ms) < std::tie(other.id, other.born_ms);
+  }
 };
 
 /// How far a server had come with a request when it ended.
@@ -160,6 +161,8 @@
   std::vector<std::string> EndsLaidTo(const RequestDigest& digest,
                                       TimePoint now) const;
   size_t CountEnds() const { return m_end_rows; }
+  /// Servers that ended while they had the request, whoever is to blame.
+  int CountEndsOf(const RequestDigest& digest) const;
 
   uint64_t revision() const { return m_revision; }
   /// Facts that came after `known`, a revision of this ledger, the oldest
@@ -229,6 +232,12 @@
   /// Drops the oldest word above the bound.
   template <typename Words>
   void BoundWords(Words& words) const;
+  struct Row {
+    uint64_t revision = 0;
+    TimedPoisonFact timed;
+  };
+  /// The facts that came after this revision, the oldest first.
+  std::vector<Row> RowsAfter(uint64_t revision, TimePoint now) const;
 
   PoisonPolicy m_policy;
   uint64_t m_revision;
--- a/source/entry_poison.cc
+++ b/source/entry_poison.cc
@@ -77,15 +77,28 @@
 void EntryPoison::OnEnd(const ServerEnd& end) {
   m_attempts_ended += end.attempts.size();
   const TimePoint now = m_clock();
+  nlohmann::json requests = nlohmann::json::array();
   for (const BrokenAttempt& attempt : end.attempts) {
     m_ledger.Note(EndedUnder{{end.server.id, end.server.born_ms},
                              attempt.digest,
                              ProgressAtEnd(end.server, attempt.progress)},
                   now);
+    requests.push_back({{"digest", attempt.digest},
+                        {"progress", AttemptProgressName(attempt.progress)},
+                        {"ends", m_ledger.CountEndsOf(attempt.digest)}});
   }
+  Log(LogLevel::kWarning, "server-ended",
+      {{"server", end.server.id},
+       {"born_ms", end.server.born_ms},
+       {"evidence", EndEvidenceName(end.evidence)},
+       {"age_ms", ToMilliseconds(end.age)},
+       {"requests", std::move(requests)}});
 }
 
 void EntryPoison::OnAnswer(const DispatchTarget& target, TimePoint sent) {
+  if (IsIdle()) {
+    return;
+  }
   const ServerLife life{target.id, target.born_ms};
   const auto ended = m_ledger.EndedAt(life);
   if (!ended || sent < *ended + kRegistersWithin) {
--- a/source/entry_server_ends.cc
+++ b/source/entry_server_ends.cc
@@ -1,14 +1,10 @@
 #include "filbertrack/entry_server_ends.h"
 
-#include <nlohmann/json.hpp>
-
-#include "filbertrack/log.h"
+#include <utility>
 
 namespace filbertrack {
 
-namespace {
-
-std::string_view EvidenceName(EndEvidence evidence) {
+std::string_view EndEvidenceName(EndEvidence evidence) {
   switch (evidence) {
     case EndEvidence::kNoAnswer:
       return "no answer";
@@ -20,8 +16,6 @@
   return "no answer";
 }
 
-}  // namespace
-
 std::string_view AttemptProgressName(AttemptProgress progress) {
   switch (progress) {
     case AttemptProgress::kNoAnswer:
@@ -46,7 +40,10 @@
   });
   const auto known = m_known.find(server.id);
   if (known != m_known.end() && known->second.born_ms == server.born_ms) {
-    Tell(server, known->second.evidence, {std::move(attempt)});
+    m_on_end({server,
+              known->second.evidence,
+              now - known->second.at,
+              {std::move(attempt)}});
     return;
   }
   const auto running = m_checks.find(server.id);
@@ -59,7 +56,7 @@
   if (m_checks.size() >= m_policy.most_checked) {
     return;
   }
-  m_checks[server.id] = {server, {std::move(attempt)}, 0};
+  m_checks[server.id] = {server, {std::move(attempt)}, now, 0};
   Ask(server.id);
 }
 
@@ -95,31 +92,19 @@
   }
   const EndEvidence evidence =
       is_silent ? EndEvidence::kNoAnswer : EndEvidence::kOtherProcess;
-  m_known[id] = {ended.server.born_ms, evidence, m_clock()};
-  Tell(ended.server, evidence, ended.attempts);
+  const TimePoint now = m_clock();
+  m_known[id] = {ended.server.born_ms, evidence, now};
+  m_on_end({ended.server, evidence, now - ended.since, ended.attempts});
 }
 
 void ServerEndCheck::OnRegisteredAnew(const BackendServer& server,
                                       BrokenAttempt attempt) {
   m_known[server.id] = {server.born_ms, EndEvidence::kRegisteredAnew,
                         m_clock()};
-  Tell(server, EndEvidence::kRegisteredAnew, {std::move(attempt)});
-}
-
-void ServerEndCheck::Tell(const BackendServer& server,
-                          EndEvidence evidence,
-                          std::vector<BrokenAttempt> attempts) const {
-  nlohmann::json requests = nlohmann::json::array();
-  for (const BrokenAttempt& attempt : attempts) {
-    requests.push_back(attempt.digest + " " +
-                       std::string(AttemptProgressName(attempt.progress)));
-  }
-  Log(LogLevel::kWarning, "server-ended",
-      {{"server", server.id},
-       {"born_ms", server.born_ms},
-       {"evidence", EvidenceName(evidence)},
-       {"digests", std::move(requests)}});
-  m_on_end({server, evidence, std::move(attempts)});
+  m_on_end({server,
+            EndEvidence::kRegisteredAnew,
+            Duration(0),
+            {std::move(attempt)}});
 }
 
 }  // namespace filbertrack
--- a/source/explain_request.cc
+++ b/source/explain_request.cc
@@ -125,6 +125,9 @@
                Milliseconds(Number(end, "total_ms")) +
                "; the first event came after " +
                Milliseconds(Number(end, "first_ms")) + ".";
+      case ResultCode::kEndsServers:
+        return Refusal(end) + ": servers end while they run what it asks." +
+               OfMark(Text(end, "digest"));
       default:
         return std::string(ResultCodeInfo(code).meaning) +
                " The configuration was " +
@@ -178,6 +181,40 @@
     return text.empty() ? "no attempt failed before" : text;
   }
 
+  /// Which ends of servers were laid to copies of the request, and by whom.
+  std::string OfMark(const std::string& digest) const {
+    std::string text;
+    for (const TrailLine& line : m_trail) {
+      if (line.event == "request-marked" && Text(line, "digest") == digest &&
+          Text(line, "from") == "own") {
+        text += " " + line.node + " laid " +
+                std::to_string(Number(line, "ends")) + " ends to it: " +
+                line.fields.value("servers", Json::array()).dump() + ".";
+        break;
+      }
+    }
+    for (const TrailLine& line : m_trail) {
+      if (line.event == "server-ended" && HadRequest(line, digest)) {
+        text += " " + line.node + " had a copy at " + Text(line, "server") +
+                ", which ended (" + Text(line, "evidence") + ").";
+      }
+    }
+    return text;
+  }
+
+  /// Whether a line of a server's end names a copy of the request.
+  static bool HadRequest(const TrailLine& line, const std::string& digest) {
+    const auto requests = line.fields.find("requests");
+    if (requests == line.fields.end() || !requests->is_array()) {
+      return false;
+    }
+    return std::any_of(requests->begin(), requests->end(),
+                       [&digest](const Json& request) {
+                         return request.is_object() &&
+                                request.value("digest", Json()) == digest;
+                       });
+  }
+
   /// What the host that gives orders found of the request's targets.
   std::string OfTargets() const {
     std::string text;
--- a/source/poison_ledger.cc
+++ b/source/poison_ledger.cc
@@ -207,6 +207,11 @@
   return verdict;
 }
 
+int PoisonLedger::CountEndsOf(const RequestDigest& digest) const {
+  const auto found = m_ends_of.find(digest);
+  return found == m_ends_of.end() ? 0 : static_cast<int>(found->second.size());
+}
+
 std::vector<std::string> PoisonLedger::EndsLaidTo(const RequestDigest& digest,
                                                   TimePoint now) const {
   std::vector<std::string> servers;
@@ -374,50 +379,61 @@
                                }));
 }
 
-PoisonNews PoisonLedger::Since(uint64_t known, TimePoint now) const {
-  PoisonNews news{m_revision, {}};
-  if (known == m_revision) {
-    return news;
-  }
-  const uint64_t after = known > m_revision ? 0 : known;
-  std::vector<std::pair<uint64_t, TimedPoisonFact>> rows;
-  const auto add = [&](uint64_t revision, TimePoint at, PoisonFact fact) {
-    if (revision > after) {
-      const Duration age = std::max(Duration(0), now - at);
-      rows.push_back({revision, {std::move(fact), age}});
-    }
+std::vector<PoisonLedger::Row> PoisonLedger::RowsAfter(uint64_t revision,
+                                                       TimePoint now) const {
+  std::vector<Row> rows;
+  const auto add = [&rows, now](uint64_t row, PoisonFact fact, TimePoint at) {
+    rows.push_back({row, {std::move(fact), std::max(Duration(0), now - at)}});
   };
+  // Facts are made of new rows only: the loads of a large fleet are exchanged
+  // fifty times a second, and most rows are known.
   for (const auto& [server, suspects] : m_ends) {
     for (const auto& [digest, end] : suspects) {
-      add(end.revision, end.at, EndedUnder{server, digest, end.progress});
+      if (end.revision > revision) {
+        add(end.revision, EndedUnder{server, digest, end.progress}, end.at);
+      }
     }
   }
   for (const auto& [server, stamp] : m_alive) {
-    add(stamp.revision, stamp.at, FoundAlive{server});
+    if (stamp.revision > revision) {
+      add(stamp.revision, FoundAlive{server}, stamp.at);
+    }
   }
   for (const auto& [digest, stamp] : m_cleared) {
-    add(stamp.revision, stamp.at, Cleared{digest});
+    if (stamp.revision > revision) {
+      add(stamp.revision, Cleared{digest}, stamp.at);
+    }
   }
   for (const auto& [digest, mark] : m_marks) {
-    if (!mark.lapsed) {
-      add(mark.revision, mark.at, Marked{digest, mark.ends, 0});
+    if (mark.lapsed || mark.revision <= revision) {
+      continue;
     }
-    if (!mark.lapsed && mark.trials > 0) {
-      add(mark.revision, mark.tried_at, Tried{digest, mark.trials});
+    add(mark.revision, Marked{digest, mark.ends, 0}, mark.at);
+    if (mark.trials > 0) {
+      add(mark.revision, Tried{digest, mark.trials}, mark.tried_at);
     }
   }
   // A mark stands before its trials, which have its revision.
   std::stable_sort(rows.begin(), rows.end(),
-                   [](const auto& left, const auto& right) {
-                     return left.first < right.first;
+                   [](const Row& left, const Row& right) {
+                     return left.revision < right.revision;
                    });
+  return rows;
+}
+
+PoisonNews PoisonLedger::Since(uint64_t known, TimePoint now) const {
+  PoisonNews news{m_revision, {}};
+  if (known == m_revision) {
+    return news;
+  }
+  std::vector<Row> rows = RowsAfter(known > m_revision ? 0 : known, now);
   if (rows.size() > m_policy.most_told) {
     rows.resize(m_policy.most_told);
     // The next part begins with what may have the same revision.
-    news.revision = rows.back().first - 1;
+    news.revision = rows.back().revision - 1;
   }
-  for (auto& [revision, row] : rows) {
-    news.facts.push_back(std::move(row));
+  for (Row& row : rows) {
+    news.facts.push_back(std::move(row.timed));
   }
   return news;
 }
--- a/tests/explain_test.cc
+++ b/tests/explain_test.cc
@@ -24,6 +24,11 @@
 {"event":"request","node":"e2","time_ms":5000,"at_us":9,"request":"r3","code":0,"sends":1,"aim_ms":300,"first_ms":700,"total_ms":1000}
 {"event":"refused","node":"e2","time_ms":5000,"at_us":10,"request":"r4","code":9,"config":12}
 {"event":"request","node":"e2","time_ms":5100,"at_us":11,"request":"r6","code":109,"outcome":"unknown","sends":1}
+{"event":"server-ended","node":"e1","time_ms":5200,"at_us":40,"server":"h5","evidence":"no answer","age_ms":3,"requests":[{"digest":"d7","progress":"begun","ends":1},{"digest":"d8","progress":"answering","ends":1}]}
+{"event":"server-ended","node":"e2","time_ms":5300,"at_us":41,"server":"h6","evidence":"no answer","age_ms":3,"requests":[{"digest":"d7","progress":"begun","ends":2}]}
+{"event":"server-ended","node":"e2","time_ms":5350,"at_us":42,"server":"h9","evidence":"no answer","age_ms":3,"requests":[{"digest":"d8","progress":"answering","ends":2}]}
+{"event":"request-marked","node":"e3","time_ms":5900,"at_us":43,"digest":"d7","ends":3,"servers":["h5","h6","h8"],"from":"own"}
+{"event":"request","node":"e3","time_ms":6000,"at_us":44,"request":"r7","code":119,"outcome":"not-run","sends":0,"digest":"d7"}
 not a line
 {"no event":1}
 )";
@@ -39,7 +44,7 @@
 
 TEST_CASE("lines are read whatever stands before them") {
   const auto trail = Trail();
-  REQUIRE(trail.size() == 12);
+  REQUIRE(trail.size() == 17);
   CHECK(trail[0].node == "e1");
   CHECK(trail[0].fields["target"] == "h1");
 }
@@ -74,6 +79,18 @@
   CHECK_FALSE(Contains(told.cause, "not run"));
 }
 
+TEST_CASE("a copy of a request that ends servers: from it to the ends") {
+  // The copy itself was sent nowhere. Others with the same digest were at the
+  // servers that ended, at other hosts.
+  const auto trail = Trail();
+  const Explanation told = ExplainRequest(trail, "r7");
+  CHECK(Contains(told.cause, "Refused as not run: servers end"));
+  CHECK(Contains(told.cause, "e3 laid 3 ends to it: [\"h5\",\"h6\",\"h8\"]"));
+  CHECK(Contains(told.cause, "e1 had a copy at h5"));
+  CHECK(Contains(told.cause, "e2 had a copy at h6"));
+  CHECK_FALSE(Contains(told.cause, "h9"));
+}
+
 TEST_CASE("a late answer tells what was predicted and why") {
   const auto trail = Trail();
   const Explanation told = ExplainRequest(trail, "r3");
--- a/tests/fuzz/fuzz_untrusted.cc
+++ b/tests/fuzz/fuzz_untrusted.cc
@@ -5,6 +5,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "filbertrack/entry_poison_record.h"
 #include "filbertrack/news_message.h"
 #include "platform_decode.h"
 
@@ -30,6 +31,7 @@
   (void)decoder.ReadCatalog(bytes);
   (void)DecodeNewsAsk(bytes);
   (void)DecodeNewsAnswer(bytes);
+  (void)ParsePoisonRecord(bytes);
 }
 
 }  // namespace filbertrack
