soak: a request that ends servers comes again beside all other faults

Cause: the soak had no request under which servers end, so nothing showed whether entry hosts that are killed, paused, stopped and cut off from the store agree on one.

--- a/soak/main_soak.cc
+++ b/soak/main_soak.cc
@@ -18,6 +18,13 @@
 /// After the faults: time in which the fleet must serve again.
 constexpr Duration kRecovery = Seconds(12);
 constexpr Duration kLastCalls = Seconds(8);
+/// Between copies of a request that ends servers.
+constexpr Duration kPoisonInterval = Milliseconds(150);
+/// After the faults, until all entry hosts must know of it: the hosts that are
+/// started again, and as long as the platform grants besides.
+constexpr Duration kAgreeing = Seconds(6);
+/// Servers that it may end later, over the whole fleet.
+constexpr int kMostLateCrashes = 3;
 
 struct Line {
   std::string program;
@@ -26,6 +33,7 @@
   int seconds = 20;
   int entry_hosts = 3;
   int runners = 8;
+  bool poison = false;
 };
 
 /// Runs the loop for a time, or until `done`. False where the time came first.
@@ -52,6 +60,32 @@
   }
 }
 
+/// What holds once the faults are over, though copies of a request that ends
+/// servers still come: it ends few more, and calls beside it are answered.
+void CheckBesidePoison(EventLoop& loop,
+                       Fleet& fleet,
+                       const Callers& callers,
+                       Duration time) {
+  RunFor(loop, kAgreeing, [] { return false; });
+  const int before = fleet.crashes();
+  const TimePoint since = MonotonicNow();
+  RunFor(loop, time, [] { return false; });
+  const int late = fleet.crashes() - before;
+  if (late > kMostLateCrashes) {
+    fleet.violations().push_back(
+        std::to_string(late) + " servers ended late under one request, after " +
+        std::to_string(before) + " before");
+  }
+  for (const CallKind kind :
+       {CallKind::kStream, CallKind::kIdempotent, CallKind::kOnce}) {
+    if (callers.CountAnswered(kind, since) == 0) {
+      fleet.violations().push_back("calls of kind " +
+                                   std::to_string(static_cast<int>(kind)) +
+                                   " were not answered beside it");
+    }
+  }
+}
+
 int Run(const Line& line) {
   EventLoop loop;
   FleetOptions options;
@@ -72,11 +106,20 @@
   // Entry hosts may still be starting.
   callers.NoteUnplanned(MonotonicNow());
   callers.Start(kCallInterval);
+  PoisonCaller poison(loop, fleet, callers, line.seed + 2);
+  if (line.poison) {
+    poison.Start(kPoisonInterval);
+  }
   faults.Start(kFaultInterval);
   RunFor(loop, Seconds(line.seconds), [] { return false; });
   faults.Stop();
   const size_t before = callers.CountAnswered();
-  RunFor(loop, kRecovery, [] { return false; });
+  if (line.poison) {
+    CheckBesidePoison(loop, fleet, callers, kRecovery);
+    poison.Stop();
+  } else {
+    RunFor(loop, kRecovery, [] { return false; });
+  }
   if (callers.CountAnswered() == before) {
     fleet.violations().push_back("nothing was answered after the faults");
   }
@@ -84,8 +127,11 @@
   RunFor(loop, kLastCalls, [&callers] { return callers.idle(); });
   callers.Check(fleet.violations());
   Report(line, fleet.violations());
-  std::printf("%zu calls, %zu answered, %d faults\n", callers.count(),
-              callers.CountAnswered(), faults.count());
+  std::printf(
+      "%zu calls, %zu answered, %d faults, %zu copies of a request "
+      "that ended %d servers\n",
+      callers.count(), callers.CountAnswered(), faults.count(), poison.copies(),
+      fleet.crashes());
   const size_t bad = fleet.violations().size();
   std::printf("%d passed, %zu failed\n", bad == 0 ? 1 : 0, bad);
   return bad == 0 ? 0 : 1;
@@ -103,6 +149,8 @@
   app.add_option("--seed", line.seed, "Of faults and calls.");
   app.add_option("--seconds", line.seconds, "Time with faults, in seconds.");
   app.add_option("--entry-hosts", line.entry_hosts, "Processes of that kind.");
+  app.add_flag("--poison", line.poison,
+               "A request that ends servers comes again and again.");
   app.add_option("--runners", line.runners, "Hosts of groups at the start.");
   CLI11_PARSE(app, argc, argv);
   return filbertrack::soak::Run(line);
--- a/soak/soak_callers.cc
+++ b/soak/soak_callers.cc
@@ -36,6 +36,20 @@
   return "/";
 }
 
+HttpCallRequest MakeCall(const std::string& id, CallKind kind) {
+  HttpCallRequest request;
+  request.method = HttpMethod::kPost;
+  request.target = PathOf(kind);
+  request.headers = {
+      {"Host", "h.example"},
+      {"X-Attempt-Id", id},
+      {"X-Model", "m"},
+      {"X-Token-Usage", "100,50"},
+      {"X-Deadline-Remaining", std::to_string(ToMilliseconds(kPatience))},
+      {"Authorization", "Bearer key"}};
+  return request;
+}
+
 }  // namespace
 
 Callers::Callers(EventLoop& loop, Fleet& fleet, uint64_t seed)
@@ -62,6 +76,52 @@
       }));
 }
 
+size_t Callers::CountAnswered(CallKind kind, TimePoint since) const {
+  return static_cast<size_t>(std::count_if(
+      m_records.begin(), m_records.end(), [&](const CallRecord& record) {
+        return record.kind == kind && record.began >= since && !record.broke &&
+               record.status == 200;
+      }));
+}
+
+PoisonCaller::PoisonCaller(EventLoop& loop,
+                           Fleet& fleet,
+                           Callers& callers,
+                           uint64_t seed)
+    : m_loop(loop),
+      m_fleet(fleet),
+      m_callers(callers),
+      m_random(seed),
+      m_client(loop, kConnectionsEach) {}
+
+PoisonCaller::~PoisonCaller() = default;
+
+void PoisonCaller::Start(Duration interval) {
+  m_timer = m_loop.Every(interval, [this] { Send(); });
+}
+
+void PoisonCaller::Stop() {
+  m_timer.reset();
+}
+
+void PoisonCaller::Send() {
+  auto& entries = m_fleet.entries();
+  const std::string id = "p" + std::to_string(++m_copies);
+  HttpCallRequest request = MakeCall(id, CallKind::kStream);
+  request.body = kPoisonBody;
+  const auto end = [this, id] {
+    // Streams of others break off with a server.
+    m_callers.NoteUnplanned(MonotonicNow());
+    m_loop.Post([this, id] { m_open.erase(id); });
+  };
+  HttpCallEvents events;
+  events.on_bytes = [](std::string_view) {};
+  events.on_end = [end](int) { end(); };
+  events.on_failure = [end](bool) { end(); };
+  m_open[id] = m_client.Start(entries[m_random() % entries.size()]->callers,
+                              std::move(request), std::move(events));
+}
+
 void Callers::Call() {
   auto& entries = m_fleet.entries();
   const EntryProcess& entry = *entries[m_random() % entries.size()];
@@ -71,16 +131,7 @@
   record.kind = static_cast<CallKind>(m_random() % 3);
   record.entry = entry.name;
   record.began = MonotonicNow();
-  HttpCallRequest request;
-  request.method = HttpMethod::kPost;
-  request.target = PathOf(record.kind);
-  request.headers = {
-      {"Host", "h.example"},
-      {"X-Attempt-Id", record.id},
-      {"X-Model", "m"},
-      {"X-Token-Usage", "100,50"},
-      {"X-Deadline-Remaining", std::to_string(ToMilliseconds(kPatience))},
-      {"Authorization", "Bearer key"}};
+  HttpCallRequest request = MakeCall(record.id, record.kind);
   const auto end = [this, &record](bool broke) {
     record.ended = true;
     record.broke = broke;
--- a/soak/soak_callers.h
+++ b/soak/soak_callers.h
@@ -14,6 +14,8 @@
 
 namespace filbertrack::soak {
 
+class Callers;
+
 enum class CallKind { kStream, kIdempotent, kOnce };
 
 struct CallRecord {
@@ -31,6 +33,30 @@
   std::string body;
 };
 
+/// A caller who sends the same request again and again, under new ids and to
+/// any entry host, though servers end under it.
+class PoisonCaller {
+ public:
+  PoisonCaller(EventLoop& loop, Fleet& fleet, Callers& callers, uint64_t seed);
+  ~PoisonCaller();
+
+  void Start(Duration interval);
+  void Stop();
+  size_t copies() const { return m_copies; }
+
+ private:
+  void Send();
+
+  EventLoop& m_loop;
+  Fleet& m_fleet;
+  Callers& m_callers;
+  std::mt19937_64 m_random;
+  HttpClient m_client;
+  std::unique_ptr<Timer> m_timer;
+  std::map<std::string, std::unique_ptr<HttpCall>> m_open;
+  size_t m_copies = 0;
+};
+
 class Callers {
  public:
   Callers(EventLoop& loop, Fleet& fleet, uint64_t seed);
@@ -48,6 +74,8 @@
 
   size_t count() const { return m_records.size(); }
   size_t CountAnswered() const;
+  /// Of the calls of this kind that began since `since`.
+  size_t CountAnswered(CallKind kind, TimePoint since) const;
 
  private:
   void Call();
--- a/soak/soak_fleet.cc
+++ b/soak/soak_fleet.cc
@@ -92,6 +92,7 @@
   options.is_plain = plain;
   options.observer = this;
   options.events = kStreamEvents;
+  options.ends_on = kPoisonBody;
   options.domain = "d" + std::to_string(m_next_runner % kDomains);
   options.published = [this, &host](const Address& listening) {
     host->proxy = std::make_unique<Proxy>(m_loop, listening);
@@ -177,6 +178,12 @@
   }
 }
 
+void Fleet::OnCrash(const PlatformRunnerStandin&) {
+  ++m_crashes;
+  // The platform starts another one in its place.
+  AddRunner();
+}
+
 void Fleet::BreakHeads() {
   const TimePoint now = MonotonicNow();
   for (const auto& host : m_runners) {
--- a/soak/soak_fleet.h
+++ b/soak/soak_fleet.h
@@ -23,6 +23,8 @@
 inline constexpr Duration kGrace = Seconds(5);
 /// Events of each streamed answer.
 inline constexpr int kStreamEvents = 25;
+/// A request with this body ends the backend server that runs it.
+inline constexpr std::string_view kPoisonBody = "ends its server";
 
 struct FleetOptions {
   /// Path of filbert-entry.
@@ -63,6 +65,7 @@
   void OnJoin(const PlatformRunnerStandin& runner,
               const std::string& group) override;
   void OnOpen(const PlatformRunnerStandin& runner) override;
+  void OnCrash(const PlatformRunnerStandin& runner) override;
 
   void AddRunner();
   void AddPlainServer();
@@ -73,6 +76,8 @@
   std::vector<std::unique_ptr<RunnerHost>>& runners() { return m_runners; }
   std::vector<std::unique_ptr<RunnerHost>>& plain() { return m_plain; }
   int CountOpen() const;
+  /// Runners that a request has ended.
+  int crashes() const { return m_crashes; }
 
   std::vector<std::string>& violations() { return m_violations; }
 
@@ -97,6 +102,7 @@
   std::unique_ptr<Timer> m_break_timer;
   std::unique_ptr<Timer> m_watch_timer;
   uint64_t m_config_version = 0;
+  int m_crashes = 0;
   int m_next_runner = 0;
   int m_next_plain = 0;
 };
--- a/standins/platform_runner_standin.cc
+++ b/standins/platform_runner_standin.cc
@@ -71,7 +71,13 @@
 }
 
 void PlatformRunnerStandin::Crash() {
+  if (m_dead) {
+    return;
+  }
   Stop();
+  if (m_options.observer != nullptr) {
+    m_options.observer->OnCrash(*this);
+  }
   m_loop.Call(kLapse, [this, alive = m_alive] {
     if (*alive) {
       Lapse();
--- a/standins/platform_runner_standin.h
+++ b/standins/platform_runner_standin.h
@@ -26,6 +26,8 @@
                       const std::string& group) = 0;
   /// Before the runner, a head, opens its group.
   virtual void OnOpen(const PlatformRunnerStandin& runner) = 0;
+  /// A request has ended the runner.
+  virtual void OnCrash(const PlatformRunnerStandin& runner) = 0;
 };
 
 struct RunnerStandinOptions {
