--- a/soak/soak_fleet.cc
+++ b/soak/soak_fleet.cc
@@ -1,5 +1,6 @@
 #include "soak_fleet.h"
 
+#include <arpa/inet.h>
 #include <netinet/in.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -22,19 +23,30 @@
 constexpr Duration kGraceMargin = Seconds(3);
 constexpr int kDomains = 2;
 
+/// The host of all entry hosts of one run. Runs beside each other have their
+/// own: a port that is free when it is chosen could be another run's when its
+/// process starts, or starts again, and the process would end each time.
+std::string RunHost() {
+  constexpr unsigned kHosts = 250;
+  const auto pid = static_cast<unsigned>(getpid());
+  return "127." + std::to_string(1 + pid % kHosts) + "." +
+         std::to_string(1 + pid / kHosts % kHosts) + ".1";
+}
+
 /// A port that the kernel has free now.
 Address FreeAddress() {
+  const std::string host = RunHost();
   const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   sockaddr_in at{};
   at.sin_family = AF_INET;
-  at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  inet_pton(AF_INET, host.c_str(), &at.sin_addr);
   if (bind(fd, reinterpret_cast<sockaddr*>(&at), sizeof(at)) != 0) {
     std::perror("no free port");
   }
   socklen_t size = sizeof(at);
   getsockname(fd, reinterpret_cast<sockaddr*>(&at), &size);
   close(fd);
-  return {"127.0.0.1", ntohs(at.sin_port)};
+  return {host, ntohs(at.sin_port)};
 }
 
 }  // namespace
