poison, entry: in large fleets an end counts after 1.5 s

Cause: an end counted after 500 ms, three rounds of questions between all hosts. In fleets of several data centres reports pass through hosts that ask each other every 300 ms and are asked every 600 ms, so requests beside the culprit could be marked by hosts that had not heard of it. Change: the wait follows from whether hosts are heard through others.

--- a/include/filbertrack/entry_poison.h
+++ b/include/filbertrack/entry_poison.h
@@ -78,6 +78,9 @@
   void OnRecorded(const Marked& mark, TimePoint now);
   void OnLifted(const RequestDigest& digest, TimePoint now);
 
+  /// Whether the hosts of other data centres are heard through few of them.
+  void SetFar(bool is_far) { m_ledger.SetFar(is_far); }
+
   /// Attempts of this host that ended with their server.
   uint64_t attempts_ended() const { return m_attempts_ended; }
   size_t CountSuspectedEnds() const { return m_ledger.CountEnds(); }
--- a/include/filbertrack/poison_ledger.h
+++ b/include/filbertrack/poison_ledger.h
@@ -110,6 +110,9 @@
   /// An end counts after this: reports of other entry hosts, who had the
   /// culprit there, take up to three rounds of questions.
   Duration settle = Milliseconds(500);
+  /// The same where reports pass through hosts that speak for a data centre:
+  /// these ask each other every 300 ms, and are asked every 600 ms.
+  Duration far_settle = Milliseconds(1500);
   /// Words that clear are the same word within this time. A fact grows younger
   /// by its time on the way with each host that passes it on; taken for a later
   /// one, it would be passed round for ever and clear ends that came after it.
@@ -142,6 +145,9 @@
   PoisonLedger(PoisonPolicy policy, uint64_t first_revision)
       : m_policy(policy), m_revision(first_revision) {}
 
+  /// Whether reports pass through hosts that speak for a data centre.
+  void SetFar(bool is_far) { m_is_far = is_far; }
+
   /// Takes up a fact that held at `at`; false where it says nothing new.
   bool Note(const PoisonFact& fact, TimePoint at);
 
@@ -243,6 +249,7 @@
   std::vector<Row> RowsAfter(uint64_t revision, TimePoint now) const;
 
   PoisonPolicy m_policy;
+  bool m_is_far = false;
   uint64_t m_revision;
   std::map<ServerLife, Suspects> m_ends;
   std::map<RequestDigest, std::set<ServerLife>> m_ends_of;
--- a/source/entry_peers.cc
+++ b/source/entry_peers.cc
@@ -405,7 +405,9 @@
                              ? m_peers.size() - heard.hosts
                              : 0;
   m_host.OnRemoteLoads(heard.loads, heard.hosts, unheard);
-  m_host.SetPrefersNear(m_peers.size() > m_policy.neighbours);
+  const bool is_large = m_peers.size() > m_policy.neighbours;
+  m_host.SetPrefersNear(is_large);
+  m_host.poison().SetFar(is_large);
 }
 
 void EntryPeers::SetNeedsWatch(bool needs) {
--- a/source/poison_ledger.cc
+++ b/source/poison_ledger.cc
@@ -144,10 +144,10 @@
 }
 
 bool PoisonLedger::IsTold(const Suspects& suspects, TimePoint now) const {
-  return std::any_of(suspects.begin(), suspects.end(),
-                     [this, now](const auto& row) {
-                       return now - row.second.at >= m_policy.settle;
-                     });
+  const Duration settle = m_is_far ? m_policy.far_settle : m_policy.settle;
+  return std::any_of(
+      suspects.begin(), suspects.end(),
+      [settle, now](const auto& row) { return now - row.second.at >= settle; });
 }
 
 int PoisonLedger::Weight(const RequestDigest& digest, TimePoint now) const {
--- a/tests/poison_test.cc
+++ b/tests/poison_test.cc
@@ -79,6 +79,16 @@
         std::vector<std::string>{"s1", "s2", "s3"});
 }
 
+TEST_CASE("where reports pass through few hosts, an end counts later") {
+  PoisonLedger ledger = MakeLedger();
+  ledger.SetFar(true);
+  for (int server = 1; server <= 3; ++server) {
+    End(ledger, server, {}, 0, kStart);
+  }
+  CHECK(ledger.Settle(kStart + Milliseconds(1400)).empty());
+  CHECK(ledger.Settle(kStart + Milliseconds(1600)).size() == 1);
+}
+
 TEST_CASE("one end is one end, however many hosts tell of it") {
   // Six entry hosts had copies at one server, and each tells of its end.
   PoisonLedger ledger = MakeLedger();
