explain: one reader of fields for explain and account

Change: TextField and NumberField stand in explain_request.h; the account and the explanation call them.

--- a/include/filbertrack/explain_request.h
+++ b/include/filbertrack/explain_request.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <istream>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -25,6 +26,11 @@
   nlohmann::json fields;
 };
 
+/// A field's text; empty where the line has none of that name.
+std::string TextField(const TrailLine& line, const char* field);
+/// A field's whole number; nullopt where the line has none.
+std::optional<int64_t> NumberField(const TrailLine& line, const char* field);
+
 /// Reads log lines. What stands before a line's first brace, such as a time or
 /// a host's name that a collector put there, is passed over, and so is what is
 /// no line of ours.
--- a/source/explain_account.cc
+++ b/source/explain_account.cc
@@ -13,20 +13,8 @@
 /// Loads that are told to be older than this were never heard.
 constexpr int64_t kOldestLoadsMs = 60'000;
 
-std::string Text(const TrailLine& line, const char* field) {
-  return line.fields.value(field, "");
-}
-
-std::optional<int64_t> Number(const TrailLine& line, const char* field) {
-  const auto found = line.fields.find(field);
-  if (found == line.fields.end() || !found->is_number()) {
-    return std::nullopt;
-  }
-  return found->get<int64_t>();
-}
-
 ResultCode Code(const TrailLine& line) {
-  return static_cast<ResultCode>(Number(line, "code").value_or(0));
+  return static_cast<ResultCode>(NumberField(line, "code").value_or(0));
 }
 
 /// The caller had no right to what it asked for.
@@ -71,7 +59,7 @@
  private:
   void ReadWays() {
     for (const TrailLine& line : m_trail) {
-      Way& way = m_ways[Text(line, "request")];
+      Way& way = m_ways[TextField(line, "request")];
       if (line.event == "placed" && way.first_placed == nullptr) {
         way.first_placed = &line;
       } else if (line.event == "attempt-ended" && way.first_failed == nullptr) {
@@ -83,19 +71,19 @@
   }
 
   static bool IsOnTime(const TrailLine& line) {
-    const int64_t aim = Number(line, "aim_ms").value_or(0);
-    return aim == 0 || Number(line, "first_ms").value_or(0) <= aim;
+    const int64_t aim = NumberField(line, "aim_ms").value_or(0);
+    return aim == 0 || NumberField(line, "first_ms").value_or(0) <= aim;
   }
 
   static bool HasLongPause(const TrailLine& line) {
-    return Number(line, "pause_ms").value_or(0) >
-           Number(line, "pause_aim_ms")
+    return NumberField(line, "pause_ms").value_or(0) >
+           NumberField(line, "pause_aim_ms")
                .value_or(std::numeric_limits<int64_t>::max());
   }
 
   static bool IsAnswered(const TrailLine& line) {
     constexpr int64_t kFirstError = 400;
-    const int64_t status = Number(line, "status").value_or(0);
+    const int64_t status = NumberField(line, "status").value_or(0);
     return Code(line) == ResultCode::kOk && status < kFirstError;
   }
 
@@ -123,27 +111,27 @@
   }
 
   std::string FirstFailure(const TrailLine& line) const {
-    const auto way = m_ways.find(Text(line, "request"));
+    const auto way = m_ways.find(TextField(line, "request"));
     const bool told =
         way != m_ways.end() && way->second.first_failed != nullptr;
-    return told ? Text(*way->second.first_failed, "why") : "not told";
+    return told ? TextField(*way->second.first_failed, "why") : "not told";
   }
 
   std::string CauseOfLateness(const TrailLine& line) const {
-    if (Number(line, "sends").value_or(0) > 1) {
+    if (NumberField(line, "sends").value_or(0) > 1) {
       return std::string(IsOnTime(line) ? "late by a pause" : "late at first") +
              ", moved: " + FirstFailure(line);
     }
     if (IsOnTime(line)) {
       return "late by a pause of its group";
     }
-    const auto way = m_ways.find(Text(line, "request"));
+    const auto way = m_ways.find(TextField(line, "request"));
     if (way == m_ways.end() || way->second.first_placed == nullptr) {
       return "late at first, decision not told";
     }
     const TrailLine& placed = *way->second.first_placed;
-    const bool foreseen = Number(placed, "predicted_ms").value_or(0) >
-                          Number(line, "aim_ms").value_or(0);
+    const bool foreseen = NumberField(placed, "predicted_ms").value_or(0) >
+                          NumberField(line, "aim_ms").value_or(0);
     return foreseen ? "late at first, as predicted"
                     : "late at first, against the prediction";
   }
@@ -151,22 +139,22 @@
   void Add(const TrailLine& line, std::string cause, double lost) {
     const int64_t window =
         (line.time_ms - m_began_ms) / m_policy.window_ms * m_policy.window_ms;
-    const std::string route = Text(line, "route");
+    const std::string route = TextField(line, "route");
     LossRow& row = m_rows[{cause, route, window}];
     row.cause = std::move(cause);
     row.route = route;
-    row.model = Text(line, "model");
+    row.model = TextField(line, "model");
     row.window_ms = window;
     ++row.requests;
     row.lost += lost;
-    const auto way = m_ways.find(Text(line, "request"));
+    const auto way = m_ways.find(TextField(line, "request"));
     const bool placed =
         way != m_ways.end() && way->second.first_placed != nullptr;
     const TrailLine& decision = placed ? *way->second.first_placed : line;
-    const int64_t age = Number(decision, "loads_age_ms").value_or(0);
+    const int64_t age = NumberField(decision, "loads_age_ms").value_or(0);
     row.loads_age_ms += static_cast<double>(std::min(age, kOldestLoadsMs));
     row.predicted_ms +=
-        static_cast<double>(Number(decision, "predicted_ms").value_or(0));
+        static_cast<double>(NumberField(decision, "predicted_ms").value_or(0));
   }
 
   std::span<const TrailLine> m_trail;
--- a/source/explain_request.cc
+++ b/source/explain_request.cc
@@ -17,14 +17,8 @@
 constexpr int64_t kAfterMs = 1500;
 constexpr int64_t kBeforeMs = 500;
 
-std::string Text(const TrailLine& line, const char* field) {
-  return line.fields.value(field, "");
-}
-
 int64_t Number(const TrailLine& line, const char* field) {
-  const auto found = line.fields.find(field);
-  const bool is_number = found != line.fields.end() && found->is_number();
-  return is_number ? found->get<int64_t>() : 0;
+  return NumberField(line, field).value_or(0);
 }
 
 std::string Milliseconds(int64_t count) {
@@ -60,7 +54,7 @@
   Explainer(std::span<const TrailLine> trail, std::vector<TrailLine> lines)
       : m_trail(trail), m_lines(std::move(lines)) {
     for (const TrailLine& line : m_lines) {
-      const std::string target = Text(line, "target");
+      const std::string target = TextField(line, "target");
       if (!target.empty()) {
         m_targets.insert(target);
       }
@@ -100,8 +94,8 @@
       case ResultCode::kOk:
         return OfAnswer(end);
       case ResultCode::kNoServingGroup:
-        return Refusal(end) + ": no group served model '" + Text(end, "model") +
-               "'." + Groups(end);
+        return Refusal(end) + ": no group served model '" +
+               TextField(end, "model") + "'." + Groups(end);
       case ResultCode::kOverloaded:
         return Refusal(end) +
                ": the best target that was looked at would "
@@ -127,7 +121,7 @@
                Milliseconds(Number(end, "first_ms")) + ".";
       case ResultCode::kEndsServers:
         return Refusal(end) + ": servers end while they run what it asks." +
-               OfMark(Text(end, "digest"));
+               OfMark(TextField(end, "digest"));
       default:
         return std::string(ResultCodeInfo(code).meaning) +
                " The configuration was " +
@@ -138,7 +132,7 @@
   /// What was known of the request when it was turned away. An attempt before
   /// may have run.
   static std::string Refusal(const TrailLine& end) {
-    const std::string outcome = Text(end, "outcome");
+    const std::string outcome = TextField(end, "outcome");
     return outcome == OutcomeName(Outcome::kNotRun)
                ? "Refused as not run"
                : "Given up, outcome " +
@@ -174,8 +168,8 @@
       if (line.event != "attempt-ended") {
         continue;
       }
-      text += (text.empty() ? "" : ", then ") + Text(line, "target") + ": " +
-              Text(line, "why") + " after " +
+      text += (text.empty() ? "" : ", then ") + TextField(line, "target") +
+              ": " + TextField(line, "why") + " after " +
               Milliseconds(Number(line, "after_ms"));
     }
     return text.empty() ? "no attempt failed before" : text;
@@ -185,8 +179,9 @@
   std::string OfMark(const std::string& digest) const {
     std::string text;
     for (const TrailLine& line : m_trail) {
-      if (line.event == "request-marked" && Text(line, "digest") == digest &&
-          Text(line, "from") == "own") {
+      if (line.event == "request-marked" &&
+          TextField(line, "digest") == digest &&
+          TextField(line, "from") == "own") {
         text += " " + line.node + " laid " +
                 std::to_string(Number(line, "ends")) + " ends to it: " +
                 line.fields.value("servers", Json::array()).dump() + ".";
@@ -195,8 +190,9 @@
     }
     for (const TrailLine& line : m_trail) {
       if (line.event == "server-ended" && HadRequest(line, digest)) {
-        text += " " + line.node + " had a copy at " + Text(line, "server") +
-                ", which ended (" + Text(line, "evidence") + ").";
+        text += " " + line.node + " had a copy at " +
+                TextField(line, "server") + ", which ended (" +
+                TextField(line, "evidence") + ").";
       }
     }
     return text;
@@ -220,16 +216,16 @@
     std::string text;
     for (const TrailLine& line : Near()) {
       const bool is_close = line.event == "order" &&
-                            Text(line, "order") == "close" &&
-                            m_targets.contains(Text(line, "head"));
-      const bool is_health =
-          line.event == "host-health" && m_targets.contains(Text(line, "host"));
+                            TextField(line, "order") == "close" &&
+                            m_targets.contains(TextField(line, "head"));
+      const bool is_health = line.event == "host-health" &&
+                             m_targets.contains(TextField(line, "host"));
       if (is_close) {
-        text += " The group of " + Text(line, "head") + " was closed by " +
-                line.node + ": " + Text(line, "why") + ".";
+        text += " The group of " + TextField(line, "head") + " was closed by " +
+                line.node + ": " + TextField(line, "why") + ".";
       } else if (is_health) {
-        text += " " + line.node + " found " + Text(line, "host") + " " +
-                Text(line, "health") + ".";
+        text += " " + line.node + " found " + TextField(line, "host") + " " +
+                TextField(line, "health") + ".";
       }
     }
     return text;
@@ -279,8 +275,8 @@
       return true;
     }
     if (line.event == "order") {
-      return m_targets.contains(Text(line, "head")) ||
-             m_targets.contains(Text(line, "host"));
+      return m_targets.contains(TextField(line, "head")) ||
+             m_targets.contains(TextField(line, "host"));
     }
     return kOfHost.contains(line.event) && line.node == m_lines.front().node;
   }
@@ -305,6 +301,18 @@
 
 }  // namespace
 
+std::string TextField(const TrailLine& line, const char* field) {
+  return line.fields.value(field, "");
+}
+
+std::optional<int64_t> NumberField(const TrailLine& line, const char* field) {
+  const auto found = line.fields.find(field);
+  if (found == line.fields.end() || !found->is_number()) {
+    return std::nullopt;
+  }
+  return found->get<int64_t>();
+}
+
 std::vector<TrailLine> ReadTrail(std::istream& stream) {
   std::vector<TrailLine> trail;
   std::string text;
@@ -333,7 +341,7 @@
                            std::string_view request_id) {
   std::vector<TrailLine> lines;
   for (const TrailLine& line : trail) {
-    if (Text(line, "request") == request_id) {
+    if (TextField(line, "request") == request_id) {
       lines.push_back(line);
     }
   }
