--- a/source/entry_relay.cc
+++ b/source/entry_relay.cc
@@ -347,46 +347,6 @@
   Feed(AttemptFailed{may_have_left});
 }
 
-bool EntryRelay::MayPass(TimePoint now) {
-  if (m_context.poison.IsIdle()) {
-    return true;
-  }
-  const EntryPoison::Passage passage = m_context.poison.MayPass(digest(), now);
-  m_on_trial = passage == EntryPoison::Passage::kTrial;
-  return passage != EntryPoison::Passage::kRefused;
-}
-
-void EntryRelay::NoteServed() {
-  if (!m_context.poison.IsIdle()) {
-    m_context.poison.OnServed(digest());
-  }
-}
-
-void EntryRelay::CheckMark() {
-  if (!m_state.answer_started && !m_on_trial &&
-      m_context.poison.IsMarked(digest())) {
-    m_why_ended = "servers end under it";
-    Feed(NoTarget{ResultCode::kEndsServers});
-  }
-}
-
-AttemptProgress EntryRelay::Progress() const {
-  if (m_attempt_first_event) {
-    return AttemptProgress::kAnswering;
-  }
-  return m_attempt_status == 0 ? AttemptProgress::kNoAnswer
-                               : AttemptProgress::kBegun;
-}
-
-const RequestDigest& EntryRelay::digest() const {
-  if (m_digest.empty()) {
-    m_digest = DigestRequest({m_exchange->method_text(),
-                              m_request.facts.hostname, m_exchange->target(),
-                              m_request.workspace, m_exchange->body()});
-  }
-  return m_digest;
-}
-
 void EntryRelay::CloseAttempt(bool failed) {
   m_call.reset();
   if (!m_choice) {
--- /dev/null
+++ b/tests/poison_fleet_test.cc
@@ -0,0 +1,249 @@
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <random>
+#include <vector>
+
+#include "poison_names.h"
+
+namespace filbertrack {
+namespace {
+
+/// Entry hosts that tell each other of ends, with a culprit whose copies come
+/// to any of them and innocent requests beside it. Hosts start anew, join late
+/// and are cut off from each other.
+class FleetRun {
+ public:
+  static constexpr int kCulprit = 0;
+  static constexpr int kInnocents = 60;
+  static constexpr int kSlots = 12;
+  static constexpr Duration kRound = Milliseconds(150);
+  static constexpr Duration kWindow = Seconds(3);
+  /// After a cut, until all are told and have settled.
+  static constexpr Duration kHeals = Seconds(1);
+
+  explicit FleetRun(uint64_t seed) : m_random(seed) {
+    const int hosts = Draw(2, 10);
+    for (int i = 0; i < hosts; ++i) {
+      Join();
+    }
+  }
+
+  /// Sends of the culprit after the third end and the window, by hosts that
+  /// were neither cut off nor started within it.
+  int late_sends() const { return m_late_sends; }
+  int innocents_refused() const { return m_innocents_refused; }
+  int ends() const { return m_ends; }
+
+  void Run() {
+    for (m_now = kStart; m_now < kStart + Seconds(20); m_now += kStep) {
+      Disturb();
+      Exchange();
+      SendInnocents();
+      if (Draw(0, 9) == 0) {
+        SendCulprit();
+      }
+    }
+  }
+
+ private:
+  static constexpr Duration kStep = Milliseconds(10);
+
+  struct Host {
+    PoisonLedger ledger;
+    std::vector<uint64_t> known = {};
+    TimePoint asks_at = kStart;
+    TimePoint calm_since = kStart;
+    TimePoint had_culprit = {};
+    bool cut = false;
+    TimePoint cut_until = kStart;
+  };
+
+  int Draw(int least, int most) {
+    return std::uniform_int_distribution<int>(least, most)(m_random);
+  }
+
+  void Join() {
+    Host host{PoisonLedger(PoisonPolicy{}, m_random() >> 20)};
+    host.asks_at = host.calm_since = m_now;
+    m_hosts.push_back(std::move(host));
+    ReadRecord(m_hosts.back());
+  }
+
+  /// The marks that the first host knew a moment ago.
+  void ReadRecord(Host& host) {
+    for (const Marked& mark : m_hosts.front().ledger.Marks()) {
+      host.ledger.Note(mark, m_now);
+    }
+  }
+
+  void Disturb() {
+    for (Host& host : m_hosts) {
+      if (host.cut && m_now >= host.cut_until) {
+        host.cut = false;
+        host.calm_since = m_now;
+      }
+      m_whole_since = host.cut ? m_now : m_whole_since;
+    }
+    if (Draw(0, 399) != 0) {
+      return;
+    }
+    Host& host = m_hosts[static_cast<size_t>(
+        Draw(0, static_cast<int>(m_hosts.size()) - 1))];
+    switch (Draw(0, 2)) {
+      case 0:
+        // One host stays: a loss of all is the record's matter.
+        // What a host knew alone goes with it: one that is cut off, or had the
+        // culprit within the last round. Nobody can lay those ends to it then.
+        if (&host != &m_hosts.front() && !host.cut &&
+            m_now - host.had_culprit > 2 * kRound) {
+          host.ledger = PoisonLedger(PoisonPolicy{}, m_random() >> 20);
+          host.known.clear();
+          host.calm_since = m_now;
+          ReadRecord(host);
+        }
+        break;
+      case 1:
+        if (m_hosts.size() < 12) {
+          Join();
+        }
+        break;
+      default:
+        if (&host != &m_hosts.front()) {
+          host.cut = true;
+          host.cut_until = m_now + Milliseconds(Draw(50, 5000));
+        }
+    }
+  }
+
+  void Exchange() {
+    for (size_t i = 0; i < m_hosts.size(); ++i) {
+      Host& host = m_hosts[i];
+      host.known.resize(m_hosts.size());
+      if (host.cut || m_now < host.asks_at) {
+        continue;
+      }
+      host.asks_at = m_now + kRound + Milliseconds(Draw(0, 100));
+      for (size_t j = 0; j < m_hosts.size(); ++j) {
+        if (i != j && !m_hosts[j].cut) {
+          const PoisonNews news = m_hosts[j].ledger.Since(host.known[j], m_now);
+          host.known[j] = news.revision;
+          for (const TimedPoisonFact& row : news.facts) {
+            // Its time on the way is not in its age.
+            host.ledger.Note(row.fact,
+                             m_now - row.age + Milliseconds(Draw(0, 20)));
+          }
+        }
+      }
+    }
+  }
+
+  Host& AnyHost() {
+    return m_hosts[static_cast<size_t>(
+        Draw(0, static_cast<int>(m_hosts.size()) - 1))];
+  }
+
+  /// Each server has requests of all hosts, drawn anew for each end; those that
+  /// were at the last one come again more often.
+  void EndServer(Host& sender) {
+    sender.had_culprit = m_now;
+    ++m_ends;
+    ++m_server;
+    if (m_ends == 3) {
+      m_third = m_now;
+    }
+    const auto note = [&](Host& host, int request, EndProgress progress) {
+      host.ledger.Note(EndedUnder{Server(m_server), Name(request), progress},
+                       m_now);
+    };
+    note(sender, kCulprit, EndProgress::kBegun);
+    std::vector<int> beside;
+    for (int i = 0; i < kSlots; ++i) {
+      const bool follows = !m_last_beside.empty() && Draw(0, 3) == 0;
+      const int request = follows
+                              ? m_last_beside[m_random() % m_last_beside.size()]
+                              : Draw(1, kInnocents);
+      beside.push_back(request);
+      note(AnyHost(), request,
+           Draw(0, 3) == 0 ? EndProgress::kNoAnswer : EndProgress::kAnswering);
+    }
+    m_last_beside = beside;
+  }
+
+  void SendCulprit() {
+    Host& host = AnyHost();
+    host.ledger.Settle(m_now);
+    if (host.ledger.IsMarked(Name(kCulprit))) {
+      return;
+    }
+    const bool in_touch = !host.cut && m_now - host.calm_since >= kWindow;
+    if (m_ends >= 3 && m_now - m_third > kWindow && in_touch) {
+      ++m_late_sends;
+    }
+    EndServer(host);
+  }
+
+  void SendInnocents() {
+    Host& host = AnyHost();
+    host.ledger.Settle(m_now);
+    const int request = Draw(1, kInnocents);
+    if (host.ledger.IsMarked(Name(request))) {
+      m_innocents_refused += m_now - m_whole_since >= kHeals ? 1 : 0;
+      return;
+    }
+    if (!host.cut && host.ledger.IsSuspect(Name(request)) && Draw(0, 1) == 0) {
+      host.ledger.Note(Cleared{Name(request)}, m_now);
+    }
+  }
+
+  std::mt19937_64 m_random;
+  TimePoint m_now = kStart;
+  std::vector<Host> m_hosts;
+  int m_server = 0;
+  int m_ends = 0;
+  TimePoint m_third;
+  /// Since when no host is cut off.
+  TimePoint m_whole_since = kStart - kHeals;
+  int m_late_sends = 0;
+  int m_innocents_refused = 0;
+  std::vector<int> m_last_beside;
+};
+
+TEST_CASE(
+    "any delays, starts, joins and cuts of hosts: at most three sends "
+    "late, and no innocent is refused") {
+  // The culprit comes about ten times a second to hosts at random. Of 12
+  // requests beside it on a server a quarter were at the last end too, because
+  // they are taken up where it comes next: in the incident 20 of 127 were. A
+  // host that is cut off neither tells nor hears; its sends in that time and
+  // within the window after it do not count.
+  REQUIRE(rc::check("fleets", [] {
+    FleetRun run(*rc::gen::arbitrary<uint64_t>());
+    run.Run();
+    RC_ASSERT(run.ends() >= 3);
+    RC_ASSERT(run.late_sends() <= 3);
+    RC_ASSERT(run.innocents_refused() == 0);
+  }));
+}
+
+TEST_CASE("seeds at which innocent requests were marked stay good") {
+  // Causes: ends that not all hosts had told of yet counted for the request
+  // that they had; a request at one end more than the culprit, whose report was
+  // lost, took all its ends over; a mark was never taken back; one end counted
+  // for a request and not yet for the culprit, whose report had come later.
+  for (const uint64_t seed :
+       {uint64_t{6}, uint64_t{118}, uint64_t{3017}, uint64_t{48005},
+        uint64_t{2378736}, uint64_t{55852158}, uint64_t{203221945},
+        uint64_t{136743248738775}, uint64_t{170975573041573},
+        uint64_t{683364817}, uint64_t{4165254229479},
+        uint64_t{2013392701281931944}}) {
+    CAPTURE(seed);
+    FleetRun run(seed);
+    run.Run();
+    CHECK(run.late_sends() <= 3);
+    CHECK(run.innocents_refused() == 0);
+  }
+}
+
+}  // namespace
+}  // namespace filbertrack
--- /dev/null
+++ b/tests/poison_names.h
@@ -0,0 +1,21 @@
+#pragma once
+
+/// Names of requests and servers by number, for tests.
+
+#include <string>
+
+#include "filbertrack/poison_ledger.h"
+
+namespace filbertrack {
+
+inline const TimePoint kStart{Seconds(1000)};
+
+inline RequestDigest Name(int number) {
+  return DigestRequest({"POST", "h", "/s/x", "w", std::to_string(number)});
+}
+
+inline ServerLife Server(int number) {
+  return {"s" + std::to_string(number), 0};
+}
+
+}  // namespace filbertrack
