dispatch: requests that nobody told of are learned; a stricter bound at full targets

Cause: a target that looks least full of many is the one that others are just filling, and first events at full targets came later than predicted. Change: from first events at full targets a host learns how many requests come on top of those it was told; the prediction counts prompts that are read in each pass and the pass that runs; a wide look takes only clear room; requests are taken at full targets up to 0.8 of their aim, late ones where a place is free.

--- a/include/filbertrack/dispatch_board.h
+++ b/include/filbertrack/dispatch_board.h
@@ -117,14 +117,23 @@
   Duration longest_pause = Seconds(4);
   /// At least this part of the targets of a model stays in use whatever fails.
   double least_in_use = 0.5;
-  /// A request is taken up to this many times its aim. A late answer is still
-  /// worth something to the caller, and a prediction may be too high.
+  /// Where a place is free, a request is taken up to this many times its aim:
+  /// it makes nobody wait, a late answer is still worth something to the
+  /// caller, and a prediction may be too high.
   double aim_slack = 2.0;
+  /// Where all places are taken, up to this part of its aim. What other hosts
+  /// sent since they told their loads comes on top, and who is let in late
+  /// makes everybody behind late.
+  double full_aim_part = 0.8;
   /// Before a request is turned away, so many targets are looked at for one
   /// that answers within its aim: where three of 20 targets had room, a draw of
   /// three refused more than 10 of 40 requests, a wider look none (replayed by
   /// a test). It bounds the cost of a refusal.
   size_t most_candidates = 64;
+  /// Such a target is taken while so much of its slots is taken at the most: of
+  /// many targets, the one that looks free is most likely one that others are
+  /// just filling.
+  double room_part = 0.85;
 
   // Switches, to measure what each mechanism is worth.
 
@@ -210,6 +219,7 @@
   Duration Predict(std::string_view id, double prompt_tokens) const;
 
  private:
+  struct Recent;
   struct Entry {
     DispatchTarget target;
     /// Null for plain services.
@@ -222,6 +232,8 @@
     double slowness = 1;
     int failures = 0;
     TimePoint last_failure;
+    /// Of its service and model.
+    Recent* recent = nullptr;
   };
   using Targets = std::vector<Entry*>;
   /// Targets of one service and model.
@@ -229,10 +241,13 @@
     Targets all;
     std::map<std::string, Targets, std::less<>> by_data_centre;
   };
-  /// Requests that asked for a model lately, older ones counting less.
+  /// What was seen of a model lately.
   struct Recent {
+    /// Requests that asked for it, older ones counting less.
     double placed = 0;
     double refused = 0;
+    /// Requests at a target that was chosen that nobody had told of, smoothed.
+    double unseen = 0;
     TimePoint updated;
   };
   struct Best {
@@ -247,6 +262,17 @@
                     TimePoint now) const;
   static std::string GroupKey(std::string_view service, std::string_view model);
   bool IsPaused(const Entry& entry, TimePoint now) const;
+  /// Time in which one of the requests of a full target ends.
+  Duration PlaceTime(const Entry& entry) const;
+  /// Learns from a first event that came this much after its prediction how
+  /// many requests were there that nobody had told of. Returns the part of
+  /// `late` that they explain.
+  Duration LearnUnseen(Entry& entry, Duration late);
+  /// Requests at the target, with those that nobody told of.
+  double CountRequests(const Entry& entry) const;
+  /// A request that would wait longer than this for its first event at the
+  /// target is refused.
+  Duration LongestWait(const Entry& entry, const DispatchQuery& query) const;
   Duration PredictEntry(const Entry& entry, double prompt_tokens) const;
   Targets DrawCandidates(const Targets& targets,
                          const DispatchQuery& query,
@@ -259,12 +285,12 @@
                 const DispatchQuery& query,
                 TimePoint now,
                 Best best);
-  /// The first one, from a random start, that answers within the aim, or `best`
-  /// where none does.
-  Best FindTimely(const Targets& targets,
-                  const DispatchQuery& query,
-                  TimePoint now,
-                  Best best);
+  /// The first one, from a random start, that has clear room and answers within
+  /// the aim, or `best` where none does.
+  Best FindRoom(const Targets& targets,
+                const DispatchQuery& query,
+                TimePoint now,
+                Best best);
 
   DispatchPolicy m_policy;
   std::mt19937_64 m_random;
--- a/source/dispatch_board.cc
+++ b/source/dispatch_board.cc
@@ -19,6 +19,11 @@
 /// No page publishes it; services differ by far more than engines do.
 constexpr Duration kPlainWork = Milliseconds(60);
 constexpr double kLeastPlainSlowness = 0.01;
+/// From so many of its slots on a target may be full by what is not told yet.
+constexpr double kFullShare = 0.7;
+/// Most requests at a target, as a part of its slots, that a late first event
+/// is laid to; beyond it the target is slow.
+constexpr double kMostUnseen = 0.5;
 constexpr double kPerThousand = 1e-3;
 constexpr double kPerMillion = 1e-6;
 
@@ -89,6 +94,8 @@
     entry->pace = model == nullptr ? 1 : model->pace;
     entry->in_use = true;
     entry->target = std::move(target);
+    entry->recent =
+        &m_recent[GroupKey(entry->target.service, entry->target.model)];
   }
   // A target that is no longer in use is kept while it has requests of ours.
   std::erase_if(m_entries, [](const auto& row) {
@@ -167,9 +174,26 @@
   return now < entry.last_failure + pause;
 }
 
+double DispatchBoard::CountRequests(const Entry& entry) const {
+  const double told = entry.own.requests + entry.remote.requests;
+  return told + (entry.recent == nullptr ? 0 : entry.recent->unseen);
+}
+
+Duration DispatchBoard::PlaceTime(const Entry& entry) const {
+  // While all slots are taken, each pass also reads the prompts of those that
+  // took the place of others.
+  const EngineProfile& engine = *entry.engine;
+  const double slots = std::max(1, entry.target.slots);
+  const double passes =
+      std::max(1.0, engine.usual_answer_tokens / std::max(1, engine.stride));
+  const double read_a_pass = slots * engine.usual_prompt_tokens / passes;
+  return Scale(PassTime(engine, entry.pace, slots, read_a_pass),
+               passes / slots);
+}
+
 Duration DispatchBoard::PredictEntry(const Entry& entry,
                                      double prompt_tokens) const {
-  const double requests = entry.own.requests + entry.remote.requests;
+  const double requests = CountRequests(entry);
   const double slots = std::max(1, entry.target.slots);
   const double waiting = std::max(0.0, requests + 1 - slots);
   if (entry.engine == nullptr) {
@@ -187,13 +211,13 @@
   const double pairs = prompt_tokens * prompt_tokens / 2;
   const Duration pairing =
       Scale(engine.prompt_per_million_pairs, pairs * kPerMillion * entry.pace);
-  // A request above the slots waits until one of those that run has written
-  // its answer.
-  const Duration answer =
-      Scale(PassTime(engine, entry.pace, slots, 0),
-            engine.usual_answer_tokens / std::max(1, engine.stride));
-  const Duration queue = Scale(answer, waiting / slots);
-  return Scale(Scale(bare, passes) + pairing + queue, entry.slowness);
+  // A request above the slots waits until so many of those that run have
+  // written their answers.
+  const Duration queue = Scale(PlaceTime(entry), waiting);
+  // The pass that runs has to end first; it is half over in the mean.
+  const Duration present =
+      writing > 0 ? PassTime(engine, entry.pace, writing, 0) / 2 : Duration(0);
+  return Scale(Scale(bare, passes) + pairing + present + queue, entry.slowness);
 }
 
 Duration DispatchBoard::Predict(std::string_view id,
@@ -242,14 +266,16 @@
   return best;
 }
 
-DispatchBoard::Best DispatchBoard::FindTimely(const Targets& targets,
-                                              const DispatchQuery& query,
-                                              TimePoint now,
-                                              Best best) {
+DispatchBoard::Best DispatchBoard::FindRoom(const Targets& targets,
+                                            const DispatchQuery& query,
+                                            TimePoint now,
+                                            Best best) {
   for (const Entry* entry :
        DrawCandidates(targets, query, m_policy.most_candidates, now)) {
     const Duration predicted = PredictEntry(*entry, query.prompt_tokens);
-    if (predicted <= query.time_to_aim) {
+    const double taken = CountRequests(*entry) + 1;
+    if (predicted <= query.time_to_aim &&
+        taken <= entry->target.slots * m_policy.room_part) {
       return {entry, predicted};
     }
   }
@@ -264,6 +290,9 @@
       std::exp(-ToSeconds(now - recent.updated) / ToSeconds(m_policy.recent));
   recent.placed = recent.placed * kept + (placed ? 1 : 0);
   recent.refused = recent.refused * kept + (placed ? 0 : 1);
+  // Otherwise nobody would be let in any more, and nothing be learned, where
+  // all look full by it.
+  recent.unseen *= kept;
   recent.updated = now;
 }
 
@@ -307,6 +336,24 @@
                   taken / std::max(1 - refused_share, 1e-3));
 }
 
+Duration DispatchBoard::LongestWait(const Entry& entry,
+                                    const DispatchQuery& query) const {
+  const double requests = CountRequests(entry);
+  if (requests < 1) {
+    return Duration::max();
+  }
+  const bool is_full = requests + 1 > entry.target.slots;
+  if (is_full) {
+    return std::min(query.time_left,
+                    Scale(query.time_to_aim, m_policy.full_aim_part));
+  }
+  // It makes nobody wait. If it is late already, it is served late.
+  const Duration longest = query.time_to_aim > Duration(0)
+                               ? Scale(query.time_to_aim, m_policy.aim_slack)
+                               : query.time_left;
+  return std::min(query.time_left, longest);
+}
+
 DispatchDecision DispatchBoard::Choose(const DispatchQuery& query,
                                        TimePoint now) {
   const auto found = m_groups.find(GroupKey(query.service, query.model));
@@ -325,7 +372,7 @@
   }
   if (found_best.entry != nullptr && found_best.time > query.time_to_aim &&
       m_policy.looks_wider) {
-    found_best = FindTimely(group.all, query, now, found_best);
+    found_best = FindRoom(group.all, query, now, found_best);
   }
   const Entry* best = found_best.entry;
   const Duration best_time = found_best.time;
@@ -333,10 +380,7 @@
     return DispatchRefusal{
         DispatchDenial::kNoneServing, m_policy.repair_time, {}};
   }
-  const Duration bound = std::min(
-      query.time_left,
-      std::max(Scale(query.time_to_aim, m_policy.aim_slack), Duration(0)));
-  if (best_time > bound && best->own.requests + best->remote.requests > 0) {
+  if (best_time > LongestWait(*best, query)) {
     const Duration over = best_time - std::min(best_time, query.time_to_aim);
     NoteRecent(query, false, now);
     return DispatchRefusal{
@@ -367,17 +411,37 @@
   entry->own.prompt_tokens =
       std::max(0.0, entry->own.prompt_tokens - prompt_tokens);
   entry->failures = 0;
+  if (!m_policy.learns_speed) {
+    return;
+  }
+  const Duration queued = LearnUnseen(*entry, measured - predicted);
   const double bare = ToSeconds(predicted) / entry->slowness;
-  if (bare <= 0 || !m_policy.learns_speed) {
+  if (bare <= 0) {
     return;
   }
-  const double ratio = ToSeconds(measured) / bare;
+  const double ratio = ToSeconds(measured - queued) / bare;
   entry->slowness = std::clamp(
       entry->slowness + m_policy.smoothing * (ratio - entry->slowness),
       entry->engine == nullptr ? kLeastPlainSlowness : kLeastSlowness,
       kMostSlowness);
 }
 
+Duration DispatchBoard::LearnUnseen(Entry& entry, Duration late) {
+  const double slots = entry.target.slots;
+  const double believed = entry.own.requests + entry.remote.requests;
+  if (entry.engine == nullptr || entry.recent == nullptr ||
+      believed + entry.recent->unseen < slots * kFullShare) {
+    return Duration(0);
+  }
+  const Duration place = PlaceTime(entry);
+  const double most = slots * kMostUnseen;
+  const double places = std::clamp(
+      ToSeconds(late) / std::max(ToSeconds(place), 1e-6), -most, most);
+  entry.recent->unseen =
+      std::clamp(entry.recent->unseen + m_policy.smoothing * places, 0.0, most);
+  return Scale(place, places);
+}
+
 void DispatchBoard::OnEnded(std::string_view id,
                             double prompt_tokens,
                             bool prompt_pending,
