dispatch: what a model takes beyond its engine's profile is learned over all targets

Cause: 80 to 108 ms were predicted in calm seconds and 172 to 180 came. Speed was learned a target at a time, and a host of a large fleet sends to one target every six seconds. Change: one overhead a model, learned where places are free; first events over half a queue late (a group that stands still) teach nothing of the others.

--- a/include/filbertrack/dispatch_board.h
+++ b/include/filbertrack/dispatch_board.h
@@ -248,6 +248,9 @@
     double refused = 0;
     /// Requests at a target that was chosen that nobody had told of, smoothed.
     double unseen = 0;
+    /// Time of a first event beyond what the profile explains, where places are
+    /// free: the way there and back, and what the engine does not publish.
+    Duration overhead{0};
     TimePoint updated;
   };
   struct Best {
@@ -264,10 +267,13 @@
   bool IsPaused(const Entry& entry, TimePoint now) const;
   /// Time in which one of the requests of a full target ends.
   Duration PlaceTime(const Entry& entry) const;
-  /// Learns from a first event that came this much after its prediction how
-  /// many requests were there that nobody had told of. Returns the part of
-  /// `late` that they explain.
-  Duration LearnUnseen(Entry& entry, Duration late);
+  /// Learns of the model from a first event that came this much after its
+  /// prediction: its overhead where places are free, otherwise how many requests
+  /// were there that nobody had told of. Returns the part of `late` that this
+  /// explains. One target tells all hosts little of itself in a large fleet, and
+  /// all targets of a model much of the model.
+  Duration LearnModel(Entry& entry, Duration late);
+  static Duration Overhead(const Entry& entry);
   /// Requests at the target, with those that nobody told of.
   double CountRequests(const Entry& entry) const;
   /// A request that would wait longer than this for its first event at the
--- a/source/dispatch_board.cc
+++ b/source/dispatch_board.cc
@@ -174,6 +174,11 @@
   return now < entry.last_failure + pause;
 }
 
+Duration DispatchBoard::Overhead(const Entry& entry) {
+  const bool known = entry.engine != nullptr && entry.recent != nullptr;
+  return known ? entry.recent->overhead : Duration(0);
+}
+
 double DispatchBoard::CountRequests(const Entry& entry) const {
   const double told = entry.own.requests + entry.remote.requests;
   return told + (entry.recent == nullptr ? 0 : entry.recent->unseen);
@@ -217,7 +222,9 @@
   // The pass that runs has to end first; it is half over in the mean.
   const Duration present =
       writing > 0 ? PassTime(engine, entry.pace, writing, 0) / 2 : Duration(0);
-  return Scale(Scale(bare, passes) + pairing + present + queue, entry.slowness);
+  return Scale(Scale(bare, passes) + pairing + present + queue,
+               entry.slowness) +
+         Overhead(entry);
 }
 
 Duration DispatchBoard::Predict(std::string_view id,
@@ -414,32 +421,41 @@
   if (!m_policy.learns_speed) {
     return;
   }
-  const Duration queued = LearnUnseen(*entry, measured - predicted);
-  const double bare = ToSeconds(predicted) / entry->slowness;
+  const Duration explained = LearnModel(*entry, measured - predicted);
+  const Duration overhead = Overhead(*entry);
+  const double bare = ToSeconds(predicted - overhead) / entry->slowness;
   if (bare <= 0) {
     return;
   }
-  const double ratio = ToSeconds(measured - queued) / bare;
+  const double ratio = ToSeconds(measured - explained - overhead) / bare;
   entry->slowness = std::clamp(
       entry->slowness + m_policy.smoothing * (ratio - entry->slowness),
       entry->engine == nullptr ? kLeastPlainSlowness : kLeastSlowness,
       kMostSlowness);
 }
 
-Duration DispatchBoard::LearnUnseen(Entry& entry, Duration late) {
-  const double slots = entry.target.slots;
-  const double believed = entry.own.requests + entry.remote.requests;
-  if (entry.engine == nullptr || entry.recent == nullptr ||
-      believed + entry.recent->unseen < slots * kFullShare) {
+Duration DispatchBoard::LearnModel(Entry& entry, Duration late) {
+  if (entry.engine == nullptr || entry.recent == nullptr) {
     return Duration(0);
   }
+  Recent& recent = *entry.recent;
+  const double slots = entry.target.slots;
   const Duration place = PlaceTime(entry);
-  const double most = slots * kMostUnseen;
-  const double places = std::clamp(
-      ToSeconds(late) / std::max(ToSeconds(place), 1e-6), -most, most);
-  entry.recent->unseen =
-      std::clamp(entry.recent->unseen + m_policy.smoothing * places, 0.0, most);
-  return Scale(place, places);
+  const Duration most = Scale(place, slots * kMostUnseen);
+  if (late > most) {
+    // It stood still or is slow; neither is said of the others by that.
+    return Duration(0);
+  }
+  if (CountRequests(entry) < slots * kFullShare) {
+    // What is left of it is the target's own speed.
+    recent.overhead = std::max(
+        Duration(0), recent.overhead + Scale(late, m_policy.smoothing));
+    return Duration(0);
+  }
+  const double places = ToSeconds(late) / std::max(ToSeconds(place), 1e-6);
+  recent.unseen = std::clamp(recent.unseen + m_policy.smoothing * places, 0.0,
+                             slots * kMostUnseen);
+  return late;
 }
 
 void DispatchBoard::OnEnded(std::string_view id,
