dispatch: refused at the aim, and Retry-After grows with how long refusals last

Cause: 0.8 of the aim refused callers who would have been on time; callers who were told 100 ms came back into the same burst and were refused again. Change: at full targets the bound is the aim; Retry-After begins at 50 ms, at which a caller may still be on time, and is then 0.5 to 1 times as long as callers have been refused, up to 2 s.

--- a/include/filbertrack/dispatch_board.h
+++ b/include/filbertrack/dispatch_board.h
@@ -124,7 +124,7 @@
   /// Where all places are taken, up to this part of its aim. What other hosts
   /// sent since they told their loads comes on top, and who is let in late
   /// makes everybody behind late.
-  double full_aim_part = 0.8;
+  double full_aim_part = 1.0;
   /// Before a request is turned away, so many targets are looked at for one
   /// that answers within its aim: where three of 20 targets had room, a draw of
   /// three refused more than 10 of 40 requests, a wider look none (replayed by
@@ -147,8 +147,9 @@
   /// A caller is told to come back after this where nothing serves: about the
   /// time that a swap of a lost member takes.
   Duration repair_time = Milliseconds(1500);
-  /// A repair is under way; the shortest time that is told.
-  Duration least_retry_after = Milliseconds(100);
+  /// The shortest time that is told: a caller who is placed then may still be
+  /// answered within its aim.
+  Duration least_retry_after = Milliseconds(50);
   Duration most_retry_after = Seconds(2);
   /// Requests of this long ago count about a third in the pressure: shorter
   /// than a load of weights takes, longer than a burst of a second.
@@ -252,6 +253,9 @@
     /// free: the way there and back, and what the engine does not publish.
     Duration overhead{0};
     TimePoint updated;
+    /// Since when refusals have come without a long pause, and the latest one.
+    TimePoint refusing_since;
+    TimePoint last_refusal;
   };
   struct Best {
     const Entry* entry = nullptr;
@@ -268,10 +272,10 @@
   /// Time in which one of the requests of a full target ends.
   Duration PlaceTime(const Entry& entry) const;
   /// Learns of the model from a first event that came this much after its
-  /// prediction: its overhead where places are free, otherwise how many requests
-  /// were there that nobody had told of. Returns the part of `late` that this
-  /// explains. One target tells all hosts little of itself in a large fleet, and
-  /// all targets of a model much of the model.
+  /// prediction: its overhead where places are free, otherwise how many
+  /// requests were there that nobody had told of. Returns the part of `late`
+  /// that this explains. One target tells all hosts little of itself in a large
+  /// fleet, and all targets of a model much of the model.
   Duration LearnModel(Entry& entry, Duration late);
   static Duration Overhead(const Entry& entry);
   /// Requests at the target, with those that nobody told of.
@@ -287,6 +291,11 @@
   /// The best of some drawn at random, or `best` where none is better.
   void AssumeLoads(Targets& targets, size_t unheard);
   void NoteRecent(const DispatchQuery& query, bool placed, TimePoint now);
+  /// When a caller that finds all busy may come back. At first at once, as a
+  /// place comes free with each answer; then after as long as callers have been
+  /// refused so far, for what lasts will last. Told 100 ms throughout, most of
+  /// them came back into the same burst, were refused again and gave up.
+  Duration RetryAfter(const DispatchQuery& query, TimePoint now);
   Best FindBest(const Targets& targets,
                 const DispatchQuery& query,
                 TimePoint now,
--- a/source/dispatch_board.cc
+++ b/source/dispatch_board.cc
@@ -289,6 +289,14 @@
   return best;
 }
 
+Duration DispatchBoard::RetryAfter(const DispatchQuery& query, TimePoint now) {
+  const Recent& recent = m_recent[GroupKey(query.service, query.model)];
+  const Duration lasted = now - recent.refusing_since;
+  const double part = std::uniform_real_distribution<double>(0.5, 1)(m_random);
+  return std::clamp(Scale(lasted, part), m_policy.least_retry_after,
+                    m_policy.most_retry_after);
+}
+
 void DispatchBoard::NoteRecent(const DispatchQuery& query,
                                bool placed,
                                TimePoint now) {
@@ -301,6 +309,13 @@
   // all look full by it.
   recent.unseen *= kept;
   recent.updated = now;
+  if (placed) {
+    return;
+  }
+  if (now - recent.last_refusal > m_policy.recent) {
+    recent.refusing_since = now;
+  }
+  recent.last_refusal = now;
 }
 
 std::optional<double> DispatchBoard::Pressure(std::string_view service,
@@ -388,12 +403,9 @@
         DispatchDenial::kNoneServing, m_policy.repair_time, {}};
   }
   if (best_time > LongestWait(*best, query)) {
-    const Duration over = best_time - std::min(best_time, query.time_to_aim);
     NoteRecent(query, false, now);
-    return DispatchRefusal{
-        DispatchDenial::kAllBusy,
-        std::clamp(over, m_policy.least_retry_after, m_policy.most_retry_after),
-        best_time};
+    return DispatchRefusal{DispatchDenial::kAllBusy, RetryAfter(query, now),
+                           best_time};
   }
   NoteRecent(query, true, now);
   return DispatchChoice{best->target, best_time, best->own.requests,
--- a/tests/dispatch_test.cc
+++ b/tests/dispatch_test.cc
@@ -170,6 +170,67 @@
   CHECK(slow <= 2);
 }
 
+/// First events at places that are free come so much later than predicted.
+void LearnLate(Board& board, Duration late, int times) {
+  for (int i = 0; i < times; ++i) {
+    const std::string id = "t" + std::to_string(i % 20);
+    board.board.OnSent(id, 714);
+    const Duration predicted = board.board.Predict(id, 714);
+    board.board.OnFirstEvent(id, 714, predicted, predicted + late);
+    board.board.OnEnded(id, 714, false, DispatchResult::kAnswered, kStart);
+  }
+}
+
+TEST_CASE("what all targets of a model take longer is learned of all") {
+  // Each first event took 90 ms more than the engine's profile says. A host of
+  // a large fleet sends to one target every few seconds, so that it let callers
+  // in at full targets for seconds, as if 90 ms more were left to wait there.
+  Board board(20);
+  const Duration before = board.board.Predict("t19", 714);
+  LearnLate(board, Milliseconds(90), 15);
+  CHECK(board.board.Predict("t19", 714) > before + Milliseconds(60));
+}
+
+TEST_CASE("a target that stands still says nothing of the others") {
+  // A group lost a member: its callers wait for five seconds. Taken for the
+  // load of all, it would have everybody turned away.
+  Board board(20);
+  const Duration before = board.board.Predict("t19", 714);
+  LearnLate(board, Seconds(5), 15);
+  CHECK(board.board.Predict("t19", 714) == before);
+}
+
+TEST_CASE("late first events at full targets tell of requests nobody told of") {
+  // Other hosts fill the last places before they can say so. From what its own
+  // callers waited the host learns how many there are on the average, and turns
+  // away what has no place; places that are free are not affected.
+  Board board(20);
+  std::map<std::string, TargetLoad, std::less<>> loads;
+  for (int i = 0; i < 20; ++i) {
+    loads["t" + std::to_string(i)] = {17, 0};
+  }
+  board.board.SetRemoteLoads(loads, 0, kStart);
+  REQUIRE_FALSE(board.Place(MakeQuery()).empty());
+  LearnLate(board, Milliseconds(250), 15);
+  CHECK(board.Place(MakeQuery()).empty());
+  board.board.SetRemoteLoads({}, 0, kStart);
+  CHECK_FALSE(board.Place(MakeQuery()).empty());
+}
+
+TEST_CASE("a request that is late already is served where a place is free") {
+  // Its first target did not take it and its aim has passed. It makes nobody
+  // wait; turned away, its caller would come back later still.
+  Board board(3);
+  board.board.SetRemoteLoads({{"t0", {5, 0}}, {"t1", {5, 0}}, {"t2", {5, 0}}},
+                             0, kStart);
+  auto late = MakeQuery();
+  late.time_to_aim = Milliseconds(-100);
+  CHECK_FALSE(board.Place(late).empty());
+  board.board.SetRemoteLoads(
+      {{"t0", {17, 0}}, {"t1", {17, 0}}, {"t2", {17, 0}}}, 0, kStart);
+  CHECK(board.Place(late).empty());
+}
+
 TEST_CASE("the time of a plain service is learned") {
   // A service that answers in 6 ms was taken for one of 30 ms or more, so that
   // callers with an aim of 40 ms were turned away from a server with two
