dispatch: refused at the aim only where all places of the model are taken

Cause: while places are free somewhere, a caller who is refused and comes back is late, and one who is let in makes few wait. Change: the bound at a full target is the aim where the model's targets together have no place left, and twice the aim otherwise.

--- a/include/filbertrack/dispatch_board.h
+++ b/include/filbertrack/dispatch_board.h
@@ -117,14 +117,13 @@
   Duration longest_pause = Seconds(4);
   /// At least this part of the targets of a model stays in use whatever fails.
   double least_in_use = 0.5;
-  /// Where a place is free, a request is taken up to this many times its aim:
-  /// it makes nobody wait, a late answer is still worth something to the
+  /// While places are free somewhere, a request is taken up to this many times
+  /// its aim: it makes few wait, a late answer is still worth something to the
   /// caller, and a prediction may be too high.
   double aim_slack = 2.0;
-  /// Where all places are taken, up to this part of its aim. What other hosts
-  /// sent since they told their loads comes on top, and who is let in late
-  /// makes everybody behind late.
-  double full_aim_part = 1.0;
+  /// The same once all places are taken: who is let in late then makes
+  /// everybody behind late.
+  double full_aim_slack = 1.0;
   /// Before a request is turned away, so many targets are looked at for one
   /// that answers within its aim: where three of 20 targets had room, a draw of
   /// three refused more than 10 of 40 requests, a wider look none (replayed by
@@ -279,10 +278,14 @@
   Duration LearnModel(Entry& entry, Duration late);
   static Duration Overhead(const Entry& entry);
   /// Requests at the target, with those that nobody told of.
-  double CountRequests(const Entry& entry) const;
+  static double CountRequests(const Entry& entry);
+  static bool IsFull(const Entry& entry);
+  static bool AreAllTaken(const Targets& targets);
   /// A request that would wait longer than this for its first event at the
   /// target is refused.
-  Duration LongestWait(const Entry& entry, const DispatchQuery& query) const;
+  Duration LongestWait(const Entry& entry,
+                       const Group& group,
+                       const DispatchQuery& query) const;
   Duration PredictEntry(const Entry& entry, double prompt_tokens) const;
   Targets DrawCandidates(const Targets& targets,
                          const DispatchQuery& query,
--- a/source/dispatch_board.cc
+++ b/source/dispatch_board.cc
@@ -179,7 +179,7 @@
   return known ? entry.recent->overhead : Duration(0);
 }
 
-double DispatchBoard::CountRequests(const Entry& entry) const {
+double DispatchBoard::CountRequests(const Entry& entry) {
   const double told = entry.own.requests + entry.remote.requests;
   return told + (entry.recent == nullptr ? 0 : entry.recent->unseen);
 }
@@ -358,18 +358,31 @@
                   taken / std::max(1 - refused_share, 1e-3));
 }
 
+bool DispatchBoard::IsFull(const Entry& entry) {
+  return CountRequests(entry) + 1 > entry.target.slots;
+}
+
+bool DispatchBoard::AreAllTaken(const Targets& targets) {
+  double requests = 0;
+  double slots = 0;
+  for (const Entry* entry : targets) {
+    requests += CountRequests(*entry);
+    slots += entry->target.slots;
+  }
+  return requests >= slots;
+}
+
 Duration DispatchBoard::LongestWait(const Entry& entry,
+                                    const Group& group,
                                     const DispatchQuery& query) const {
-  const double requests = CountRequests(entry);
-  if (requests < 1) {
+  if (CountRequests(entry) < 1) {
     return Duration::max();
   }
-  const bool is_full = requests + 1 > entry.target.slots;
-  if (is_full) {
+  if (IsFull(entry) && AreAllTaken(group.all)) {
     return std::min(query.time_left,
-                    Scale(query.time_to_aim, m_policy.full_aim_part));
+                    Scale(query.time_to_aim, m_policy.full_aim_slack));
   }
-  // It makes nobody wait. If it is late already, it is served late.
+  // It makes few wait. If it is late already, it is served late.
   const Duration longest = query.time_to_aim > Duration(0)
                                ? Scale(query.time_to_aim, m_policy.aim_slack)
                                : query.time_left;
@@ -402,7 +415,7 @@
     return DispatchRefusal{
         DispatchDenial::kNoneServing, m_policy.repair_time, {}};
   }
-  if (best_time > LongestWait(*best, query)) {
+  if (best_time > LongestWait(*best, group, query)) {
     NoteRecent(query, false, now);
     return DispatchRefusal{DispatchDenial::kAllBusy, RetryAfter(query, now),
                            best_time};
--- a/tests/dispatch_test.cc
+++ b/tests/dispatch_test.cc
@@ -377,7 +377,7 @@
   // told at once.
   DispatchPolicy open;
   open.aim_slack = 1000;
-  open.full_aim_part = 1000;
+  open.full_aim_slack = 1000;
   const ReplayResult unlimited = ReplayBurst(open);
   const ReplayResult limited = ReplayBurst(DispatchPolicy{});
   CHECK(limited.refused > 0);
