dispatch: told loads alone say whether all places are taken

Cause: what a chosen target has on top is the most underestimated of several; added to each target of a model it counts too much.

--- a/source/dispatch_board.cc
+++ b/source/dispatch_board.cc
@@ -366,7 +366,7 @@
   double requests = 0;
   double slots = 0;
   for (const Entry* entry : targets) {
-    requests += CountRequests(*entry);
+    requests += entry->own.requests + entry->remote.requests;
     slots += entry->target.slots;
   }
   return requests >= slots;
