--- a/include/filbertrack/base_time.h
+++ b/include/filbertrack/base_time.h
@@ -27,6 +27,15 @@
   return std::chrono::duration<double>(duration).count();
 }
 
+constexpr Duration FromSeconds(double seconds) {
+  return Duration(static_cast<int64_t>(seconds * 1e6));
+}
+
+constexpr Duration Scale(Duration duration, double factor) {
+  return Duration(
+      static_cast<int64_t>(static_cast<double>(duration.count()) * factor));
+}
+
 constexpr int64_t ToMilliseconds(Duration duration) {
   return std::chrono::duration_cast<std::chrono::milliseconds>(duration)
       .count();
--- a/include/filbertrack/dispatch_board.h
+++ b/include/filbertrack/dispatch_board.h
@@ -296,8 +296,9 @@
   void NoteRecent(const DispatchQuery& query, bool placed, TimePoint now);
   /// When a caller that finds all busy may come back. At first at once, as a
   /// place comes free with each answer; then after as long as callers have been
-  /// refused so far, for what lasts will last. Told 100 ms throughout, most of
-  /// them came back into the same burst, were refused again and gave up.
+  /// refused so far, for what lasts will last. Told the same short time
+  /// throughout, most would come back into the same burst, be refused again and
+  /// give up.
   Duration RetryAfter(const DispatchQuery& query, TimePoint now);
   Best FindBest(const Targets& targets,
                 const DispatchQuery& query,
--- a/soak/soak_faults.cc
+++ b/soak/soak_faults.cc
@@ -36,7 +36,7 @@
 
 void Faults::Next() {
   std::exponential_distribution<double> gap(1 / ToSeconds(m_interval));
-  const auto wait = Duration(static_cast<int64_t>(gap(m_random) * 1e6));
+  const auto wait = FromSeconds(gap(m_random));
   m_loop.Call(wait, [this] {
     if (!m_stopped) {
       Begin();
--- a/source/admission_bucket.cc
+++ b/source/admission_bucket.cc
@@ -42,8 +42,7 @@
   if (m_per_second <= 0) {
     return kLongestWait;
   }
-  const auto wait =
-      Duration(static_cast<int64_t>(missing / m_per_second * 1e6));
+  const auto wait = FromSeconds(missing / m_per_second);
   return std::min(wait, kLongestWait);
 }
 
--- a/source/entry_relay.cc
+++ b/source/entry_relay.cc
@@ -448,9 +448,8 @@
   if (!m_choice || !m_state.traits.idempotent || !times.moves_silent) {
     return;
   }
-  const auto pauses = Duration(static_cast<int64_t>(
-      times.silent_pauses *
-      static_cast<double>(m_request.route->longest_pause.count())));
+  const Duration pauses =
+      Scale(m_request.route->longest_pause, times.silent_pauses);
   // Before its first event a request may wait for good reason, unless its
   // target serves no more.
   const bool silent =
--- a/source/load_plan.cc
+++ b/source/load_plan.cc
@@ -63,7 +63,7 @@
   while (seconds < ToSeconds(policy.duration)) {
     PlannedRequest request;
     request.number = plan.size();
-    request.at = Duration(static_cast<int64_t>(seconds * 1e6));
+    request.at = FromSeconds(seconds);
     request.kind = DrawKind(policy, random);
     request.workspace = workspace(random);
     request.prefix = prefix(random);
--- a/source/metrics.cc
+++ b/source/metrics.cc
@@ -76,11 +76,11 @@
 Duration LatencyHistogram::Quantile(double quantile) const {
   const auto wanted =
       static_cast<uint64_t>(std::ceil(quantile * static_cast<double>(m_count)));
-  Duration edge(static_cast<int64_t>(kLongestSeconds * 1e6));
+  Duration edge = FromSeconds(kLongestSeconds);
   bool found = false;
   ForEachBin([&](double upper, uint64_t below) {
     if (!found && below >= wanted) {
-      edge = Duration(static_cast<int64_t>(upper * 1e6));
+      edge = FromSeconds(upper);
       found = true;
     }
   });
--- a/source/news_exchange.cc
+++ b/source/news_exchange.cc
@@ -16,8 +16,7 @@
   }
   const double answers = m_policy.most_answers_per_s *
                          static_cast<double>(std::max<size_t>(1, relays));
-  const double least_s = static_cast<double>(near_hosts) / answers;
-  const Duration least(static_cast<int64_t>(least_s * 1e6));
+  const Duration least = FromSeconds(static_cast<double>(near_hosts) / answers);
   return std::clamp(least, m_policy.busy_interval, m_policy.calm_interval);
 }
 
--- a/source/news_fleet.cc
+++ b/source/news_fleet.cc
@@ -24,9 +24,7 @@
     }
   }
   Duration Get() const {
-    return m_requests == 0
-               ? Duration(0)
-               : Duration(static_cast<int64_t>(m_age_s / m_requests * 1e6));
+    return m_requests == 0 ? Duration(0) : FromSeconds(m_age_s / m_requests);
   }
 
  private:
--- a/source/routing_choice.cc
+++ b/source/routing_choice.cc
@@ -227,7 +227,7 @@
                                 ? Duration(0)
                                 : policy.other_data_centre_cost;
   const double seconds = prefill * sharing + waiting;
-  return distance + Duration(static_cast<int64_t>(seconds * 1e6));
+  return distance + FromSeconds(seconds);
 }
 
 RouteDecision ChooseRoute(RoutePolicy& policy,
--- a/tests/dispatch_test.cc
+++ b/tests/dispatch_test.cc
@@ -307,7 +307,7 @@
       } else {
         ++result.refused;
       }
-      arrival += Duration(static_cast<int64_t>(gap(random) / rate * 1e6));
+      arrival += FromSeconds(gap(random) / rate);
       continue;
     }
     const TimePoint now = engine->next;
--- a/tests/news_burst_test.cc
+++ b/tests/news_burst_test.cc
@@ -142,7 +142,7 @@
     const Duration at = now - kStart;
     const bool bursts = at >= Seconds(2) && at < Seconds(6);
     const double rate = kCapacity * (bursts ? 1.25 : 0.6);
-    return Duration(static_cast<int64_t>(m_gap(m_random) / rate * 1e6));
+    return FromSeconds(m_gap(m_random) / rate);
   }
 
   void Exchange(TimePoint now) {
--- a/tests/news_fleet_test.cc
+++ b/tests/news_fleet_test.cc
@@ -128,7 +128,7 @@
     TimePoint now = kStart;
     TimePoint round = kStart;
     while (now < end) {
-      now += Duration(static_cast<int64_t>(m_gap(m_random) / kRate * 1e6));
+      now += FromSeconds(m_gap(m_random) / kRate);
       for (; round < now; round += Milliseconds(10)) {
         Exchange(round);
       }
