dispatch: what a model's mean does not explain is the target's speed

Cause: first events at full targets taught nothing of the target's own speed, so that slow targets, which are full because they are slow, kept being chosen. Change: speed is learned from every first event, with the model's overhead and unseen requests taken out of it by the prediction.

--- a/include/filbertrack/dispatch_board.h
+++ b/include/filbertrack/dispatch_board.h
@@ -272,10 +272,10 @@
   Duration PlaceTime(const Entry& entry) const;
   /// Learns of the model from a first event that came this much after its
   /// prediction: its overhead where places are free, otherwise how many
-  /// requests were there that nobody had told of. Returns the part of `late`
-  /// that this explains. One target tells all hosts little of itself in a large
-  /// fleet, and all targets of a model much of the model.
-  Duration LearnModel(Entry& entry, Duration late);
+  /// requests were there that nobody had told of. One target tells a host
+  /// little of itself in a large fleet, and all targets of a model much of the
+  /// model; what is left is the target's own speed.
+  void LearnModel(Entry& entry, Duration late);
   static Duration Overhead(const Entry& entry);
   /// Requests at the target, with those that nobody told of.
   static double CountRequests(const Entry& entry);
--- a/source/dispatch_predict.cc
+++ b/source/dispatch_predict.cc
@@ -118,41 +118,39 @@
   if (!m_policy.learns_speed) {
     return;
   }
-  const Duration explained = LearnModel(*entry, measured - predicted);
+  LearnModel(*entry, measured - predicted);
   const Duration overhead = Overhead(*entry);
   const double bare = ToSeconds(predicted - overhead) / entry->slowness;
   if (bare <= 0) {
     return;
   }
-  const double ratio = ToSeconds(measured - explained - overhead) / bare;
+  const double ratio = ToSeconds(measured - overhead) / bare;
   entry->slowness = std::clamp(
       entry->slowness + m_policy.smoothing * (ratio - entry->slowness),
       entry->engine == nullptr ? kLeastPlainSlowness : kLeastSlowness,
       kMostSlowness);
 }
 
-Duration DispatchBoard::LearnModel(Entry& entry, Duration late) {
+void DispatchBoard::LearnModel(Entry& entry, Duration late) {
   if (entry.engine == nullptr || entry.recent == nullptr) {
-    return Duration(0);
+    return;
   }
   Recent& recent = *entry.recent;
   const double slots = entry.target.slots;
   const Duration place = PlaceTime(entry);
-  const Duration most = Scale(place, slots * kMostUnseen);
-  if (late > most) {
+  const double most = slots * kMostUnseen;
+  if (late > Scale(place, most)) {
     // It stood still or is slow; neither is said of the others by that.
-    return Duration(0);
+    return;
   }
   if (CountRequests(entry) < slots * kFullShare) {
-    // What is left of it is the target's own speed.
     recent.overhead = std::max(
         Duration(0), recent.overhead + Scale(late, m_policy.smoothing));
-    return Duration(0);
+    return;
   }
   const double places = ToSeconds(late) / std::max(ToSeconds(place), 1e-6);
-  recent.unseen = std::clamp(recent.unseen + m_policy.smoothing * places, 0.0,
-                             slots * kMostUnseen);
-  return late;
+  recent.unseen =
+      std::clamp(recent.unseen + m_policy.smoothing * places, 0.0, most);
 }
 
 }  // namespace filbertrack
