--- a/tests/news_burst_test.cc
+++ b/tests/news_burst_test.cc
@@ -47,12 +47,12 @@
 };
 
 /// 81 entry hosts of three data centres and 36 groups of 20 places each. For
-/// four seconds callers send a quarter more than the groups can answer; before
-/// and after it, six tenths.
+/// four seconds callers send `burst` times 545 requests a second, of which the
+/// groups can answer some 600; before and after it, six tenths of that.
 class BurstReplay {
  public:
-  explicit BurstReplay(LoadExchangePolicy policy, DispatchPolicy dispatch)
-      : m_engines(kTargets) {
+  BurstReplay(double burst, LoadExchangePolicy policy, DispatchPolicy dispatch)
+      : m_burst(burst), m_engines(kTargets) {
     const Catalog catalog = MakeCatalog();
     std::vector<DispatchTarget> targets;
     for (int i = 0; i < kTargets; ++i) {
@@ -138,10 +138,10 @@
   }
 
   Duration Gap(TimePoint now) {
-    constexpr double kCapacity = 545;
+    constexpr double kUsual = 545;
     const Duration at = now - kStart;
     const bool bursts = at >= Seconds(2) && at < Seconds(6);
-    const double rate = kCapacity * (bursts ? 1.25 : 0.6);
+    const double rate = kUsual * (bursts ? m_burst : 0.6);
     return FromSeconds(m_gap(m_random) / rate);
   }
 
@@ -272,6 +272,7 @@
     ++(took <= kAim ? m_result.on_time : m_result.late);
   }
 
+  double m_burst;
   std::vector<std::unique_ptr<Host>> m_hosts;
   std::vector<FakeEngine> m_engines;
   std::map<int, Sent> m_sent;
@@ -289,13 +290,13 @@
 }
 
 TEST_CASE("a burst over all places: fresh loads keep late answers few") {
-  // Callers send a quarter more than all groups can answer. Each host sees a
+  // Callers send a little more than all groups can answer. Each host sees a
   // place or two where others have filled them since it last heard, lets in
   // what has no place, and everybody waits behind it: answers are late that
   // were predicted to be on time. Exchanged while it is busy, loads are true
   // enough that what has no place is refused and the rest is on time.
-  const BurstResult rare = BurstReplay(NeverBusy(), {}).Run();
-  const BurstResult often = BurstReplay({}, {}).Run();
+  const BurstResult rare = BurstReplay(1.25, NeverBusy(), {}).Run();
+  const BurstResult often = BurstReplay(1.25, {}, {}).Run();
   for (const BurstResult& result : {rare, often}) {
     MESSAGE("of " << result.offered << ": on time " << result.on_time
                   << ", late " << result.late << ", refused " << result.refused
@@ -306,5 +307,25 @@
   CHECK(often.on_time > rare.on_time);
 }
 
+TEST_CASE("a burst over all places: who would be late is refused at once") {
+  // Callers send half as much again as all groups can answer. Let in up to
+  // twice their aim, they stand in queues that last as long as the burst, and
+  // every answer waits behind them. Refused, the few without a place hear so at
+  // once, and those who have one are on time.
+  DispatchPolicy patient;
+  patient.full_aim_slack = patient.aim_slack;
+  const BurstResult queued = BurstReplay(1.6, {}, patient).Run();
+  const BurstResult refused = BurstReplay(1.6, {}, {}).Run();
+  for (const BurstResult& result : {queued, refused}) {
+    MESSAGE("of " << result.offered << ": on time " << result.on_time
+                  << ", late " << result.late << ", refused "
+                  << result.refused);
+  }
+  CHECK(refused.on_time > queued.on_time);
+  CHECK(refused.late < queued.late / 2);
+  // What is refused is what has no place, and not more.
+  CHECK(refused.refused < refused.offered / 4);
+}
+
 }  // namespace
 }  // namespace filbertrack
