--- a/soak/soak_fleet.cc
+++ b/soak/soak_fleet.cc
@@ -10,6 +10,7 @@
 #include <cstdio>
 #include <filesystem>
 #include <fstream>
+#include <set>
 
 #include "platform_config.h"
 
@@ -49,6 +50,30 @@
   return {host, ntohs(at.sin_port)};
 }
 
+/// Addresses that are free and were not given out before. The kernel may name a
+/// port again that no process listens on yet, and the second process that gets
+/// it would end at each start.
+class AddressPicker {
+ public:
+  Address Next() {
+    Address address = FreeAddress();
+    while (!m_given.insert(address.port).second) {
+      address = FreeAddress();
+    }
+    return address;
+  }
+
+ private:
+  std::set<uint16_t> m_given;
+};
+
+/// Entry hosts stand in several data centres, so that in fleets of more than a
+/// few hosts loads go through relays.
+std::string DataCentre(int host) {
+  constexpr int kDataCentres = 3;
+  return "z" + std::to_string(host % kDataCentres);
+}
+
 }  // namespace
 
 Fleet::Fleet(EventLoop& loop, const FleetOptions& options)
@@ -68,18 +93,20 @@
 Fleet::~Fleet() = default;
 
 bool Fleet::Start() {
+  AddressPicker addresses;
   for (int i = 0; i < m_options.entry_hosts; ++i) {
     auto entry = std::make_unique<EntryProcess>();
     entry->name = "e" + std::to_string(i);
-    entry->callers = FreeAddress();
-    entry->ready = FreeAddress();
+    entry->callers = addresses.Next();
+    entry->ready = addresses.Next();
     entry->store = std::make_unique<Proxy>(m_loop, m_store.address());
     const std::string base = m_options.folder + "/" + entry->name;
     std::ofstream settings(base + ".ini");
-    settings << "[node]\nname = " << entry->name << "\ndata_centre = z\n"
+    settings << "[node]\nname = " << entry->name
+             << "\ndata_centre = " << DataCentre(i) << "\n"
              << "[callers]\nlisten = " << entry->callers.ToString() << "\n"
              << "[ready]\nlisten = " << entry->ready.ToString() << "\n"
-             << "[peers]\nlisten = " << FreeAddress().ToString() << "\n"
+             << "[peers]\nlisten = " << addresses.Next().ToString() << "\n"
              << "[store]\naddress = " << entry->store->address().ToString()
              << "\n[stop]\ngrace = " << ToMilliseconds(kGrace) << "ms\n"
              << "[groups]\nstall = " << ToMilliseconds(kStall)
