--- a/tests/news_burst_test.cc
+++ b/tests/news_burst_test.cc
@@ -11,6 +11,7 @@
 #include "fake_engine.h"
 #include "filbertrack/news_exchange.h"
 #include "filbertrack/news_fleet.h"
+#include "replay_news.h"
 
 namespace filbertrack {
 namespace {
@@ -97,15 +98,7 @@
           news(name, data_centre, {}),
           exchange(policy) {}
 
-    NewsState Tell() const {
-      NewsState state;
-      state.node = name;
-      state.data_centre = data_centre;
-      for (const auto& [id, load] : board.OwnLoads()) {
-        state.loads.push_back({id, load.requests, load.prompt_tokens});
-      }
-      return state;
-    }
+    NewsState Tell() const { return TellOwnLoads(name, data_centre, board); }
 
     std::string name;
     std::string data_centre;
--- a/tests/news_fleet_test.cc
+++ b/tests/news_fleet_test.cc
@@ -6,6 +6,7 @@
 #include <random>
 
 #include "filbertrack/news_fleet.h"
+#include "replay_news.h"
 
 namespace filbertrack {
 namespace {
@@ -146,15 +147,7 @@
           board(DispatchPolicy{}, static_cast<uint64_t>(number)),
           news(name, data_centre, {}) {}
 
-    NewsState Tell() const {
-      NewsState state;
-      state.node = name;
-      state.data_centre = data_centre;
-      for (const auto& [id, load] : board.OwnLoads()) {
-        state.loads.push_back({id, load.requests, load.prompt_tokens});
-      }
-      return state;
-    }
+    NewsState Tell() const { return TellOwnLoads(name, data_centre, board); }
 
     std::string name;
     std::string data_centre;
--- /dev/null
+++ b/tests/replay_news.h
@@ -0,0 +1,24 @@
+#pragma once
+
+/// What an entry host of a replay tells of its own work.
+
+#include <string>
+
+#include "filbertrack/dispatch_board.h"
+#include "filbertrack/news_message.h"
+
+namespace filbertrack {
+
+inline NewsState TellOwnLoads(const std::string& node,
+                              const std::string& data_centre,
+                              const DispatchBoard& board) {
+  NewsState state;
+  state.node = node;
+  state.data_centre = data_centre;
+  for (const auto& [id, load] : board.OwnLoads()) {
+    state.loads.push_back({id, load.requests, load.prompt_tokens});
+  }
+  return state;
+}
+
+}  // namespace filbertrack
