base: the token bucket and the name of a server's process stand for all libraries

Cause: limits that servers name need both, and neither the entitlements of workspaces nor the requests that end servers are their place.

--- a/include/filbertrack/admission_limits.h
+++ b/include/filbertrack/admission_limits.h
@@ -7,9 +7,9 @@
 #include <map>
 #include <variant>
 
-#include "filbertrack/admission_bucket.h"
 #include "filbertrack/admission_parts.h"
 #include "filbertrack/base_time.h"
+#include "filbertrack/base_token_bucket.h"
 #include "filbertrack/config_resources.h"
 
 namespace filbertrack {
--- a/include/filbertrack/poison_ledger.h
+++ b/include/filbertrack/poison_ledger.h
@@ -23,26 +23,15 @@
 #include <optional>
 #include <set>
 #include <string>
-#include <tuple>
 #include <variant>
 #include <vector>
 
 #include "filbertrack/base_time.h"
 #include "filbertrack/poison_digest.h"
+#include "filbertrack/server_life.h"
 
 namespace filbertrack {
 
-/// One process of a backend server.
-struct ServerLife {
-  std::string id;
-  /// Start of the process, Unix ms; 0: not told.
-  uint64_t born_ms = 0;
-
-  bool operator<(const ServerLife& other) const {
-    return std::tie(id, born_ms) < std::tie(other.id, other.born_ms);
-  }
-};
-
 /// How far a server had come with a request when it ended.
 enum class EndProgress : int {
   /// Parts of the answer had come, so it had run for a while.
--- a/source/admission_bucket.cc
+++ b/source/base_token_bucket.cc
@@ -1,4 +1,4 @@
-#include "filbertrack/admission_bucket.h"
+#include "filbertrack/base_token_bucket.h"
 
 #include <algorithm>
 
