entry: lines and a figure tell the limits that servers name

Cause: servers named a limit of requests a second and got as many as before; no line told whether an entry host had seen the limit, so that "nobody reads it" and "each host holds it for itself" looked alike. Change: the answer's head is read for a limit; server-limit and server-unlimited lines, rate_limit in placed lines, filbertrack_servers_limited. Where requests are sent does not change.

--- a/include/filbertrack/entry_host.h
+++ b/include/filbertrack/entry_host.h
@@ -9,6 +9,7 @@
 
 #include "filbertrack/change_log.h"
 #include "filbertrack/dispatch_board.h"
+#include "filbertrack/entry_backpressure.h"
 #include "filbertrack/entry_metrics.h"
 #include "filbertrack/entry_poison.h"
 #include "filbertrack/entry_ports.h"
@@ -95,6 +96,8 @@
     m_directory.OnHeadLeft(group, epoch);
   }
   const Catalog* catalog() const { return m_catalog.get(); }
+  /// Entry hosts that are heard, with this one.
+  size_t entry_hosts() const { return m_context.entry_hosts; }
   /// A caller's request has come since the start.
   bool traffic_seen() const { return m_traffic_seen; }
 
@@ -163,6 +166,7 @@
   DispatchBoard m_board;
   RetryBudget m_retries;
   EntryPoison m_poison;
+  EntryBackpressure m_backpressure;
   RelayContext m_context;
   EntryMetrics m_metrics;
   std::unordered_map<const EntryRelay*, std::unique_ptr<EntryRelay>> m_relays;
--- a/include/filbertrack/entry_ports.h
+++ b/include/filbertrack/entry_ports.h
@@ -61,6 +61,9 @@
   bool sealed = false;
   /// Names the request it belongs to; empty: it does not say.
   std::string request_id;
+  /// Requests a second that the server takes from all entry hosts together;
+  /// nullopt: it names no limit.
+  std::optional<double> rate_limit;
 };
 
 /// Reads and writes the headers of requests and answers.
--- a/include/filbertrack/entry_relay.h
+++ b/include/filbertrack/entry_relay.h
@@ -11,6 +11,7 @@
 #include <string>
 
 #include "filbertrack/dispatch_board.h"
+#include "filbertrack/entry_backpressure.h"
 #include "filbertrack/entry_poison.h"
 #include "filbertrack/entry_ports.h"
 #include "filbertrack/http_client.h"
@@ -62,6 +63,7 @@
   DispatchBoard& board;
   RetryBudget& retries;
   EntryPoison& poison;
+  EntryBackpressure& backpressure;
   RelayTimes times;
   /// Entry hosts that share the connections of the backend servers.
   size_t entry_hosts = 1;
--- a/source/entry_host.cc
+++ b/source/entry_host.cc
@@ -67,8 +67,9 @@
               RendezvousWeight("board", settings.Text("node", "name"))),
       m_retries(RetryPolicyOf(settings), MonotonicNow()),
       m_poison(m_directory, engines, MonotonicNow, FirstPoisonRevision()),
-      m_context{loop,     m_upstream, dialect, m_board, m_retries,
-                m_poison, {},         1,       {},      0},
+      m_context{loop,     m_upstream,     dialect, m_board, m_retries,
+                m_poison, m_backpressure, {},      1,       {},
+                0},
       m_random(RendezvousWeight("split", settings.Text("node", "name"))) {
   m_context.times.moves_silent = IsOn(settings, "moves_silent");
   AddGauges();
--- a/source/entry_host_probe.cc
+++ b/source/entry_host_probe.cc
@@ -47,6 +47,9 @@
   m_metrics.AddGauge("filbertrack_marked_requests", "", [this] {
     return static_cast<double>(m_poison.Marks().size());
   });
+  m_metrics.AddGauge("filbertrack_servers_limited", "", [this] {
+    return static_cast<double>(m_backpressure.CountLimited());
+  });
   m_metrics.AddGauge("filbertrack_targets", "", [this] {
     return static_cast<double>(m_board.CountTargets());
   });
--- a/source/entry_relay.cc
+++ b/source/entry_relay.cc
@@ -227,8 +227,12 @@
   m_answer_body.clear();
   m_context.board.OnSent(choice.target.id, m_request.facts.prompt_tokens);
   Feed(TargetChosen{});
-  PlacedLine line{m_request, choice, m_state.sends, std::nullopt,
-                  m_context.servers_revision};
+  PlacedLine line{m_request,
+                  choice,
+                  m_state.sends,
+                  std::nullopt,
+                  m_context.servers_revision,
+                  m_context.backpressure.LimitOf(choice.target)};
   if (m_state.answer_started) {
     line.resumes_at = m_resume_from;
   }
@@ -279,6 +283,10 @@
   m_not_run = facts.not_run || facts.wrong_server;
   const bool names_other = !facts.request_id.empty() &&
                            facts.request_id != m_request.facts.request_id;
+  if (m_choice && !facts.wrong_server && !names_other) {
+    m_context.backpressure.OnAnswer(m_choice->target, facts, m_sent_at,
+                                    m_last_byte);
+  }
   const bool unsealed = IsSuccess(status) && !facts.sealed;
   const bool is_events =
       FindHeader(headers, "Content-Type").starts_with(kEventStream);
--- a/source/entry_trail.cc
+++ b/source/entry_trail.cc
@@ -26,6 +26,9 @@
   if (line.resumes_at) {
     fields["resumes_at"] = *line.resumes_at;
   }
+  if (line.rate_limit) {
+    fields["rate_limit"] = *line.rate_limit;
+  }
   Log(LogLevel::kInfo, "placed", fields);
 }
 
--- a/source/entry_trail.h
+++ b/source/entry_trail.h
@@ -20,6 +20,8 @@
   /// The caller has the events before this one; nullopt: it has none.
   std::optional<uint64_t> resumes_at;
   uint64_t servers_revision = 0;
+  /// Requests a second that the target takes; nullopt: it names no limit.
+  std::optional<double> rate_limit;
 };
 void LogPlaced(const PlacedLine& line);
 
