--- a/standins/platform_runner_standin.cc
+++ b/standins/platform_runner_standin.cc
@@ -207,8 +207,12 @@
 
 HttpHeaders PlatformRunnerStandin::AnswerHeaders(HttpExchange& exchange) const {
   const std::string id(exchange.Header("X-Attempt-Id"));
-  return {{"X-Attempt-Id", m_mixes_answers ? "another" : id},
-          {"X-Runner-Seal", std::string(kSeal) + m_options.id}};
+  HttpHeaders headers = {{"X-Attempt-Id", m_mixes_answers ? "another" : id},
+                         {"X-Runner-Seal", std::string(kSeal) + m_options.id}};
+  if (m_limit) {
+    headers.emplace_back("Server-Limit", Json(*m_limit).dump());
+  }
+  return headers;
 }
 
 void PlatformRunnerStandin::Run(const Exchange& exchange) {
@@ -222,6 +226,7 @@
   seen.workspace = exchange->Header("X-Tenant");
   seen.authorization = exchange->Header("Authorization");
   seen.time_left = exchange->Header("X-Deadline-Remaining");
+  seen.arrived = MonotonicNow();
   m_seen.push_back(seen);
   const bool ends =
       !m_options.ends_on.empty() &&
--- a/standins/platform_runner_standin.h
+++ b/standins/platform_runner_standin.h
@@ -7,6 +7,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -53,6 +54,7 @@
   std::string workspace;
   std::string authorization;
   std::string time_left;
+  TimePoint arrived;
   bool ended = false;
 };
 
@@ -96,6 +98,8 @@
   void SetFull(bool full) { m_full = full; }
   /// The next plain answers are cut after they ran.
   void SetLosesAnswers(bool loses) { m_loses_answers = loses; }
+  /// Names this limit, requests a second, in all answers; nullopt: none.
+  void SetLimit(std::optional<double> per_second) { m_limit = per_second; }
   /// The next plain answers bear another request's name.
   void SetMixesAnswers(bool mixes) { m_mixes_answers = mixes; }
 
@@ -121,6 +125,7 @@
   bool m_full = false;
   bool m_loses_answers = false;
   bool m_mixes_answers = false;
+  std::optional<double> m_limit;
   uint64_t m_orders = 0;
   int m_halt_after = -1;
   Duration m_halt{0};
