entry: lines and figures tell the rest that servers ask for, and which of them leave

Cause: servers that had asked an entry host for three seconds of rest got requests from it within them; lines told the status 503 of each and not what was asked, so that a pause too short and a pause cut short looked alike. A server that leaves says so in all answers, and no line told that either. Change: the answer's head is read for both; rest_ms in attempt-ended lines, server-leaving lines, filbertrack_servers_resting and filbertrack_servers_leaving. Where requests are sent does not change.

--- a/include/filbertrack/backpressure.h
+++ b/include/filbertrack/backpressure.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "filbertrack/backpressure_limits.h"
+#include "filbertrack/backpressure_rest.h"
 #include "filbertrack/base_time.h"
 #include "filbertrack/base_token_bucket.h"
 
@@ -18,6 +19,7 @@
 
 struct BackpressurePolicy {
   LimitPolicy limits;
+  RestPolicy rests;
   /// An entry host keeps its part of the limits for so long after it was last
   /// heard of: longer than a restart takes, and than a host that is too busy to
   /// be heard sends on.
@@ -35,6 +37,15 @@
   bool OnAnswer(const LimitReading& reading, TimePoint now);
   bool OnNews(const LimitWord& word, TimePoint now);
 
+  /// The server refused a request of this host and wants none for so long.
+  void OnRest(const ServerLife& server, Duration rest, TimePoint now) {
+    m_rests.OnRest(server, rest, now);
+  }
+  /// The server says that it leaves; true where it was not known.
+  bool OnLeaving(const ServerLife& server, TimePoint now) {
+    return m_rests.OnLeaving(server, now);
+  }
+
   /// The other entry hosts that are heard, or known from the store.
   void SetFleet(std::span<const std::string> hosts, TimePoint now);
 
@@ -52,6 +63,8 @@
     return m_limits.LimitOf(server);
   }
   size_t CountLimited() const { return m_paces.size(); }
+  size_t CountResting(TimePoint now) const { return m_rests.CountResting(now); }
+  size_t CountLeaving() const { return m_rests.CountLeaving(); }
 
   /// What the peer lacks that knows this host's words up to `known`.
   LimitNews Since(uint64_t known, TimePoint now) const {
@@ -68,6 +81,7 @@
   std::string m_own;
   BackpressurePolicy m_policy;
   LimitLedger m_limits;
+  RestLedger m_rests;
   /// Of each server that names a limit.
   std::map<ServerLife, Pace> m_paces;
   std::map<std::string, TimePoint, std::less<>> m_heard;
--- a/include/filbertrack/entry_backpressure.h
+++ b/include/filbertrack/entry_backpressure.h
@@ -47,8 +47,10 @@
     return m_state.LimitOf(LifeOf(target));
   }
 
-  /// Servers that name a limit.
+  /// Servers that name a limit, ask this host for rest, or leave.
   size_t CountLimited() const { return m_state.CountLimited(); }
+  size_t CountResting(TimePoint now) const { return m_state.CountResting(now); }
+  size_t CountLeaving() const { return m_state.CountLeaving(); }
 
   /// What the peer lacks that knows this host's words up to `known`.
   LimitNews Since(uint64_t known, TimePoint now) const {
--- a/include/filbertrack/entry_ports.h
+++ b/include/filbertrack/entry_ports.h
@@ -64,6 +64,11 @@
   /// Requests a second that the server takes from all entry hosts together;
   /// nullopt: it names no limit.
   std::optional<double> rate_limit;
+  /// The server turned the request away and wants nothing from this entry host
+  /// for so long; nullopt: it does not say.
+  std::optional<Duration> rest;
+  /// The server leaves and will be gone soon.
+  bool leaving = false;
 };
 
 /// Reads and writes the headers of requests and answers.
--- a/include/filbertrack/entry_relay.h
+++ b/include/filbertrack/entry_relay.h
@@ -167,6 +167,8 @@
   TimePoint m_last_byte;
   bool m_attempt_first_event = false;
   bool m_not_run = false;
+  /// What the present attempt's server asked for as it refused.
+  std::optional<Duration> m_rest;
   /// Why the present attempt ends without an answer, for its line.
   std::string_view m_why_ended;
   SseSplitter m_splitter;
--- a/source/backpressure.cc
+++ b/source/backpressure.cc
@@ -10,6 +10,7 @@
     : m_own(std::move(own)),
       m_policy(policy),
       m_limits(policy.limits, first_revision),
+      m_rests(policy.rests),
       m_hosts{m_own} {}
 
 bool Backpressure::OnAnswer(const LimitReading& reading, TimePoint now) {
@@ -43,6 +44,7 @@
   }
   const bool changed = all != m_hosts;
   m_hosts = std::move(all);
+  m_rests.ForgetOld(now);
   const bool forgot = m_limits.ForgetOld(now);
   if (changed || forgot) {
     SetPaces(now);
--- a/source/entry_backpressure.cc
+++ b/source/entry_backpressure.cc
@@ -24,11 +24,19 @@
                                  const AnswerFacts& facts,
                                  TimePoint sent,
                                  TimePoint now) {
+  const ServerLife server = LifeOf(target);
+  if (facts.rest) {
+    m_state.OnRest(server, *facts.rest, now);
+  }
+  if (facts.leaving && m_state.OnLeaving(server, now)) {
+    Log(LogLevel::kInfo, "server-leaving",
+        {{"server", server.id}, {"from", "answer"}});
+  }
   if (!facts.rate_limit && !facts.sealed) {
     // Not by the server's own hand, so it does not lift a limit.
     return;
   }
-  const LimitReading reading{LifeOf(target), facts.rate_limit, sent};
+  const LimitReading reading{server, facts.rate_limit, sent};
   if (m_state.OnAnswer(reading, now)) {
     LogLimit(reading.server, reading.limit, "answer");
   }
--- a/source/entry_host_probe.cc
+++ b/source/entry_host_probe.cc
@@ -50,6 +50,12 @@
   m_metrics.AddGauge("filbertrack_servers_limited", "", [this] {
     return static_cast<double>(m_backpressure.CountLimited());
   });
+  m_metrics.AddGauge("filbertrack_servers_resting", "", [this] {
+    return static_cast<double>(m_backpressure.CountResting(MonotonicNow()));
+  });
+  m_metrics.AddGauge("filbertrack_servers_leaving", "", [this] {
+    return static_cast<double>(m_backpressure.CountLeaving());
+  });
   m_metrics.AddGauge("filbertrack_targets", "", [this] {
     return static_cast<double>(m_board.CountTargets());
   });
--- a/source/entry_relay.cc
+++ b/source/entry_relay.cc
@@ -223,6 +223,7 @@
   m_attempt_first_event = false;
   m_attempt_status = 0;
   m_not_run = false;
+  m_rest.reset();
   m_why_ended = "broke off";
   m_splitter = {};
   m_answer_body.clear();
@@ -283,6 +284,7 @@
     m_context.poison.OnAnswer(m_choice->target, m_sent_at);
   }
   m_not_run = facts.not_run || facts.wrong_server;
+  m_rest = facts.rest;
   const bool names_other = !facts.request_id.empty() &&
                            facts.request_id != m_request.facts.request_id;
   if (m_choice && !facts.wrong_server && !names_other) {
@@ -366,7 +368,7 @@
     const TimePoint now = MonotonicNow();
     LogAttemptEnded({m_request, m_choice->target.id, m_why_ended,
                      m_attempt_status, now - m_sent_at, now - m_last_byte,
-                     m_digest});
+                     m_rest, m_digest});
   }
   DispatchResult result = DispatchResult::kAnswered;
   if (m_not_run) {
--- a/source/entry_trail.cc
+++ b/source/entry_trail.cc
@@ -42,6 +42,9 @@
                            {"status", line.status},
                            {"after_ms", ToMilliseconds(line.after)},
                            {"silent_ms", ToMilliseconds(line.since_last_byte)}};
+  if (line.rest) {
+    fields["rest_ms"] = ToMilliseconds(*line.rest);
+  }
   if (!line.digest.empty()) {
     fields["digest"] = line.digest;
   }
--- a/source/entry_trail.h
+++ b/source/entry_trail.h
@@ -34,6 +34,9 @@
   int status = 0;
   Duration after{0};
   Duration since_last_byte{0};
+  /// The server wants nothing from this host for so long; nullopt: it does not
+  /// say.
+  std::optional<Duration> rest;
   /// Empty where nobody needed it.
   std::string_view digest;
 };
--- a/standins/platform_runner_standin.cc
+++ b/standins/platform_runner_standin.cc
@@ -209,15 +209,32 @@
   const std::string id(exchange.Header("X-Attempt-Id"));
   HttpHeaders headers = {{"X-Attempt-Id", m_mixes_answers ? "another" : id},
                          {"X-Runner-Seal", std::string(kSeal) + m_options.id}};
+  AddSignals(headers);
+  return headers;
+}
+
+void PlatformRunnerStandin::AddSignals(HttpHeaders& headers) const {
   if (m_limit) {
     headers.emplace_back("Server-Limit", Json(*m_limit).dump());
   }
-  return headers;
+  if (m_leaving) {
+    headers.emplace_back("Server-Leaving", "1");
+  }
+}
+
+void PlatformRunnerStandin::Refuse(HttpExchange& exchange) {
+  m_refusals.push_back(MonotonicNow());
+  HttpHeaders headers = {{"X-Not-Executed", "1"}};
+  AddSignals(headers);
+  if (m_rest) {
+    headers.emplace_back("Retry-After", Json(ToSeconds(*m_rest)).dump());
+  }
+  exchange.Reply(503, headers, "");
 }
 
 void PlatformRunnerStandin::Run(const Exchange& exchange) {
   if (m_full || (!m_options.is_plain && m_state != "open")) {
-    exchange->Reply(503, {{"X-Not-Executed", "1"}}, "");
+    Refuse(*exchange);
     return;
   }
   SeenRequest seen;
--- a/standins/platform_runner_standin.h
+++ b/standins/platform_runner_standin.h
@@ -100,6 +100,12 @@
   void SetLosesAnswers(bool loses) { m_loses_answers = loses; }
   /// Names this limit, requests a second, in all answers; nullopt: none.
   void SetLimit(std::optional<double> per_second) { m_limit = per_second; }
+  /// Asks for so long a rest as it refuses; nullopt: it names no time.
+  void SetRest(std::optional<Duration> rest) { m_rest = rest; }
+  /// Says in all answers that it leaves.
+  void SetLeaving(bool leaving) { m_leaving = leaving; }
+  /// When it refused a request because it is full.
+  const std::vector<TimePoint>& refusals() const { return m_refusals; }
   /// The next plain answers bear another request's name.
   void SetMixesAnswers(bool mixes) { m_mixes_answers = mixes; }
 
@@ -114,6 +120,9 @@
   void Run(const Exchange& exchange);
   void Stream(const Exchange& exchange, size_t number, int event);
   HttpHeaders AnswerHeaders(HttpExchange& exchange) const;
+  /// What it says of itself in all answers.
+  void AddSignals(HttpHeaders& headers) const;
+  void Refuse(HttpExchange& exchange);
 
   EventLoop& m_loop;
   PlatformStoreStandin& m_store;
@@ -126,6 +135,9 @@
   bool m_loses_answers = false;
   bool m_mixes_answers = false;
   std::optional<double> m_limit;
+  std::optional<Duration> m_rest;
+  bool m_leaving = false;
+  std::vector<TimePoint> m_refusals;
   uint64_t m_orders = 0;
   int m_halt_after = -1;
   Duration m_halt{0};
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -440,5 +440,23 @@
   }
 }
 
+TEST_CASE(
+    "a rest is read with a refusal alone, and a leaving server is known") {
+  const platform::PlatformDialect dialect;
+  const HttpHeaders rest = {{"X-Not-Executed", "1"}, {"Retry-After", "1.5"}};
+  CHECK(dialect.ReadAnswer(503, rest).rest == Milliseconds(1500));
+  CHECK_FALSE(dialect.ReadAnswer(200, rest).rest.has_value());
+  CHECK_FALSE(dialect.ReadAnswer(503, {}).rest.has_value());
+  for (const char* text : {"-3", "soon", "nan", ""}) {
+    CHECK_FALSE(
+        dialect.ReadAnswer(503, {{"Retry-After", text}}).rest.has_value());
+  }
+  CHECK(dialect.ReadAnswer(503, {{"Retry-After", "1e300"}}).rest <
+        Seconds(4000));
+  CHECK(dialect.ReadAnswer(200, {{"Server-Leaving", "1"}}).leaving);
+  CHECK_FALSE(dialect.ReadAnswer(200, {{"Server-Leaving", "0"}}).leaving);
+  CHECK_FALSE(dialect.ReadAnswer(200, {}).leaving);
+}
+
 }  // namespace
 }  // namespace filbertrack
--- a/tools/check_layers.sh
+++ b/tools/check_layers.sh
@@ -14,7 +14,7 @@
   fi
 done
 # Names of the users' platform stand in platform/ and its stand-ins alone.
-names='X-Attempt-Id|X-Runner-Id|X-Runner-Seal|X-Expect-Runner|X-Expect-Version|X-Tenant|X-Model|X-Token-Usage|X-Not-Executed|X-Deadline-Remaining|pathPrefix|trafficSplit|apiKeys|kvCapacityTokens|warmupS|loadS|closeMode|serializable|waitMs|Server-Limit'
+names='X-Attempt-Id|X-Runner-Id|X-Runner-Seal|X-Expect-Runner|X-Expect-Version|X-Tenant|X-Model|X-Token-Usage|X-Not-Executed|X-Deadline-Remaining|pathPrefix|trafficSplit|apiKeys|kvCapacityTokens|warmupS|loadS|closeMode|serializable|waitMs|Server-Limit|Server-Leaving'
 paths='"/objects/|"/order"|"/report"'
 if grep -rnE "(^|[^A-Za-z])($names)([^A-Za-z]|$)|$paths" source include; then
   echo "a name of the users' platform outside platform/"
