tests: servers that ask for rest, or say that they leave, get requests all the same; fails

Symptom: a head that refuses all and names a rest of three seconds gets three or four requests from an entry host between half a second and the end of it, where two are allowed; a server that says in its answers that it leaves gets all the next 60.

--- a/tests/platform_backpressure_test.cc
+++ b/tests/platform_backpressure_test.cc
@@ -1,6 +1,8 @@
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
 #include <doctest/doctest.h>
 
+#include <deque>
+
 #include "platform_site.h"
 
 /// Backend servers that say how much they take, through the whole path of
@@ -17,12 +19,14 @@
 
 /// Entry hosts that know each other, and two plain servers.
 struct PressureSite : Site {
-  explicit PressureSite(int entry_hosts) : Site(0, entry_hosts) {}
+  explicit PressureSite(int entry_hosts, int hosts = 0)
+      : Site(hosts, entry_hosts) {}
 
-  bool IsUp() {
-    return RunUntil(loop, [this] {
-      return std::all_of(nodes.begin(), nodes.end(), [this](const auto& node) {
-        return node->host.IsReady() && node->CountTargets() == plain.size() &&
+  bool IsUp(size_t groups = 0) {
+    return RunUntil(loop, [this, groups] {
+      return std::all_of(nodes.begin(), nodes.end(), [&](const auto& node) {
+        return node->host.IsReady() &&
+               node->CountTargets() == plain.size() + groups &&
                node->host.entry_hosts() == nodes.size();
       });
     });
@@ -94,5 +98,91 @@
   }
 }
 
+/// Requests that the platform allows of an entry host to a server that asked it
+/// for rest, from this long after that until the end of the rest.
+constexpr size_t kMostWhileResting = 2;
+constexpr Duration kRestGrace = Milliseconds(500);
+
+/// Callers that begin a stream at even intervals, whatever becomes of those
+/// before.
+class StreamCallers {
+ public:
+  StreamCallers(Site& site, Duration interval)
+      : m_site(site), m_timer(site.loop.Every(interval, [this] { Begin(); })) {}
+
+  void Stop() { m_timer.reset(); }
+  bool AllServed() const {
+    return std::all_of(
+        m_answers.begin(), m_answers.end(), [](const Answer& answer) {
+          return answer.ended && !answer.failed && answer.status == 200;
+        });
+  }
+  size_t count() const { return m_answers.size(); }
+
+ private:
+  void Begin() {
+    m_answers.emplace_back();
+    m_calls.push_back(AskAt(m_site.host->caller_address(), m_client, "/s/x",
+                            "s-" + std::to_string(m_answers.size()),
+                            m_answers.back()));
+  }
+
+  Site& m_site;
+  HttpClient m_client{m_site.loop, 32};
+  std::deque<Answer> m_answers;
+  std::vector<std::unique_ptr<HttpCall>> m_calls;
+  std::unique_ptr<Timer> m_timer;
+};
+
+TEST_CASE("rest: a server that asks for rest is left alone until it is over") {
+  // Two heads turned all requests away and named a rest of three seconds. The
+  // entry hosts came back after 0.5, 0.9, 0.7 and 0.5 s, each time with a
+  // request that another server then answered.
+  constexpr Duration kRest = Seconds(3);
+  constexpr size_t kGroups = 6;
+  PressureSite site(1, 13);
+  for (const auto& runner : site.runners) {
+    runner->SetEvents(120);
+  }
+  REQUIRE(site.IsUp(kGroups));
+  StreamCallers callers(site, Milliseconds(100));
+  REQUIRE(RunUntil(site.loop, [&callers] { return callers.count() == 15; }));
+  const auto weary =
+      std::find_if(site.runners.begin(), site.runners.end(),
+                   [](const auto& runner) { return !runner->seen().empty(); });
+  REQUIRE(weary != site.runners.end());
+  (*weary)->SetFull(true);
+  (*weary)->SetRest(kRest);
+  const std::vector<TimePoint>& refusals = (*weary)->refusals();
+  REQUIRE(RunUntil(site.loop, [&] { return !refusals.empty(); }));
+  const TimePoint told = refusals.front();
+  REQUIRE(RunUntil(site.loop, [&] { return MonotonicNow() - told > kRest; }));
+  const auto late =
+      std::count_if(refusals.begin(), refusals.end(), [&](TimePoint at) {
+        return at - told > kRestGrace && at - told < kRest;
+      });
+  CHECK(static_cast<size_t>(late) <= kMostWhileResting);
+  callers.Stop();
+  CHECK(RunUntil(site.loop, [&callers] { return callers.AllServed(); }));
+}
+
+TEST_CASE("leaving: a server that says so gets nothing more") {
+  // The store does not know yet that the server leaves, or never will: some
+  // servers end without a word to it, and tell only those that ask them.
+  PressureSite site(1);
+  REQUIRE(site.IsUp());
+  PlatformRunnerStandin& leaver = *site.plain[0];
+  leaver.SetLeaving(true);
+  while (leaver.seen().empty()) {
+    REQUIRE(site.asked < 100);
+    site.AskNext();
+  }
+  const size_t told = leaver.seen().size();
+  for (int i = 0; i < 60; ++i) {
+    CHECK(site.AskNext().status == 200);
+  }
+  CHECK(leaver.seen().size() == told);
+}
+
 }  // namespace
 }  // namespace filbertrack
