dispatch: a server that asked for rest gets nothing from this host until it is over

Callers saw nothing: each request that a resting server refused was answered by another one, a way there and back later and for one retry of the budget. Servers in need were asked again and again.

Cause: the time in a refusal was not read. A target that refuses was left out for a guessed time, 0.3 s and doubled with each refusal in a row, and every answer that ended well there, to requests from before too, cut it short. Class: a guess in place of what the other side says.

Change: the rest is kept by server process and ends by time alone; the choice of a target passes over servers that rest like those that were tried, and a caller for whom none is left is told when the first rest ends.

Why it holds: nothing but time ends a rest, and every send, repeats and streams that are taken up elsewhere too, goes through the same choice.

--- a/include/filbertrack/backpressure.h
+++ b/include/filbertrack/backpressure.h
@@ -50,7 +50,7 @@
   void SetFleet(std::span<const std::string> hosts, TimePoint now);
 
   /// No server asks for anything, as most of the time.
-  bool IsIdle() const { return m_paces.empty(); }
+  bool IsIdle() const { return m_paces.empty() && m_rests.IsEmpty(); }
   bool MaySend(const ServerLife& server, TimePoint now) const;
   /// How long until a request may be sent to the server; nullopt: other entry
   /// hosts hold all of its limit.
--- a/source/backpressure.cc
+++ b/source/backpressure.cc
@@ -1,5 +1,7 @@
 #include "filbertrack/backpressure.h"
 
+#include <algorithm>
+
 #include "filbertrack/backpressure_share.h"
 
 namespace filbertrack {
@@ -83,12 +85,15 @@
 
 std::optional<Duration> Backpressure::UntilSend(const ServerLife& server,
                                                 TimePoint now) const {
+  // Streams that began before and end well do not tell that a rest is over.
+  const Duration rest = m_rests.RestOf(server, now);
   const auto found = m_paces.find(server);
   if (found == m_paces.end()) {
-    return Duration(0);
+    return rest;
   }
   const Pace& pace = found->second;
-  return pace ? std::optional(pace->UntilNext(now)) : std::nullopt;
+  return pace ? std::optional(std::max(rest, pace->UntilNext(now)))
+              : std::nullopt;
 }
 
 void Backpressure::OnSent(const ServerLife& server, TimePoint now) {
--- a/tests/backpressure_test.cc
+++ b/tests/backpressure_test.cc
@@ -324,5 +324,34 @@
   CHECK(rate <= load.limit / 2);
 }
 
+TEST_CASE("a server that asked for rest gets nothing until it is over") {
+  Backpressure host("e0", {}, 0);
+  const ServerLife server{"s", 0};
+  CHECK(host.IsIdle());
+  host.OnRest(server, Seconds(3), kStart);
+  CHECK_FALSE(host.IsIdle());
+  CHECK_FALSE(host.MaySend(server, kStart + Milliseconds(2999)));
+  CHECK(host.UntilSend(server, kStart + Seconds(1)) == Seconds(2));
+  CHECK(host.MaySend(server, kStart + Seconds(3)));
+  // A shorter one that comes later does not end the longer one.
+  host.OnRest(server, Seconds(1), kStart + Seconds(1));
+  CHECK_FALSE(host.MaySend(server, kStart + Milliseconds(2500)));
+  // An answer without a limit is no sign that the rest is over.
+  host.OnAnswer(Named({}, kStart + Seconds(1)), kStart + Seconds(2));
+  CHECK_FALSE(host.MaySend(server, kStart + Milliseconds(2500)));
+  host.SetFleet({}, kStart + Seconds(4));
+  CHECK(host.IsIdle());
+}
+
+TEST_CASE("rest and a limit both hold") {
+  Backpressure host("e0", {}, 0);
+  const ServerLife server{"s", 0};
+  host.OnAnswer(Named(1, kStart), kStart);
+  host.OnRest(server, Milliseconds(200), kStart);
+  CHECK(host.UntilSend(server, kStart) == Seconds(1));
+  host.OnRest(server, Seconds(5), kStart);
+  CHECK(host.UntilSend(server, kStart) == Seconds(5));
+}
+
 }  // namespace
 }  // namespace filbertrack
--- a/tests/platform_backpressure_test.cc
+++ b/tests/platform_backpressure_test.cc
@@ -135,9 +135,14 @@
 };
 
 TEST_CASE("rest: a server that asks for rest is left alone until it is over") {
-  // Two heads turned all requests away and named a rest of three seconds. The
-  // entry hosts came back after 0.5, 0.9, 0.7 and 0.5 s, each time with a
-  // request that another server then answered.
+  // Two heads turned all requests away and named a rest of three seconds. An
+  // entry host came back after 0.5, 0.9, 0.7 and 0.5 s, each time with a
+  // request that another server then answered. It did not read the rest: a
+  // target that refuses was left out for 0.3 s, doubled with each refusal in a
+  // row, and each stream that had begun there before and ended well counted as
+  // a sign that all was well again. Here the head got three or four requests
+  // between half a second and the end of the rest, two of them just after such
+  // a stream.
   constexpr Duration kRest = Seconds(3);
   constexpr size_t kGroups = 6;
   PressureSite site(1, 13);
