dispatch: a server that says it leaves gets nothing more from the host that was told

Callers could lose answers: a server that leaves tells so in all its answers, and entry hosts sent it requests until the store told the same, seconds later, or until its registration lapsed and it ended.

Cause: a leaving was taken from the store alone; what the server itself said was not read. Class: one source is asked where a nearer one has answered already. Change: the word is kept by server process, and the choice of a target passes over it from then on; another process under the same name is not concerned.

Why it holds: it needs no news from elsewhere, store and peers may be away, and a server that leaves does not come back in the same process.

--- a/include/filbertrack/backpressure.h
+++ b/include/filbertrack/backpressure.h
@@ -52,8 +52,8 @@
   /// No server asks for anything, as most of the time.
   bool IsIdle() const { return m_paces.empty() && m_rests.IsEmpty(); }
   bool MaySend(const ServerLife& server, TimePoint now) const;
-  /// How long until a request may be sent to the server; nullopt: other entry
-  /// hosts hold all of its limit.
+  /// How long until a request may be sent to the server; nullopt: not by
+  /// this host, as far as is known: others hold its limit, or it leaves.
   std::optional<Duration> UntilSend(const ServerLife& server,
                                     TimePoint now) const;
   void OnSent(const ServerLife& server, TimePoint now);
--- a/source/backpressure.cc
+++ b/source/backpressure.cc
@@ -85,6 +85,10 @@
 
 std::optional<Duration> Backpressure::UntilSend(const ServerLife& server,
                                                 TimePoint now) const {
+  if (m_rests.IsLeaving(server)) {
+    // The store may tell it seconds later, or never.
+    return std::nullopt;
+  }
   // Streams that began before and end well do not tell that a rest is over.
   const Duration rest = m_rests.RestOf(server, now);
   const auto found = m_paces.find(server);
--- a/tests/backpressure_test.cc
+++ b/tests/backpressure_test.cc
@@ -353,5 +353,16 @@
   CHECK(host.UntilSend(server, kStart) == Seconds(5));
 }
 
+TEST_CASE("a server that leaves gets nothing more, and its next process does") {
+  Backpressure host("e0", {}, 0);
+  CHECK(host.OnLeaving({"s", 1}, kStart));
+  CHECK_FALSE(host.OnLeaving({"s", 1}, kStart + Seconds(1)));
+  CHECK_FALSE(host.MaySend({"s", 1}, kStart + Seconds(30)));
+  CHECK_FALSE(host.UntilSend({"s", 1}, kStart + Seconds(30)).has_value());
+  CHECK(host.MaySend({"s", 2}, kStart + Seconds(30)));
+  host.SetFleet({}, kStart + Seconds(700));
+  CHECK(host.IsIdle());
+}
+
 }  // namespace
 }  // namespace filbertrack
--- a/tests/platform_backpressure_test.cc
+++ b/tests/platform_backpressure_test.cc
@@ -173,7 +173,10 @@
 
 TEST_CASE("leaving: a server that says so gets nothing more") {
   // The store does not know yet that the server leaves, or never will: some
-  // servers end without a word to it, and tell only those that ask them.
+  // servers end without a word to it, and tell only those that ask them. Entry
+  // hosts took a leaving from the store alone, so they went on sending to a
+  // server that was about to end: 60 more requests here, whose answers could
+  // have broken off.
   PressureSite site(1);
   REQUIRE(site.IsUp());
   PlatformRunnerStandin& leaver = *site.plain[0];
