--- a/soak/main_soak.cc
+++ b/soak/main_soak.cc
@@ -8,6 +8,7 @@
 #include "soak_callers.h"
 #include "soak_faults.h"
 #include "soak_fleet.h"
+#include "soak_signals.h"
 
 namespace filbertrack::soak {
 namespace {
@@ -23,6 +24,8 @@
 /// After the faults, until all entry hosts must know of it: the hosts that are
 /// started again, and as long as the platform grants besides.
 constexpr Duration kAgreeing = Seconds(6);
+/// Between signals of servers.
+constexpr Duration kSignalInterval = Milliseconds(700);
 /// Servers that it may end later, over the whole fleet.
 constexpr int kMostLateCrashes = 3;
 
@@ -34,6 +37,7 @@
   int entry_hosts = 3;
   int runners = 8;
   bool poison = false;
+  bool signals = false;
 };
 
 /// Runs the loop for a time, or until `done`. False where the time came first.
@@ -110,9 +114,14 @@
   if (line.poison) {
     poison.Start(kPoisonInterval);
   }
+  Signals signals(loop, fleet, line.seed + 3);
+  if (line.signals) {
+    signals.Start(kSignalInterval);
+  }
   faults.Start(kFaultInterval);
   RunFor(loop, Seconds(line.seconds), [] { return false; });
   faults.Stop();
+  signals.Stop();
   const size_t before = callers.CountAnswered();
   if (line.poison) {
     CheckBesidePoison(loop, fleet, callers, kRecovery);
@@ -126,12 +135,13 @@
   callers.Stop();
   RunFor(loop, kLastCalls, [&callers] { return callers.idle(); });
   callers.Check(fleet.violations());
+  signals.Check(callers, fleet.violations());
   Report(line, fleet.violations());
   std::printf(
       "%zu calls, %zu answered, %d faults, %zu copies of a request "
-      "that ended %d servers\n",
+      "that ended %d servers, %zu signals of servers with %zu requests\n",
       callers.count(), callers.CountAnswered(), faults.count(), poison.copies(),
-      fleet.crashes());
+      fleet.crashes(), signals.count(), signals.checked());
   const size_t bad = fleet.violations().size();
   std::printf("%d passed, %zu failed\n", bad == 0 ? 1 : 0, bad);
   return bad == 0 ? 0 : 1;
@@ -151,6 +161,8 @@
   app.add_option("--entry-hosts", line.entry_hosts, "Processes of that kind.");
   app.add_flag("--poison", line.poison,
                "A request that ends servers comes again and again.");
+  app.add_flag("--signals", line.signals,
+               "Servers name limits, ask for rest and say that they leave.");
   app.add_option("--runners", line.runners, "Hosts of groups at the start.");
   CLI11_PARSE(app, argc, argv);
   return filbertrack::soak::Run(line);
--- a/soak/soak_callers.h
+++ b/soak/soak_callers.h
@@ -72,6 +72,7 @@
   /// Checks all calls; to be called when none is open.
   void Check(std::vector<std::string>& violations);
 
+  const std::deque<CallRecord>& records() const { return m_records; }
   size_t count() const { return m_records.size(); }
   size_t CountAnswered() const;
   /// Of the calls of this kind that began since `since`.
--- a/soak/soak_faults.cc
+++ b/soak/soak_faults.cc
@@ -87,9 +87,11 @@
 void Faults::PauseEntry() {
   EntryProcess& entry = AnyEntry();
   entry.paused = true;
+  entry.disturbed.push_back(MonotonicNow());
   entry.process->Signal(SIGSTOP);
   Later(kLongestPause, [&entry] {
     entry.paused = false;
+    entry.disturbed.push_back(MonotonicNow());
     entry.process->Signal(SIGCONT);
   });
 }
@@ -99,6 +101,7 @@
   m_callers.NoteUnplanned(MonotonicNow());
   entry.ending_since = MonotonicNow();
   entry.killed = true;
+  entry.disturbed.push_back(MonotonicNow());
   entry.process->Signal(SIGKILL);
 }
 
@@ -107,6 +110,7 @@
   if (!entry.ending_since) {
     entry.ending_since = MonotonicNow();
   }
+  entry.disturbed.push_back(MonotonicNow());
   entry.process->Signal(SIGTERM);
 }
 
@@ -165,6 +169,7 @@
     return;
   }
   Proxy& proxy = *host->proxy;
+  host->disturbed.push_back(MonotonicNow());
   switch (m_random() % 4) {
     case 0:
       proxy.faults().delay =
@@ -179,7 +184,8 @@
     default:
       proxy.ResetAll();
   }
-  Later(kLongestLinkFault, [&proxy] {
+  Later(kLongestLinkFault, [host, &proxy] {
+    host->disturbed.push_back(MonotonicNow());
     proxy.faults() = {};
     proxy.ResetAll();
   });
--- a/soak/soak_fleet.cc
+++ b/soak/soak_fleet.cc
@@ -266,6 +266,7 @@
       entry->ending_since.reset();
       entry->killed = false;
       entry->paused = false;
+      entry->disturbed.push_back(now);
       entry->process->Start();
     } else if (entry->ending_since && !entry->killed && !entry->paused &&
                now - *entry->ending_since > kGrace + kGraceMargin) {
--- a/soak/soak_fleet.h
+++ b/soak/soak_fleet.h
@@ -46,11 +46,15 @@
   /// A signal that ends it was sent; its end is no fault of its own.
   std::optional<TimePoint> ending_since;
   bool killed = false;
+  /// When it was started, stopped, paused or woken.
+  std::vector<TimePoint> disturbed;
 };
 
 struct RunnerHost {
   std::unique_ptr<PlatformRunnerStandin> standin;
   std::unique_ptr<Proxy> proxy;
+  /// When faults of its link began and ended.
+  std::vector<TimePoint> disturbed;
 };
 
 class Fleet : public RunnerObserver {
--- a/standins/platform_runner_standin.cc
+++ b/standins/platform_runner_standin.cc
@@ -223,7 +223,8 @@
 }
 
 void PlatformRunnerStandin::Refuse(HttpExchange& exchange) {
-  m_refusals.push_back(MonotonicNow());
+  m_refusals.push_back(
+      {std::string(exchange.Header("X-Attempt-Id")), MonotonicNow()});
   HttpHeaders headers = {{"X-Not-Executed", "1"}};
   AddSignals(headers);
   if (m_rest) {
--- a/standins/platform_runner_standin.h
+++ b/standins/platform_runner_standin.h
@@ -58,6 +58,12 @@
   bool ended = false;
 };
 
+/// A request that a runner did not run.
+struct RefusedRequest {
+  std::string id;
+  TimePoint at;
+};
+
 class PlatformRunnerStandin {
  public:
   PlatformRunnerStandin(EventLoop& loop,
@@ -104,8 +110,8 @@
   void SetRest(std::optional<Duration> rest) { m_rest = rest; }
   /// Says in all answers that it leaves.
   void SetLeaving(bool leaving) { m_leaving = leaving; }
-  /// When it refused a request because it is full.
-  const std::vector<TimePoint>& refusals() const { return m_refusals; }
+  /// Requests that it refused because it is full.
+  const std::vector<RefusedRequest>& refusals() const { return m_refusals; }
   /// The next plain answers bear another request's name.
   void SetMixesAnswers(bool mixes) { m_mixes_answers = mixes; }
 
@@ -137,7 +143,7 @@
   std::optional<double> m_limit;
   std::optional<Duration> m_rest;
   bool m_leaving = false;
-  std::vector<TimePoint> m_refusals;
+  std::vector<RefusedRequest> m_refusals;
   uint64_t m_orders = 0;
   int m_halt_after = -1;
   Duration m_halt{0};
--- a/tests/platform_backpressure_test.cc
+++ b/tests/platform_backpressure_test.cc
@@ -158,13 +158,13 @@
   REQUIRE(weary != site.runners.end());
   (*weary)->SetFull(true);
   (*weary)->SetRest(kRest);
-  const std::vector<TimePoint>& refusals = (*weary)->refusals();
+  const std::vector<RefusedRequest>& refusals = (*weary)->refusals();
   REQUIRE(RunUntil(site.loop, [&] { return !refusals.empty(); }));
-  const TimePoint told = refusals.front();
+  const TimePoint told = refusals.front().at;
   REQUIRE(RunUntil(site.loop, [&] { return MonotonicNow() - told > kRest; }));
-  const auto late =
-      std::count_if(refusals.begin(), refusals.end(), [&](TimePoint at) {
-        return at - told > kRestGrace && at - told < kRest;
+  const auto late = std::count_if(
+      refusals.begin(), refusals.end(), [&](const RefusedRequest& refused) {
+        return refused.at - told > kRestGrace && refused.at - told < kRest;
       });
   CHECK(static_cast<size_t>(late) <= kMostWhileResting);
   callers.Stop();
