entry: a refusal because servers asked for less has a code and an explanation of its own

Cause: such a refusal bore code 106, whose meaning speaks of a deadline that would be missed and whose line of explain names a prediction that there is none of.

--- a/include/filbertrack/base_result.h
+++ b/include/filbertrack/base_result.h
@@ -43,6 +43,7 @@
   kCallerGone = 117,
   kMayBeBehind = 118,
   kEndsServers = 119,
+  kServersHoldOff = 120,
 };
 
 /// One row of the table of result codes.
--- a/source/base_result.cc
+++ b/source/base_result.cc
@@ -59,6 +59,9 @@
     {kEndsServers, "ends-servers", 503,
      "Backend servers end while they run this request; do not send it again as "
      "it is."},
+    {kServersHoldOff, "servers-hold-off", 503,
+     "Every backend server that is left has asked for fewer requests or none; "
+     "Retry-After says when to return."},
 });
 
 }  // namespace
--- a/source/entry_relay.cc
+++ b/source/entry_relay.cc
@@ -38,6 +38,18 @@
   return passed;
 }
 
+ResultCode CodeOf(DispatchDenial denial) {
+  switch (denial) {
+    case DispatchDenial::kNoneServing:
+      return ResultCode::kNoServingGroup;
+    case DispatchDenial::kAllBusy:
+      return ResultCode::kOverloaded;
+    case DispatchDenial::kAllHeldBack:
+      return ResultCode::kServersHoldOff;
+  }
+  return ResultCode::kOverloaded;
+}
+
 }  // namespace
 
 int RefusalStatus(ResultCode code, Outcome outcome) {
@@ -176,9 +188,7 @@
   if (refusal.reason == DispatchDenial::kAllBusy) {
     m_refused_at = refusal.predicted;
   }
-  Feed(NoTarget{refusal.reason == DispatchDenial::kNoneServing
-                    ? ResultCode::kNoServingGroup
-                    : ResultCode::kOverloaded});
+  Feed(NoTarget{CodeOf(refusal.reason)});
 }
 
 DispatchDecision EntryRelay::ChooseTarget(TimePoint now) {
--- a/source/explain_request.cc
+++ b/source/explain_request.cc
@@ -104,6 +104,11 @@
                Milliseconds(Number(end, "aim_ms")) +
                "; the caller was told to come back after " +
                Milliseconds(Number(end, "retry_after_ms")) + "." + Groups(end);
+      case ResultCode::kServersHoldOff:
+        return Refusal(end) +
+               ": every server that was left had asked for fewer requests or "
+               "none; the caller was told to come back after " +
+               Milliseconds(Number(end, "retry_after_ms")) + "." + Groups(end);
       case ResultCode::kAttemptRefused:
         return Refusal(end) + " after " + std::to_string(Number(end, "sends")) +
                " sends: " + Attempts() + ", and no retry was left or allowed.";
--- a/tests/explain_test.cc
+++ b/tests/explain_test.cc
@@ -29,6 +29,7 @@
 {"event":"server-ended","node":"e2","time_ms":5350,"at_us":42,"server":"h9","evidence":"no answer","age_ms":3,"requests":[{"digest":"d8","progress":"answering","ends":2}]}
 {"event":"request-marked","node":"e3","time_ms":5900,"at_us":43,"digest":"d7","ends":3,"servers":["h5","h6","h8"],"from":"own"}
 {"event":"request","node":"e3","time_ms":6000,"at_us":44,"request":"r7","code":119,"outcome":"not-run","sends":0,"digest":"d7"}
+{"event":"request","node":"e3","time_ms":6100,"at_us":45,"request":"r8","code":120,"outcome":"not-run","sends":0,"retry_after_ms":700}
 not a line
 {"no event":1}
 )";
@@ -44,7 +45,7 @@
 
 TEST_CASE("lines are read whatever stands before them") {
   const auto trail = Trail();
-  REQUIRE(trail.size() == 17);
+  REQUIRE(trail.size() == 18);
   CHECK(trail[0].node == "e1");
   CHECK(trail[0].fields["target"] == "h1");
 }
@@ -145,5 +146,12 @@
                     [](const LossRow& row) { return row.window_ms == 2000; }));
 }
 
+TEST_CASE("a refusal because servers asked for less names no prediction") {
+  const std::string cause = ExplainRequest(Trail(), "r8").cause;
+  CHECK(Contains(cause, "Refused as not run"));
+  CHECK(Contains(cause, "asked for fewer requests or none"));
+  CHECK(Contains(cause, "come back after 700 ms"));
+}
+
 }  // namespace
 }  // namespace filbertrack
