--- a/include/filbertrack/dispatch_board.h
+++ b/include/filbertrack/dispatch_board.h
@@ -67,9 +67,7 @@
   const std::set<std::string, std::less<>>* excluded = nullptr;
   /// Targets of this data centre go first while one of them answers in time;
   /// empty: all are alike. Loads of the own data centre are some 100 ms old,
-  /// others half a second, in which a target gets several requests: of 473
-  /// requests a second from 72 hosts to 40 targets that are 0.8 full, 25 % met
-  /// a full target when all were alike, 11 % so (replayed by a test).
+  /// others half a second, in which a target gets several requests.
   std::string_view near_data_centre;
   /// Knows which targets ask for no request now; null: none does.
   const Backpressure* backpressure = nullptr;
@@ -116,9 +114,8 @@
 struct DispatchPolicy {
   /// Targets drawn at random for one request, of which the best is taken. Loads
   /// of other entry hosts are up to 150 ms old: were all targets looked at, all
-  /// hosts would send to the same one until the next news. With 78 hosts 80 %
-  /// of the credit of a busy day was earned with three, 73 % with twelve. The
-  /// cost does not grow with the fleet.
+  /// hosts would send to the same one until the next news. The cost does not
+  /// grow with the fleet.
   size_t candidates = 3;
   /// A target that failed is left out for this long, doubled with each failure
   /// in a row.
@@ -134,9 +131,8 @@
   /// everybody behind late.
   double full_aim_slack = 1.0;
   /// Before a request is turned away, so many targets are looked at for one
-  /// that answers within its aim: where three of 20 targets had room, a draw of
-  /// three refused more than 10 of 40 requests, a wider look none (replayed by
-  /// a test). It bounds the cost of a refusal.
+  /// that answers within its aim: a draw of a few misses the last ones that
+  /// have room. It bounds the cost of a refusal.
   size_t most_candidates = 64;
   /// Such a target is taken while so much of its slots is taken at the most: of
   /// many targets, the one that looks free is most likely one that others are
--- a/include/filbertrack/entry_peers.h
+++ b/include/filbertrack/entry_peers.h
@@ -39,8 +39,7 @@
   Duration settle = Seconds(2);
   /// While it settles, a host that has heard nobody watches the store only
   /// after this over its capacity: the weaker it is, the surer that stronger
-  /// ones do. A whole fleet that starts would watch otherwise, 1,500 calls of
-  /// 195 hosts.
+  /// ones do. A whole fleet that starts would watch otherwise.
   Duration alone_after = Seconds(8);
   /// In large fleets so many hosts of a data centre ask the other ones; a
   /// second one, so that the loss of one is no gap.
--- a/include/filbertrack/entry_prober.h
+++ b/include/filbertrack/entry_prober.h
@@ -10,10 +10,10 @@
 ///
 /// A prober whose own link or processor is late hears no answers either. It
 /// would declare hosts silent that live, and the planner would take their
-/// groups apart: 462 of 760 within a second, and no group served any more. So a
-/// host counts as silent only while others that were asked at the same time
-/// answer; where most do not, nothing is said of those that fell silent, and
-/// what the store tells of lapsed registrations stands.
+/// groups apart, until none serves. So a host counts as silent only while
+/// others that were asked at the same time answer; where most do not, nothing
+/// is said of those that fell silent, and what the store tells of lapsed
+/// registrations stands.
 
 #include <cstdint>
 #include <deque>
--- a/include/filbertrack/entry_roster.h
+++ b/include/filbertrack/entry_roster.h
@@ -53,9 +53,8 @@
   void LoadSecret();
   void OnSecret(const StoreAnswer& answer);
   /// Writes the record of this host unless `known`, the one in the store, says
-  /// the same already. A host that restarts has the address that it had; with
-  /// a write that conflicts and a second one, a start of 195 hosts took 390
-  /// writing calls more.
+  /// the same already. A host that restarts has the address that it had, and
+  /// saves a write that conflicts and a second one.
   void EnsureRegistered(const StoredObject* known);
   void Register(uint64_t expected_version);
   std::string OwnRecord() const;
--- a/include/filbertrack/replica_plan.h
+++ b/include/filbertrack/replica_plan.h
@@ -96,17 +96,14 @@
   Duration stall = Seconds(5);
   /// Beyond `stall`, for reports that are under way.
   Duration stall_margin = Seconds(1);
-  /// An order that was not answered may be carried out up to this much later:
-  /// the platform states no bound, 12 s is the longest that its notes name.
+  /// An order that was not answered may be carried out up to this much later.
   Duration order_life = Seconds(12);
   /// An order that shows no effect after this is given again. A report comes
   /// some 50 ms after its order was carried out, half a second while the store
   /// is slow.
   Duration order_retry = Milliseconds(500);
   /// A group some members of which do not begin to join is given up after this:
-  /// three further orders to each. With 35 % of the orders astray, two pairs
-  /// that lost a member serve again after 3.1 s, 3.9 s if none is repeated
-  /// (replayed by a test).
+  /// three further orders to each.
   Duration forming_patience = Milliseconds(2000);
   /// The same where the head does not begin, which is not ordered again: longer
   /// than two reports of one group lie apart while the store is slow.
--- a/source/entry_relay.cc
+++ b/source/entry_relay.cc
@@ -13,30 +13,12 @@
 
 /// A caller that does not read its stream is dropped at this many bytes.
 constexpr size_t kMostUnsentBytes = 1024 * 1024;
-constexpr size_t kMostAnswerBytes = 8 * 1024 * 1024;
 /// Servers that refuse a request cost it little; beyond a few of them the fleet
 /// is full.
 constexpr int kSendsBeyondAttempts = 2;
-constexpr int kFirstRedirect = 300;
 constexpr int kNotRunStatus = 503;
 constexpr int kBadGateway = 502;
 constexpr int kGatewayTimeout = 504;
-constexpr std::string_view kEventStream = "text/event-stream";
-
-bool IsSuccess(int status) {
-  return status >= 200 && status < kFirstRedirect;
-}
-
-HttpHeaders PassedHeaders(const HttpHeaders& headers) {
-  HttpHeaders passed;
-  passed.reserve(headers.size());
-  for (const auto& header : headers) {
-    if (!IsHopByHop(header.first)) {
-      passed.push_back(header);
-    }
-  }
-  return passed;
-}
 
 ResultCode CodeOf(DispatchDenial denial) {
   switch (denial) {
@@ -287,88 +269,6 @@
   return call;
 }
 
-void EntryRelay::OnHead(int status, const HttpHeaders& headers) {
-  const AnswerFacts facts = m_context.dialect.ReadAnswer(status, headers);
-  m_last_byte = MonotonicNow();
-  if (m_choice && !facts.wrong_server) {
-    m_context.poison.OnAnswer(m_choice->target, m_sent_at);
-  }
-  m_not_run = facts.not_run || facts.wrong_server;
-  m_rest = facts.rest;
-  const bool names_other = !facts.request_id.empty() &&
-                           facts.request_id != m_request.facts.request_id;
-  if (m_choice && !facts.wrong_server && !names_other) {
-    m_context.backpressure.OnAnswer(m_choice->target, facts, m_sent_at,
-                                    m_last_byte);
-  }
-  const bool unsealed = IsSuccess(status) && !facts.sealed;
-  const bool is_events =
-      FindHeader(headers, "Content-Type").starts_with(kEventStream);
-  m_attempt_status = status;
-  m_why_ended = m_not_run           ? "server refused it"
-                : names_other       ? "answer to another request"
-                : unsealed          ? "answer without the server's mark"
-                : IsSuccess(status) ? "broke off"
-                                    : "error of the server";
-  if (m_state.answer_started && !m_not_run &&
-      (!IsSuccess(status) || !is_events)) {
-    // The caller has the first part; only events can follow it.
-    Feed(AttemptFailed{true});
-    return;
-  }
-  if (!m_state.answer_started) {
-    m_answer_status = status;
-    m_answer_headers = PassedHeaders(headers);
-    m_state.traits.shape =
-        IsStream(m_request.route->repeat) && IsSuccess(status) && is_events
-            ? AnswerShape::kTokenStream
-            : AnswerShape::kWhole;
-  }
-  Feed(AttemptHead{status, !names_other && !unsealed, m_not_run});
-}
-
-void EntryRelay::OnBytes(std::string_view bytes) {
-  m_last_byte = MonotonicNow();
-  if (m_state.traits.shape == AnswerShape::kWhole) {
-    if (m_answer_body.size() + bytes.size() > kMostAnswerBytes) {
-      Feed(AttemptFailed{true});
-      return;
-    }
-    m_answer_body.append(bytes);
-    return;
-  }
-  const std::shared_ptr<bool> alive = m_alive;
-  for (SseEvent& event : m_splitter.Push(bytes)) {
-    Feed(AttemptToken{std::move(event)});
-    if (!*alive || !m_choice) {
-      return;
-    }
-  }
-  if (!m_splitter.valid()) {
-    m_why_ended = "bytes that are no events";
-    Feed(AttemptFailed{true});
-  }
-}
-
-void EntryRelay::OnComplete() {
-  m_call.reset();
-  if (m_state.traits.shape == AnswerShape::kTokenStream &&
-      m_splitter.has_rest()) {
-    m_why_ended = "stopped in the middle of an event";
-    Feed(AttemptFailed{true});
-    return;
-  }
-  Feed(AttemptComplete{});
-}
-
-void EntryRelay::OnFailure(bool may_have_left) {
-  m_why_ended = may_have_left ? "connection broke" : "no connection";
-  if (may_have_left && m_choice) {
-    m_context.poison.OnBroken(m_choice->target, AttemptSoFar());
-  }
-  Feed(AttemptFailed{may_have_left});
-}
-
 void EntryRelay::CloseAttempt(bool failed) {
   m_call.reset();
   if (!m_choice) {
--- a/tests/dispatch_test.cc
+++ b/tests/dispatch_test.cc
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <queue>
 
+#include "dispatch_fixture.h"
 #include "fake_engine.h"
 #include "filbertrack/dispatch_board.h"
 #include "filbertrack/dispatch_connections.h"
@@ -11,80 +12,6 @@
 namespace filbertrack {
 namespace {
 
-const TimePoint kStart{Seconds(1000)};
-
-Catalog MakeCatalog() {
-  CatalogParts parts;
-  EngineProfile engine;
-  engine.slots = 17;
-  engine.step = Duration(7800);
-  engine.step_per_request = Duration(95);
-  engine.step_per_1k_context = Duration(10);
-  engine.prompt_tokens_per_second = 45900;
-  engine.chunk_tokens = 2048;
-  engine.stride = 5;
-  engine.usual_prompt_tokens = 979;
-  engine.usual_answer_tokens = 154;
-  ModelProfile model;
-  model.name = "m";
-  model.members = 2;
-  model.pace = 0.6;
-  engine.models = {model};
-  parts.services["llm"] = {"llm", 300, engine};
-  parts.services["plain"] = {"plain", 100, std::nullopt};
-  return Catalog(std::move(parts));
-}
-
-std::vector<DispatchTarget> MakeTargets(int count, const std::string& model) {
-  std::vector<DispatchTarget> targets;
-  for (int i = 0; i < count; ++i) {
-    targets.push_back({"t" + std::to_string(i),
-                       {"127.0.0.1", 1},
-                       model.empty() ? "plain" : "llm",
-                       model,
-                       "dc",
-                       17,
-                       100});
-  }
-  return targets;
-}
-
-DispatchQuery MakeQuery(double prompt_tokens = 714) {
-  DispatchQuery query;
-  query.service = "llm";
-  query.model = "m";
-  query.prompt_tokens = prompt_tokens;
-  query.time_to_aim = Milliseconds(300);
-  query.time_left = Seconds(6);
-  return query;
-}
-
-/// Looks at every target, for cases about the choice among them.
-DispatchPolicy LookAtAll() {
-  DispatchPolicy policy;
-  policy.candidates = 100;
-  return policy;
-}
-
-struct Board {
-  explicit Board(int targets, DispatchPolicy policy = LookAtAll())
-      : board(policy, 1) {
-    board.SetTargets(MakeTargets(targets, "m"), MakeCatalog(), kStart);
-  }
-
-  std::string Place(const DispatchQuery& query, TimePoint now = kStart) {
-    const auto decision = board.Choose(query, now);
-    const auto* choice = std::get_if<DispatchChoice>(&decision);
-    if (choice == nullptr) {
-      return "";
-    }
-    board.OnSent(choice->target.id, query.prompt_tokens);
-    return choice->target.id;
-  }
-
-  DispatchBoard board;
-};
-
 TEST_CASE("requests spread evenly over equal targets") {
   Board board(6);
   std::map<std::string, int> placed;
@@ -486,54 +413,5 @@
   CHECK(KeptConnections(100, 0) == 50);
 }
 
-/// Servers t0 up to `count` name a limit that this host has used up.
-Backpressure HoldBack(int count) {
-  Backpressure backpressure("e0", {}, 0);
-  for (int i = 0; i < count; ++i) {
-    backpressure.OnAnswer({{"t" + std::to_string(i), 0}, 2.0, kStart}, kStart);
-  }
-  return backpressure;
-}
-
-TEST_CASE("a target that takes no request now is passed over") {
-  Board board(3);
-  const Backpressure backpressure = HoldBack(2);
-  DispatchQuery query = MakeQuery();
-  query.backpressure = &backpressure;
-  for (int i = 0; i < 5; ++i) {
-    CHECK(board.Place(query) == "t2");
-  }
-}
-
-TEST_CASE("a caller that no target takes now is told when one will") {
-  Board board(2);
-  const Backpressure backpressure = HoldBack(2);
-  DispatchQuery query = MakeQuery();
-  query.backpressure = &backpressure;
-  const auto decision = board.board.Choose(query, kStart);
-  const auto* refusal = std::get_if<DispatchRefusal>(&decision);
-  REQUIRE(refusal != nullptr);
-  CHECK(refusal->reason == DispatchDenial::kAllHeldBack);
-  CHECK(refusal->retry_after >= Milliseconds(500));
-  CHECK(board.Place(query, kStart + refusal->retry_after) != "");
-}
-
-TEST_CASE("places that a limit keeps free are no room for others") {
-  // Otherwise callers are let in late at full targets, as if there were room
-  // beside them, and make everybody behind late.
-  Board board(4);
-  const Backpressure backpressure = HoldBack(2);
-  DispatchQuery query = MakeQuery();
-  query.backpressure = &backpressure;
-  std::map<std::string, TargetLoad, std::less<>> full;
-  full["t2"] = full["t3"] = {17, 0};
-  board.board.SetRemoteLoads(full, 0, kStart);
-  query.time_to_aim = Milliseconds(1);
-  const auto decision = board.board.Choose(query, kStart);
-  const auto* refusal = std::get_if<DispatchRefusal>(&decision);
-  REQUIRE(refusal != nullptr);
-  CHECK(refusal->reason == DispatchDenial::kAllBusy);
-}
-
 }  // namespace
 }  // namespace filbertrack
