tests, soak: entry hosts that start again while a limit holds

Traced: an entry host had been started again and paused before it heard of anything, woke after 2.8 s and placed 11 waiting calls there in one turn, before any answer of that process had named the limit; the platform counts a host half a second after it has passed on such an answer.

--- a/soak/soak_signals.cc
+++ b/soak/soak_signals.cc
@@ -15,6 +15,9 @@
 /// Requests in a window beyond one and a half times the limit.
 constexpr double kLimitSlack = 5;
 constexpr double kLimitOver = 1.5;
+/// An entry host counts that had passed on the limit so long before, in the
+/// same process and not paused since.
+constexpr Duration kTold = Milliseconds(500);
 /// Requests of one entry host to a server that asked it for rest, from half a
 /// second after that to the end.
 constexpr Duration kRestGrace = Milliseconds(500);
@@ -45,6 +48,10 @@
                      [=](TimePoint at) { return at >= begin && at <= end; });
 }
 
+std::string SealOf(const RunnerHost& host) {
+  return "seal-of-" + host.standin->id();
+}
+
 }  // namespace
 
 Signals::Signals(EventLoop& loop, Fleet& fleet, uint64_t seed)
@@ -195,11 +202,30 @@
   return arrivals;
 }
 
+bool Signals::WasTold(const Span& span,
+                      const Callers& callers,
+                      const Arrival& arrival) const {
+  if (arrival.entry == nullptr) {
+    return false;
+  }
+  const std::string seal = SealOf(*span.host);
+  return std::any_of(
+      callers.records().begin(), callers.records().end(),
+      [&](const CallRecord& record) {
+        return record.entry == arrival.entry->name && record.seal == seal &&
+               record.began >= span.begin &&
+               record.ended_at <= arrival.at - kTold &&
+               !AnyWithin(arrival.entry->disturbed, record.began, arrival.at);
+      });
+}
+
 void Signals::CheckLimit(const Span& span,
+                         const Callers& callers,
                          std::vector<std::string>& violations) {
   std::vector<Arrival> arrivals = ArrivalsAt(*span.host);
-  std::erase_if(arrivals, [&span](const Arrival& arrival) {
-    return arrival.at < span.begin + kLimitSettle || arrival.at > span.end;
+  std::erase_if(arrivals, [&](const Arrival& arrival) {
+    return arrival.at < span.begin + kLimitSettle || arrival.at > span.end ||
+           !WasTold(span, callers, arrival);
   });
   const double most =
       kLimitOver * span.limit * ToSeconds(kLimitWindow) + kLimitSlack;
@@ -251,7 +277,7 @@
 void Signals::CheckLeaving(const Span& span,
                            const Callers& callers,
                            std::vector<std::string>& violations) {
-  const std::string seal = "seal-of-" + span.host->standin->id();
+  const std::string seal = SealOf(*span.host);
   std::map<std::string, TimePoint> told;
   for (const CallRecord& record : callers.records()) {
     if (!record.broke && record.seal == seal && record.began >= span.begin) {
@@ -296,7 +322,7 @@
   for (const Span& span : m_spans) {
     switch (span.kind) {
       case Kind::kLimit:
-        CheckLimit(span, violations);
+        CheckLimit(span, callers, violations);
         break;
       case Kind::kRest:
         CheckRest(span, violations);
--- a/soak/soak_signals.h
+++ b/soak/soak_signals.h
@@ -58,7 +58,13 @@
   void EndAfter(Duration time, std::function<void()> undo);
 
   std::vector<Arrival> ArrivalsAt(const RunnerHost& host) const;
-  void CheckLimit(const Span& span, std::vector<std::string>& violations);
+  /// The arrival's entry host had passed on what the server said.
+  bool WasTold(const Span& span,
+               const Callers& callers,
+               const Arrival& arrival) const;
+  void CheckLimit(const Span& span,
+                  const Callers& callers,
+                  std::vector<std::string>& violations);
   void CheckRest(const Span& span, std::vector<std::string>& violations);
   void CheckLeaving(const Span& span,
                     const Callers& callers,
