--- /dev/null
+++ b/tests/backpressure_cost.cc
@@ -0,0 +1,67 @@
+/// Prints what limits that servers name cost an entry host of a large fleet
+/// where every server names one.
+
+#include <ctime>
+
+#include <cstdio>
+#include <string>
+#include <vector>
+
+#include "filbertrack/backpressure.h"
+#include "filbertrack/news_message.h"
+
+namespace {
+
+using namespace filbertrack;
+
+constexpr int kHosts = 330;
+constexpr int kServers = 3300;
+
+/// Processor time of the action, a round.
+template <typename Action>
+double MicrosecondsOf(int rounds, Action action) {
+  const std::clock_t begin = std::clock();
+  for (int i = 0; i < rounds; ++i) {
+    action();
+  }
+  constexpr double kMicroseconds = 1e6;
+  return static_cast<double>(std::clock() - begin) * kMicroseconds /
+         CLOCKS_PER_SEC / rounds;
+}
+
+}  // namespace
+
+int main() {
+  TimePoint now{Seconds(1000)};
+  std::vector<std::string> hosts;
+  for (int i = 0; i < kHosts; ++i) {
+    hosts.push_back("front-hall-a-" + std::to_string(i));
+  }
+  Backpressure state("front-hall-a-0", {}, 1);
+  state.SetFleet(hosts, now);
+  std::vector<ServerLife> servers;
+  for (int i = 0; i < kServers; ++i) {
+    servers.push_back({"i-0123456" + std::to_string(i), 1796269846484});
+    state.OnAnswer({servers.back(), 2.5, now}, now);
+  }
+  size_t sum = 0;
+  std::printf("round without a change of the fleet: %.1f us\n",
+              MicrosecondsOf(200, [&] { state.SetFleet(hosts, now); }));
+  std::printf("round in which a host is new: %.0f us\n",
+              MicrosecondsOf(20, [&] {
+                hosts.push_back("new-" + std::to_string(hosts.size()));
+                state.SetFleet(hosts, now);
+              }));
+  std::printf("whether one server takes a request: %.2f us\n",
+              MicrosecondsOf(100000, [&] {
+                sum += state.MaySend(servers[sum % kServers], now) ? 2U : 1U;
+              }));
+  NewsAnswer answer;
+  const size_t at_rest = EncodeNewsAnswer(answer).size();
+  answer.limits = state.Since(0, now);
+  std::printf("words in one answer: %zu, bytes each: %.0f\n",
+              answer.limits.words.size(),
+              static_cast<double>(EncodeNewsAnswer(answer).size() - at_rest) /
+                  static_cast<double>(answer.limits.words.size()));
+  return sum == 0 ? 1 : 0;
+}
