--- a/soak/main_soak.cc
+++ b/soak/main_soak.cc
@@ -24,6 +24,9 @@
 /// After the faults, until all entry hosts must know of it: the hosts that are
 /// started again, and as long as the platform grants besides.
 constexpr Duration kAgreeing = Seconds(6);
+constexpr Duration kStallCheck = Milliseconds(100);
+/// A turn of this process that takes longer is a stall.
+constexpr Duration kLongestTurn = Seconds(1);
 /// Between signals of servers.
 constexpr Duration kSignalInterval = Milliseconds(700);
 /// Servers that it may end later, over the whole fleet.
@@ -57,6 +60,40 @@
   return !over;
 }
 
+/// Notices when this process, and with it all backend servers and callers,
+/// stood still: to the entry hosts that is a fault of everything at once.
+class StallWatch {
+ public:
+  StallWatch(EventLoop& loop, Fleet& fleet, Callers& callers)
+      : m_fleet(fleet),
+        m_callers(callers),
+        m_last(MonotonicNow()),
+        m_timer(loop.Every(kStallCheck, [this] { Check(); })) {}
+
+  int count() const { return m_count; }
+
+ private:
+  void Check() {
+    const TimePoint now = MonotonicNow();
+    if (now - m_last > kLongestTurn) {
+      ++m_count;
+      for (const TimePoint at : {m_last, now}) {
+        m_callers.NoteUnplanned(at);
+        for (const auto& entry : m_fleet.entries()) {
+          entry->disturbed.push_back(at);
+        }
+      }
+    }
+    m_last = now;
+  }
+
+  Fleet& m_fleet;
+  Callers& m_callers;
+  TimePoint m_last;
+  std::unique_ptr<Timer> m_timer;
+  int m_count = 0;
+};
+
 void Report(const Line& line, const std::vector<std::string>& violations) {
   for (const std::string& violation : violations) {
     std::printf("seed %llu: %s\n", static_cast<unsigned long long>(line.seed),
@@ -106,6 +143,7 @@
     fleet.violations().push_back("no two groups opened in the lead time");
   }
   Callers callers(loop, fleet, line.seed);
+  const StallWatch stalls(loop, fleet, callers);
   Faults faults(loop, fleet, callers, line.seed + 1);
   // Entry hosts may still be starting.
   callers.NoteUnplanned(MonotonicNow());
@@ -139,9 +177,10 @@
   Report(line, fleet.violations());
   std::printf(
       "%zu calls, %zu answered, %d faults, %zu copies of a request "
-      "that ended %d servers, %zu signals of servers with %zu requests\n",
+      "that ended %d servers, %zu signals of servers with %zu requests, "
+      "%d stalls of the soak itself\n",
       callers.count(), callers.CountAnswered(), faults.count(), poison.copies(),
-      fleet.crashes(), signals.count(), signals.checked());
+      fleet.crashes(), signals.count(), signals.checked(), stalls.count());
   const size_t bad = fleet.violations().size();
   std::printf("%d passed, %zu failed\n", bad == 0 ? 1 : 0, bad);
   return bad == 0 ? 0 : 1;
