backpressure, soak: the list of entry hosts is made anew only where it changed

Cause: each round of 150 ms copied and compared the names of all entry hosts, also where no server names a limit and no host came or went; the ledger kept a question that nobody asks, and the soak a number beside each server that it never read. Change: NoteHeard() says whether the hosts are others than before; what was not used is gone. No behaviour changes.

--- a/include/filbertrack/backpressure.h
+++ b/include/filbertrack/backpressure.h
@@ -75,6 +75,8 @@
   /// This host's part of a limit; nullopt: it holds none.
   using Pace = std::optional<TokenBucket>;
 
+  /// True if other hosts than before are remembered.
+  bool NoteHeard(std::span<const std::string> hosts, TimePoint now);
   void SetPace(const ServerLife& server, TimePoint now);
   void SetPaces(TimePoint now);
 
--- a/include/filbertrack/backpressure_limits.h
+++ b/include/filbertrack/backpressure_limits.h
@@ -69,9 +69,6 @@
   /// Servers that name a limit.
   std::vector<ServerLife> Limited() const;
 
-  /// Neither limits nor ends of limits are known.
-  bool IsEmpty() const { return m_words.empty(); }
-
   /// Drops words that are old, and the oldest above the bound. True if there
   /// were any.
   bool ForgetOld(TimePoint now);
--- a/soak/soak_signals.cc
+++ b/soak/soak_signals.cc
@@ -52,6 +52,12 @@
   return "seal-of-" + host.standin->id();
 }
 
+/// A time between `least` and `least` + `more`.
+Duration Draw(std::mt19937_64& random, Duration least, Duration more) {
+  return least + Duration(static_cast<int64_t>(
+                     random() % static_cast<uint64_t>(more.count())));
+}
+
 }  // namespace
 
 Signals::Signals(EventLoop& loop, Fleet& fleet, uint64_t seed)
@@ -127,17 +133,11 @@
   });
 }
 
-/// A time between `least` and `least` + `more`.
-static Duration Draw(std::mt19937_64& random, Duration least, Duration more) {
-  return least + Duration(static_cast<int64_t>(
-                     random() % static_cast<uint64_t>(more.count())));
-}
-
 void Signals::BeginLimit(RunnerHost& host) {
   const double limit = 0.2 + static_cast<double>(m_random() % 40) / 10;
   const Duration lasts = Draw(m_random, kLeastLimit, kMoreLimit);
   const TimePoint now = MonotonicNow();
-  m_active[&host] = m_spans.size();
+  m_active.insert(&host);
   m_spans.push_back({Kind::kLimit, &host, now, now + lasts, limit, {}});
   host.standin->SetLimit(limit);
   EndAfter(lasts, [this, &host] {
@@ -150,7 +150,7 @@
   const Duration lasts = Draw(m_random, kLeastRefusing, kMoreRefusing);
   const Duration rest = Draw(m_random, kLeastRest, kMoreRest);
   const TimePoint now = MonotonicNow();
-  m_active[&host] = m_spans.size();
+  m_active.insert(&host);
   m_spans.push_back({Kind::kRest, &host, now, now + lasts, 0, rest});
   host.standin->SetRest(rest);
   host.standin->SetFull(true);
@@ -163,7 +163,7 @@
 
 void Signals::BeginLeaving(RunnerHost& host) {
   const TimePoint now = MonotonicNow();
-  m_active[&host] = m_spans.size();
+  m_active.insert(&host);
   m_spans.push_back({Kind::kLeaving, &host, now, now + kLeaves, 0, {}});
   host.standin->SetLeaving(true);
   const bool is_plain =
--- a/soak/soak_signals.h
+++ b/soak/soak_signals.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -76,7 +77,8 @@
   Duration m_interval{0};
   bool m_stopped = true;
   std::vector<Span> m_spans;
-  std::map<RunnerHost*, size_t> m_active;
+  /// Servers that say something now, or have said that they leave.
+  std::set<RunnerHost*> m_active;
   /// Entry host of each call.
   std::map<std::string, const EntryProcess*> m_entry_of;
   size_t m_checked = 0;
--- a/source/backpressure.cc
+++ b/source/backpressure.cc
@@ -32,25 +32,33 @@
 }
 
 void Backpressure::SetFleet(std::span<const std::string> hosts, TimePoint now) {
+  const bool changed = NoteHeard(hosts, now);
+  m_rests.ForgetOld(now);
+  const bool forgot = m_limits.ForgetOld(now);
+  if (changed || forgot) {
+    SetPaces(now);
+  }
+}
+
+bool Backpressure::NoteHeard(std::span<const std::string> hosts,
+                             TimePoint now) {
+  bool changed = false;
   for (const std::string& host : hosts) {
     if (host != m_own) {
-      m_heard[host] = now;
+      changed = m_heard.insert_or_assign(host, now).second || changed;
     }
   }
-  std::erase_if(m_heard, [this, now](const auto& row) {
+  const auto is_gone = [this, now](const auto& row) {
     return now - row.second > m_policy.host_memory;
-  });
-  std::vector<std::string> all{m_own};
-  for (const auto& [host, at] : m_heard) {
-    all.push_back(host);
-  }
-  const bool changed = all != m_hosts;
-  m_hosts = std::move(all);
-  m_rests.ForgetOld(now);
-  const bool forgot = m_limits.ForgetOld(now);
-  if (changed || forgot) {
-    SetPaces(now);
+  };
+  changed = std::erase_if(m_heard, is_gone) > 0 || changed;
+  if (changed) {
+    m_hosts.assign(1, m_own);
+    for (const auto& [host, at] : m_heard) {
+      m_hosts.push_back(host);
+    }
   }
+  return changed;
 }
 
 void Backpressure::SetPaces(TimePoint now) {
