tests, standins: evacuated data centres, cold servers and bound regions; fail

Cause: nothing on the request path reads an evacuation, a region or what a server says of being cold.

--- a/standins/platform_runner_standin.cc
+++ b/standins/platform_runner_standin.cc
@@ -9,6 +9,10 @@
 using Json = nlohmann::json;
 
 constexpr std::string_view kSeal = "seal-of-";
+/// A cold server ends at more requests in a second than these make of what it
+/// bears.
+constexpr double kColdOverage = 1.5;
+constexpr double kColdSlack = 5;
 /// From the beginning of a run until it ends the process.
 constexpr Duration kUntilCrash = Milliseconds(5);
 /// Three heartbeats, shortened.
@@ -36,14 +40,15 @@
 }
 
 void PlatformRunnerStandin::Register(const std::string& state) {
-  Json spec = {{"service", m_options.service},
-               {"address", m_published.ToString()},
-               {"zone", "z"},
-               {"version", "v1"},
-               {"slots", 4},
-               {"state", state},
-               {"coldRemainingMs", 0},
-               {"seq", 1}};
+  Json spec = {
+      {"service", m_options.service},
+      {"address", m_published.ToString()},
+      {"zone", m_options.data_centre},
+      {"version", "v1"},
+      {"slots", 4},
+      {"state", state},
+      {"coldRemainingMs", m_cold.registers ? ToMilliseconds(ColdLeft()) : 0},
+      {"seq", 1}};
   if (!m_options.is_plain) {
     spec["domain"] = m_options.domain;
     spec["staged"] = m_staged;
@@ -119,6 +124,15 @@
         200, {}, Json({{"running", 0}, {"queued", 0}, {"busy", false}}).dump());
     return;
   }
+  if (exchange->path() == "/health") {
+    HttpHeaders headers = {{"X-Runner-Id", m_options.id}};
+    if (is_cold()) {
+      headers.emplace_back("X-Cold-Ms",
+                           std::to_string(ToMilliseconds(ColdLeft())));
+    }
+    exchange->Reply(200, headers, "");
+    return;
+  }
   if (exchange->path() == "/order") {
     Obey(*exchange);
     return;
@@ -231,6 +245,52 @@
     headers.emplace_back("Retry-After", Json(ToSeconds(*m_rest)).dump());
   }
   exchange.Reply(503, headers, "");
+  CheckCold();
+}
+
+void PlatformRunnerStandin::SetCold(const ColdSpell& spell) {
+  m_cold = spell;
+  m_cold_until = MonotonicNow() + spell.left;
+  if (spell.registers) {
+    Register("ready");
+  }
+}
+
+Duration PlatformRunnerStandin::ColdLeft() const {
+  return std::max(Duration(0), m_cold_until - MonotonicNow());
+}
+
+size_t PlatformRunnerStandin::MostInSecond(TimePoint since) const {
+  std::vector<TimePoint> arrivals;
+  for (const SeenRequest& seen : m_seen) {
+    arrivals.push_back(seen.arrived);
+  }
+  for (const RefusedRequest& refused : m_refusals) {
+    arrivals.push_back(refused.at);
+  }
+  std::erase_if(arrivals, [since](TimePoint at) { return at < since; });
+  std::sort(arrivals.begin(), arrivals.end());
+  size_t most = 0;
+  size_t begin = 0;
+  for (size_t i = 0; i < arrivals.size(); ++i) {
+    while (arrivals[i] - arrivals[begin] >= Seconds(1)) {
+      ++begin;
+    }
+    most = std::max(most, i - begin + 1);
+  }
+  return most;
+}
+
+void PlatformRunnerStandin::CheckCold() {
+  const double borne = m_cold.per_second * kColdOverage + kColdSlack;
+  if (is_cold() &&
+      static_cast<double>(MostInSecond(MonotonicNow() - Seconds(1))) > borne) {
+    m_loop.Post([this, alive = m_alive] {
+      if (*alive) {
+        Crash();
+      }
+    });
+  }
 }
 
 void PlatformRunnerStandin::Run(const Exchange& exchange) {
@@ -246,6 +306,7 @@
   seen.time_left = exchange->Header("X-Deadline-Remaining");
   seen.arrived = MonotonicNow();
   m_seen.push_back(seen);
+  CheckCold();
   const bool ends =
       !m_options.ends_on.empty() &&
       exchange->body().find(m_options.ends_on) != std::string::npos;
@@ -285,6 +346,27 @@
          seen.last_event.empty() ? 1 : std::stoi(seen.last_event) + 1);
 }
 
+bool PlatformRunnerStandin::CutIfUnread(const Exchange& exchange,
+                                        size_t number) {
+  SeenRequest& seen = m_seen[number];
+  if (exchange->UnsentBytes() == 0) {
+    seen.unread_since.reset();
+    return false;
+  }
+  const TimePoint now = MonotonicNow();
+  if (!seen.unread_since) {
+    seen.unread_since = now;
+  }
+  const bool cuts = m_options.unread_patience > Duration(0) &&
+                    now - *seen.unread_since > m_options.unread_patience;
+  if (cuts) {
+    ++m_cut_unread;
+    exchange->Abort();
+    std::erase(m_streams, exchange);
+  }
+  return cuts;
+}
+
 void PlatformRunnerStandin::Stream(const Exchange& exchange,
                                    size_t number,
                                    int event) {
@@ -294,6 +376,9 @@
     if (!*alive || m_dead || !exchange->IsOpen()) {
       return;
     }
+    if (CutIfUnread(exchange, number)) {
+      return;
+    }
     if (event > m_options.events) {
       exchange->End();
       m_seen[number].ended = true;
--- a/standins/platform_runner_standin.h
+++ b/standins/platform_runner_standin.h
@@ -38,6 +38,7 @@
   RunnerObserver* observer = nullptr;
   std::string service = "llm";
   std::string domain = "d";
+  std::string data_centre = "z";
   bool is_plain = false;
   /// Events of a streamed answer, and the pause between them.
   int events = 5;
@@ -45,6 +46,17 @@
   Duration load = Milliseconds(20);
   /// A request whose body holds this ends the process; empty: none does.
   std::string ends_on;
+  /// A stream that stays unread for this long is cut; 0: none is.
+  Duration unread_patience{0};
+};
+
+/// A server that bears few requests until it is warm.
+struct ColdSpell {
+  Duration left{0};
+  /// Requests a second that it bears meanwhile.
+  double per_second = 0;
+  /// It tells so in its registration, not only in its health answers.
+  bool registers = true;
 };
 
 /// What a runner saw of one request.
@@ -56,6 +68,8 @@
   std::string time_left;
   TimePoint arrived;
   bool ended = false;
+  /// Since when its answer has stayed unread; nullopt: it is read.
+  std::optional<TimePoint> unread_since;
 };
 
 /// A request that a runner did not run.
@@ -75,6 +89,9 @@
   const std::vector<SeenRequest>& seen() const { return m_seen; }
   bool is_open() const { return m_state == "open"; }
   bool is_dead() const { return m_dead; }
+  /// Orders that reached it.
+  uint64_t orders() const { return m_orders; }
+  const std::string& data_centre() const { return m_options.data_centre; }
   const std::string& group() const { return m_group; }
   uint64_t epoch() const { return m_epoch; }
   const std::string& state() const { return m_state; }
@@ -108,6 +125,15 @@
   void SetLimit(std::optional<double> per_second) { m_limit = per_second; }
   /// Asks for so long a rest as it refuses; nullopt: it names no time.
   void SetRest(std::optional<Duration> rest) { m_rest = rest; }
+  /// Is cold from now on: it ends when well more requests reach it in a second
+  /// than it bears.
+  void SetCold(const ColdSpell& spell);
+  Duration ColdLeft() const;
+  bool is_cold() const { return MonotonicNow() < m_cold_until; }
+  /// The most requests, refused ones with them, in any second from `since` on.
+  size_t MostInSecond(TimePoint since) const;
+  /// Streams that it cut because they stayed unread.
+  int cut_unread() const { return m_cut_unread; }
   /// Says in all answers that it leaves.
   void SetLeaving(bool leaving) { m_leaving = leaving; }
   /// Requests that it refused because it is full.
@@ -124,6 +150,10 @@
   void Join(HttpExchange& exchange, const nlohmann::json& order);
   void Close(bool cancel);
   void Run(const Exchange& exchange);
+  /// A cold server ends under too many requests.
+  void CheckCold();
+  /// Cuts the stream if it stayed unread for too long.
+  bool CutIfUnread(const Exchange& exchange, size_t number);
   void Stream(const Exchange& exchange, size_t number, int event);
   HttpHeaders AnswerHeaders(HttpExchange& exchange) const;
   /// What it says of itself in all answers.
@@ -145,6 +175,9 @@
   bool m_leaving = false;
   std::vector<RefusedRequest> m_refusals;
   uint64_t m_orders = 0;
+  TimePoint m_cold_until{};
+  ColdSpell m_cold;
+  int m_cut_unread = 0;
   int m_halt_after = -1;
   Duration m_halt{0};
 
--- a/standins/platform_store_standin.cc
+++ b/standins/platform_store_standin.cc
@@ -9,6 +9,7 @@
 using Json = nlohmann::json;
 
 constexpr std::string_view kPrefix = "/objects/";
+constexpr int kUnavailable = 503;
 
 /// What stands for a byte that is no UTF-8, which the JSON library does not
 /// write: the letter U+00FF.
@@ -34,15 +35,26 @@
 PlatformStoreStandin::PlatformStoreStandin(EventLoop& loop, size_t page_size)
     : m_loop(loop),
       m_page_size(page_size),
-      m_server(loop, {}, [this](const Exchange& exchange) {
-        Handle(exchange);
+      m_server(loop,
+               {},
+               [this](const Exchange& exchange) { Receive(exchange); }),
+      m_second_server(loop, {}, [this](const Exchange& exchange) {
+        if (m_faults.refuses_second) {
+          ++m_calls;
+          exchange->Reply(kUnavailable, {}, "");
+        } else {
+          Receive(exchange);
+        }
       }) {
   m_address = m_server.Listen({"127.0.0.1", 0}).value();
+  m_second_address = m_second_server.Listen({"127.0.0.1", 0}).value();
 }
 
-PlatformStoreStandin::~PlatformStoreStandin() = default;
+PlatformStoreStandin::~PlatformStoreStandin() {
+  *m_alive = false;
+}
 
-void PlatformStoreStandin::Handle(const Exchange& exchange) {
+void PlatformStoreStandin::Receive(const Exchange& exchange) {
   ++m_calls;
   if (m_faults.silent) {
     m_unanswered.push_back(exchange);
@@ -52,6 +64,18 @@
     exchange->Reply(m_faults.refuse_with, {}, "");
     return;
   }
+  if (m_faults.delay > Duration(0)) {
+    m_loop.Call(m_faults.delay, [this, exchange, alive = m_alive] {
+      if (*alive) {
+        Handle(exchange);
+      }
+    });
+    return;
+  }
+  Handle(exchange);
+}
+
+void PlatformStoreStandin::Handle(const Exchange& exchange) {
   std::string path(exchange->path());
   if (!path.starts_with(kPrefix)) {
     exchange->Reply(404, {}, "");
--- a/standins/platform_store_standin.h
+++ b/standins/platform_store_standin.h
@@ -24,6 +24,10 @@
   bool silent = false;
   /// So many of the next writes are done and not answered.
   int lost_writes = 0;
+  /// Each call is answered so much later.
+  Duration delay{0};
+  /// Hosts that use the second address are refused.
+  bool refuses_second = false;
 };
 
 class PlatformStoreStandin {
@@ -32,6 +36,8 @@
   ~PlatformStoreStandin();
 
   const Address& address() const { return m_address; }
+  /// The same store for hosts that can be turned away apart from the others.
+  const Address& second_address() const { return m_second_address; }
   StoreStandinFaults& faults() { return m_faults; }
 
   /// What the operator or a backend server writes; unconditional. The letter
@@ -69,6 +75,8 @@
   };
   using Exchange = std::shared_ptr<HttpExchange>;
 
+  /// Faults first, then the call.
+  void Receive(const Exchange& exchange);
   void Handle(const Exchange& exchange);
   void List(HttpExchange& exchange, const std::string& kind);
   void Watch(const Exchange& exchange, const std::string& kind);
@@ -87,7 +95,9 @@
   EventLoop& m_loop;
   size_t m_page_size;
   HttpServer m_server;
+  HttpServer m_second_server;
   Address m_address;
+  Address m_second_address;
   StoreStandinFaults m_faults;
   uint64_t m_revision = 1;
   uint64_t m_forgotten = 0;
@@ -98,6 +108,7 @@
   uint64_t m_calls = 0;
   int m_pages = 0;
   std::function<void(int page)> m_after_page;
+  std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
 
 }  // namespace filbertrack
--- /dev/null
+++ b/tests/platform_evacuation_test.cc
@@ -0,0 +1,284 @@
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include <doctest/doctest.h>
+
+#include <deque>
+
+#include "platform_site.h"
+
+/// Data centres that the operator evacuates, servers that are cold, and
+/// requests that are bound to regions, through the whole path of several entry
+/// hosts against stand-ins of the platform.
+
+namespace filbertrack {
+namespace {
+
+/// Within this all entry hosts act on what the operator wrote, while the store
+/// answers.
+constexpr Duration kInForce = Milliseconds(500);
+
+/// Servers in two data centres, `z` and `y`, in regions of their own.
+struct TwoCentres : Site {
+  explicit TwoCentres(int entry_hosts,
+                      int hosts = 0,
+                      Json config = MakeConfig(1))
+      : Site(SiteOptions{.hosts = hosts,
+                         .entry_hosts = entry_hosts,
+                         .data_centres = {"z", "y"},
+                         .config = std::move(config)}) {}
+
+  bool IsUp(size_t targets) {
+    return RunUntil(loop, [this, targets] {
+      return std::all_of(nodes.begin(), nodes.end(), [&](const auto& node) {
+        return node->host.IsReady() && node->CountTargets() == targets &&
+               node->host.entry_hosts() == nodes.size();
+      });
+    });
+  }
+
+  void Wait(Duration time) {
+    const TimePoint begin = MonotonicNow();
+    CHECK(RunUntil(loop, [=] { return MonotonicNow() - begin >= time; }));
+  }
+
+  /// Requests that ran in the data centre so far.
+  size_t CountRunIn(std::string_view data_centre) const {
+    size_t count = 0;
+    for (const auto* servers : {&runners, &plain}) {
+      for (const auto& server : *servers) {
+        count +=
+            server->data_centre() == data_centre ? server->seen().size() : 0;
+      }
+    }
+    return count;
+  }
+
+  uint64_t CountOrdersIn(std::string_view data_centre) const {
+    uint64_t count = 0;
+    for (const auto& runner : runners) {
+      count += runner->data_centre() == data_centre ? runner->orders() : 0;
+    }
+    return count;
+  }
+
+  Answer AskAtNode(const EntryNode& node, const std::string& path) {
+    ++asked;
+    Answer answer;
+    const auto call = AskAt(node.host.caller_address(), client, path,
+                            "id-" + std::to_string(asked), answer);
+    CHECK(RunUntil(loop, [&answer] { return answer.ended; }));
+    return answer;
+  }
+
+  /// As many requests to each entry host; all are to be answered.
+  void AskAll(int times, const std::string& path) {
+    for (int i = 0; i < times; ++i) {
+      for (const auto& node : nodes) {
+        CHECK(AskAtNode(*node, path).status == 200);
+      }
+    }
+  }
+
+  /// Requests that all begin at once, over all entry hosts.
+  void AskAtOnce(size_t count, const std::string& path) {
+    std::deque<Answer> answers;
+    std::vector<std::unique_ptr<HttpCall>> calls;
+    for (size_t i = 0; i < count; ++i) {
+      ++asked;
+      answers.emplace_back();
+      calls.push_back(AskAt(nodes[i % nodes.size()]->host.caller_address(),
+                            client, path, "id-" + std::to_string(asked),
+                            answers.back()));
+    }
+    CHECK(RunUntil(loop, [&answers] {
+      return std::all_of(answers.begin(), answers.end(),
+                         [](const Answer& answer) { return answer.ended; });
+    }));
+  }
+
+  HttpClient client{loop, 64};
+  size_t asked = 0;
+};
+
+int CodeOf(const Answer& answer) {
+  return Json::parse(answer.body, nullptr, false).value("code", 0);
+}
+
+TEST_CASE("evacuation: nothing new reaches the servers of the data centre") {
+  // Guards against an order of the operator that nobody reads.
+  TwoCentres site(2, 10);
+  REQUIRE(site.IsUp(6));
+  site.AskAll(10, "/s/x");
+  CHECK(site.CountRunIn("y") > 0);
+  site.store.Put("evacuations", "y", Json::object());
+  site.Wait(kInForce);
+  const size_t ran = site.CountRunIn("y");
+  const uint64_t orders = site.CountOrdersIn("y");
+  site.AskAll(10, "/s/x");
+  site.AskAll(10, "/safe/x");
+  CHECK(site.CountRunIn("y") == ran);
+  CHECK(site.CountOrdersIn("y") == orders);
+  site.store.Remove("evacuations", "y");
+  site.Wait(kInForce);
+  site.AskAll(10, "/s/x");
+  CHECK(site.CountRunIn("y") > ran);
+}
+
+TEST_CASE("evacuation: a host that the store turns away hears it from others") {
+  // Guards against a host that learns of evacuations from the store alone.
+  TwoCentres site(2);
+  EntryNode& apart = site.AddEntryHost(true);
+  REQUIRE(site.IsUp(2));
+  site.store.faults().refuses_second = true;
+  site.Wait(kInForce);
+  site.store.Put("evacuations", "y", Json::object());
+  site.Wait(kInForce);
+  const size_t ran = site.CountRunIn("y");
+  for (int i = 0; i < 20; ++i) {
+    CHECK(site.AskAtNode(apart, "/safe/x").status == 200);
+  }
+  CHECK(site.CountRunIn("y") == ran);
+}
+
+TEST_CASE("evacuation: holds for hosts that start, and after a lost history") {
+  // Guards against evacuations that only a watch tells, which misses what was
+  // written before it began or while the history was dropped.
+  TwoCentres site(1);
+  REQUIRE(site.IsUp(2));
+  site.store.Put("evacuations", "y", Json::object());
+  site.store.Compact();
+  site.Wait(kInForce);
+  site.AddEntryHost();
+  REQUIRE(RunUntil(site.loop,
+                   [&site] { return site.nodes.back()->host.IsReady(); }));
+  const size_t ran = site.CountRunIn("y");
+  site.AskAll(15, "/safe/x");
+  CHECK(site.CountRunIn("y") == ran);
+  site.store.Remove("evacuations", "y");
+  site.store.Compact();
+  site.Wait(2 * kInForce);
+  site.AskAll(15, "/safe/x");
+  CHECK(site.CountRunIn("y") > ran);
+}
+
+TEST_CASE("evacuation: a slow store delays it by its own time only") {
+  // Guards against an evacuation that waits for a further call of a slow store.
+  constexpr Duration kDelay = Milliseconds(300);
+  TwoCentres site(2);
+  REQUIRE(site.IsUp(2));
+  site.store.faults().delay = kDelay;
+  site.Wait(kInForce);
+  site.store.Put("evacuations", "y", Json::object());
+  site.Wait(kInForce + 2 * kDelay);
+  const size_t ran = site.CountRunIn("y");
+  site.AskAll(15, "/safe/x");
+  CHECK(site.CountRunIn("y") == ran);
+}
+
+TEST_CASE("evacuation: of all data centres, requests are refused at once") {
+  // Guards against callers that wait for what cannot be served.
+  TwoCentres site(1);
+  REQUIRE(site.IsUp(2));
+  site.store.Put("evacuations", "y", "entry of another writer");
+  site.store.Put("evacuations", "nowhere", Json::object());
+  site.Wait(kInForce);
+  site.AskAll(10, "/safe/x");
+  CHECK(site.CountRunIn("y") == 0);
+  site.store.Put("evacuations", "z", nullptr);
+  site.Wait(kInForce);
+  const TimePoint begin = MonotonicNow();
+  const Answer refused = site.AskAtNode(*site.nodes[0], "/safe/x");
+  CHECK(MonotonicNow() - begin < Milliseconds(300));
+  CHECK(refused.status == 503);
+  CHECK(CodeOf(refused) == 121);
+  CHECK(!FindHeader(refused.headers, "Retry-After").empty());
+}
+
+/// What a cold server of the sites below bears in a second, and what ends it.
+constexpr double kBorne = 4;
+constexpr size_t kMostInSecond = 11;
+
+Json ColdConfig() {
+  Json config = MakeConfig(1);
+  for (Json& service : config["services"]) {
+    service["coldStartS"] = 3;
+    service["coldPerS"] = kBorne;
+  }
+  return config;
+}
+
+TEST_CASE("cold: a burst over all entry hosts does not end a cold server") {
+  // Guards against a cold server that is chosen by all hosts because its places
+  // are free.
+  TwoCentres site(3, 0, ColdConfig());
+  REQUIRE(site.IsUp(2));
+  PlatformRunnerStandin& cold = *site.plain[1];
+  const TimePoint since = MonotonicNow();
+  cold.SetCold({Seconds(3), kBorne, true});
+  site.Wait(kInForce);
+  for (int i = 0; i < 4; ++i) {
+    site.AskAtOnce(30, "/safe/x");
+    site.Wait(Milliseconds(300));
+  }
+  CHECK(!cold.is_dead());
+  CHECK(cold.MostInSecond(since) <= kMostInSecond);
+  CHECK(cold.seen().size() > 0);
+  site.Wait(Seconds(2));
+  const size_t before = cold.seen().size();
+  site.AskAtOnce(60, "/safe/x");
+  // Warm: it takes its share again.
+  CHECK(cold.seen().size() - before > kMostInSecond);
+}
+
+TEST_CASE("cold: servers that were evacuated come back without a word of it") {
+  // Guards against a data centre that is taken back with all its share at once,
+  // though its servers turned cold meanwhile and nothing tells so.
+  TwoCentres site(3, 0, ColdConfig());
+  REQUIRE(site.IsUp(2));
+  site.store.Put("evacuations", "y", Json::object());
+  site.Wait(kInForce);
+  PlatformRunnerStandin& cold = *site.plain[1];
+  cold.SetCold({Seconds(3), kBorne, false});
+  const TimePoint since = MonotonicNow();
+  site.store.Remove("evacuations", "y");
+  for (int i = 0; i < 5; ++i) {
+    site.AskAtOnce(30, "/safe/x");
+    site.Wait(Milliseconds(200));
+  }
+  CHECK(!cold.is_dead());
+  CHECK(cold.MostInSecond(since) <= kMostInSecond);
+}
+
+TEST_CASE("regions: a request reaches servers of its regions only") {
+  // Guards against a request that is run where its route, or its workspace, may
+  // not be served.
+  Json config = MakeConfig(1);
+  config["routes"].push_back(MakeRoute("bound", "/bound/", "safe", "plain"));
+  config["routes"].back()["allowedRegions"] = {"region-y"};
+  config["tenants"].push_back({{"name", "at-home"},
+                               {"apiKeys", {"home-key"}},
+                               {"allowedRegions", {"region-z"}}});
+  TwoCentres site(2, 0, config);
+  REQUIRE(site.IsUp(2));
+  site.AskAll(20, "/bound/x");
+  CHECK(site.CountRunIn("z") == 0);
+  const size_t in_y = site.CountRunIn("y");
+  for (int i = 0; i < 20; ++i) {
+    Answer answer;
+    const auto call =
+        AskAt(site.host->caller_address(), site.client, "/safe/x",
+              "home-" + std::to_string(i), answer, {"home-key", {}});
+    CHECK(RunUntil(site.loop, [&answer] { return answer.ended; }));
+    CHECK(answer.status == 200);
+  }
+  CHECK(site.CountRunIn("y") == in_y);
+  // Where both bind and no region is in both, nobody may run it.
+  Answer refused;
+  const auto call = AskAt(site.host->caller_address(), site.client, "/bound/x",
+                          "both", refused, {"home-key", {}});
+  CHECK(RunUntil(site.loop, [&refused] { return refused.ended; }));
+  CHECK(refused.status == 503);
+  CHECK(CodeOf(refused) == 122);
+}
+
+}  // namespace
+}  // namespace filbertrack
--- a/tests/platform_site.h
+++ b/tests/platform_site.h
@@ -32,7 +32,7 @@
 /// One entry host.
 struct EntryNode {
   EntryNode(EventLoop& loop,
-            const PlatformStoreStandin& store,
+            const Address& store,
             const std::string& name,
             const CallDialect& dialect,
             const SiteDecoder& decoder)
@@ -41,11 +41,11 @@
             "[node]\nname = " + name +
                 "\ndata_centre = z\n[callers]\nlisten = 127.0.0.1:0\n"
                 "[ready]\nlisten = 127.0.0.1:0\n[store]\naddress = " +
-                store.address().ToString() + "\n",
+                store.ToString() + "\n",
             "test.ini")),
         host(loop, settings, dialect, engines),
         listening(host.Listen().has_value()),
-        client(loop, store.address(), platform::PlatformStorePolicy{}, host, 1),
+        client(loop, store, platform::PlatformStorePolicy{}, host, 1),
         peers(loop,
               FleetHost{name, "z"},
               FreeAddress(loop),
@@ -87,35 +87,56 @@
   EntryPoisonRecord poison_record;
 };
 
-/// `runners` hosts for groups, two plain servers, and `entry_hosts`.
+struct SiteOptions {
+  /// Hosts for groups, and entry hosts.
+  int hosts = 0;
+  int entry_hosts = 1;
+  /// Backend servers stand in them by turns; a fabric domain each.
+  std::vector<std::string> data_centres = {"z"};
+  Json config = MakeConfig(1);
+};
+
+/// Hosts for groups, two plain servers, and entry hosts.
 struct Site {
-  explicit Site(int hosts, int entry_hosts = 1) : store(loop) {
-    store.Put("config", "main", MakeConfig(1));
-    for (int i = 0; i < hosts; ++i) {
+  explicit Site(int hosts, int entry_hosts = 1)
+      : Site(SiteOptions{.hosts = hosts, .entry_hosts = entry_hosts}) {}
+
+  explicit Site(const SiteOptions& site) : store(loop) {
+    store.Put("config", "main", site.config);
+    const auto data_centre = [&site](int i) {
+      return site
+          .data_centres[static_cast<size_t>(i) % site.data_centres.size()];
+    };
+    for (int i = 0; i < site.hosts; ++i) {
       RunnerStandinOptions options;
       options.id = "r" + std::to_string(i);
+      options.data_centre = data_centre(i);
+      options.domain = "d-" + options.data_centre;
       runners.push_back(
           std::make_unique<PlatformRunnerStandin>(loop, store, options));
     }
     for (int i = 0; i < 2; ++i) {
       RunnerStandinOptions options;
       options.id = "p" + std::to_string(i);
+      options.data_centre = data_centre(i);
       options.service = "plain";
       options.is_plain = true;
       plain.push_back(
           std::make_unique<PlatformRunnerStandin>(loop, store, options));
     }
-    for (int i = 0; i < entry_hosts; ++i) {
+    for (int i = 0; i < site.entry_hosts; ++i) {
       AddEntryHost();
     }
     host = &nodes.front()->host;
     listening = nodes.front()->listening;
   }
 
-  EntryNode& AddEntryHost() {
+  /// `apart`: at the address where the store can turn it away.
+  EntryNode& AddEntryHost(bool apart = false) {
     const std::string name = "e" + std::to_string(nodes.size() + 1);
-    nodes.push_back(
-        std::make_unique<EntryNode>(loop, store, name, dialect, decoder));
+    nodes.push_back(std::make_unique<EntryNode>(
+        loop, apart ? store.second_address() : store.address(), name, dialect,
+        decoder));
     return *nodes.back();
   }
 
