entry, net: bytes held for callers are bounded, callers that do not read are let go

Cause: each stream could hold 1 MB for a caller that reads slowly, without a bound over all of them, and a caller that took nothing of a finished answer kept its connection for good. 2,000 such callers exceed a host of 112 MB.

Answers that wait for their callers and bodies of requests are counted over the process; the bound is a quarter of its memory ([node] memory_mb). From half of it on, servers are read no further for callers that do not keep up, and again as these read; beyond it the answers that hold most and are not being read go first, decided in request_held_answers; with nothing to drop, new requests are refused as overloaded. A caller that takes no byte for [callers] unread_timeout (10 s) is let go, its request counted as one whose caller left.

--- a/include/filbertrack/entry_host.h
+++ b/include/filbertrack/entry_host.h
@@ -18,6 +18,7 @@
 #include "filbertrack/entry_targets.h"
 #include "filbertrack/news_fleet.h"
 #include "filbertrack/news_message.h"
+#include "filbertrack/request_held_answers.h"
 #include "filbertrack/server_directory.h"
 #include "filbertrack/settings.h"
 #include "filbertrack/site_evacuations.h"
@@ -115,6 +116,11 @@
 
   EntryMetrics& metrics() { return m_metrics; }
 
+  /// Bytes of answers that callers have not taken, and of their requests.
+  size_t HeldBytes() const;
+  /// Callers that were let go since they did not read.
+  uint64_t callers_let_go() const { return m_caller_server->unread_dropped(); }
+
   /// Requests under which servers end.
   EntryPoison& poison() { return m_poison; }
   const EntryPoison& poison() const { return m_poison; }
@@ -162,6 +168,8 @@
   void ScheduleExpiry();
   std::vector<EntryRelay*> OpenRelays() const;
   void CheckSilence();
+  /// Bounds the bytes that are held for callers.
+  void CheckHeldBytes();
   void CheckDrained();
 
   EventLoop& m_loop;
@@ -183,6 +191,8 @@
   StoreAbsence m_absence;
   std::optional<TimePoint> m_store_returned;
   bool m_traffic_seen = false;
+  HeldAnswersPolicy m_held_policy;
+  HeldAnswersVerdict m_held;
 
   HttpClient m_upstream;
   DispatchBoard m_board;
--- a/include/filbertrack/entry_relay.h
+++ b/include/filbertrack/entry_relay.h
@@ -98,6 +98,13 @@
   /// Looks for a stream that has fallen silent.
   void CheckSilence(TimePoint now);
 
+  /// Reads no further where too much waits for the caller, and goes on once it
+  /// has read. `pauses`: while anything waits for it.
+  void CheckReader(bool pauses);
+
+  /// Bytes of an answer that is passed on once it is whole.
+  size_t gathered_bytes() const { return m_answer_body.size(); }
+
   const EntryRequest& request() const { return m_request; }
   /// The target of the present attempt, or of the last one; empty: none.
   const std::string& last_target() const { return m_last_target; }
@@ -198,6 +205,8 @@
   TimePoint m_last_event;
   std::optional<Duration> m_longest_pause;
   bool m_stream_started = false;
+  /// The present attempt is not read, as the caller does not keep up.
+  bool m_paused = false;
   bool m_finished = false;
   /// Destroying the relay ends the loops of its callbacks.
   std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
--- a/include/filbertrack/http_client.h
+++ b/include/filbertrack/http_client.h
@@ -62,6 +62,9 @@
   HttpCall(const HttpCall&) = delete;
   HttpCall& operator=(const HttpCall&) = delete;
 
+  /// Stops or resumes the reading of the answer.
+  void SetReading(bool reading);
+
  private:
   friend class HttpClient;
   friend struct ServerConnection;
--- a/include/filbertrack/http_server.h
+++ b/include/filbertrack/http_server.h
@@ -2,6 +2,7 @@
 
 /// HTTP/1.1 server on the loop.
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -90,6 +91,17 @@
   Duration header_timeout = Seconds(60);
   /// A kept connection without a request for this long is closed.
   Duration idle_timeout = Seconds(60);
+  /// A caller that takes no byte of its answer for this long is let go.
+  Duration unread_timeout = Seconds(60);
+};
+
+/// Bytes of an answer that wait for one caller.
+struct HttpHeldBytes {
+  /// Names the connection.
+  uint64_t connection = 0;
+  size_t bytes = 0;
+  /// No byte was taken for so long.
+  Duration unread{0};
 };
 
 class HttpServer {
@@ -117,6 +129,15 @@
   /// Open connections, busy or kept.
   size_t connections() const;
 
+  /// Of each caller that has not taken all of its answer.
+  std::vector<HttpHeldBytes> HeldBytes(TimePoint now) const;
+  /// Bytes of requests that are read or under way.
+  size_t RequestBytes() const;
+  /// Closes the connection; its caller counts as gone.
+  void Drop(uint64_t connection);
+  /// Callers that were let go since they did not read.
+  uint64_t unread_dropped() const;
+
  private:
   friend class HttpConnection;
   struct Shared;
--- a/source/entry_host_probe.cc
+++ b/source/entry_host_probe.cc
@@ -62,6 +62,10 @@
   m_metrics.AddGauge("filbertrack_data_centres_evacuated", "", [this] {
     return static_cast<double>(m_evacuations.data_centres().size());
   });
+  m_metrics.AddGauge("filbertrack_held_bytes", "",
+                     [this] { return static_cast<double>(HeldBytes()); });
+  m_metrics.AddGauge("filbertrack_callers_let_go", "",
+                     [this] { return static_cast<double>(callers_let_go()); });
   m_metrics.AddGauge("filbertrack_targets", "", [this] {
     return static_cast<double>(m_board.CountTargets());
   });
@@ -69,6 +73,14 @@
                      [] { return static_cast<double>(DroppedLogLines()); });
 }
 
+size_t EntryHost::HeldBytes() const {
+  size_t bytes = m_caller_server->RequestBytes();
+  for (const auto& held : m_caller_server->HeldBytes(MonotonicNow())) {
+    bytes += held.bytes;
+  }
+  return bytes;
+}
+
 void EntryHost::OnProbe(HttpExchange& exchange) {
   if (exchange.path() == kReadyPath) {
     exchange.Reply(IsReady() ? kOk : kUnready, {}, "");
--- a/source/entry_host_site.cc
+++ b/source/entry_host_site.cc
@@ -30,7 +30,8 @@
   m_packed_catalog.clear();
   const CallerLimits& limits = m_catalog->limits();
   m_caller_server->SetLimits({limits.max_header_bytes, limits.max_body_bytes,
-                              limits.header_timeout, limits.idle_timeout});
+                              limits.header_timeout, limits.idle_timeout,
+                              m_settings.Time("callers", "unread_timeout")});
   Log(LogLevel::kInfo, "config",
       {{"config", m_catalog->version()}, {"routes", m_catalog->route_count()}});
   Changed();
--- a/source/entry_relay.cc
+++ b/source/entry_relay.cc
@@ -11,8 +11,8 @@
 
 namespace {
 
-/// A caller that does not read its stream is dropped at this many bytes.
-constexpr size_t kMostUnsentBytes = 1024 * 1024;
+/// A stream of which so many bytes wait for the caller is read no further.
+constexpr size_t kMostUnsentBytes = 256 * 1024;
 /// Servers that refuse a request cost it little; beyond a few of them the fleet
 /// is full.
 constexpr int kSendsBeyondAttempts = 2;
@@ -277,6 +277,7 @@
 
 void EntryRelay::CloseAttempt(bool failed) {
   m_call.reset();
+  m_paused = false;
   if (!m_choice) {
     return;
   }
@@ -325,11 +326,24 @@
   }
   m_exchange->Send(event.raw);
   if (m_exchange->UnsentBytes() > kMostUnsentBytes) {
-    m_exchange->Abort();
-    Feed(CallerLeft{});
+    CheckReader(false);
   }
 }
 
+void EntryRelay::CheckReader(bool pauses) {
+  if (m_call == nullptr) {
+    return;
+  }
+  const size_t most = pauses ? 0 : kMostUnsentBytes;
+  const bool paused = m_exchange->UnsentBytes() > most;
+  if (paused == m_paused) {
+    return;
+  }
+  m_paused = paused;
+  m_last_byte = MonotonicNow();
+  m_call->SetReading(!paused);
+}
+
 void EntryRelay::FinishStream() {
   NoteServed();
   if (!m_stream_started) {
@@ -373,7 +387,8 @@
 
 void EntryRelay::CheckSilence(TimePoint now) {
   const RelayTimes& times = m_context.times;
-  if (!m_choice || !m_state.traits.idempotent || !times.moves_silent) {
+  if (!m_choice || !m_state.traits.idempotent || !times.moves_silent ||
+      m_paused) {
     return;
   }
   const Duration pauses =
--- a/source/entry_settings.cc
+++ b/source/entry_settings.cc
@@ -50,6 +50,10 @@
        "Bandwidth of this host's link: stronger hosts do more for the others."},
       {"node", "processor_share", NumberKey{1, 0.001, 1e4},
        "Cores that this host's process may use, or the part of one."},
+      {"node", "memory_mb", NumberKey{512, 1, 1e7},
+       "Memory that this host's process may use, in MiB: a quarter of it "
+       "bounds "
+       "what is held for callers."},
       {"node", "regions", TextKey{"", false, {}},
        "Region of each data centre, as DATA-CENTRE:REGION pairs with commas "
        "between them; empty: there is one region."},
@@ -62,6 +66,9 @@
        "Lowest level that is written."},
       {"callers", "listen", AddressKey{"0.0.0.0:8080"},
        "Where callers' requests arrive."},
+      {"callers", "unread_timeout",
+       DurationKey{Seconds(10), Milliseconds(100), Seconds(600)},
+       "A caller that takes no byte of its answer for this long is let go."},
       {"ready", "listen", AddressKey{"0.0.0.0:8081"},
        "Where readiness and metrics are read."},
       {"peers", "listen", AddressKey{"0.0.0.0:8090"},
--- a/source/http_client.cc
+++ b/source/http_client.cc
@@ -247,6 +247,7 @@
     used->call = nullptr;
     connection = nullptr;
     if (clean) {
+      used->stream->SetReading(true);
       const auto stated = StatedKeepAlive(head.headers);
       const Duration usable =
           stated ? Duration(static_cast<int64_t>(
@@ -381,6 +382,12 @@
   }
 };
 
+void HttpCall::SetReading(bool reading) {
+  if (m_state->connection != nullptr) {
+    m_state->connection->stream->SetReading(reading);
+  }
+}
+
 HttpCall::~HttpCall() {
   const std::shared_ptr<State> state = std::move(m_state);
   state->events = {};
--- a/source/http_server.cc
+++ b/source/http_server.cc
@@ -82,6 +82,7 @@
   HttpServer::Handler handler;
   std::set<std::shared_ptr<HttpConnection>> connections;
   bool close_after_answers = false;
+  uint64_t unread_dropped = 0;
 };
 
 /// One caller's connection. Requests on it are dealt with one after the other.
@@ -135,7 +136,37 @@
     m_stream->ShutDown();
   }
 
+  /// Names the connection while it is open.
+  uint64_t id() const { return reinterpret_cast<uintptr_t>(this); }
+
+  /// How long the caller has taken nothing of what waits for it.
+  Duration UnreadFor(TimePoint now) const {
+    return m_stream->unsent() == 0 || m_stream->sent() != m_taken
+               ? Duration(0)
+               : now - m_taken_at;
+  }
+
+  size_t request_bytes() const {
+    const auto body = [](const std::shared_ptr<HttpExchange>& exchange) {
+      return exchange == nullptr ? 0 : exchange->body().size();
+    };
+    return m_input.size() + body(m_reading) + body(m_exchange);
+  }
+
+  void LetGo() {
+    ++m_server->unread_dropped;
+    Gone();
+  }
+
   void CheckTimeouts(TimePoint now) {
+    if (m_stream->unsent() == 0 || m_stream->sent() != m_taken) {
+      m_taken = m_stream->sent();
+      m_taken_at = now;
+    }
+    if (UnreadFor(now) > m_server->limits.unread_timeout) {
+      LetGo();
+      return;
+    }
     const Duration quiet = now - m_quiet_since;
     if (m_lingering) {
       if (quiet > kLingerLimit) {
@@ -272,6 +303,9 @@
   std::string m_input;
   bool m_complete = false;
   bool m_lingering = false;
+  /// Bytes that the caller had taken when that last changed, and when.
+  uint64_t m_taken = 0;
+  TimePoint m_taken_at = MonotonicNow();
   /// Since when the connection waits for the caller.
   TimePoint m_quiet_since;
 };
@@ -478,6 +512,39 @@
   return m_shared->connections.size();
 }
 
+std::vector<HttpHeldBytes> HttpServer::HeldBytes(TimePoint now) const {
+  std::vector<HttpHeldBytes> held;
+  for (const auto& connection : m_shared->connections) {
+    if (connection->unsent() > 0) {
+      held.push_back(
+          {connection->id(), connection->unsent(), connection->UnreadFor(now)});
+    }
+  }
+  return held;
+}
+
+size_t HttpServer::RequestBytes() const {
+  size_t bytes = 0;
+  for (const auto& connection : m_shared->connections) {
+    bytes += connection->request_bytes();
+  }
+  return bytes;
+}
+
+void HttpServer::Drop(uint64_t connection) {
+  for (const auto& open : m_shared->connections) {
+    if (open->id() == connection) {
+      const auto keep = open;
+      keep->LetGo();
+      return;
+    }
+  }
+}
+
+uint64_t HttpServer::unread_dropped() const {
+  return m_shared->unread_dropped;
+}
+
 void HttpServer::OnAccept(evconnlistener*, int fd, sockaddr*, int, void* self) {
   auto* server = static_cast<HttpServer*>(self);
   auto connection = std::make_shared<HttpConnection>(
--- a/standins/platform_runner_standin.cc
+++ b/standins/platform_runner_standin.cc
@@ -386,7 +386,8 @@
       return;
     }
     exchange->Send("id: " + std::to_string(event) + "\ndata: part " +
-                   std::to_string(event) + "\n\n");
+                   std::to_string(event) +
+                   std::string(m_options.event_padding, '.') + "\n\n");
     Stream(exchange, number, event + 1);
   });
 }
--- a/standins/platform_runner_standin.h
+++ b/standins/platform_runner_standin.h
@@ -40,6 +40,8 @@
   std::string domain = "d";
   std::string data_centre = "z";
   bool is_plain = false;
+  /// Bytes that each event of a streamed answer has beyond the usual text.
+  size_t event_padding = 0;
   /// Events of a streamed answer, and the pause between them.
   int events = 5;
   Duration pause = Milliseconds(10);
--- a/tests/platform_site.h
+++ b/tests/platform_site.h
@@ -36,6 +36,11 @@
   /// Backend servers stand in them by turns; a fabric domain each.
   std::vector<std::string> data_centres = {"z"};
   Json config = MakeConfig(1);
+  /// Of each event of a stream, beyond the usual text.
+  size_t event_padding = 0;
+  /// Of each entry host.
+  int entry_memory_mb = 512;
+  Duration unread_timeout = Seconds(10);
 };
 
 /// One entry host.
@@ -50,8 +55,12 @@
         settings(*EntrySchema().ParseText(
             "[node]\nname = " + name +
                 "\ndata_centre = z\nregions = z:region-z,y:region-y\n"
+                "memory_mb = " +
+                std::to_string(site.entry_memory_mb) +
                 "\n[evacuations]\nwatched = yes\n"
-                "[callers]\nlisten = 127.0.0.1:0\n"
+                "[callers]\nlisten = 127.0.0.1:0\nunread_timeout = " +
+                std::to_string(ToMilliseconds(site.unread_timeout)) +
+                "ms\n"
                 "[ready]\nlisten = 127.0.0.1:0\n[store]\naddress = " +
                 store.ToString() + "\n",
             "test.ini")),
@@ -121,6 +130,7 @@
       runner.id = "r" + std::to_string(i);
       runner.data_centre = data_centre(i);
       runner.domain = "d-" + runner.data_centre;
+      runner.event_padding = site.event_padding;
       runners.push_back(
           std::make_unique<PlatformRunnerStandin>(loop, store, runner));
     }
--- a/tests/request_test.cc
+++ b/tests/request_test.cc
@@ -3,6 +3,7 @@
 #include <rapidcheck.h>
 
 #include "filbertrack/base_hash.h"
+#include "filbertrack/request_held_answers.h"
 #include "filbertrack/request_intake.h"
 #include "filbertrack/request_machine.h"
 #include "filbertrack/request_retry_budget.h"
@@ -302,5 +303,36 @@
   CHECK(budget.TrySpend(kStart + Seconds(2)));
 }
 
+/// Answers of 10 KB each, unread for as long as the second figure says.
+std::vector<HeldAnswer> MakeHeld(size_t count, Duration unread) {
+  std::vector<HeldAnswer> answers;
+  for (size_t i = 0; i < count; ++i) {
+    answers.push_back({i + 1, 10'000 + i, unread});
+  }
+  return answers;
+}
+
+TEST_CASE("what slow callers hold is bounded, and who reads is never dropped") {
+  // Guards against 2,000 callers that read a byte a second and end the process
+  // of a small host.
+  HeldAnswersPolicy policy;
+  policy.most_bytes = 5'000'000;
+  const auto few = JudgeHeldAnswers(MakeHeld(100, Seconds(9)), 0, policy);
+  CHECK_FALSE(few.pauses);
+  CHECK(few.drops.empty());
+  const auto half = JudgeHeldAnswers(MakeHeld(300, Seconds(9)), 0, policy);
+  CHECK(half.pauses);
+  CHECK(half.drops.empty());
+  const auto many = JudgeHeldAnswers(MakeHeld(2000, Seconds(9)), 0, policy);
+  CHECK_FALSE(many.is_full);
+  CHECK(many.drops.size() > 1400);
+  CHECK(many.drops.front() == 2000);
+  const auto read = JudgeHeldAnswers(MakeHeld(2000, Duration(0)), 0, policy);
+  CHECK(read.drops.empty());
+  CHECK(read.is_full);
+  // Bodies of requests count as well, and nothing can be dropped for them.
+  CHECK(JudgeHeldAnswers({}, 6'000'000, policy).is_full);
+}
+
 }  // namespace
 }  // namespace filbertrack
