news, peers: of a fleet that starts only strong hosts watch; roles are kept while nobody comes or goes

What held only while the fleet was small: that a host hears most of the others within its settling time.

Besides, each round of 150 ms copied and sorted all hosts by a hash a comparison, four times over: its cost grew with the fleet on every host.

Change: the choice is a decision of its own (news_watchers). A host waits after its start by its weakness whether it heard others or not, at most 4 s; while less than half of the listed hosts were heard, listed ones count as there. Roles (watcher, relays, data centres) are worked out anew only when a host comes, goes or changes; weights are hashed once a host; hosts are named to the division of limits once a second.

--- a/include/filbertrack/entry_peers.h
+++ b/include/filbertrack/entry_peers.h
@@ -7,6 +7,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 #include <span>
@@ -19,6 +20,7 @@
 #include "filbertrack/news_exchange.h"
 #include "filbertrack/news_fetch.h"
 #include "filbertrack/news_fleet.h"
+#include "filbertrack/news_watchers.h"
 #include "filbertrack/peer_link.h"
 
 namespace filbertrack {
@@ -30,17 +32,10 @@
   Duration ask_timeout = Milliseconds(500);
   /// Hosts asked in a round. With more peers than this each round asks others.
   size_t neighbours = 8;
-  /// Entry hosts that watch the store, at least. Four: with a third of the
-  /// hosts cut off from it, all four are in one run of a hundred, and then the
-  /// next ones watch as soon as they hear so.
-  size_t watchers = 4;
+  WatchPolicy watch;
   /// After the start the hosts that are listed in the store count as peers
   /// until they had time to be heard.
   Duration settle = Seconds(2);
-  /// While it settles, a host that has heard nobody watches the store only
-  /// after this over its capacity: the weaker it is, the surer that stronger
-  /// ones do. A whole fleet that starts would watch otherwise.
-  Duration alone_after = Seconds(8);
   /// In large fleets so many hosts of a data centre ask the other ones; a
   /// second one, so that the loss of one is no gap.
   size_t relays = 2;
@@ -50,6 +45,9 @@
   Duration fetch_spacing = Milliseconds(50);
   /// A peer that does not answer is asked this much less often.
   Duration silent_interval = Seconds(1);
+  /// The hosts that are heard are named anew to those that remember them this
+  /// often, also where none came or went.
+  Duration naming_interval = Seconds(1);
 };
 
 class EntryPeers {
@@ -131,13 +129,30 @@
   void AskOneOf(const std::string& data_centre, TimePoint now);
   /// Asks one that exchanges loads with other data centres for this host.
   void AskRelay(std::span<const std::string> relays, TimePoint now);
+  /// Who does what for the others. To find it out takes a look at every host
+  /// of the fleet, so it is kept until one comes, goes or changes.
+  struct Roles {
+    uint64_t membership = 0;
+    uint64_t peer_changes = 0;
+    bool store_fails = false;
+    /// Of the time after the start in which the choice of watchers moves by
+    /// itself.
+    int64_t watch_phase = 0;
+    /// Of each data centre.
+    std::map<std::string, std::vector<std::string>, std::less<>> relays;
+    std::set<std::string, std::less<>> far_data_centres;
+    size_t near_hosts = 0;
+    /// This host is among the watchers.
+    bool watches = false;
+  };
+  const Roles& CurrentRoles(TimePoint now);
+  /// -1 once the choice of watchers hangs on who is heard alone.
+  int64_t WatchPhase(TimePoint now) const;
+  bool IsChosenToWatch(std::span<const FleetHost> heard, TimePoint now) const;
   /// Tells over which hosts the limits of servers are divided.
   void NameLimitHosts(TimePoint now);
   /// Tells who may let a copy of a marked request through.
   void NameTrialHosts(TimePoint now);
-  /// The hosts of a data centre, with this one if it is there.
-  std::vector<FleetHost> HostsOf(std::string_view data_centre,
-                                 TimePoint now) const;
   std::set<std::string, std::less<>> FarDataCentres() const;
   /// False where the peer is busy, or silent and was asked lately.
   bool TryAsk(const std::string& name, Peer& peer, TimePoint now);
@@ -151,8 +166,6 @@
   bool IsSettling(TimePoint now) const {
     return now - m_started < m_policy.settle;
   }
-  /// Nobody was heard yet, and others may be there.
-  bool MayNotBeAlone(TimePoint now) const;
 
   EventLoop& m_loop;
   FleetHost m_own;
@@ -180,6 +193,11 @@
   /// Names of the peers that the last round ended with.
   std::string m_last_near;
   LoadExchange m_exchange;
+  std::optional<Roles> m_roles;
+  /// Counts peers that came or changed.
+  uint64_t m_peer_changes = 0;
+  TimePoint m_limit_hosts_named;
+  uint64_t m_limit_hosts_membership = 0;
   std::mt19937_64 m_random;
   std::unique_ptr<Timer> m_round_timer;
   /// Runs while loads are exchanged more often than rounds come.
--- a/include/filbertrack/news_fleet.h
+++ b/include/filbertrack/news_fleet.h
@@ -11,6 +11,7 @@
 #include <map>
 #include <string>
 #include <string_view>
+#include <unordered_set>
 #include <vector>
 
 #include "filbertrack/base_time.h"
@@ -64,7 +65,8 @@
   /// Work of all other hosts.
   Loads SumLoads(TimePoint now) const;
 
-  /// Other hosts that were heard of lately.
+  /// Other hosts that were heard of lately, counted and by name.
+  size_t CountHosts(TimePoint now) const;
   std::vector<std::string> Hosts(TimePoint now) const;
   /// Those of them that reach the store, as far as they know.
   std::vector<std::string> HostsWithStore(TimePoint now) const;
@@ -73,6 +75,10 @@
 
   void ForgetOld(TimePoint now);
 
+  /// Changes whenever a host is heard for the first time, is forgotten, or is
+  /// another one than before: until then, who does what for the others stays.
+  uint64_t membership() const { return m_membership; }
+
  private:
   struct Heard {
     NewsState state;
@@ -99,8 +105,10 @@
   /// old to stand for what the hosts told themselves.
   const HeardSum* NearSum(TimePoint now) const;
   /// A host's own message is not counted where its data centre's sum has it.
+  /// `near_covered`: the hosts that the sum of the own data centre has.
   bool IsCovered(const std::string& node,
                  const Heard& heard,
+                 const std::unordered_set<std::string_view>& near_covered,
                  TimePoint now) const;
   /// `own` and the work of the other hosts of the data centre but `left_out`.
   NewsSum AddUpNear(const std::vector<NewsLoad>& own,
@@ -115,6 +123,7 @@
   /// Latest sum of each other data centre.
   std::map<std::string, HeardSum, std::less<>> m_sums;
   std::map<std::string, HostSeen, std::less<>> m_hosts;
+  uint64_t m_membership = 0;
 };
 
 }  // namespace filbertrack
--- /dev/null
+++ b/include/filbertrack/news_watchers.h
@@ -0,0 +1,54 @@
+#pragma once
+
+/// Whether an entry host watches the store for the others.
+///
+/// The load that it is made for: a fleet that starts at one moment. Listings
+/// of the hosts may be seconds old and show a part of them, and to hear of all
+/// takes the longer the more there are. A host that chose among those that it
+/// knows would find itself among the first, and so would nearly every other:
+/// each of them would list the store and be told each change by it.
+
+#include <span>
+
+#include "filbertrack/base_time.h"
+#include "filbertrack/news_message.h"
+
+namespace filbertrack {
+
+struct WatchPolicy {
+  /// Entry hosts that watch the store, at least. Four: with a third of the
+  /// hosts cut off from it, all four are in one run of a hundred, and then the
+  /// next ones watch as soon as they hear so.
+  size_t watchers = 4;
+  /// After its start a host watches only after this over its capacity: the
+  /// weaker it is, the surer that stronger ones do, whether it has heard of
+  /// them yet or not.
+  Duration weak_wait = Seconds(8);
+  /// No host waits longer: none may be stronger.
+  Duration longest_wait = Seconds(4);
+  /// So long after the start hosts that are listed count as there though they
+  /// were not heard, unless half of them were.
+  Duration trusts_list = Seconds(8);
+};
+
+/// What a host knows as it decides.
+struct WatchView {
+  FleetHost own;
+  Duration since_start{0};
+  /// The list of hosts was read.
+  bool has_list = false;
+  /// Other hosts that are listed, but for those that do not answer.
+  std::span<const FleetHost> listed;
+  /// Other hosts that were heard of lately.
+  std::span<const FleetHost> heard;
+};
+
+bool ShouldWatch(const WatchView& view, const WatchPolicy& policy);
+
+/// While few of the listed hosts have been heard, those count as there too.
+bool TrustsList(Duration since_start,
+                size_t listed,
+                size_t heard,
+                const WatchPolicy& policy);
+
+}  // namespace filbertrack
--- a/source/backpressure_cold.cc
+++ b/source/backpressure_cold.cc
@@ -47,8 +47,7 @@
                 [now](const auto& row) { return row.second.until <= now; });
 }
 
-Duration ColdServers::UntilSend(const ServerLife& server,
-                                TimePoint now) const {
+Duration ColdServers::UntilSend(const ServerLife& server, TimePoint now) const {
   const auto found = m_servers.find(server);
   if (found == m_servers.end() || found->second.until <= now) {
     return Duration(0);
--- a/source/entry_peers.cc
+++ b/source/entry_peers.cc
@@ -82,6 +82,9 @@
     return;
   }
   Peer& peer = m_peers[host.name];
+  if (peer.client == nullptr || peer.host.data_centre != host.data_centre) {
+    ++m_peer_changes;
+  }
   peer.host = host;
   if (peer.client == nullptr || !(peer.address == *parsed)) {
     peer.address = *parsed;
@@ -129,6 +132,7 @@
 
 void EntryPeers::Round() {
   const TimePoint now = MonotonicNow();
+  m_news.ForgetOld(now);
   SumLoads(now);
   m_host.SettlePoison();
   NameTrialHosts(now);
@@ -139,6 +143,13 @@
 }
 
 void EntryPeers::NameLimitHosts(TimePoint now) {
+  const bool same = m_limit_hosts_membership == m_news.membership() &&
+                    now - m_limit_hosts_named < m_policy.naming_interval;
+  if (same && !IsSettling(now)) {
+    return;
+  }
+  m_limit_hosts_membership = m_news.membership();
+  m_limit_hosts_named = now;
   std::vector<std::string> hosts = m_news.Hosts(now);
   if (IsSettling(now)) {
     for (const auto& [name, peer] : m_peers) {
@@ -362,33 +373,7 @@
 }
 
 void EntryPeers::ChooseWatch(TimePoint now) {
-  const bool settling = IsSettling(now);
-  const bool too_early = settling && (!m_listed || MayNotBeAlone(now));
-  if (too_early && !m_needs_watch) {
-    return;
-  }
-  m_news.ForgetOld(now);
-  std::vector<FleetHost> all;
-  if (settling) {
-    for (const auto& [node, peer] : m_peers) {
-      all.push_back(peer.host);
-    }
-  } else {
-    all = m_news.Fleet(now);
-  }
-  FleetHost own = m_own;
-  own.store_fails = m_host.store_away();
-  all.push_back(own);
-  std::vector<FleetHost> able = all;
-  std::erase_if(able, [](const FleetHost& host) { return host.store_fails; });
-  // Those that cannot reach the store keep trying, so that the watch returns to
-  // them; others stand in meanwhile.
-  const auto first = ChooseWatchers(std::move(all), m_policy.watchers);
-  const auto stand_in = ChooseWatchers(std::move(able), m_policy.watchers);
-  const auto has = [this](const std::vector<std::string>& hosts) {
-    return std::find(hosts.begin(), hosts.end(), m_own.name) != hosts.end();
-  };
-  const bool watching = m_needs_watch || has(first) || has(stand_in);
+  const bool watching = m_needs_watch || CurrentRoles(now).watches;
   if (watching != m_watching) {
     m_watching = watching;
     Log(LogLevel::kInfo, watching ? "watch-begins" : "watch-ends",
@@ -397,9 +382,53 @@
   }
 }
 
-bool EntryPeers::MayNotBeAlone(TimePoint now) const {
-  return m_news.Hosts(now).empty() &&
-         now - m_started < m_policy.alone_after / std::max(1, m_own.capacity);
+bool EntryPeers::IsChosenToWatch(std::span<const FleetHost> heard,
+                                 TimePoint now) const {
+  std::vector<FleetHost> listed;
+  for (const auto& [name, peer] : m_peers) {
+    if (!peer.silent) {
+      listed.push_back(peer.host);
+    }
+  }
+  FleetHost own = m_own;
+  own.store_fails = m_host.store_away();
+  return ShouldWatch({own, now - m_started, m_listed, listed, heard},
+                     m_policy.watch);
+}
+
+int64_t EntryPeers::WatchPhase(TimePoint now) const {
+  const Duration since = now - m_started;
+  return since < m_policy.watch.trusts_list ? since / m_policy.interval : -1;
+}
+
+const EntryPeers::Roles& EntryPeers::CurrentRoles(TimePoint now) {
+  const bool current = m_roles && m_roles->membership == m_news.membership() &&
+                       m_roles->peer_changes == m_peer_changes &&
+                       m_roles->store_fails == m_host.store_away() &&
+                       m_roles->watch_phase == WatchPhase(now);
+  if (current) {
+    return *m_roles;
+  }
+  Roles roles;
+  roles.membership = m_news.membership();
+  roles.peer_changes = m_peer_changes;
+  roles.store_fails = m_host.store_away();
+  roles.watch_phase = WatchPhase(now);
+  roles.far_data_centres = FarDataCentres();
+  std::map<std::string, std::vector<FleetHost>, std::less<>> hosts;
+  hosts[m_own.data_centre].push_back(m_own);
+  std::vector<FleetHost> heard = m_news.Fleet(now);
+  roles.watches = IsChosenToWatch(heard, now);
+  for (FleetHost& host : heard) {
+    hosts[host.data_centre].push_back(std::move(host));
+  }
+  roles.near_hosts = hosts[m_own.data_centre].size();
+  for (auto& [data_centre, members] : hosts) {
+    roles.relays[data_centre] =
+        ChooseRelays(std::move(members), m_policy.relays);
+  }
+  m_roles = std::move(roles);
+  return *m_roles;
 }
 
 bool EntryPeers::ShouldYield(TimePoint now) const {
--- a/source/entry_peers_loads.cc
+++ b/source/entry_peers_loads.cc
@@ -16,20 +16,6 @@
 
 }  // namespace
 
-std::vector<FleetHost> EntryPeers::HostsOf(std::string_view data_centre,
-                                           TimePoint now) const {
-  std::vector<FleetHost> hosts;
-  if (data_centre == m_own.data_centre) {
-    hosts.push_back(m_own);
-  }
-  for (FleetHost& host : m_news.Fleet(now)) {
-    if (host.data_centre == data_centre) {
-      hosts.push_back(std::move(host));
-    }
-  }
-  return hosts;
-}
-
 std::set<std::string, std::less<>> EntryPeers::FarDataCentres() const {
   std::set<std::string, std::less<>> far;
   for (const auto& [name, peer] : m_peers) {
@@ -47,10 +33,12 @@
     return;
   }
   m_exchange.NotePressure(m_host.MostPressure(now));
-  const std::vector<FleetHost> near = HostsOf(m_own.data_centre, now);
-  const auto relays = ChooseRelays(near, m_policy.relays);
+  const Roles& roles = CurrentRoles(now);
+  const std::vector<std::string> relays =
+      roles.relays.find(m_own.data_centre)->second;
   const bool is_relay = Contains(relays, m_own.name);
-  const size_t askers = near.size() + FarDataCentres().size() * m_policy.relays;
+  const size_t askers =
+      roles.near_hosts + roles.far_data_centres.size() * m_policy.relays;
   const Duration interval =
       m_exchange.Interval(askers, relays.size(), is_relay);
   if (m_exchange.TryBegin(interval, now)) {
@@ -86,15 +74,21 @@
       TryAsk(peer->first, peer->second, now);
     }
   }
-  for (const std::string& data_centre : FarDataCentres()) {
+  // A copy: an answer may change the roles.
+  const auto far_data_centres = CurrentRoles(now).far_data_centres;
+  for (const std::string& data_centre : far_data_centres) {
     AskOneOf(data_centre, now);
   }
 }
 
 void EntryPeers::AskOneOf(const std::string& data_centre, TimePoint now) {
   // Relays hear more of the others than other hosts do.
-  std::vector<std::string> names =
-      ChooseRelays(HostsOf(data_centre, now), m_policy.relays);
+  std::vector<std::string> names;
+  const Roles& roles = CurrentRoles(now);
+  const auto relays = roles.relays.find(data_centre);
+  if (relays != roles.relays.end()) {
+    names = relays->second;
+  }
   std::shuffle(names.begin(), names.end(), m_random);
   std::vector<std::string> others;
   for (const auto& [name, peer] : m_peers) {
--- a/source/news_fleet.cc
+++ b/source/news_fleet.cc
@@ -71,10 +71,18 @@
     return;
   }
   HostSeen& seen = m_hosts[host.name];
-  if (seen.host.name.empty() || heard > seen.at) {
-    seen = {
-        {host.name, std::string(data_centre), host.capacity, host.store_fails},
-        heard};
+  if (!seen.host.name.empty() && heard <= seen.at) {
+    return;
+  }
+  seen.at = heard;
+  const bool same = seen.host.name == host.name &&
+                    seen.host.data_centre == data_centre &&
+                    seen.host.capacity == host.capacity &&
+                    seen.host.store_fails == host.store_fails;
+  if (!same) {
+    seen.host = {host.name, std::string(data_centre), host.capacity,
+                 host.store_fails};
+    ++m_membership;
   }
 }
 
@@ -140,15 +148,13 @@
   return counts ? &near->second : nullptr;
 }
 
-bool FleetNews::IsCovered(const std::string& node,
-                          const Heard& heard,
-                          TimePoint now) const {
+bool FleetNews::IsCovered(
+    const std::string& node,
+    const Heard& heard,
+    const std::unordered_set<std::string_view>& near_covered,
+    TimePoint now) const {
   if (heard.state.data_centre == m_data_centre) {
-    const HeardSum* near = NearSum(now);
-    return near != nullptr &&
-           std::any_of(
-               near->sum.hosts.begin(), near->sum.hosts.end(),
-               [&node](const NewsHost& host) { return host.name == node; });
+    return near_covered.contains(node);
   }
   const auto sum = m_sums.find(heard.state.data_centre);
   return sum != m_sums.end() && IsFresh(sum->second.at, now);
@@ -157,13 +163,19 @@
 FleetNews::Loads FleetNews::SumLoads(TimePoint now) const {
   Loads result;
   MeanAge age;
+  const HeardSum* near = NearSum(now);
+  std::unordered_set<std::string_view> near_covered;
+  if (near != nullptr) {
+    for (const NewsHost& host : near->sum.hosts) {
+      near_covered.insert(host.name);
+    }
+  }
   for (const auto& [node, heard] : m_own) {
-    if (IsFresh(heard.at, now) && !IsCovered(node, heard, now)) {
+    if (IsFresh(heard.at, now) && !IsCovered(node, heard, near_covered, now)) {
       AddLoads(heard.state.loads, result.loads);
       age.Add(heard.state.loads, now - heard.at);
     }
   }
-  const HeardSum* near = NearSum(now);
   for (const auto& [data_centre, heard] : m_sums) {
     const bool counts =
         data_centre == m_data_centre ? near != nullptr : IsFresh(heard.at, now);
@@ -172,11 +184,18 @@
       age.Add(heard.sum.loads, now - heard.at + MeanHostAge(heard.sum.hosts));
     }
   }
-  result.hosts = Hosts(now).size();
+  result.hosts = CountHosts(now);
   result.age = age.Get();
   return result;
 }
 
+size_t FleetNews::CountHosts(TimePoint now) const {
+  return static_cast<size_t>(
+      std::count_if(m_hosts.begin(), m_hosts.end(), [&](const auto& row) {
+        return now - row.second.at <= m_policy.host_life;
+      }));
+}
+
 std::vector<std::string> FleetNews::Hosts(TimePoint now) const {
   std::vector<std::string> hosts;
   for (const auto& [name, seen] : m_hosts) {
@@ -213,7 +232,9 @@
   };
   std::erase_if(m_own, old);
   std::erase_if(m_sums, old);
-  std::erase_if(m_hosts, old);
+  if (std::erase_if(m_hosts, old) > 0) {
+    ++m_membership;
+  }
 }
 
 }  // namespace filbertrack
--- a/source/news_message.cc
+++ b/source/news_message.cc
@@ -268,16 +268,24 @@
 
 /// The strongest first; for one purpose always the same order.
 void Rank(std::string_view purpose, std::vector<FleetHost>& hosts) {
-  std::sort(hosts.begin(), hosts.end(),
-            [purpose](const FleetHost& left, const FleetHost& right) {
-              const int left_class = ClassOf(left.capacity);
-              const int right_class = ClassOf(right.capacity);
-              if (left_class != right_class) {
-                return left_class > right_class;
-              }
-              return RendezvousWeight(purpose, left.name) >
-                     RendezvousWeight(purpose, right.name);
+  // Weights are hashes: one for each host, not one for each comparison.
+  std::vector<std::pair<std::pair<int, uint64_t>, size_t>> ranks;
+  ranks.reserve(hosts.size());
+  for (const FleetHost& host : hosts) {
+    ranks.push_back(
+        {{ClassOf(host.capacity), RendezvousWeight(purpose, host.name)},
+         ranks.size()});
+  }
+  std::sort(ranks.begin(), ranks.end(),
+            [](const auto& left, const auto& right) {
+              return left.first > right.first;
             });
+  std::vector<FleetHost> ranked;
+  ranked.reserve(hosts.size());
+  for (const auto& [rank, index] : ranks) {
+    ranked.push_back(std::move(hosts[index]));
+  }
+  hosts = std::move(ranked);
 }
 
 }  // namespace
--- a/source/site_regions.cc
+++ b/source/site_regions.cc
@@ -8,8 +8,8 @@
     const std::string_view pair = text.substr(0, text.find(','));
     text.remove_prefix(std::min(text.size(), pair.size() + 1));
     const size_t colon = pair.find(':');
-    const bool whole = colon != std::string_view::npos && colon > 0 &&
-                       colon + 1 < pair.size();
+    const bool whole =
+        colon != std::string_view::npos && colon > 0 && colon + 1 < pair.size();
     if (!whole) {
       return Fail(ResultCode::kSettingsInvalid,
                   "'" + std::string(pair) +
--- a/tests/platform_site.h
+++ b/tests/platform_site.h
@@ -68,7 +68,7 @@
         listening(host.Listen().has_value()),
         client(loop, store, MakeStorePolicy(), host, 1),
         peers(loop,
-              FleetHost{name, "z"},
+              FleetHost{name, "z", kCapacity},
               FreeAddress(loop),
               EntryPeersPolicy{},
               host,
@@ -84,6 +84,9 @@
     control.Start();
   }
 
+  /// As a quarter of a core and 1,000 Mbit/s make it.
+  static constexpr int kCapacity = 250;
+
   static platform::PlatformStorePolicy MakeStorePolicy() {
     platform::PlatformStorePolicy policy;
     policy.watches_evacuations = true;
