--- a/include/filbertrack/entry_peers.h
+++ b/include/filbertrack/entry_peers.h
@@ -92,7 +92,10 @@
     Address address;
     /// Its data centre is empty where it is not known yet.
     FleetHost host;
+    /// Made when the peer is first asked: most hosts of other data centres
+    /// never are.
     std::unique_ptr<PeerClient> client;
+    bool busy() const { return client != nullptr && client->busy(); }
     TimePoint asked_at;
     bool silent = false;
     /// Its facts of requests under which servers end are known up to here.
--- a/source/entry_peers.cc
+++ b/source/entry_peers.cc
@@ -82,13 +82,13 @@
     return;
   }
   Peer& peer = m_peers[host.name];
-  if (peer.client == nullptr || peer.host.data_centre != host.data_centre) {
+  if (peer.host.name.empty() || peer.host.data_centre != host.data_centre) {
     ++m_peer_changes;
   }
   peer.host = host;
-  if (peer.client == nullptr || !(peer.address == *parsed)) {
+  if (!(peer.address == *parsed)) {
     peer.address = *parsed;
-    peer.client = std::make_unique<PeerClient>(m_loop, m_secret, *parsed);
+    peer.client.reset();
   }
 }
 
@@ -192,7 +192,7 @@
 
 bool EntryPeers::TryAsk(const std::string& name, Peer& peer, TimePoint now) {
   const Duration pause = peer.silent ? m_policy.silent_interval : Duration(0);
-  if (peer.client->busy() || now - peer.asked_at < pause) {
+  if (peer.busy() || now - peer.asked_at < pause) {
     return false;
   }
   Ask(name, peer, Wants::kOwnOnly, now);
@@ -213,6 +213,9 @@
                     peer.limits_known};
   std::string message = EncodeNewsAsk(ask);
   m_sent.states += message.size();
+  if (peer.client == nullptr) {
+    peer.client = std::make_unique<PeerClient>(m_loop, m_secret, peer.address);
+  }
   peer.client->Ask(
       std::move(message), m_policy.ask_timeout,
       [this, name](const std::string* payload) { OnAnswer(name, payload); });
@@ -265,8 +268,7 @@
       state.servers_revision > m_host.server_log().revision() &&
       m_servers_fetch.MayBegin(now);
   const auto peer = m_peers.find(name);
-  if ((!config && !servers) || peer == m_peers.end() ||
-      peer->second.client->busy()) {
+  if ((!config && !servers) || peer == m_peers.end() || peer->second.busy()) {
     return;
   }
   if (config) {
--- a/source/entry_peers_loads.cc
+++ b/source/entry_peers_loads.cc
@@ -60,7 +60,7 @@
 
 void EntryPeers::AskRelay(std::span<const std::string> relays, TimePoint now) {
   const auto peer = m_peers.find(m_exchange.NextRelay(relays));
-  if (peer != m_peers.end() && !peer->second.client->busy()) {
+  if (peer != m_peers.end() && !peer->second.busy()) {
     Ask(peer->first, peer->second,
         m_exchange.busy() ? Wants::kFarAndNear : Wants::kFar, now);
   }
