--- a/include/filbertrack/entry_host.h
+++ b/include/filbertrack/entry_host.h
@@ -35,6 +35,7 @@
 /// What the settings say of single parts.
 DispatchPolicy DispatchPolicyOf(const Settings& settings);
 RetryBudgetPolicy RetryPolicyOf(const Settings& settings);
+HeldAnswersPolicy HeldPolicyOf(const Settings& settings);
 
 /// Each entry host's part of the retries that are allowed beside the ratio.
 double MostSavedRetries(const Settings& settings, size_t entry_hosts);
--- a/source/entry_host.cc
+++ b/source/entry_host.cc
@@ -35,10 +35,6 @@
 constexpr Duration kDefaultPatience = Seconds(60);
 /// An answer that is ready just after the route's timeout is still delivered.
 constexpr Duration kTimeoutSlack = Milliseconds(120);
-/// Part of the process's memory that may be held for callers: answers that they
-/// have not taken and bodies of their requests.
-constexpr double kHeldPart = 0.25;
-constexpr double kBytesPerMb = 1024 * 1024;
 /// Where there is no configuration yet: the time of a first read, and after it
 /// spread, so that callers that were all turned away do not all come at once.
 constexpr Duration kStartRetryAfter = Milliseconds(200);
@@ -80,8 +76,7 @@
                 0},
       m_random(RendezvousWeight("split", settings.Text("node", "name"))) {
   m_context.times.moves_silent = IsOn(settings, "moves_silent");
-  m_held_policy.most_bytes = static_cast<size_t>(
-      settings.Number("node", "memory_mb") * kBytesPerMb * kHeldPart);
+  m_held_policy = HeldPolicyOf(settings);
   AddGauges();
 }
 
@@ -274,32 +269,6 @@
   SettlePoison();
 }
 
-void EntryHost::CheckHeldBytes() {
-  std::vector<HeldAnswer> answers;
-  for (const HttpHeldBytes& held : m_caller_server->HeldBytes(MonotonicNow())) {
-    answers.push_back({held.connection, held.bytes, held.unread});
-  }
-  size_t other = m_caller_server->RequestBytes();
-  for (const auto& [key, relay] : m_relays) {
-    other += relay->gathered_bytes();
-  }
-  const bool was_full = m_held.is_full;
-  m_held = JudgeHeldAnswers(answers, other, m_held_policy);
-  for (const uint64_t connection : m_held.drops) {
-    m_caller_server->Drop(connection);
-  }
-  if (m_held.is_full != was_full || !m_held.drops.empty()) {
-    Log(LogLevel::kWarning, "held-bytes",
-        {{"answers", answers.size()},
-         {"other_bytes", other},
-         {"dropped", m_held.drops.size()},
-         {"full", m_held.is_full}});
-  }
-  for (EntryRelay* relay : OpenRelays()) {
-    relay->CheckReader(m_held.pauses);
-  }
-}
-
 const std::string& EntryHost::packed_catalog() {
   if (m_packed_catalog.empty() && !m_catalog_text.empty()) {
     m_packed_catalog = Compress(m_catalog_text);
--- a/source/entry_host_probe.cc
+++ b/source/entry_host_probe.cc
@@ -73,14 +73,6 @@
                      [] { return static_cast<double>(DroppedLogLines()); });
 }
 
-size_t EntryHost::HeldBytes() const {
-  size_t bytes = m_caller_server->RequestBytes();
-  for (const auto& held : m_caller_server->HeldBytes(MonotonicNow())) {
-    bytes += held.bytes;
-  }
-  return bytes;
-}
-
 void EntryHost::OnProbe(HttpExchange& exchange) {
   if (exchange.path() == kReadyPath) {
     exchange.Reply(IsReady() ? kOk : kUnready, {}, "");
--- a/source/entry_peers_loads.cc
+++ b/source/entry_peers_loads.cc
@@ -16,16 +16,6 @@
 
 }  // namespace
 
-std::set<std::string, std::less<>> EntryPeers::FarDataCentres() const {
-  std::set<std::string, std::less<>> far;
-  for (const auto& [name, peer] : m_peers) {
-    if (!IsNear(peer.host.data_centre)) {
-      far.insert(peer.host.data_centre);
-    }
-  }
-  return far;
-}
-
 void EntryPeers::ExchangeLoads(TimePoint now) {
   if (m_peers.size() <= m_policy.neighbours) {
     // Each host hears all others in every round.
--- /dev/null
+++ b/source/entry_peers_roles.cc
@@ -0,0 +1,95 @@
+#include <algorithm>
+
+#include <nlohmann/json.hpp>
+
+#include "filbertrack/entry_peers.h"
+#include "filbertrack/log.h"
+
+/// The part of the exchange between entry hosts that finds out who does what
+/// for the others: who watches the store, and who passes loads on.
+
+namespace filbertrack {
+
+std::set<std::string, std::less<>> EntryPeers::FarDataCentres() const {
+  std::set<std::string, std::less<>> far;
+  for (const auto& [name, peer] : m_peers) {
+    if (!IsNear(peer.host.data_centre)) {
+      far.insert(peer.host.data_centre);
+    }
+  }
+  return far;
+}
+
+const EntryPeers::Roles& EntryPeers::CurrentRoles(TimePoint now) {
+  const bool current = m_roles && m_roles->membership == m_news.membership() &&
+                       m_roles->peer_changes == m_peer_changes &&
+                       m_roles->store_fails == m_host.store_away() &&
+                       m_roles->watch_phase == WatchPhase(now);
+  if (current) {
+    return *m_roles;
+  }
+  Roles roles;
+  roles.membership = m_news.membership();
+  roles.peer_changes = m_peer_changes;
+  roles.store_fails = m_host.store_away();
+  roles.watch_phase = WatchPhase(now);
+  roles.far_data_centres = FarDataCentres();
+  std::map<std::string, std::vector<FleetHost>, std::less<>> hosts;
+  hosts[m_own.data_centre].push_back(m_own);
+  std::vector<FleetHost> heard = m_news.Fleet(now);
+  roles.watches = IsChosenToWatch(heard, now);
+  for (FleetHost& host : heard) {
+    hosts[host.data_centre].push_back(std::move(host));
+  }
+  roles.near_hosts = hosts[m_own.data_centre].size();
+  for (auto& [data_centre, members] : hosts) {
+    roles.relays[data_centre] =
+        ChooseRelays(std::move(members), m_policy.relays);
+  }
+  m_roles = std::move(roles);
+  return *m_roles;
+}
+
+void EntryPeers::SetNeedsWatch(bool needs) {
+  m_needs_watch = needs;
+  m_feed.SetPrompt(needs);
+  ChooseWatch(MonotonicNow());
+}
+
+void EntryPeers::ChooseWatch(TimePoint now) {
+  const bool watching = m_needs_watch || CurrentRoles(now).watches;
+  if (watching != m_watching) {
+    m_watching = watching;
+    Log(LogLevel::kInfo, watching ? "watch-begins" : "watch-ends",
+        {{"peers", m_news.Hosts(now).size()}});
+    m_feed.SetWatching(watching);
+  }
+}
+
+bool EntryPeers::IsChosenToWatch(std::span<const FleetHost> heard,
+                                 TimePoint now) const {
+  std::vector<FleetHost> listed;
+  for (const auto& [name, peer] : m_peers) {
+    if (!peer.silent) {
+      listed.push_back(peer.host);
+    }
+  }
+  FleetHost own = m_own;
+  own.store_fails = m_host.store_away();
+  return ShouldWatch({own, now - m_started, m_listed, listed, heard},
+                     m_policy.watch);
+}
+
+int64_t EntryPeers::WatchPhase(TimePoint now) const {
+  const Duration since = now - m_started;
+  return since < m_policy.watch.trusts_list ? since / m_policy.interval : -1;
+}
+
+bool EntryPeers::ShouldYield(TimePoint now) const {
+  const std::vector<FleetHost> fleet = m_news.Fleet(now);
+  return std::any_of(fleet.begin(), fleet.end(), [this](const auto& host) {
+    return !host.store_fails && IsStronger(host.capacity, m_own.capacity);
+  });
+}
+
+}  // namespace filbertrack
