news: equal hosts begin to watch in the order of their rank at a fleet's first start

Cause: a wait by weakness tells strong hosts from weak ones. In a fleet of hosts that are all alike none is weaker, and at the first start no host is listed yet, so each of them found itself among the first and watched; a host that watches also stands for the lease. A fleet that starts again has its old list.

Change: at the first start, which the settings tell, a host waits up to 3 s, the age of the oldest listing, by its rank among those that would be chosen.

Test: 100, 300 and 1,000 equal hosts in virtual time: at most a fifth watch.

--- a/include/filbertrack/entry_peers.h
+++ b/include/filbertrack/entry_peers.h
@@ -33,6 +33,8 @@
   /// Hosts asked in a round. With more peers than this each round asks others.
   size_t neighbours = 8;
   WatchPolicy watch;
+  /// The whole fleet starts for the first time.
+  bool first_start = false;
   /// After the start the hosts that are listed in the store count as peers
   /// until they had time to be heard.
   Duration settle = Seconds(2);
--- a/include/filbertrack/news_message.h
+++ b/include/filbertrack/news_message.h
@@ -130,6 +130,9 @@
 /// two in capacity apart, so that hosts of about the same kind share the work.
 bool IsStronger(int left, int right);
 
+/// Of hosts of one class, those with the highest weight watch the store.
+uint64_t WatchWeight(std::string_view host);
+
 /// The entry hosts that watch the store for all the others, so that each host
 /// knows without asking: the strongest, by rendezvous hashing among hosts of
 /// one class. One in each data centre, so that changes pass between data
--- a/include/filbertrack/news_watchers.h
+++ b/include/filbertrack/news_watchers.h
@@ -24,6 +24,11 @@
   /// weaker it is, the surer that stronger ones do, whether it has heard of
   /// them yet or not.
   Duration weak_wait = Seconds(8);
+  /// In a fleet that starts for the first time, when no host is listed yet,
+  /// hosts that are as strong as each other begin over this time, in the order
+  /// in which they would be chosen: listings of the others are that old at the
+  /// most.
+  Duration first_spread = Seconds(3);
   /// No host waits longer: none may be stronger.
   Duration longest_wait = Seconds(4);
   /// So long after the start hosts that are listed count as there though they
@@ -35,6 +40,8 @@
 struct WatchView {
   FleetHost own;
   Duration since_start{0};
+  /// The whole fleet starts for the first time.
+  bool first_start = false;
   /// The list of hosts was read.
   bool has_list = false;
   /// Other hosts that are listed, but for those that do not answer.
--- a/source/entry_peers_roles.cc
+++ b/source/entry_peers_roles.cc
@@ -76,8 +76,9 @@
   }
   FleetHost own = m_own;
   own.store_fails = m_host.store_away();
-  return ShouldWatch({own, now - m_started, m_listed, listed, heard},
-                     m_policy.watch);
+  return ShouldWatch(
+      {own, now - m_started, m_policy.first_start, m_listed, listed, heard},
+      m_policy.watch);
 }
 
 int64_t EntryPeers::WatchPhase(TimePoint now) const {
--- a/source/entry_settings.cc
+++ b/source/entry_settings.cc
@@ -50,6 +50,8 @@
        "Bandwidth of this host's link: stronger hosts do more for the others."},
       {"node", "processor_share", NumberKey{1, 0.001, 1e4},
        "Cores that this host's process may use, or the part of one."},
+      {"node", "first_start", YesOrNo("no"),
+       "Whether the whole fleet starts for the first time."},
       {"node", "memory_mb", NumberKey{512, 1, 1e7},
        "Memory that this host's process may use, in MiB: a quarter of it "
        "bounds "
--- a/source/news_message.cc
+++ b/source/news_message.cc
@@ -28,6 +28,7 @@
 /// Capacities are compared as whole numbers.
 constexpr double kMostCapacity = 1e9;
 
+constexpr std::string_view kWatchPurpose = "watch";
 /// Tokens that wait at one target.
 constexpr int64_t kMostTokens = 1'000'000'000'000;
 
@@ -294,9 +295,13 @@
   return ClassOf(left) > ClassOf(right);
 }
 
+uint64_t WatchWeight(std::string_view host) {
+  return RendezvousWeight(kWatchPurpose, host);
+}
+
 std::vector<std::string> ChooseWatchers(std::vector<FleetHost> hosts,
                                         size_t count) {
-  Rank("watch", hosts);
+  Rank(kWatchPurpose, hosts);
   std::set<std::string_view> covered;
   std::vector<std::string> chosen;
   std::vector<std::string> others;
--- a/source/news_watchers.cc
+++ b/source/news_watchers.cc
@@ -1,6 +1,7 @@
 #include "filbertrack/news_watchers.h"
 
 #include <algorithm>
+#include <cmath>
 #include <string_view>
 #include <unordered_set>
 #include <vector>
@@ -28,6 +29,25 @@
   return hosts;
 }
 
+/// Part of the hosts that begin to watch within the spread; by its end the
+/// others know who is there.
+constexpr double kSpreadPart = 0.5;
+
+/// How long after its start a host that knows nobody waits for the others.
+Duration WaitOf(const WatchView& view, const WatchPolicy& policy) {
+  const Duration weak = std::min(
+      policy.longest_wait, policy.weak_wait / std::max(1, view.own.capacity));
+  if (!view.first_start) {
+    return weak;
+  }
+  // The part of all hosts that would be chosen before this one.
+  const double before =
+      1 - std::ldexp(static_cast<double>(WatchWeight(view.own.name)), -64);
+  const Duration rank =
+      Scale(policy.first_spread, std::min(1.0, before / kSpreadPart));
+  return std::max(weak, rank);
+}
+
 }  // namespace
 
 bool TrustsList(Duration since_start,
@@ -38,8 +58,7 @@
 }
 
 bool ShouldWatch(const WatchView& view, const WatchPolicy& policy) {
-  const Duration wait = std::min(
-      policy.longest_wait, policy.weak_wait / std::max(1, view.own.capacity));
+  const Duration wait = WaitOf(view, policy);
   const bool too_early =
       view.since_start < wait ||
       (!view.has_list && view.since_start < policy.longest_wait);
--- a/tests/news_watchers_test.cc
+++ b/tests/news_watchers_test.cc
@@ -58,10 +58,12 @@
     for (const size_t other : heard[i]) {
       known.push_back(hosts[other]);
     }
-    return ShouldWatch({hosts[i], since, true, listed, known}, WatchPolicy{});
+    return ShouldWatch({hosts[i], since, first_start, true, listed, known},
+                       WatchPolicy{});
   }
 
   std::mt19937_64 random{1};
+  bool first_start = false;
   std::vector<FleetHost> hosts;
   std::vector<Duration> stale;
   std::vector<std::set<size_t>> heard;
@@ -81,13 +83,29 @@
   }
 }
 
+TEST_CASE("of a fleet of equal hosts a part watches at its first start") {
+  // Guards against hosts that are all alike, know nobody yet, and each watch
+  // and stand for the lease.
+  for (const size_t count : {size_t{100}, size_t{300}, size_t{1000}}) {
+    StartingFleet fleet(count);
+    for (FleetHost& host : fleet.hosts) {
+      host.capacity = kStrong;
+    }
+    fleet.first_start = true;
+    const std::set<size_t> watched = fleet.RunFor(Seconds(6));
+    CAPTURE(count);
+    CHECK(watched.size() >= 5);
+    CHECK(watched.size() <= std::max<size_t>(20, count / 5));
+  }
+}
+
 TEST_CASE("where all hosts are weak, some watch all the same") {
   // Guards against a fleet of weak hosts that waits for stronger ones for ever.
   const std::vector<FleetHost> others(3, {"b", "dc", kWeak, false});
   const FleetHost own{"a", "dc", 1, false};
-  CHECK_FALSE(ShouldWatch({own, Seconds(3), true, others, others}, {}));
-  CHECK(ShouldWatch({own, Seconds(4), true, others, others}, {}));
-  CHECK(ShouldWatch({own, Seconds(4), false, {}, {}}, {}));
+  CHECK_FALSE(ShouldWatch({own, Seconds(3), false, true, others, others}, {}));
+  CHECK(ShouldWatch({own, Seconds(4), false, true, others, others}, {}));
+  CHECK(ShouldWatch({own, Seconds(4), false, false, {}, {}}, {}));
 }
 
 }  // namespace
