--- a/include/filbertrack/entry_host.h
+++ b/include/filbertrack/entry_host.h
@@ -40,6 +40,19 @@
 /// Each entry host's part of the retries that are allowed beside the ratio.
 double MostSavedRetries(const Settings& settings, size_t entry_hosts);
 
+/// What an entry host that stops still has.
+struct DrainState {
+  /// Since the signal to stop.
+  Duration since{0};
+  size_t requests = 0;
+  /// Callers that have not taken all of their answers.
+  size_t unsent = 0;
+};
+
+/// Whether the process may end now: after `most` in any case, not before
+/// `least`.
+bool MayStop(const DrainState& state, Duration least, Duration most);
+
 class EntryHost : public SiteListener {
  public:
   EntryHost(EventLoop& loop,
--- a/include/filbertrack/site_catalog.h
+++ b/include/filbertrack/site_catalog.h
@@ -117,7 +117,7 @@
   /// Goes before a route's.
   std::optional<int> priority;
   /// As of a route; where both name some, both bind.
-  std::vector<std::string> regions;
+  std::vector<std::string> regions{};
 };
 
 struct CallerLimits {
--- a/source/entry_host.cc
+++ b/source/entry_host.cc
@@ -54,6 +54,15 @@
 
 }  // namespace
 
+bool MayStop(const DrainState& state, Duration least, Duration most) {
+  if (state.since >= most) {
+    return true;
+  }
+  // An answer that is whole may still wait for its caller, or for this turn of
+  // the loop to end.
+  return state.since >= least && state.requests == 0 && state.unsent == 0;
+}
+
 EntryHost::EntryHost(EventLoop& loop,
                      const Settings& settings,
                      const CallDialect& dialect,
@@ -388,8 +397,8 @@
 void EntryHost::CheckDrained() {
   const Duration since = MonotonicNow() - m_drain_began;
   const Duration grace = m_settings.Time("stop", "grace") - kCutBefore;
-  const bool quiet = since >= kBalancerLag && m_relays.empty();
-  if (!quiet && since < grace) {
+  const size_t unsent = m_caller_server->HeldBytes(MonotonicNow()).size();
+  if (!MayStop({since, m_relays.size(), unsent}, kBalancerLag, grace)) {
     return;
   }
   Log(LogLevel::kInfo, "stopped",
--- a/source/http_server.cc
+++ b/source/http_server.cc
@@ -534,8 +534,7 @@
 void HttpServer::Drop(uint64_t connection) {
   for (const auto& open : m_shared->connections) {
     if (open->id() == connection) {
-      const auto keep = open;
-      keep->LetGo();
+      open->LetGo();
       return;
     }
   }
--- a/tests/entry_test.cc
+++ b/tests/entry_test.cc
@@ -3,6 +3,7 @@
 
 #include <deque>
 
+#include "filbertrack/entry_host.h"
 #include "filbertrack/entry_lease.h"
 
 namespace filbertrack {
@@ -245,5 +246,17 @@
   CHECK(empty.version() == 0);
 }
 
+TEST_CASE("a host that stops waits until callers have taken their answers") {
+  // Guards against an answer that is whole here and cut on its way, since the
+  // process ends while its last bytes wait to be written.
+  constexpr Duration kLeast = Seconds(3);
+  constexpr Duration kMost = Seconds(7);
+  CHECK_FALSE(MayStop({Seconds(4), 0, 1}, kLeast, kMost));
+  CHECK_FALSE(MayStop({Seconds(4), 1, 0}, kLeast, kMost));
+  CHECK_FALSE(MayStop({Seconds(2), 0, 0}, kLeast, kMost));
+  CHECK(MayStop({Seconds(4), 0, 0}, kLeast, kMost));
+  CHECK(MayStop({Seconds(7), 1, 1}, kLeast, kMost));
+}
+
 }  // namespace
 }  // namespace filbertrack
