--- a/source/entry_host_held.cc
+++ b/source/entry_host_held.cc
@@ -13,6 +13,7 @@
 /// have not taken and bodies of their requests.
 constexpr double kHeldPart = 0.25;
 constexpr double kBytesPerMb = 1024 * 1024;
+
 }  // namespace
 
 HeldAnswersPolicy HeldPolicyOf(const Settings& settings) {
--- a/source/site_regions.cc
+++ b/source/site_regions.cc
@@ -1,5 +1,7 @@
 #include "filbertrack/site_regions.h"
 
+#include <algorithm>
+
 namespace filbertrack {
 
 Result<RegionMap> ParseRegions(std::string_view text) {
