--- a/include/filbertrack/backpressure_cold.h
+++ b/include/filbertrack/backpressure_cold.h
@@ -58,10 +58,11 @@
     /// nullopt: this host holds no part.
     std::optional<TokenBucket> pace;
   };
-  void SetPace(const ServerLife& server,
-               Cold& cold,
-               std::span<const std::string> hosts,
-               TimePoint now) const;
+  /// Gives this host its part of what the server bears.
+  void Share(const ServerLife& server,
+             Cold& cold,
+             std::span<const std::string> hosts,
+             TimePoint now) const;
 
   std::string m_own;
   std::map<ServerLife, Cold> m_servers;
--- a/include/filbertrack/backpressure_share.h
+++ b/include/filbertrack/backpressure_share.h
@@ -8,10 +8,14 @@
 /// that parts add up to the limit however many hosts there are and whatever
 /// they know of each other's requests.
 
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
 
+#include "filbertrack/base_time.h"
+#include "filbertrack/base_token_bucket.h"
+
 namespace filbertrack {
 
 /// One entry host's part of a limit.
@@ -31,6 +35,12 @@
                        std::string_view own,
                        std::span<const std::string> hosts);
 
+/// Gives `pace` the part: nullopt where this host holds none, a bucket without
+/// a token where it had none before, since all holders begin at one moment.
+void SetPace(std::optional<TokenBucket>& pace,
+             const RateShare& share,
+             TimePoint now);
+
 /// One entry host's part of what a cold server bears, so that all hosts
 /// together send no more than that in any second, the first one included.
 RateShare ShareOfColdServer(double borne_per_second,
--- a/include/filbertrack/news_watchers.h
+++ b/include/filbertrack/news_watchers.h
@@ -52,10 +52,4 @@
 
 bool ShouldWatch(const WatchView& view, const WatchPolicy& policy);
 
-/// While few of the listed hosts have been heard, those count as there too.
-bool TrustsList(Duration since_start,
-                size_t listed,
-                size_t heard,
-                const WatchPolicy& policy);
-
 }  // namespace filbertrack
--- a/source/backpressure.cc
+++ b/source/backpressure.cc
@@ -79,15 +79,8 @@
     m_paces.erase(server);
     return;
   }
-  Pace& pace = m_paces[server];
-  const RateShare share = ShareOfLimit(*limit, server.id, m_own, m_hosts);
-  if (share.per_second <= 0) {
-    pace.reset();
-  } else if (pace) {
-    pace->SetRate(share.per_second, share.burst, now);
-  } else {
-    pace = TokenBucket::Empty(share.per_second, share.burst, now);
-  }
+  filbertrack::SetPace(m_paces[server],
+                       ShareOfLimit(*limit, server.id, m_own, m_hosts), now);
 }
 
 bool Backpressure::MaySend(const ServerLife& server, TimePoint now) const {
--- a/source/backpressure_cold.cc
+++ b/source/backpressure_cold.cc
@@ -6,20 +6,12 @@
 
 namespace filbertrack {
 
-void ColdServers::SetPace(const ServerLife& server,
-                          Cold& cold,
-                          std::span<const std::string> hosts,
-                          TimePoint now) const {
-  const RateShare share =
-      ShareOfColdServer(cold.per_second, server.id, m_own, hosts);
-  if (share.per_second <= 0) {
-    cold.pace.reset();
-  } else if (cold.pace) {
-    cold.pace->SetRate(share.per_second, share.burst, now);
-  } else {
-    // Nothing at once: all holders begin in the same moment.
-    cold.pace = TokenBucket::Empty(share.per_second, share.burst, now);
-  }
+void ColdServers::Share(const ServerLife& server,
+                        Cold& cold,
+                        std::span<const std::string> hosts,
+                        TimePoint now) const {
+  SetPace(cold.pace,
+          ShareOfColdServer(cold.per_second, server.id, m_own, hosts), now);
 }
 
 bool ColdServers::OnCold(const ColdState& state,
@@ -31,14 +23,14 @@
   cold.per_second = state.per_second;
   cold.until = state.until;
   if (changes) {
-    SetPace(state.server, cold, hosts, now);
+    Share(state.server, cold, hosts, now);
   }
   return is_new;
 }
 
 void ColdServers::SetHosts(std::span<const std::string> hosts, TimePoint now) {
   for (auto& [server, cold] : m_servers) {
-    SetPace(server, cold, hosts, now);
+    Share(server, cold, hosts, now);
   }
 }
 
--- a/source/backpressure_share.cc
+++ b/source/backpressure_share.cc
@@ -53,6 +53,18 @@
   return {rate / holders, burst / holders};
 }
 
+void SetPace(std::optional<TokenBucket>& pace,
+             const RateShare& share,
+             TimePoint now) {
+  if (share.per_second <= 0) {
+    pace.reset();
+  } else if (pace) {
+    pace->SetRate(share.per_second, share.burst, now);
+  } else {
+    pace = TokenBucket::Empty(share.per_second, share.burst, now);
+  }
+}
+
 RateShare ShareOfColdServer(double borne_per_second,
                             std::string_view server,
                             std::string_view own,
--- a/source/entry_peers_roles.cc
+++ b/source/entry_peers_roles.cc
@@ -61,7 +61,7 @@
   if (watching != m_watching) {
     m_watching = watching;
     Log(LogLevel::kInfo, watching ? "watch-begins" : "watch-ends",
-        {{"peers", m_news.Hosts(now).size()}});
+        {{"peers", m_news.CountHosts(now)}});
     m_feed.SetWatching(watching);
   }
 }
--- a/source/news_watchers.cc
+++ b/source/news_watchers.cc
@@ -10,11 +10,16 @@
 
 namespace {
 
+/// While few of the listed hosts have been heard, those count as there too.
+bool TrustsList(const WatchView& view, const WatchPolicy& policy) {
+  return view.since_start < policy.trusts_list &&
+         view.heard.size() * 2 < view.listed.size();
+}
+
 std::vector<FleetHost> Candidates(const WatchView& view,
                                   const WatchPolicy& policy) {
   std::vector<FleetHost> hosts(view.heard.begin(), view.heard.end());
-  if (TrustsList(view.since_start, view.listed.size(), view.heard.size(),
-                 policy)) {
+  if (TrustsList(view, policy)) {
     std::unordered_set<std::string_view> heard;
     for (const FleetHost& host : view.heard) {
       heard.insert(host.name);
@@ -50,13 +55,6 @@
 
 }  // namespace
 
-bool TrustsList(Duration since_start,
-                size_t listed,
-                size_t heard,
-                const WatchPolicy& policy) {
-  return since_start < policy.trusts_list && heard * 2 < listed;
-}
-
 bool ShouldWatch(const WatchView& view, const WatchPolicy& policy) {
   const Duration wait = WaitOf(view, policy);
   const bool too_early =
