--- a/include/filbertrack/http_server.h
+++ b/include/filbertrack/http_server.h
@@ -9,6 +9,7 @@
 #include <string_view>
 #include <vector>
 
+#include "filbertrack/base_held_answer.h"
 #include "filbertrack/event_loop.h"
 #include "filbertrack/http_headers.h"
 #include "filbertrack/settings.h"
@@ -95,15 +96,6 @@
   Duration unread_timeout = Seconds(60);
 };
 
-/// Bytes of an answer that wait for one caller.
-struct HttpHeldBytes {
-  /// Names the connection.
-  uint64_t connection = 0;
-  size_t bytes = 0;
-  /// No byte was taken for so long.
-  Duration unread{0};
-};
-
 class HttpServer {
  public:
   using Handler = std::function<void(std::shared_ptr<HttpExchange>)>;
@@ -130,7 +122,7 @@
   size_t connections() const;
 
   /// Of each caller that has not taken all of its answer.
-  std::vector<HttpHeldBytes> HeldBytes(TimePoint now) const;
+  std::vector<HeldAnswer> HeldAnswers(TimePoint now) const;
   /// Bytes of requests that are read or under way.
   size_t RequestBytes() const;
   /// Closes the connection; its caller counts as gone.
--- a/include/filbertrack/request_held_answers.h
+++ b/include/filbertrack/request_held_answers.h
@@ -12,19 +12,11 @@
 #include <span>
 #include <vector>
 
+#include "filbertrack/base_held_answer.h"
 #include "filbertrack/base_time.h"
 
 namespace filbertrack {
 
-/// Bytes of an answer that its caller has not taken.
-struct HeldAnswer {
-  /// Names the caller's connection.
-  uint64_t connection = 0;
-  size_t bytes = 0;
-  /// No byte was taken for so long.
-  Duration unread{0};
-};
-
 struct HeldAnswersPolicy {
   /// Bound of all bytes held for callers.
   size_t most_bytes = 64 * 1024 * 1024;
--- a/source/entry_control.cc
+++ b/source/entry_control.cc
@@ -257,6 +257,8 @@
   }
   // It may have waited since before the evacuation.
   if (m_host.evacuations().Contains(host->data_centre)) {
+    Log(LogLevel::kInfo, "order-dropped",
+        {{"host", host_id}, {"evacuated", host->data_centre}});
     return;
   }
   m_engines.Order(
--- a/source/entry_host.cc
+++ b/source/entry_host.cc
@@ -397,7 +397,7 @@
 void EntryHost::CheckDrained() {
   const Duration since = MonotonicNow() - m_drain_began;
   const Duration grace = m_settings.Time("stop", "grace") - kCutBefore;
-  const size_t unsent = m_caller_server->HeldBytes(MonotonicNow()).size();
+  const size_t unsent = m_caller_server->HeldAnswers(MonotonicNow()).size();
   if (!MayStop({since, m_relays.size(), unsent}, kBalancerLag, grace)) {
     return;
   }
--- a/source/entry_host_held.cc
+++ b/source/entry_host_held.cc
@@ -25,17 +25,15 @@
 
 size_t EntryHost::HeldBytes() const {
   size_t bytes = m_caller_server->RequestBytes();
-  for (const auto& held : m_caller_server->HeldBytes(MonotonicNow())) {
+  for (const HeldAnswer& held : m_caller_server->HeldAnswers(MonotonicNow())) {
     bytes += held.bytes;
   }
   return bytes;
 }
 
 void EntryHost::CheckHeldBytes() {
-  std::vector<HeldAnswer> answers;
-  for (const HttpHeldBytes& held : m_caller_server->HeldBytes(MonotonicNow())) {
-    answers.push_back({held.connection, held.bytes, held.unread});
-  }
+  const std::vector<HeldAnswer> answers =
+      m_caller_server->HeldAnswers(MonotonicNow());
   size_t other = m_caller_server->RequestBytes();
   for (const auto& [key, relay] : m_relays) {
     other += relay->gathered_bytes();
--- a/source/http_server.cc
+++ b/source/http_server.cc
@@ -512,8 +512,8 @@
   return m_shared->connections.size();
 }
 
-std::vector<HttpHeldBytes> HttpServer::HeldBytes(TimePoint now) const {
-  std::vector<HttpHeldBytes> held;
+std::vector<HeldAnswer> HttpServer::HeldAnswers(TimePoint now) const {
+  std::vector<HeldAnswer> held;
   for (const auto& connection : m_shared->connections) {
     if (connection->unsent() > 0) {
       held.push_back(
--- a/tests/backpressure_test.cc
+++ b/tests/backpressure_test.cc
@@ -5,25 +5,15 @@
 #include <algorithm>
 #include <deque>
 #include <map>
-#include <memory>
 #include <random>
 
+#include "backpressure_fixture.h"
 #include "filbertrack/backpressure.h"
 #include "filbertrack/backpressure_share.h"
 
 namespace filbertrack {
 namespace {
 
-const TimePoint kStart{Seconds(1000)};
-
-std::vector<std::string> HostNames(size_t count) {
-  std::vector<std::string> names;
-  for (size_t i = 0; i < count; ++i) {
-    names.push_back("e" + std::to_string(i));
-  }
-  return names;
-}
-
 TEST_CASE("parts of a limit add up to the limit") {
   CHECK(rc::check([] {
     const auto hosts = HostNames(*rc::gen::inRange<size_t>(1, 400));
@@ -421,139 +411,5 @@
   CHECK(host.IsIdle());
 }
 
-/// Entry hosts over servers that all turn cold at one moment, while callers
-/// bring more than the servers bear.
-struct ColdFleet {
-  static constexpr double kBorne = 26;
-  static constexpr Duration kTurn = Milliseconds(2);
-
-  ColdFleet(size_t host_count, size_t server_count)
-      : names(HostNames(host_count)), sent(server_count), random(1) {
-    for (size_t i = 0; i < host_count; ++i) {
-      hosts.push_back(MakeHost(i));
-    }
-  }
-
-  std::unique_ptr<Backpressure> MakeHost(size_t i) {
-    auto host = std::make_unique<Backpressure>(names[i], BackpressurePolicy{},
-                                               uint64_t{1});
-    host->SetFleet(names, now);
-    return host;
-  }
-
-  static ServerLife Server(size_t i) { return {"s" + std::to_string(i), 1}; }
-
-  void Tell(size_t host) {
-    for (size_t i = 0; i < sent.size(); ++i) {
-      hosts[host]->OnCold({Server(i), kBorne, until}, now);
-    }
-  }
-
-  /// Each host hears of the cold servers some time within `learns`, and sends
-  /// nothing before; `per_turn` requests come in each turn.
-  void RunUntilWarm(size_t per_turn, Duration learns) {
-    std::vector<TimePoint> hears;
-    for (size_t i = 0; i < hosts.size(); ++i) {
-      hears.push_back(now +
-                      learns * static_cast<int64_t>(random() % 100) / 100);
-    }
-    std::vector<bool> told(hosts.size());
-    for (; now < until; now += kTurn) {
-      for (size_t i = 0; i < hosts.size(); ++i) {
-        if (!told[i] && now >= hears[i]) {
-          told[i] = true;
-          Tell(i);
-        }
-      }
-      if (random() % 200 == 0) {
-        // A host starts again and is told anew.
-        const size_t i = random() % hosts.size();
-        hosts[i] = MakeHost(i);
-        Tell(i);
-        told[i] = true;
-      }
-      for (size_t i = 0; i < per_turn; ++i) {
-        SendOne(told);
-      }
-    }
-  }
-
-  /// A caller that is refused comes back once, at another entry host.
-  void SendOne(const std::vector<bool>& told) {
-    if (!TrySend(told)) {
-      TrySend(told);
-    }
-  }
-
-  bool TrySend(const std::vector<bool>& told) {
-    const size_t host = random() % hosts.size();
-    const size_t first = random() % sent.size();
-    for (size_t i = 0; told[host] && i < sent.size(); ++i) {
-      const size_t server = (first + i) % sent.size();
-      if (hosts[host]->MaySend(Server(server), now)) {
-        hosts[host]->OnSent(Server(server), now);
-        sent[server].push_back(now);
-        return true;
-      }
-    }
-    return false;
-  }
-
-  size_t MostInSecond() const {
-    size_t most = 0;
-    for (const auto& times : sent) {
-      size_t begin = 0;
-      for (size_t i = 0; i < times.size(); ++i) {
-        while (times[i] - times[begin] >= Seconds(1)) {
-          ++begin;
-        }
-        most = std::max(most, i - begin + 1);
-      }
-    }
-    return most;
-  }
-
-  size_t Total() const {
-    size_t total = 0;
-    for (const auto& times : sent) {
-      total += times.size();
-    }
-    return total;
-  }
-
-  TimePoint now = kStart;
-  TimePoint until = kStart + Seconds(3);
-  std::vector<std::string> names;
-  std::vector<std::unique_ptr<Backpressure>> hosts;
-  std::vector<std::vector<TimePoint>> sent;
-  std::mt19937_64 random;
-};
-
-TEST_CASE("a data centre that turns cold gets no more than it bears") {
-  // Guards against a burst that waits for places and ends every cold server in
-  // its first second, whatever the size of the fleet.
-  for (const size_t count : {size_t{7}, size_t{82}, size_t{300}}) {
-    ColdFleet fleet(count, 57);
-    fleet.RunUntilWarm(4, Milliseconds(300));
-    CAPTURE(count);
-    CHECK(static_cast<double>(fleet.MostInSecond()) <= ColdFleet::kBorne);
-    // Cold servers warm up by use, so most of what they bear is used.
-    CHECK(static_cast<double>(fleet.Total()) >
-          0.4 * 57 * ColdFleet::kBorne * 3);
-  }
-}
-
-TEST_CASE(
-    "a cold server is warm at its end, and its next process is not cold") {
-  Backpressure host("e0", {}, 1);
-  const TimePoint now = kStart;
-  CHECK(host.OnCold({{"s", 1}, 2, now + Seconds(3)}, now));
-  CHECK_FALSE(host.MaySend({"s", 1}, now));
-  CHECK(host.MaySend({"s", 2}, now));
-  CHECK(host.MaySend({"s", 1}, now + Seconds(3)));
-  host.SetFleet({}, now + Seconds(4));
-  CHECK(host.IsIdle());
-}
-
 }  // namespace
 }  // namespace filbertrack
