replicas: coarse groups

With two models in few large groups, neither pairs of leftover hosts nor the other groups compensate for a lost one, which planning for groups of 4 and 2 relies on. ReplicaPolicy::coarse_groups (setting [groups] coarse_planning) says where the planner may treat groups as coarse; auto is decided by HasCoarseGroups() on the first pass of a term with usable hosts and kept for the term, so that losses of hosts do not change the kind of planning.

--- a/include/filbertrack/entry_host.h
+++ b/include/filbertrack/entry_host.h
@@ -19,6 +19,7 @@
 #include "filbertrack/entry_targets.h"
 #include "filbertrack/gossip_fleet.h"
 #include "filbertrack/gossip_message.h"
+#include "filbertrack/replica_plan.h"
 #include "filbertrack/request_held_answers.h"
 #include "filbertrack/server_directory.h"
 #include "filbertrack/settings.h"
@@ -34,6 +35,7 @@
 bool IsEnabled(const Settings& settings, std::string_view mechanism);
 
 /// Policies derived from the settings.
+CoarseGroups CoarseGroupsOf(const Settings& settings);
 DispatchPolicy DispatchPolicyOf(const Settings& settings);
 RetryBudgetPolicy RetryPolicyOf(const Settings& settings);
 HeldAnswersPolicy HeldPolicyOf(const Settings& settings);
--- a/include/filbertrack/replica_plan.h
+++ b/include/filbertrack/replica_plan.h
@@ -94,6 +94,14 @@
   std::vector<std::string> recipients;
 };
 
+/// Whether a service is planned as one of coarse groups; see HasCoarseGroups().
+enum class CoarseGroups {
+  /// Decided by HasCoarseGroups() once per term.
+  kAuto,
+  kYes,
+  kNo,
+};
+
 struct ReplicaPolicy {
   /// A head that lost a member holds its requests for this long and then
   /// refuses them; until then it may still run the requests that it has.
@@ -134,6 +142,10 @@
   /// time is abandoned.
   double join_timeout_factor = 3;
 
+  /// Planning for services of few large groups, where one lost group takes a
+  /// noticeable part of a model's capacity.
+  CoarseGroups coarse_groups = CoarseGroups::kAuto;
+
   // Switches that turn single mechanisms off, for measurements.
 
   /// Join orders are sent again to members that have not started to join.
@@ -191,6 +203,9 @@
   TimePoint pressure_at;
   /// Time of the first pass of the term.
   std::optional<TimePoint> term_start;
+  /// Whether the groups are coarse; decided on the first pass of the term with
+  /// usable hosts, so that losses of hosts do not change the kind of planning.
+  std::optional<bool> coarse_groups;
   /// Open orders by group; removed once none of them can still take effect.
   std::map<std::string, OpenOrders, std::less<>> open_orders;
   /// Since when the head of a group has no longer been registered, by group and
--- a/source/entry_settings.cc
+++ b/source/entry_settings.cc
@@ -25,6 +25,14 @@
   return std::max(1.0, slack * kRetryShare / static_cast<double>(entry_hosts));
 }
 
+CoarseGroups CoarseGroupsOf(const Settings& settings) {
+  const std::string& value = settings.Text("groups", "coarse_planning");
+  if (value == "auto") {
+    return CoarseGroups::kAuto;
+  }
+  return value == "yes" ? CoarseGroups::kYes : CoarseGroups::kNo;
+}
+
 DispatchPolicy DispatchPolicyOf(const Settings& settings) {
   DispatchPolicy policy;
   policy.looks_wider = IsEnabled(settings, "looks_wider");
@@ -93,6 +101,10 @@
        "requests."},
       {"groups", "spares_per_domain", IntegerKey{2, 0, 1000},
        "Hosts kept free in each fabric domain for repairs."},
+      {"groups", "coarse_planning",
+       TextKey{"auto", false, {"auto", "yes", "no"}},
+       "Whether hosts follow the demand by whole groups; auto: if each model "
+       "has large groups and one has few of them."},
       {"mechanisms", "looks_wider", YesOrNo(),
        "More targets are considered before a request is rejected."},
       {"mechanisms", "pauses_failing", YesOrNo(),
--- a/source/replica_demand.cc
+++ b/source/replica_demand.cc
@@ -1,12 +1,59 @@
 #include <algorithm>
 #include <cmath>
 
+#include "filbertrack/replica_demand.h"
 #include "replica_pass.h"
 
 /// Part of the planner that adapts the models' shares to the demand.
 
 namespace filbertrack {
 
+namespace {
+
+/// With fewer groups than this, one lost group takes more than 5% of a model's
+/// capacity, for which the other groups cannot compensate.
+constexpr int kMinFineGroups = 20;
+
+}  // namespace
+
+bool HasCoarseGroups(const EngineProfile& engine, int usable_hosts) {
+  double shares = 0;
+  for (const ModelProfile& model : engine.models) {
+    shares += model.share;
+  }
+  bool few = false;
+  for (const ModelProfile& model : engine.models) {
+    if (!IsLarge(model)) {
+      return false;
+    }
+    const double part = shares <= 0 ? 0 : usable_hosts * model.share / shares;
+    few |= static_cast<int>(part / model.members) < kMinFineGroups;
+  }
+  return few;
+}
+
+void ReplicaPass::DecideCoarseGroups() {
+  if (m_memory.coarse_groups) {
+    return;
+  }
+  const int usable = CountUsable();
+  if (usable == 0) {
+    return;
+  }
+  m_memory.coarse_groups = m_policy.coarse_groups == CoarseGroups::kAuto
+                               ? filbertrack::HasCoarseGroups(m_engine, usable)
+                               : m_policy.coarse_groups == CoarseGroups::kYes;
+}
+
+int ReplicaPass::CountUsable() const {
+  int usable = 0;
+  for (const auto& [id, server] : m_input.directory.servers()) {
+    usable += server.service == m_input.service.name && IsUsable(&server) &&
+              !IsEvacuated(server);
+  }
+  return usable;
+}
+
 void ReplicaPass::UpdatePressure() {
   const double elapsed = ToSeconds(m_now - m_memory.pressure_at);
   const double decay = std::exp(-elapsed / ToSeconds(m_policy.pressure_window));
--- a/source/replica_pass.h
+++ b/source/replica_pass.h
@@ -51,6 +51,16 @@
  private:
   bool IsSettling() const;
 
+  /// Decides on the first pass of the term with usable hosts whether the groups
+  /// are coarse.
+  void DecideCoarseGroups();
+
+  bool HasCoarseGroups() const {
+    return m_memory.coarse_groups.value_or(false);
+  }
+
+  int CountUsable() const;
+
   /// Map key of a group in one epoch.
   static std::string GroupEpochKey(const ReplicaView& replica);
 
--- a/source/replica_plan.cc
+++ b/source/replica_plan.cc
@@ -39,6 +39,7 @@
   if (IsSettling()) {
     return {};
   }
+  DecideCoarseGroups();
   for (const ReplicaView& replica : m_replicas) {
     ReconcileReplica(replica);
   }
--- a/tests/entry_test.cc
+++ b/tests/entry_test.cc
@@ -247,6 +247,20 @@
   CHECK(empty.version() == 0);
 }
 
+TEST_CASE("the setting for coarse planning is auto by default") {
+  const std::string node =
+      "[node]\nname = e1\ndata_centre = z1\n"
+      "[store]\naddress = 127.0.0.1:9\n";
+  const auto planning = [&node](const std::string& lines) {
+    return CoarseGroupsOf(*EntrySchema().ParseText(node + lines, "test"));
+  };
+  CHECK(planning("") == CoarseGroups::kAuto);
+  CHECK(planning("[groups]\ncoarse_planning = yes\n") == CoarseGroups::kYes);
+  CHECK(planning("[groups]\ncoarse_planning = no\n") == CoarseGroups::kNo);
+  CHECK(!EntrySchema().ParseText(node + "[groups]\ncoarse_planning = maybe\n",
+                                 "test"));
+}
+
 TEST_CASE("a stopping host waits until callers have read their responses") {
   // Guards against truncated responses: the process must not exit while the
   // last bytes of a complete response are still waiting to be written.
