site: PassTime moves to site_catalog

The time of an engine's pass was known to library dispatch only, but the planner needs the same timing model to compute the hosts that a model needs, and must not depend on dispatch. The function moves unchanged beside EngineProfile, its only input.

dispatch_test, site_test and replicas_test pass, with unchanged results.

--- a/include/filbertrack/dispatch_selector.h
+++ b/include/filbertrack/dispatch_selector.h
@@ -371,12 +371,4 @@
   TimePoint m_remote_at;
 };
 
-/// Time of one pass of an engine in which `requests` generate tokens and
-/// `chunk_tokens` prompt tokens are processed. `pace` is the model's time
-/// factor relative to the engine profile.
-Duration PassTime(const EngineProfile& engine,
-                  double pace,
-                  double requests,
-                  double chunk_tokens);
-
 }  // namespace filbertrack
--- a/include/filbertrack/site_catalog.h
+++ b/include/filbertrack/site_catalog.h
@@ -100,6 +100,14 @@
   const ModelProfile* FindModel(std::string_view name) const;
 };
 
+/// Time of one pass of an engine in which `requests` generate tokens and
+/// `chunk_tokens` prompt tokens are processed. `pace` is the model's time
+/// factor relative to the engine profile.
+Duration PassTime(const EngineProfile& engine,
+                  double pace,
+                  double requests,
+                  double chunk_tokens);
+
 struct ServiceProfile {
   std::string name;
   /// Limit of the connections to one backend server from all entry hosts
--- a/source/dispatch_predict.cc
+++ b/source/dispatch_predict.cc
@@ -29,26 +29,10 @@
 /// fraction of its slots. A first event later than that shows a slow or stalled
 /// target.
 constexpr double kMaxUnseen = 0.5;
-constexpr double kPerThousand = 1e-3;
 constexpr double kPerMillion = 1e-6;
 
 }  // namespace
 
-Duration PassTime(const EngineProfile& engine,
-                  double pace,
-                  double requests,
-                  double chunk_tokens) {
-  const double context =
-      requests * (engine.usual_prompt_tokens + engine.usual_answer_tokens / 2);
-  const double step =
-      ToSeconds(engine.step) + ToSeconds(engine.step_per_request) * requests +
-      ToSeconds(engine.step_per_1k_context) * context * kPerThousand;
-  const double steps = requests > 0 ? step * engine.stride : 0;
-  const double prompt_time =
-      chunk_tokens / std::max(1.0, engine.prompt_tokens_per_second);
-  return FromSeconds(pace * (steps + prompt_time));
-}
-
 Duration TargetSelector::Overhead(const Entry& entry) {
   const bool known = entry.engine != nullptr && entry.activity != nullptr;
   return known ? entry.activity->overhead : Duration(0);
--- a/source/site_catalog.cc
+++ b/source/site_catalog.cc
@@ -6,6 +6,8 @@
 
 namespace {
 
+constexpr double kPerThousand = 1e-3;
+
 std::string RouteKey(std::string_view hostname, std::string_view prefix) {
   std::string key(hostname);
   key += ' ';
@@ -30,6 +32,21 @@
   return found == models.end() ? nullptr : &*found;
 }
 
+Duration PassTime(const EngineProfile& engine,
+                  double pace,
+                  double requests,
+                  double chunk_tokens) {
+  const double context =
+      requests * (engine.usual_prompt_tokens + engine.usual_answer_tokens / 2);
+  const double step =
+      ToSeconds(engine.step) + ToSeconds(engine.step_per_request) * requests +
+      ToSeconds(engine.step_per_1k_context) * context * kPerThousand;
+  const double steps = requests > 0 ? step * engine.stride : 0;
+  const double prompt_time =
+      chunk_tokens / std::max(1.0, engine.prompt_tokens_per_second);
+  return FromSeconds(pace * (steps + prompt_time));
+}
+
 Catalog::Catalog(CatalogParts parts) : m_parts(std::move(parts)) {
   for (size_t i = 0; i < m_parts.routes.size(); ++i) {
     const Route& route = m_parts.routes[i];
