--- a/include/filbertrack/replica_plan.h
+++ b/include/filbertrack/replica_plan.h
@@ -149,8 +149,9 @@
   /// Part of the slots that may be taken at the mean load. Above it, the first
   /// events of requests that arrive together miss a target of 250 ms.
   double utilisation = 0.7;
-  /// Moves of groups start only once the need was there for this long, which
-  /// short bursts do not last.
+  /// Moves of groups start only once the least need of this time has been too
+  /// great for as long again. A burst of 3 s takes slots for up to 3 s beyond
+  /// its end.
   Duration move_delay = Seconds(3);
   /// A model gives a group only if it has not needed it for this long. Covers
   /// a wave with a period of 15 s, and the longest load of weights.
@@ -252,7 +253,8 @@
   std::map<std::string, StartedLoad, std::less<>> loading;
   /// Needs of the last passes, the oldest first.
   std::deque<RecordedNeed> needs;
-  /// Since when each model has been short of a whole group.
+  /// Since when another model could give each model a whole group that it
+  /// needs.
   std::map<std::string, TimePoint, std::less<>> short_since;
   /// Groups that were closed for a move, by group and epoch.
   std::map<std::string, GivenGroup, std::less<>> given_groups;
--- a/source/replica_move.cc
+++ b/source/replica_move.cc
@@ -197,10 +197,28 @@
   return move;
 }
 
+bool ReplicaPass::IsExecuting(const std::string& host) const {
+  const auto probe = m_input.probe_results.find(host);
+  return probe != m_input.probe_results.end() && probe->second.busy;
+}
+
 size_t ReplicaPass::CountMoveLoads() const {
-  return static_cast<size_t>(
-      std::count_if(m_memory.loading.begin(), m_memory.loading.end(),
-                    [](const auto& row) { return row.second.for_move; }));
+  size_t loads = 0;
+  for (const auto& [id, server] : m_input.directory.servers()) {
+    const auto loading = m_memory.loading.find(id);
+    if (loading != m_memory.loading.end()) {
+      loads += loading->second.for_move;
+      continue;
+    }
+    // A member of a serving group that executes an order loads weights for a
+    // move that an earlier controller began.
+    const bool serves = server.service == m_input.service.name &&
+                        server.membership &&
+                        server.membership->state != MembershipState::kJoining &&
+                        !IsStandbyGroup(server.membership->group);
+    loads += serves && IsExecuting(id);
+  }
+  return loads;
 }
 
 void ReplicaPass::MoveGroups() {
@@ -274,9 +292,7 @@
   const double allowed = m_policy.move_load_share * m_engine.loads_at_once;
   for (const BackendServer* host : move.to_load) {
     const auto loads = static_cast<double>(CountMoveLoads() + 1);
-    const auto probe = m_input.probe_results.find(host->id);
-    if (probe != m_input.probe_results.end() && probe->second.busy) {
-      // It may be loading on the order of an earlier controller.
+    if (IsExecuting(host->id)) {
       continue;
     }
     if (repair_waits || loads > allowed || !MayLoad(1)) {
--- a/source/replica_pass.h
+++ b/source/replica_pass.h
@@ -177,6 +177,10 @@
   /// Whether the group serves and no order to its head is under way.
   bool MayGive(const ReplicaView& replica, const ModelProfile& giver) const;
 
+  /// Whether the host was found executing an order, which may be the load of an
+  /// earlier controller.
+  bool IsExecuting(const std::string& host) const;
+
   size_t CountMoveLoads() const;
 
   /// Moves whole groups to models that need more hosts. The weights are loaded
