replicas: replay of losses on a fleet of groups of 8 and 4

Cause: no test measured in which state hosts are that serve nobody. Change: tests/replica_repair_test.cc replays lost hosts, a dark domain and a replacement on 171 hosts and sums host-seconds by state; FakeFleet has load times by model (default 16 s and 1.6 s as before) and tells whether a host serves.

--- a/tests/fake_fleet.h
+++ b/tests/fake_fleet.h
@@ -164,6 +164,23 @@
   /// Before traffic, loads take a tenth of their usual time.
   void SetTraffic(bool traffic) { m_traffic = traffic; }
 
+  /// Load and warm-up times of one model; other models take 16 s and 1.6 s.
+  void SetModelTimes(const std::string& model,
+                     Duration load,
+                     Duration warm_up) {
+    m_model_times[model] = {load, warm_up};
+  }
+
+  /// Whether the host is a member of a group that is open and whole.
+  bool Serves(const Host& host) const {
+    const auto& membership = host.server.membership;
+    const auto head = m_hosts.find(host.last_head);
+    return host.alive && membership && head != m_hosts.end() &&
+           head->second.server.membership &&
+           head->second.server.membership->group == membership->group &&
+           IsOpen(head->second) && IsWhole(head->second);
+  }
+
   int CountServing() const {
     int serving = 0;
     for (const auto& [id, host] : m_hosts) {
@@ -194,8 +211,19 @@
     return order;
   }
 
-  Duration LoadTime() const {
-    return m_traffic ? Seconds(16) : Milliseconds(1600);
+  struct ModelTimes {
+    Duration load = Seconds(16);
+    Duration warm_up = Milliseconds(1600);
+  };
+
+  ModelTimes TimesOf(const std::string& model) const {
+    const auto found = m_model_times.find(model);
+    return found == m_model_times.end() ? ModelTimes{} : found->second;
+  }
+
+  Duration LoadTime(const std::string& model) const {
+    const Duration load = TimesOf(model).load;
+    return m_traffic ? load : load / 10;
   }
 
   static bool IsOpen(const Host& host) {
@@ -251,7 +279,7 @@
     }
     if (const auto* stage = std::get_if<StageModel>(&order)) {
       host.staging = stage->model;
-      host.staged_at = now + LoadTime();
+      host.staged_at = now + LoadTime(stage->model);
       return true;
     }
     if (const auto* leave = std::get_if<LeaveGroup>(&order)) {
@@ -308,8 +336,8 @@
     host.server.model = join.model;
     host.loads = !same_model && !staged;
     host.ready_at = now + (same_model ? Milliseconds(200)
-                           : staged   ? Milliseconds(1600)
-                                      : LoadTime());
+                           : staged   ? TimesOf(join.model).warm_up
+                                      : LoadTime(join.model));
   }
 
   void CheckOpen(const Host& head) {
@@ -390,6 +418,7 @@
   std::vector<std::string> m_violations;
   int m_last = 0;
   bool m_traffic = false;
+  std::map<std::string, ModelTimes> m_model_times;
   size_t m_max_shown = std::numeric_limits<size_t>::max();
   std::string m_last_reported;
 };
--- /dev/null
+++ b/tests/replica_repair_test.cc
@@ -0,0 +1,262 @@
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <iomanip>
+#include <random>
+#include <sstream>
+
+#include "../source/replica_pass.h"
+#include "replica_run.h"
+
+/// Replays of losses on a fleet of 171 hosts with groups of 8 and 4.
+
+namespace filbertrack {
+namespace {
+
+constexpr int kDomains = 9;
+constexpr int kHostsPerDomain = 19;
+/// Faults begin this long after the start, and 5 s after the first request.
+constexpr Duration kFaultsBegin = Seconds(25);
+constexpr Duration kReplay = Seconds(34);
+
+ServiceProfile MakeLargeService() {
+  EngineProfile engine;
+  engine.slots = 34;
+  engine.loads_per_second = 14;
+  engine.loads_at_once = 21;
+  engine.models = {
+      {"large", 8, 0.5, 1, Seconds(16), Milliseconds(1600)},
+      {"small", 4, 0.5, 0.6, Seconds(12), Milliseconds(1100)},
+  };
+  return {"llm", 300, engine};
+}
+
+/// Host-seconds by the state of the hosts.
+using HostSeconds = std::map<std::string, double>;
+
+class Replay {
+ public:
+  explicit Replay(uint64_t seed, ReplicaPolicy policy = {})
+      : m_run(seed, kDomains, kHostsPerDomain), m_random(seed) {
+    m_run.service = MakeLargeService();
+    m_run.policy = policy;
+    for (const ModelProfile& model : m_run.service.engine->models) {
+      m_run.fleet.SetModelTimes(model.name, model.load, model.warm_up);
+    }
+    m_run.PassFor(kFaultsBegin);
+  }
+
+  /// Two or three joined hosts are lost for good every 2 s for 20 s. An empty
+  /// host is added 2 s after each loss, in the same domain or in any.
+  void LoseHosts(bool same_domain) {
+    for (int step = 0; step < 10; ++step) {
+      const int lost = 2 + step % 2;
+      for (int i = 0; i < lost; ++i) {
+        std::vector<FakeFleet::Host*> joined;
+        for (auto& [id, host] : m_run.fleet.hosts()) {
+          if (m_run.fleet.Serves(host)) {
+            joined.push_back(&host);
+          }
+        }
+        FakeFleet::Host& host = *joined[m_random() % joined.size()];
+        host.alive = false;
+        const std::string any = "d" + std::to_string(m_random() % kDomains);
+        m_added.emplace_back(m_run.now + Seconds(2),
+                             same_domain ? host.server.domain : any);
+      }
+      PassFor(Seconds(2));
+    }
+    PassFor(kReplay - Seconds(20));
+  }
+
+  /// A domain with a large group does not answer for 6 s.
+  void DarkenDomain(bool restarts) {
+    std::string domain;
+    for (const auto& [id, host] : m_run.fleet.hosts()) {
+      if (m_run.fleet.Serves(host) && host.server.model == "large") {
+        domain = host.server.domain;
+      }
+    }
+    std::vector<FakeFleet::Host*> dark;
+    for (auto& [id, host] : m_run.fleet.hosts()) {
+      if (host.server.domain == domain) {
+        dark.push_back(&host);
+        host.alive = false;
+      }
+    }
+    PassFor(Seconds(6));
+    for (FakeFleet::Host* host : dark) {
+      host->alive = true;
+      if (restarts) {
+        FakeFleet::Restart(*host);
+      }
+    }
+    PassFor(kReplay - Seconds(6));
+  }
+
+  /// 45 in 100 of the hosts are replaced by empty ones, nine at a time.
+  void ReplaceHosts() {
+    std::vector<std::string> ids;
+    for (const auto& [id, host] : m_run.fleet.hosts()) {
+      ids.push_back(id);
+    }
+    std::shuffle(ids.begin(), ids.end(), m_random);
+    ids.resize(ids.size() * 45 / 100);
+    const TimePoint end = m_run.now + kReplay;
+    for (size_t i = 0; i < ids.size(); ++i) {
+      FakeFleet::Host& host = m_run.fleet.hosts().at(ids[i]);
+      host.alive = false;
+      m_added.emplace_back(m_run.now + Seconds(1), host.server.domain);
+      if (i % 9 == 8) {
+        PassFor(Milliseconds(1400));
+      }
+    }
+    PassFor(end - m_run.now);
+  }
+
+  void PassFor(Duration time) {
+    const TimePoint end = m_run.now + time;
+    while (m_run.now < end) {
+      std::erase_if(m_added, [this](const auto& row) {
+        const bool due = row.first <= m_run.now;
+        if (due) {
+          m_run.fleet.AddHost(row.second, false, "");
+        }
+        return due;
+      });
+      m_run.Pass(0);
+      Measure();
+    }
+  }
+
+  const HostSeconds& total() const { return m_total; }
+  double Serving(const std::string& model) const {
+    const auto found = m_total.find("serving " + model);
+    return found == m_total.end() ? 0 : found->second;
+  }
+  PlannerRun& run() { return m_run; }
+  std::string log() const { return m_log.str(); }
+
+ private:
+  std::string StateOf(const ReplicaPass& pass,
+                      const FakeFleet::Host& host) const {
+    const auto& membership = host.server.membership;
+    const std::string staged =
+        host.server.staged.empty() ? "" : host.server.staged.back();
+    if (m_run.fleet.Serves(host)) {
+      return "serving " + host.server.model;
+    }
+    if (membership && !IsStandbyGroup(membership->group)) {
+      const bool forms = membership->state == MembershipState::kJoining ||
+                         m_run.memory.pending_joins.contains(membership->group);
+      if (forms) {
+        return "forming " + host.server.model;
+      }
+      if (!m_run.directory.HeadLeft(membership->group, membership->epoch)) {
+        return "broken " + host.server.model;
+      }
+    }
+    if (host.staged_at && staged.empty()) {
+      return "loading " + host.staging;
+    }
+    if (pass.IsQuarantined(host.server.id)) {
+      return "quarantined " + staged;
+    }
+    return staged.empty() ? "empty" : "standby " + staged;
+  }
+
+  void Measure() {
+    const ReplicaInput input{
+        m_run.directory, m_run.probe_results, m_run.service, false, true, {}};
+    const ReplicaPass pass(input, m_run.policy, m_run.memory, m_run.now);
+    std::map<std::string, int> hosts;
+    for (const auto& [id, host] : m_run.fleet.hosts()) {
+      if (host.alive) {
+        ++hosts[StateOf(pass, host)];
+      }
+    }
+    for (const auto& [state, count] : hosts) {
+      m_total[state] += count * ToSeconds(kStep);
+    }
+    const Duration passed = m_run.now - kStart - kFaultsBegin;
+    if (passed % Seconds(1) == Duration(0)) {
+      m_log << std::setw(4) << ToSeconds(passed) << " s: groups "
+            << hosts["serving large"] / 8 << " large "
+            << hosts["serving small"] / 4 << " small, standing by "
+            << hosts["standby large"] << " large " << hosts["standby small"]
+            << " small, empty " << hosts["empty"] << ", loading "
+            << hosts["loading large"] + hosts["loading small"]
+            << ", quarantined "
+            << hosts["quarantined large"] + hosts["quarantined small"] +
+                   hosts["quarantined "]
+            << "; host-seconds " << m_total["serving large"] << " large "
+            << m_total["serving small"] << " small\n";
+    }
+  }
+
+  PlannerRun m_run;
+  std::mt19937_64 m_random;
+  std::vector<std::pair<TimePoint, std::string>> m_added;
+  HostSeconds m_total;
+  std::ostringstream m_log;
+};
+
+struct Pattern {
+  std::string_view name;
+  void (*run)(Replay&);
+};
+
+constexpr int kSeeds = 4;
+
+const Pattern kLossesReplaced{
+    "joined hosts are lost, empty ones are added in their domain",
+    [](Replay& replay) { replay.LoseHosts(true); }};
+const Pattern kLosses{"joined hosts are lost, empty ones are added anywhere",
+                      [](Replay& replay) { replay.LoseHosts(false); }};
+const Pattern kDarkDomain{"a domain is dark for 6 s",
+                          [](Replay& replay) { replay.DarkenDomain(false); }};
+const Pattern kDarkDomainRestarts{
+    "a domain is dark for 6 s and its hosts restart",
+    [](Replay& replay) { replay.DarkenDomain(true); }};
+const Pattern kReplacement{"45 in 100 of the hosts are replaced",
+                           [](Replay& replay) { replay.ReplaceHosts(); }};
+
+/// Mean host-seconds by state over several seeds.
+HostSeconds MeanOf(const Pattern& pattern, const ReplicaPolicy& policy) {
+  HostSeconds mean;
+  std::string log;
+  for (uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    Replay replay(seed, policy);
+    pattern.run(replay);
+    CHECK(replay.run().fleet.violations().empty());
+    for (const auto& [state, seconds] : replay.total()) {
+      mean[state] += seconds / kSeeds;
+    }
+    if (seed == 1) {
+      log = replay.log();
+    }
+  }
+  std::ostringstream text;
+  for (const auto& [state, seconds] : mean) {
+    text << "  " << state << " " << seconds << "\n";
+  }
+  MESSAGE(pattern.name << ", first seed:\n"
+                       << log << "host-seconds, mean of " << kSeeds
+                       << " seeds:\n"
+                       << text.str());
+  return mean;
+}
+
+TEST_CASE("replays of lost hosts keep the invariants") {
+  // Guards against groups with a missing member and hosts in two groups under
+  // the losses of a day, on a fleet of groups of 8 and 4.
+  for (const Pattern& pattern : {kLossesReplaced, kLosses, kDarkDomain,
+                                 kDarkDomainRestarts, kReplacement}) {
+    const HostSeconds mean = MeanOf(pattern, ReplicaPolicy{});
+    CHECK(mean.at("serving large") > 0);
+    CHECK(mean.at("serving small") > 0);
+  }
+}
+
+}  // namespace
+}  // namespace filbertrack
--- a/tests/replica_run.h
+++ b/tests/replica_run.h
@@ -23,9 +23,10 @@
 
 /// One controller that manages a simulated fleet.
 struct PlannerRun {
-  explicit PlannerRun(uint64_t seed) : fleet(seed) {
-    for (int domain = 0; domain < 3; ++domain) {
-      for (int i = 0; i < 10; ++i) {
+  explicit PlannerRun(uint64_t seed, int domains = 3, int hosts = 10)
+      : fleet(seed) {
+    for (int domain = 0; domain < domains; ++domain) {
+      for (int i = 0; i < hosts; ++i) {
         fleet.AddHost("d" + std::to_string(domain), false, "");
       }
     }
