replicas: leftovers of coarse groups complete groups of another model

Cause: where coarse groups are on, hosts kept the weights of a group that could not form again: 7 idle hosts in a domain of 15 without replacements. Change: idle hosts load a model that lacks groups where they complete a group that is worth more than what they give up, which is the protection as spares and the group that their survivors can still complete. Survivors stay together: a domain with too few hosts gives up its group only after 5 s, in which a lost host would have been replaced.

--- a/include/filbertrack/replica_plan.h
+++ b/include/filbertrack/replica_plan.h
@@ -225,6 +225,9 @@
   TimePoint loss_rate_at;
   /// Process start times of the hosts that were usable in the latest pass.
   std::map<std::string, uint64_t, std::less<>> usable_hosts;
+  /// Since when a domain has had too few idle hosts for a group of a model, by
+  /// domain and model.
+  std::map<std::string, TimePoint, std::less<>> stuck_since;
   /// Start time of each host's process, Unix time in ms. When a host has
   /// restarted, the orders and loads of its earlier process are over.
   std::map<std::string, uint64_t, std::less<>> process_starts;
--- a/source/replica_pass.h
+++ b/source/replica_pass.h
@@ -298,12 +298,51 @@
   /// Whether the host has the model's weights, or will after its present load.
   bool HasOrLoads(const BackendServer& host, const ModelProfile& model) const;
 
+  /// Hosts of the domain that have or load the model's weights and are left
+  /// over once whole groups have been formed.
+  size_t CountSparesOf(const std::string& domain,
+                       const ModelProfile& model) const;
+
+  /// Value of one more group, in hosts that serve; more if groups are missing.
+  double GroupValue(const ModelProfile& model) const;
+
+  /// Value of one more spare beside `spares`: hosts that an expected loss would
+  /// put out of service without it.
+  double SpareValue(const Domain& domain,
+                    const ModelProfile& model,
+                    size_t spares) const;
+
+  size_t CountEmpty(const Domain& domain) const;
+
   /// Number of hosts that serve because one more host of the domain loads the
   /// model, per second of load.
   double LoadValue(const std::string& domain, const ModelProfile& model) const;
 
   void StageCoarse();
 
+  /// Free hosts of the domain that have only this model staged.
+  std::vector<const BackendServer*> FindConvertible(
+      const Domain& domain,
+      const ModelProfile& model) const;
+
+  /// Whether the domain has had too few idle hosts for a group of the model for
+  /// longer than a lost host takes to be replaced.
+  bool IsStuck(const std::string& domain, const ModelProfile& model);
+
+  /// Value of `count` spares of the model, which load another one: of the
+  /// protection that they give, and of the group that they are part of. The
+  /// more members of a group survive, the fewer loads complete it.
+  double ConversionCost(const std::string& domain,
+                        const ModelProfile& model,
+                        size_t count);
+
+  /// Makes idle hosts of other models complete a group, where empty hosts do
+  /// not suffice and the group is worth more. Returns whether it did.
+  bool ConvertFor(const std::string& domain, const ModelProfile& wanted);
+
+  /// Makes the leftovers of broken groups load a model that lacks groups.
+  void ConvertLeftovers();
+
   uint64_t NextEpoch();
 
   const ReplicaInput& m_input;
--- a/source/replica_spares.cc
+++ b/source/replica_spares.cc
@@ -27,6 +27,10 @@
 /// one whose group is broken already.
 constexpr double kProtectValue = 0.5;
 
+/// A host that was lost is replaced within this time, or not soon: a domain
+/// with too few hosts for a group need not be kept for that group any longer.
+constexpr Duration kReplacementTime = Seconds(5);
+
 /// Probability that more than `count` events occur where `mean` are expected.
 double ProbabilityOfMore(double mean, size_t count) {
   double term = std::exp(-mean);
@@ -44,6 +48,9 @@
   if (HasCoarseGroups()) {
     UpdateLossRate();
     StageCoarse();
+    if (m_policy.converts_idle && !m_input.before_traffic) {
+      ConvertLeftovers();
+    }
     return;
   }
   StageSpares();
@@ -121,34 +128,50 @@
              : loading->second.model == model.name;
 }
 
-double ReplicaPass::LoadValue(const std::string& name,
-                              const ModelProfile& model) const {
-  const Domain& domain = m_domains.at(name);
-  const auto size = static_cast<size_t>(model.members);
-  size_t present = 0;
-  const auto idle = m_idle.find(name);
-  if (idle != m_idle.end()) {
-    present = static_cast<size_t>(std::count_if(
-        idle->second.begin(), idle->second.end(),
-        [this, &model](const auto* host) { return HasOrLoads(*host, model); }));
-  }
-  const size_t spares = present % size;
-  const size_t lacking = size - spares;
-  const auto empty = static_cast<size_t>(
-      std::count_if(domain.free.begin(), domain.free.end(),
-                    [this](const auto* host) { return IsEmpty(*host); }));
+size_t ReplicaPass::CountSparesOf(const std::string& domain,
+                                  const ModelProfile& model) const {
+  const auto idle = m_idle.find(domain);
+  if (idle == m_idle.end()) {
+    return 0;
+  }
+  const auto present = std::count_if(
+      idle->second.begin(), idle->second.end(),
+      [this, &model](const auto* host) { return HasOrLoads(*host, model); });
+  return static_cast<size_t>(present % model.members);
+}
+
+double ReplicaPass::GroupValue(const ModelProfile& model) const {
   const double shortage = Shortage(model);
-  const double completes = static_cast<double>(size) /
-                           static_cast<double>(lacking) *
-                           (shortage > 0 ? 1 + shortage : kSurplusValue) *
-                           (empty >= lacking ? 1 : kIncompleteValue);
+  return model.members * (shortage > 0 ? 1 + shortage : kSurplusValue);
+}
+
+double ReplicaPass::SpareValue(const Domain& domain,
+                               const ModelProfile& model,
+                               size_t spares) const {
   const auto groups = domain.groups.find(model.name);
-  const int present_groups = groups == domain.groups.end() ? 0 : groups->second;
+  const int present = groups == domain.groups.end() ? 0 : groups->second;
   const double losses = std::max(kMinLossRate, *m_memory.loss_rate) *
-                        model.members * present_groups * ToSeconds(model.load);
-  const double protects =
-      kProtectValue * (model.members - 1) * ProbabilityOfMore(losses, spares);
-  return (completes + protects) / ToSeconds(model.load);
+                        model.members * present * ToSeconds(model.load);
+  return kProtectValue * (model.members - 1) *
+         ProbabilityOfMore(losses, spares);
+}
+
+size_t ReplicaPass::CountEmpty(const Domain& domain) const {
+  return static_cast<size_t>(
+      std::count_if(domain.free.begin(), domain.free.end(),
+                    [this](const auto* host) { return IsEmpty(*host); }));
+}
+
+double ReplicaPass::LoadValue(const std::string& name,
+                              const ModelProfile& model) const {
+  const Domain& domain = m_domains.at(name);
+  const size_t spares = CountSparesOf(name, model);
+  const size_t lacking = static_cast<size_t>(model.members) - spares;
+  const double completes =
+      GroupValue(model) / static_cast<double>(lacking) *
+      (CountEmpty(domain) >= lacking ? 1 : kIncompleteValue);
+  return (completes + SpareValue(domain, model, spares)) /
+         ToSeconds(model.load);
 }
 
 void ReplicaPass::StageCoarse() {
@@ -175,4 +198,84 @@
   }
 }
 
+std::vector<const BackendServer*> ReplicaPass::FindConvertible(
+    const Domain& domain,
+    const ModelProfile& model) const {
+  std::vector<const BackendServer*> found;
+  for (const BackendServer* host : domain.free) {
+    const bool only_this =
+        host->staged.size() == 1 && host->staged.front() == model.name;
+    if (only_this && !IsLoading(*host) && !IsBusy(host->id)) {
+      found.push_back(host);
+    }
+  }
+  return found;
+}
+
+bool ReplicaPass::IsStuck(const std::string& name, const ModelProfile& model) {
+  const std::string key = name + kGroupNameSeparator + model.name;
+  const auto idle = m_idle.find(name);
+  const size_t hosts = idle == m_idle.end() ? 0 : idle->second.size();
+  if (hosts >= static_cast<size_t>(model.members)) {
+    m_memory.stuck_since.erase(key);
+    return false;
+  }
+  const auto since = m_memory.stuck_since.try_emplace(key, m_now).first->second;
+  return m_now - since >= kReplacementTime;
+}
+
+double ReplicaPass::ConversionCost(const std::string& name,
+                                   const ModelProfile& model,
+                                   size_t count) {
+  const size_t spares = CountSparesOf(name, model);
+  if (spares < count) {
+    return GroupValue(model);
+  }
+  const double size = model.members;
+  const double before = static_cast<double>(spares) / size;
+  const double after = static_cast<double>(spares - count) / size;
+  double cost = IsStuck(name, model)
+                    ? 0
+                    : GroupValue(model) * (before * before - after * after);
+  for (size_t left = spares - count; left < spares; ++left) {
+    cost += SpareValue(m_domains.at(name), model, left);
+  }
+  return cost;
+}
+
+bool ReplicaPass::ConvertFor(const std::string& name,
+                             const ModelProfile& wanted) {
+  const Domain& domain = m_domains.at(name);
+  const size_t lacking =
+      static_cast<size_t>(wanted.members) - CountSparesOf(name, wanted);
+  const size_t empty = CountEmpty(domain);
+  if (empty >= lacking || !MayLoad(lacking)) {
+    return false;
+  }
+  const size_t count = lacking - empty;
+  for (const ModelProfile& other : m_engine.models) {
+    const auto hosts = FindConvertible(domain, other);
+    if (other.name == wanted.name || hosts.size() < count ||
+        ConversionCost(name, other, count) >= GroupValue(wanted)) {
+      continue;
+    }
+    for (size_t i = 0; i < count; ++i) {
+      Stage(*hosts[i], wanted);
+    }
+    while (const BackendServer* host = FindEmpty(domain)) {
+      Stage(*host, wanted);
+    }
+    return true;
+  }
+  return false;
+}
+
+void ReplicaPass::ConvertLeftovers() {
+  for (const ModelProfile* wanted : ModelsByShortage()) {
+    for (const auto& [name, domain] : m_domains) {
+      ConvertFor(name, *wanted);
+    }
+  }
+}
+
 }  // namespace filbertrack
--- a/tests/replica_repair_test.cc
+++ b/tests/replica_repair_test.cc
@@ -19,6 +19,9 @@
 constexpr Duration kFaultsBegin = Seconds(25);
 constexpr Duration kReplay = Seconds(34);
 
+/// Where a host is added for each one that is lost.
+enum class Added { kSameDomain, kAnyDomain, kNone };
+
 /// Host-seconds by the state of the hosts.
 using HostSeconds = std::map<std::string, double>;
 
@@ -32,9 +35,16 @@
   }
 
   /// Two or three joined hosts are lost for good every 2 s for 20 s. An empty
-  /// host is added 2 s after each loss, in the same domain or in any.
-  void LoseHosts(bool same_domain) {
+  /// host is added 2 s after each loss, unless `added` is kNone.
+  void LoseHosts(Added added, bool darkens = false) {
+    std::vector<FakeFleet::Host*> dark;
     for (int step = 0; step < 10; ++step) {
+      if (darkens && step == 3) {
+        dark = DarkenLargeDomain();
+      }
+      if (step == 6) {
+        BringBack(dark, true);
+      }
       const int lost = 2 + step % 2;
       for (int i = 0; i < lost; ++i) {
         std::vector<FakeFleet::Host*> joined;
@@ -45,9 +55,13 @@
         }
         FakeFleet::Host& host = *joined[m_random() % joined.size()];
         host.alive = false;
+        if (added == Added::kNone) {
+          continue;
+        }
         const std::string any = "d" + std::to_string(m_random() % kDomains);
-        m_added.emplace_back(m_run.now + Seconds(2),
-                             same_domain ? host.server.domain : any);
+        m_added.emplace_back(m_run.now + Seconds(2), added == Added::kSameDomain
+                                                         ? host.server.domain
+                                                         : any);
       }
       PassFor(Seconds(2));
     }
@@ -56,26 +70,9 @@
 
   /// A domain with a large group does not answer for 6 s.
   void DarkenDomain(bool restarts) {
-    std::string domain;
-    for (const auto& [id, host] : m_run.fleet.hosts()) {
-      if (m_run.fleet.Serves(host) && host.server.model == "large") {
-        domain = host.server.domain;
-      }
-    }
-    std::vector<FakeFleet::Host*> dark;
-    for (auto& [id, host] : m_run.fleet.hosts()) {
-      if (host.server.domain == domain) {
-        dark.push_back(&host);
-        host.alive = false;
-      }
-    }
+    const std::vector<FakeFleet::Host*> dark = DarkenLargeDomain();
     PassFor(Seconds(6));
-    for (FakeFleet::Host* host : dark) {
-      host->alive = true;
-      if (restarts) {
-        FakeFleet::Restart(*host);
-      }
-    }
+    BringBack(dark, restarts);
     PassFor(kReplay - Seconds(6));
   }
 
@@ -123,6 +120,33 @@
   std::string log() const { return m_log.str(); }
 
  private:
+  std::vector<FakeFleet::Host*> DarkenLargeDomain() {
+    std::string domain;
+    for (const auto& [id, host] : m_run.fleet.hosts()) {
+      if (m_run.fleet.Serves(host) && host.server.model == "large") {
+        domain = host.server.domain;
+      }
+    }
+    std::vector<FakeFleet::Host*> dark;
+    for (auto& [id, host] : m_run.fleet.hosts()) {
+      if (host.server.domain == domain && host.alive) {
+        dark.push_back(&host);
+        host.alive = false;
+      }
+    }
+    return dark;
+  }
+
+  static void BringBack(const std::vector<FakeFleet::Host*>& hosts,
+                        bool restarts) {
+    for (FakeFleet::Host* host : hosts) {
+      host->alive = true;
+      if (restarts) {
+        FakeFleet::Restart(*host);
+      }
+    }
+  }
+
   std::string StateOf(const ReplicaPass& pass,
                       const FakeFleet::Host& host) const {
     const auto& membership = host.server.membership;
@@ -195,9 +219,16 @@
 
 const Pattern kLossesReplaced{
     "joined hosts are lost, empty ones are added in their domain",
-    [](Replay& replay) { replay.LoseHosts(true); }};
-const Pattern kLosses{"joined hosts are lost, empty ones are added anywhere",
-                      [](Replay& replay) { replay.LoseHosts(false); }};
+    [](Replay& replay) { replay.LoseHosts(Added::kSameDomain); }};
+const Pattern kLosses{
+    "joined hosts are lost, empty ones are added anywhere",
+    [](Replay& replay) { replay.LoseHosts(Added::kAnyDomain); }};
+const Pattern kLossesAndDarkDomain{
+    "joined hosts are lost and a domain is dark for 6 s",
+    [](Replay& replay) { replay.LoseHosts(Added::kSameDomain, true); }};
+const Pattern kLossesOnly{
+    "joined hosts are lost and none are added",
+    [](Replay& replay) { replay.LoseHosts(Added::kNone); }};
 const Pattern kDarkDomain{"a domain is dark for 6 s",
                           [](Replay& replay) { replay.DarkenDomain(false); }};
 const Pattern kDarkDomainRestarts{
@@ -272,6 +303,42 @@
   }
 }
 
+/// Serving groups of the small model 25 s after a domain with two large groups
+/// lost four members of one of them for good.
+int SmallGroupsAfterLoss(bool converts) {
+  ReplicaPolicy policy;
+  policy.converts_idle = converts;
+  Replay replay(1, policy);
+  std::map<std::string, std::vector<FakeFleet::Host*>> members;
+  for (auto& [id, host] : replay.run().fleet.hosts()) {
+    if (host.server.domain == "d0" && replay.run().fleet.Serves(host) &&
+        host.server.membership->rank > 0) {
+      REQUIRE(host.server.model == "large");
+      members[host.server.membership->group].push_back(&host);
+    }
+  }
+  REQUIRE(members.size() == 2);
+  for (size_t i = 0; i < 4; ++i) {
+    members.begin()->second.at(i)->alive = false;
+  }
+  replay.PassFor(Seconds(25));
+  CHECK(replay.run().fleet.violations().empty());
+  int groups = 0;
+  for (const auto& [id, host] : replay.run().fleet.hosts()) {
+    groups += replay.run().fleet.Serves(host) && host.server.model == "small" &&
+              host.server.membership->rank == 0;
+  }
+  return groups;
+}
+
+TEST_CASE("leftovers of a group that cannot form again serve the other model") {
+  // Guards against hosts that are idle for good: 4 survivors and 3 spares are
+  // too few for a group of 8, no host is added to their domain, and the small
+  // model lacks a group. Four of them load its weights.
+  CHECK(SmallGroupsAfterLoss(true) == 19);
+  CHECK(SmallGroupsAfterLoss(false) == 18);
+}
+
 TEST_CASE("the loss rate follows the losses") {
   // Guards against spares chosen by a constant: the rate rises with the losses
   // and falls after them. Draining hosts are not lost.
@@ -296,8 +363,8 @@
 TEST_CASE("replays of a dark domain and of a replacement keep the invariants") {
   // Guards against groups with a missing member and hosts in two groups while
   // many hosts are lost at once, on a fleet of groups of 8 and 4.
-  for (const Pattern& pattern :
-       {kDarkDomain, kDarkDomainRestarts, kReplacement}) {
+  for (const Pattern& pattern : {kLossesOnly, kLossesAndDarkDomain, kDarkDomain,
+                                 kDarkDomainRestarts, kReplacement}) {
     const HostSeconds off = MeanOf(pattern, WithoutCoarseGroups());
     const HostSeconds on = MeanOf(pattern, ReplicaPolicy{});
     CHECK(Serving(on) >= Serving(off));
