replicas: tests of survivors kept together and of hosts in quarantine

Change: one test loses four members of a group of 8 and adds a host after 2 s, so that the 7 survivors and spares must wait for its load; another lets a host be added while 7 survivors are in quarantine, for which it must load the large model.

--- a/tests/replica_repair_test.cc
+++ b/tests/replica_repair_test.cc
@@ -303,34 +303,44 @@
   }
 }
 
-/// Serving groups of the small model 25 s after a domain with two large groups
-/// lost four members of one of them for good.
-int SmallGroupsAfterLoss(bool converts) {
-  ReplicaPolicy policy;
-  policy.converts_idle = converts;
-  Replay replay(1, policy);
-  std::map<std::string, std::vector<FakeFleet::Host*>> members;
+/// Loses four members, not the head, of one of the two large groups of domain
+/// d0 for good.
+void LoseFourMembers(Replay& replay) {
+  std::map<std::string, std::map<int, FakeFleet::Host*>> members;
   for (auto& [id, host] : replay.run().fleet.hosts()) {
-    if (host.server.domain == "d0" && replay.run().fleet.Serves(host) &&
-        host.server.membership->rank > 0) {
+    if (host.server.domain == "d0" && replay.run().fleet.Serves(host)) {
       REQUIRE(host.server.model == "large");
-      members[host.server.membership->group].push_back(&host);
+      const Membership& membership = *host.server.membership;
+      members[membership.group][membership.rank] = &host;
     }
   }
   REQUIRE(members.size() == 2);
-  for (size_t i = 0; i < 4; ++i) {
-    members.begin()->second.at(i)->alive = false;
+  for (int rank = 1; rank <= 4; ++rank) {
+    members.begin()->second.at(rank)->alive = false;
   }
-  replay.PassFor(Seconds(25));
-  CHECK(replay.run().fleet.violations().empty());
+}
+
+int CountServing(Replay& replay, const std::string& model) {
   int groups = 0;
   for (const auto& [id, host] : replay.run().fleet.hosts()) {
-    groups += replay.run().fleet.Serves(host) && host.server.model == "small" &&
+    groups += replay.run().fleet.Serves(host) && host.server.model == model &&
               host.server.membership->rank == 0;
   }
   return groups;
 }
 
+/// Serving groups of the small model 25 s after a large group lost four members
+/// for good.
+int SmallGroupsAfterLoss(bool converts) {
+  ReplicaPolicy policy;
+  policy.converts_idle = converts;
+  Replay replay(1, policy);
+  LoseFourMembers(replay);
+  replay.PassFor(Seconds(25));
+  CHECK(replay.run().fleet.violations().empty());
+  return CountServing(replay, "small");
+}
+
 TEST_CASE("leftovers of a group that cannot form again serve the other model") {
   // Guards against hosts that are idle for good: 4 survivors and 3 spares are
   // too few for a group of 8, no host is added to their domain, and the small
@@ -339,6 +349,67 @@
   CHECK(SmallGroupsAfterLoss(false) == 18);
 }
 
+TEST_CASE("survivors of a group stay together while a load completes it") {
+  // Guards against a lost group of 8 for a further group of 4: 7 survivors and
+  // spares lack one host, which is added after 2 s. The small model lacks a
+  // group, too, but none of the 7 may load its weights.
+  Replay replay(1);
+  LoseFourMembers(replay);
+  replay.PassFor(Seconds(2));
+  replay.run().fleet.AddHost("d0", false, "");
+  replay.PassFor(Seconds(18));
+  CHECK(CountServing(replay, "large") == 9);
+  CHECK(CountServing(replay, "small") == 18);
+}
+
+/// Model that an empty host loads in a domain of 8 + 4 + 4 hosts which lost the
+/// head of the large group and its spares of the large model 2 s before; empty
+/// if it loads none.
+std::string LoadDuringQuarantine(ReplicaPolicy policy) {
+  // Otherwise the small model's spare would load the large one first.
+  policy.converts_idle = false;
+  Replay replay(1, policy);
+  FakeFleet& fleet = replay.run().fleet;
+  std::map<std::string, std::set<std::string>> models;
+  for (const auto& [id, host] : fleet.hosts()) {
+    if (fleet.Serves(host)) {
+      models[host.server.domain].insert(host.server.model);
+    }
+  }
+  const auto mixed =
+      std::find_if(models.begin(), models.end(),
+                   [](const auto& row) { return row.second.size() == 2; });
+  REQUIRE(mixed != models.end());
+  std::vector<FakeFleet::Host*> lost;
+  for (auto& [id, host] : fleet.hosts()) {
+    const bool is_spare = !fleet.Serves(host);
+    if (host.server.domain == mixed->first && host.server.model == "large" &&
+        (is_spare || host.server.membership->rank == 0)) {
+      lost.push_back(&host);
+    }
+  }
+  for (FakeFleet::Host* host : lost) {
+    host->alive = false;
+  }
+  replay.PassFor(Seconds(1));
+  fleet.AddHost(mixed->first, false, "");
+  replay.PassFor(Seconds(1));
+  for (const auto& [id, host] : fleet.hosts()) {
+    if (host.staged_at) {
+      return host.staging;
+    }
+  }
+  return "";
+}
+
+TEST_CASE("hosts in quarantine count for the group that a load completes") {
+  // Guards against a load for the wrong model: the 7 survivors are in
+  // quarantine for 6 s, and a load takes 16 s, after which it completes their
+  // group.
+  CHECK(LoadDuringQuarantine(ReplicaPolicy{}) == "large");
+  CHECK(LoadDuringQuarantine(WithoutCoarseGroups()) == "small");
+}
+
 TEST_CASE("the loss rate follows the losses") {
   // Guards against spares chosen by a constant: the rate rises with the losses
   // and falls after them. Draining hosts are not lost.
