placement: interface

A choice by reported loads admits too many requests in a burst, since the loads are 0.1 to 0.6 s old.

--- /dev/null
+++ b/include/filbertrack/placement_role.h
@@ -0,0 +1,28 @@
+#pragma once
+
+/// Chooses the placer of a pool, that is, the entry host that decides for all
+/// entry hosts which target takes a request of one service and model.
+
+#include <compare>
+#include <span>
+#include <string>
+
+#include "filbertrack/gossip_message.h"
+
+namespace filbertrack {
+
+/// The targets of one model of a service.
+struct PoolKey {
+  std::string service;
+  std::string model;
+
+  auto operator<=>(const PoolKey&) const = default;
+};
+
+/// Returns the host that places the requests of `pool`; empty if `live` is.
+/// Hosts that know the same live hosts choose the same one without
+/// coordination: the highest capacity class first, by rendezvous hashing of the
+/// pool within a class. Hosts that are draining must not be listed.
+std::string ChoosePlacer(const PoolKey& pool, std::span<const FleetHost> live);
+
+}  // namespace filbertrack
