entry: asks the placer of a pool for the target where placement is on

The choice of a target was made by each entry host from reported loads. EntryRelay now asks a RequestPlacer where placement is on for the service and model, keeps the request until the decision, checks a grant again before the send and reports sends, first events and ends. With placement off the decisions and draws are unchanged.

--- a/include/filbertrack/dispatch_selector.h
+++ b/include/filbertrack/dispatch_selector.h
@@ -208,6 +208,26 @@
 
   DispatchDecision Choose(const DispatchQuery& query, TimePoint now);
 
+  /// The choice of target `id` that another host made for the request, with
+  /// its prediction and its count of requests there. nullopt: the request may
+  /// not be sent there from this host, because the target is not known, was
+  /// evacuated or tried, or accepts no request now.
+  std::optional<DispatchChoice> ConfirmChoice(std::string_view id,
+                                              const DispatchQuery& query,
+                                              Duration predicted,
+                                              int requests,
+                                              TimePoint now) const;
+  /// Targets of the query's model that ConfirmChoice() would not confirm, and
+  /// those that failed lately, unless so many failed that the targets are
+  /// unlikely to be the cause.
+  std::vector<std::string> UnusableTargets(const DispatchQuery& query,
+                                           TimePoint now) const;
+  /// Counts a request whose target was chosen, or which was refused, by another
+  /// host, for the pressure of its model.
+  void RecordPlacement(const DispatchQuery& query, bool placed, TimePoint now) {
+    RecordOutcome(query, placed, now);
+  }
+
   void OnSent(std::string_view id, double prompt_tokens);
   /// The first event of an answer came `measured` after the request was sent.
   void OnFirstEvent(std::string_view id,
--- a/include/filbertrack/entry_host.h
+++ b/include/filbertrack/entry_host.h
@@ -13,6 +13,7 @@
 #include "filbertrack/dispatch_selector.h"
 #include "filbertrack/entry_backpressure.h"
 #include "filbertrack/entry_metrics.h"
+#include "filbertrack/entry_placer.h"
 #include "filbertrack/entry_poison.h"
 #include "filbertrack/entry_ports.h"
 #include "filbertrack/entry_relay.h"
@@ -114,6 +115,15 @@
     return m_selector.MaxPressure(now);
   }
 
+  /// Sets the host's access to placement; null: none. It must outlive the host
+  /// or be removed before it is destroyed.
+  void SetPlacer(RequestPlacer* placer) { m_context.placer = placer; }
+  const Settings& settings() const { return m_settings; }
+  /// Number of regions that the data centres are in.
+  size_t CountRegions() const;
+  /// The targets of requests, with those in evacuated data centres.
+  std::vector<DispatchTarget> Targets() const;
+
   /// Prefers targets of the local data centre, whose load reports are fresher.
   /// Has no effect if the setting `mechanisms.prefers_near` is off.
   void SetPrefersLocal(bool prefers) {
--- a/include/filbertrack/entry_metrics.h
+++ b/include/filbertrack/entry_metrics.h
@@ -35,6 +35,19 @@
   /// Records a request that was rejected at admission.
   void OnRejected(ResultCode code);
 
+  /// Records how long a request waited for the decision of a placer.
+  void OnPlacementWait(Duration waited);
+  /// Records a request for which placement is on and whose target this host
+  /// chose itself.
+  void OnPlacementFallback(std::string_view cause);
+  /// Records that a pool has another placer than before.
+  void OnPlacementHandover();
+
+  /// Adds a function that sets metrics whenever they are read.
+  void AddSampler(std::function<void(Metrics&)> sample) {
+    m_samplers.push_back(std::move(sample));
+  }
+
   /// Adds a gauge whose value is sampled by calling `read`. `labels` has the
   /// format that Metrics uses.
   void AddGauge(std::string name,
@@ -53,6 +66,7 @@
 
   Metrics m_metrics;
   std::vector<Gauge> m_gauges;
+  std::vector<std::function<void(Metrics&)>> m_samplers;
 };
 
 }  // namespace filbertrack
--- a/include/filbertrack/entry_peers.h
+++ b/include/filbertrack/entry_peers.h
@@ -88,6 +88,36 @@
   /// processor cannot probe hundreds of hosts.
   bool ShouldYield(TimePoint now) const;
 
+  /// The live hosts with this one. Shortly after the start also the hosts that
+  /// the store lists and that sent no message yet.
+  std::vector<FleetHost> LiveHosts(TimePoint now) const;
+  /// Changes whenever LiveHosts() may have changed, except after the start.
+  uint64_t MembershipRevision() const {
+    return m_gossip.membership() + m_peer_changes;
+  }
+  /// Whether hosts that are listed but sent no message yet count as live.
+  bool IsStartingUp(TimePoint now) const {
+    return now - m_started < m_policy.startup_grace_period;
+  }
+  /// The loads that the other hosts reported.
+  FleetGossip::LoadSums RemoteLoads(TimePoint now) const {
+    return m_gossip.SumLoads(now).loads;
+  }
+  /// Address for messages to another host; null if it is not known.
+  const Address* AddressOf(std::string_view host) const;
+  /// Shared secret of the entry hosts; empty until it was read.
+  const std::string& secret() const { return m_secret; }
+  /// Announces that this host takes on no tasks for the fleet any more, by a
+  /// capacity of 0.
+  void AnnounceDraining();
+
+  /// Sets the callback for the end of each gossip round.
+  void OnRound(std::function<void()> action) { m_on_round = std::move(action); }
+  /// Sets the handler of placement messages; null if there is none.
+  void OnPlacementMessage(PeerServer::Handler handler) {
+    m_on_placement_message = std::move(handler);
+  }
+
   /// Bytes of gossip messages sent to other entry hosts, by content.
   struct Traffic {
     uint64_t states = 0;
@@ -196,10 +226,6 @@
   void UpdateRemoteLoads(TimePoint now);
   /// Starts or stops watching the store if the role of this host has changed.
   void UpdateWatching(TimePoint now);
-  /// Whether hosts that are listed but sent no message yet count as live.
-  bool IsStartingUp(TimePoint now) const {
-    return now - m_started < m_policy.startup_grace_period;
-  }
 
   EventLoop& m_loop;
   FleetHost m_own;
@@ -238,6 +264,8 @@
   std::unique_ptr<Timer> m_round_timer;
   /// Set while loads are exchanged more often than once per round.
   std::unique_ptr<Timer> m_exchange_timer;
+  std::function<void()> m_on_round;
+  PeerServer::Handler m_on_placement_message;
 };
 
 }  // namespace filbertrack
--- a/include/filbertrack/entry_relay.h
+++ b/include/filbertrack/entry_relay.h
@@ -13,6 +13,7 @@
 
 #include "filbertrack/dispatch_selector.h"
 #include "filbertrack/entry_backpressure.h"
+#include "filbertrack/entry_placer.h"
 #include "filbertrack/entry_poison.h"
 #include "filbertrack/entry_ports.h"
 #include "filbertrack/http_client.h"
@@ -76,6 +77,19 @@
   std::string local_data_centre;
   /// Store revision that the target list is based on.
   uint64_t servers_revision = 0;
+  /// Null: targets are chosen by `selector` only.
+  RequestPlacer* placer = nullptr;
+};
+
+/// How a request was placed, for the log. Present only where placement is on.
+struct RequestPlacement {
+  /// Entry host that made the last decision; empty if it was this host's own
+  /// choice by reported loads.
+  std::string by;
+  /// Time from asking to the decision, of all asks of the request.
+  Duration waited{0};
+  /// Position in the queue when the last ask was queued; 0 if it was not.
+  int position = 0;
 };
 
 class EntryRelay {
@@ -141,12 +155,43 @@
   std::optional<Duration> retry_after() const { return m_sent_retry_after; }
   std::optional<TimePoint> first_event_at() const { return m_first_event; }
   std::optional<Duration> longest_pause() const { return m_longest_pause; }
+  const std::optional<RequestPlacement>& placement() const {
+    return m_placement;
+  }
 
  private:
   friend struct EntryActions;
+  friend struct PlacementActions;
+
+  /// An ask that was not decided yet.
+  struct PendingAsk {
+    uint64_t id = 0;
+    bool is_retry = false;
+    TimePoint asked_at;
+  };
 
   void Feed(const RequestEvent& event);
   void Seek(bool is_retry, uint64_t resume_from);
+  /// Chooses the target of the next attempt by the loads that other entry hosts
+  /// reported, and sends the request there.
+  void SeekLocally(bool is_retry, TimePoint now);
+  /// The same after an ask, in which time the request may have been blocked.
+  void SeekAgainLocally(bool is_retry);
+  /// Asks the placer for a target if placement is on. The request then waits
+  /// for OnDecision(). False: nothing was asked.
+  bool TryPlace(bool is_retry, TimePoint now);
+  PlacementAsk MakeAsk(uint64_t id, TimePoint now) const;
+  void WithdrawAsk();
+  void OnDecision(const PlacementDecision& decision);
+  /// Sends the request to the granted target if that is still allowed;
+  /// otherwise withdraws the grant.
+  void OnGrant(const PlacementGrant& grant, bool is_retry);
+  // Report the current attempt to the placer where placement is on.
+  void ReportSent();
+  void ReportFirst(Duration measured);
+  void ReportEnded(DispatchResult result);
+  void RefuseWithoutTarget(const DispatchRefusal& refusal);
+  DispatchQuery MakeQuery(TimePoint now) const;
   /// Asks the selector for the target of the next attempt.
   DispatchDecision ChooseTarget(TimePoint now);
   /// Whether a stalled answer can be resumed on another target now, which is
@@ -205,6 +250,13 @@
   /// Target found by CanFailOver(), for the next attempt.
   std::optional<DispatchChoice> m_failover_choice;
   std::set<std::string, std::less<>> m_tried_targets;
+  PoolKey m_pool;
+  std::optional<PendingAsk> m_ask;
+  /// Id of the grant that the next Send() uses; 0: none.
+  uint64_t m_granted_id = 0;
+  /// Id under which the current attempt is reported; 0: it is not.
+  uint64_t m_reported_id = 0;
+  std::optional<RequestPlacement> m_placement;
   /// Computed on first use, as most requests never need it.
   mutable RequestDigest m_digest;
   /// The current attempt is a trial copy of a blocked request.
--- a/include/filbertrack/site_catalog.h
+++ b/include/filbertrack/site_catalog.h
@@ -152,6 +152,7 @@
   const CallerLimits& limits() const { return m_parts.limits; }
   bool has_workspaces() const { return m_parts.has_workspaces; }
   size_t route_count() const { return m_parts.routes.size(); }
+  const std::vector<Route>& routes() const { return m_parts.routes; }
 
   const ServiceProfile* FindService(std::string_view name) const;
 
--- /dev/null
+++ b/source/dispatch_confirm.cc
@@ -0,0 +1,56 @@
+#include <algorithm>
+
+#include "filbertrack/dispatch_selector.h"
+
+/// TargetSelector: checks of targets that another host chose for a request.
+
+namespace filbertrack {
+
+std::optional<DispatchChoice> TargetSelector::ConfirmChoice(
+    std::string_view id,
+    const DispatchQuery& query,
+    Duration predicted,
+    int requests,
+    TimePoint now) const {
+  const Entry* entry = Find(id);
+  const bool is_usable = entry != nullptr && entry->in_use &&
+                         entry->target.service == query.service &&
+                         entry->target.model == query.model &&
+                         !IsExcluded(*entry, query) &&
+                         !IsHeldBack(*entry, query, now);
+  if (!is_usable) {
+    return std::nullopt;
+  }
+  return DispatchChoice{entry->target, predicted, entry->own.requests,
+                        std::max(0, requests - entry->own.requests),
+                        Duration(0)};
+}
+
+std::vector<std::string> TargetSelector::UnusableTargets(
+    const DispatchQuery& query,
+    TimePoint now) const {
+  std::vector<std::string> unusable;
+  const auto group = m_groups.find(GroupKey(query.service, query.model));
+  if (group == m_groups.end()) {
+    return unusable;
+  }
+  std::vector<std::string> paused;
+  for (const Entry* entry : group->second.all) {
+    if (WasTried(*entry, query) || IsHeldBack(*entry, query, now)) {
+      unusable.push_back(entry->target.id);
+    } else if (IsPaused(*entry, now)) {
+      paused.push_back(entry->target.id);
+    }
+  }
+  // As in DrawCandidates().
+  const auto count = static_cast<double>(group->second.all.size());
+  const bool others_left =
+      unusable.size() + paused.size() < group->second.all.size();
+  if (others_left &&
+      static_cast<double>(paused.size()) <= m_policy.min_in_use * count) {
+    unusable.insert(unusable.end(), paused.begin(), paused.end());
+  }
+  return unusable;
+}
+
+}  // namespace filbertrack
--- a/source/entry_host.cc
+++ b/source/entry_host.cc
@@ -89,7 +89,7 @@
       m_backpressure(settings.Text("node", "name"), FirstRevision()),
       m_context{loop,     m_upstream,     header_codec, m_selector, m_retries,
                 m_poison, m_backpressure, {},           1,          {},
-                0},
+                0,        nullptr},
       m_random(RendezvousWeight("split", settings.Text("node", "name"))) {
   m_context.times.moves_silent = IsEnabled(settings, "moves_silent");
   m_held_policy = HeldPolicyOf(settings);
@@ -248,9 +248,9 @@
   LogRequest({request, end, relay.last_target(), relay.sends(), first,
               now - request.arrived, relay.longest_pause(), relay.retry_after(),
               relay.refused_prediction(), m_selector.LoadsAge(now),
-              end.code == ResultCode::kRequestEndsServers
-                  ? relay.digest()
-                  : std::string_view()});
+              end.code == ResultCode::kRequestEndsServers ? relay.digest()
+                                                          : std::string_view(),
+              relay.placement()});
   // Destruction is deferred, as the relay's own callback is still running.
   auto row = m_relays.extract(&relay);
   auto ended =
@@ -344,14 +344,30 @@
   }
 }
 
+std::vector<DispatchTarget> EntryHost::Targets() const {
+  return m_catalog == nullptr ? std::vector<DispatchTarget>()
+                              : CurrentTargets(m_directory, *m_catalog,
+                                               m_evacuations, m_regions);
+}
+
+size_t EntryHost::CountRegions() const {
+  std::set<std::string_view> regions;
+  for (const auto& [data_centre, region] : m_regions) {
+    regions.insert(region);
+  }
+  return std::max<size_t>(1, regions.size());
+}
+
 void EntryHost::RefreshTargets() {
   if (m_catalog == nullptr) {
     return;
   }
   const TimePoint now = MonotonicNow();
-  std::vector<DispatchTarget> targets =
-      CurrentTargets(m_directory, *m_catalog, m_evacuations, m_regions);
+  std::vector<DispatchTarget> targets = Targets();
   UpdateColdTargets(targets, now);
+  if (m_context.placer != nullptr) {
+    m_context.placer->OnTargets(targets, *m_catalog);
+  }
   m_selector.SetTargets(std::move(targets), *m_catalog, now);
   // Computed only if a request needs it, as it evaluates all groups again.
   std::optional<std::set<std::string_view>> stalled;
@@ -394,6 +410,9 @@
   }
   m_settings = settings;
   m_retries.SetPolicy(RetryPolicyOf(settings), MonotonicNow());
+  if (m_context.placer != nullptr) {
+    m_context.placer->OnSettings(settings);
+  }
   Log(LogLevel::kInfo, "settings-reloaded", nlohmann::json::object());
 }
 
@@ -405,6 +424,9 @@
   m_drain_began = MonotonicNow();
   Log(LogLevel::kInfo, "stopping", {{"requests", m_relays.size()}});
   m_caller_server->CloseAfterAnswers();
+  if (m_context.placer != nullptr) {
+    m_context.placer->Drain();
+  }
   m_drain_timer = m_loop.Every(kDrainCheckInterval, [this] { CheckDrained(); });
 }
 
--- a/source/entry_metrics.cc
+++ b/source/entry_metrics.cc
@@ -56,6 +56,18 @@
   ++m_metrics.Counter("filbertrack_rejected_total", CodeLabel(code));
 }
 
+void EntryMetrics::OnPlacementWait(Duration waited) {
+  m_metrics.Latency("filbertrack_placement_wait_seconds").Add(waited);
+}
+
+void EntryMetrics::OnPlacementFallback(std::string_view cause) {
+  ++m_metrics.Counter("filbertrack_placement_fallbacks", Label("cause", cause));
+}
+
+void EntryMetrics::OnPlacementHandover() {
+  ++m_metrics.Counter("filbertrack_placement_handovers");
+}
+
 void EntryMetrics::AddGauge(std::string name,
                             std::string labels,
                             std::function<double()> read) {
@@ -66,6 +78,9 @@
   for (const Gauge& gauge : m_gauges) {
     m_metrics.Gauge(gauge.name, gauge.labels) = gauge.read();
   }
+  for (const auto& sample : m_samplers) {
+    sample(m_metrics);
+  }
   return m_metrics.Text();
 }
 
--- a/source/entry_peers.cc
+++ b/source/entry_peers.cc
@@ -8,6 +8,7 @@
 #include "filbertrack/base_compress.h"
 #include "filbertrack/base_hash.h"
 #include "filbertrack/log.h"
+#include "filbertrack/placement_message.h"
 
 namespace filbertrack {
 
@@ -142,6 +143,9 @@
   UpdateWatching(now);
   AskLocalPeers(now);
   ExchangeLoads(now);
+  if (m_on_round) {
+    m_on_round();
+  }
 }
 
 void EntryPeers::UpdateLimitHosts(TimePoint now) {
@@ -288,6 +292,10 @@
 
 void EntryPeers::OnRequest(std::string_view payload,
                            const PeerServer::Answer& answer) {
+  if (m_on_placement_message && IsPlacementMessage(payload)) {
+    m_on_placement_message(payload, answer);
+    return;
+  }
   const Result<GossipRequest> request = DecodeGossipRequest(payload);
   if (!request) {
     Log(LogLevel::kWarning, "peer-refused", {{"why", request.error().message}});
--- a/source/entry_peers_roles.cc
+++ b/source/entry_peers_roles.cc
@@ -88,6 +88,36 @@
                                                     : -1;
 }
 
+std::vector<FleetHost> EntryPeers::LiveHosts(TimePoint now) const {
+  std::vector<FleetHost> live = m_gossip.Fleet(now);
+  if (IsStartingUp(now)) {
+    std::set<std::string, std::less<>> known;
+    for (const FleetHost& host : live) {
+      known.insert(host.name);
+    }
+    for (const auto& [name, peer] : m_peers) {
+      if (!peer.unresponsive && !known.contains(name)) {
+        live.push_back(peer.host);
+      }
+    }
+  }
+  live.push_back(m_own);
+  return live;
+}
+
+const Address* EntryPeers::AddressOf(std::string_view host) const {
+  const auto peer = m_peers.find(host);
+  return peer == m_peers.end() ? nullptr : &peer->second.address;
+}
+
+void EntryPeers::AnnounceDraining() {
+  m_own.capacity = 0;
+  ++m_peer_changes;
+  if (m_round_timer != nullptr) {
+    RunRound();
+  }
+}
+
 bool EntryPeers::ShouldYield(TimePoint now) const {
   const std::vector<FleetHost> fleet = m_gossip.Fleet(now);
   return std::any_of(fleet.begin(), fleet.end(), [this](const auto& host) {
--- a/source/entry_relay.cc
+++ b/source/entry_relay.cc
@@ -115,6 +115,7 @@
 
 EntryRelay::~EntryRelay() {
   *m_alive = false;
+  WithdrawAsk();
 }
 
 void EntryRelay::Start() {
@@ -159,6 +160,13 @@
     Feed(NoTarget{ResultCode::kRequestEndsServers});
     return;
   }
+  if (!resumes && TryPlace(is_retry, now)) {
+    return;
+  }
+  SeekLocally(is_retry, now);
+}
+
+void EntryRelay::SeekLocally(bool is_retry, TimePoint now) {
   if (is_retry && !m_context.retries.TrySpend(now)) {
     Feed(NoTarget{ResultCode::kAttemptRefused});
     return;
@@ -171,7 +179,10 @@
     Send(*choice);
     return;
   }
-  const auto& refusal = std::get<DispatchRefusal>(decision);
+  RefuseWithoutTarget(std::get<DispatchRefusal>(decision));
+}
+
+void EntryRelay::RefuseWithoutTarget(const DispatchRefusal& refusal) {
   m_retry_after = refusal.retry_after;
   if (refusal.reason == DispatchDenial::kAllBusy) {
     m_refused_prediction = refusal.predicted;
@@ -179,7 +190,7 @@
   Feed(NoTarget{CodeOf(refusal.reason)});
 }
 
-DispatchDecision EntryRelay::ChooseTarget(TimePoint now) {
+DispatchQuery EntryRelay::MakeQuery(TimePoint now) const {
   DispatchQuery query;
   query.service = m_request.service;
   query.model = m_request.facts.model;
@@ -196,7 +207,11 @@
   query.backpressure = m_context.backpressure.Active();
   query.route_regions = m_request.route->regions;
   query.workspace_regions = m_request.workspace_regions;
-  return m_context.selector.Choose(query, now);
+  return query;
+}
+
+DispatchDecision EntryRelay::ChooseTarget(TimePoint now) {
+  return m_context.selector.Choose(MakeQuery(now), now);
 }
 
 bool EntryRelay::CanFailOver(TimePoint now) {
@@ -229,13 +244,15 @@
   m_answer_body.clear();
   m_context.selector.OnSent(choice.target.id, m_request.facts.prompt_tokens);
   m_context.backpressure.OnSent(choice.target, now);
+  ReportSent();
   Feed(TargetChosen{});
   PlacedLogLine line{m_request,
                      choice,
                      m_state.sends,
                      std::nullopt,
                      m_context.servers_revision,
-                     m_context.backpressure.LimitOf(choice.target)};
+                     m_context.backpressure.LimitOf(choice.target),
+                     m_placement};
   if (m_state.answer_started) {
     line.resumes_at = m_resume_from;
   }
@@ -299,6 +316,7 @@
   }
   m_context.selector.OnEnded(m_choice->target.id, m_request.facts.prompt_tokens,
                              !m_attempt_first_event, result, MonotonicNow());
+  ReportEnded(result);
   m_choice.reset();
 }
 
@@ -308,6 +326,7 @@
     m_context.selector.OnFirstEvent(m_choice->target.id,
                                     m_request.facts.prompt_tokens,
                                     m_choice->predicted, now - m_sent_at);
+    ReportFirst(now - m_sent_at);
   }
   if (!m_first_event) {
     m_first_event = now;
@@ -413,6 +432,7 @@
 void EntryRelay::Finish(const EntryResult& end) {
   m_finished = true;
   m_deadline_timer.reset();
+  WithdrawAsk();
   // The selector counts the request at its target until the attempt is closed.
   CloseAttempt(false);
   m_exchange->OnCallerDisconnected(nullptr);
--- a/source/entry_request_log.cc
+++ b/source/entry_request_log.cc
@@ -6,6 +6,22 @@
 
 namespace filbertrack {
 
+namespace {
+
+void AddPlacement(nlohmann::json& fields,
+                  const std::optional<RequestPlacement>& placement) {
+  if (!placement) {
+    return;
+  }
+  fields["by"] = placement->by;
+  fields["waited_ms"] = ToMilliseconds(placement->waited);
+  if (placement->position > 0) {
+    fields["position"] = placement->position;
+  }
+}
+
+}  // namespace
+
 void LogPlaced(const PlacedLogLine& line) {
   if (!IsLogged(LogLevel::kInfo)) {
     return;
@@ -29,6 +45,7 @@
   if (line.rate_limit) {
     fields["rate_limit"] = *line.rate_limit;
   }
+  AddPlacement(fields, line.placement);
   Log(LogLevel::kInfo, "placed", fields);
 }
 
@@ -90,6 +107,7 @@
   if (!line.digest.empty()) {
     fields["digest"] = line.digest;
   }
+  AddPlacement(fields, line.placement);
   Log(LogLevel::kInfo, "request", fields);
 }
 
--- a/source/entry_request_log.h
+++ b/source/entry_request_log.h
@@ -23,6 +23,8 @@
   uint64_t servers_revision = 0;
   /// Requests a second that the target accepts; nullopt if it sets no limit.
   std::optional<double> rate_limit;
+  /// nullopt where placement is off.
+  const std::optional<RequestPlacement>& placement;
 };
 void LogPlaced(const PlacedLogLine& line);
 
@@ -61,6 +63,8 @@
   Duration loads_age{0};
   /// Digest of a request refused as a poison request; else empty.
   std::string_view digest;
+  /// nullopt where placement is off.
+  const std::optional<RequestPlacement>& placement;
 };
 void LogRequest(const RequestEndLogLine& line);
 
--- a/source/entry_settings.cc
+++ b/source/entry_settings.cc
@@ -93,6 +93,9 @@
        "requests."},
       {"groups", "spares_per_domain", IntegerKey{2, 0, 1000},
        "Hosts kept free in each fabric domain for repairs."},
+      {"placement", "mode", TextKey{"auto", false, {"auto", "on", "off"}},
+       "Whether one entry host chooses the targets of a model for all; auto: "
+       "where routes differ in priority or an entry host is weak."},
       {"mechanisms", "looks_wider", YesOrNo(),
        "More targets are considered before a request is rejected."},
       {"mechanisms", "pauses_failing", YesOrNo(),
--- a/tests/platform_site.h
+++ b/tests/platform_site.h
@@ -11,6 +11,7 @@
 #include "filbertrack/entry_control.h"
 #include "filbertrack/entry_host.h"
 #include "filbertrack/entry_peers.h"
+#include "filbertrack/entry_placement.h"
 #include "filbertrack/entry_poison_record.h"
 #include "platform_config.h"
 #include "platform_decode.h"
