--- a/include/filbertrack/placement_role.h
+++ b/include/filbertrack/placement_role.h
@@ -3,9 +3,9 @@
 /// Chooses the placer of a pool, that is, the entry host that decides for all
 /// entry hosts which target takes a request of one service and model.
 
-#include <compare>
 #include <span>
 #include <string>
+#include <tuple>
 
 #include "filbertrack/gossip_message.h"
 
@@ -16,7 +16,10 @@
   std::string service;
   std::string model;
 
-  auto operator<=>(const PoolKey&) const = default;
+  bool operator==(const PoolKey&) const = default;
+  bool operator<(const PoolKey& other) const {
+    return std::tie(service, model) < std::tie(other.service, other.model);
+  }
 };
 
 /// Returns the host that places the requests of `pool`; empty if `live` is.
