--- a/include/filbertrack/dispatch_selector.h
+++ b/include/filbertrack/dispatch_selector.h
@@ -219,9 +219,10 @@
                                               TimePoint now) const;
   /// Targets of the query's model that ConfirmChoice() would not confirm, and
   /// those that failed lately, unless so many failed that the targets are
-  /// unlikely to be the cause.
-  std::vector<std::string> UnusableTargets(const DispatchQuery& query,
-                                           TimePoint now) const;
+  /// unlikely to be the cause. nullopt: no target is usable.
+  std::optional<std::vector<std::string>> UnusableTargets(
+      const DispatchQuery& query,
+      TimePoint now) const;
   /// Counts a request whose target was chosen, or which was refused, by another
   /// host, for the pressure of its model.
   void RecordPlacement(const DispatchQuery& query, bool placed, TimePoint now) {
--- a/include/filbertrack/entry_placement.h
+++ b/include/filbertrack/entry_placement.h
@@ -69,11 +69,10 @@
     OnDecision on_decision;
     std::string placer;
     TimePoint asked_at;
-    int position = 0;
   };
   /// A time in which asks of one placer are decided locally.
   struct Fallback {
-    std::string cause;
+    PlacementFallback cause = PlacementFallback::kNone;
     TimePoint began;
     uint64_t count = 0;
   };
@@ -101,22 +100,19 @@
   /// Link to another entry host; null if its address is not known. A link that
   /// still waits for a reply is closed first.
   PeerClient* IdleLink(Links& links, const std::string& host);
-  void OnReply(const std::string& placer,
-               const PlacementReply* reply,
-               std::string_view failure);
+  /// `reply` is null if there was none.
+  void OnReply(const std::string& placer, const PlacementReply* reply);
   void OnMessage(std::string_view payload, const PeerServer::Answer& answer);
   void Decide(std::vector<PlacementClient::Decided> decided);
 
   /// Begins or ends the fallback of a placer.
-  void UpdateFallback(const std::string& placer,
-                      std::string_view cause,
-                      TimePoint now);
+  void UpdateFallback(const std::string& placer, TimePoint now);
   /// Ends the fallbacks of hosts that place no pool any more.
   void EndStaleFallbacks(TimePoint now);
   static void LogFallbackEnd(const std::string& placer,
                              const Fallback& fallback,
                              TimePoint now);
-  void CountFallback(const std::string& placer, std::string_view cause);
+  void CountFallback(const std::string& placer, PlacementFallback cause);
   void SampleMetrics(Metrics& metrics);
 
   /// The loads of hosts that have not synced are estimated for this long after
--- a/include/filbertrack/entry_relay.h
+++ b/include/filbertrack/entry_relay.h
@@ -180,7 +180,7 @@
   /// Asks the placer for a target if placement is on. The request then waits
   /// for OnDecision(). False: nothing was asked.
   bool TryPlace(bool is_retry, TimePoint now);
-  PlacementAsk MakeAsk(uint64_t id, TimePoint now) const;
+  PlacementAsk MakeAsk(uint64_t id, const DispatchQuery& query) const;
   void WithdrawAsk();
   void OnDecision(const PlacementDecision& decision);
   /// Sends the request to the granted target if that is still allowed;
--- a/source/dispatch_confirm.cc
+++ b/source/dispatch_confirm.cc
@@ -26,28 +26,30 @@
                         Duration(0)};
 }
 
-std::vector<std::string> TargetSelector::UnusableTargets(
+std::optional<std::vector<std::string>> TargetSelector::UnusableTargets(
     const DispatchQuery& query,
     TimePoint now) const {
-  std::vector<std::string> unusable;
   const auto group = m_groups.find(GroupKey(query.service, query.model));
   if (group == m_groups.end()) {
-    return unusable;
+    return std::nullopt;
   }
+  std::vector<std::string> unusable;
   std::vector<std::string> paused;
   for (const Entry* entry : group->second.all) {
-    if (WasTried(*entry, query) || IsHeldBack(*entry, query, now)) {
+    if (IsExcluded(*entry, query) || IsHeldBack(*entry, query, now)) {
       unusable.push_back(entry->target.id);
     } else if (IsPaused(*entry, now)) {
       paused.push_back(entry->target.id);
     }
   }
+  const size_t count = group->second.all.size();
+  if (unusable.size() == count) {
+    return std::nullopt;
+  }
   // As in DrawCandidates().
-  const auto count = static_cast<double>(group->second.all.size());
-  const bool others_left =
-      unusable.size() + paused.size() < group->second.all.size();
-  if (others_left &&
-      static_cast<double>(paused.size()) <= m_policy.min_in_use * count) {
+  const bool others_left = unusable.size() + paused.size() < count;
+  const double max_paused = m_policy.min_in_use * static_cast<double>(count);
+  if (others_left && static_cast<double>(paused.size()) <= max_paused) {
     unusable.insert(unusable.end(), paused.begin(), paused.end());
   }
   return unusable;
--- a/source/entry_placement.cc
+++ b/source/entry_placement.cc
@@ -84,10 +84,10 @@
   const uint64_t id = ask.id;
   std::string placer = PlacerOf(ask.pool);
   if (!m_client.TryAsk(std::move(ask), now)) {
-    CountFallback(placer, "no-placer");
+    CountFallback(placer, m_client.PauseCause(placer));
     return false;
   }
-  m_pending[id] = {std::move(on_decision), std::move(placer), now, 0};
+  m_pending[id] = {std::move(on_decision), std::move(placer), now};
   SchedulePump();
   return true;
 }
--- a/source/entry_placement_messages.cc
+++ b/source/entry_placement_messages.cc
@@ -39,7 +39,7 @@
   const TimePoint now = MonotonicNow();
   std::vector<PlacementClient::Decided> expired = m_client.Expire(now);
   for (const Pool& pool : m_pools) {
-    UpdateFallback(pool.placer, "late", now);
+    UpdateFallback(pool.placer, now);
   }
   Decide(std::move(expired));
   for (const auto& [placer, request] : m_client.TakeMessages(now)) {
@@ -70,7 +70,7 @@
 
 PeerClient* EntryPlacement::IdleLink(Links& links, const std::string& host) {
   const Address* address = m_peers.AddressOf(host);
-  if (address == nullptr) {
+  if (address == nullptr || m_peers.secret().empty()) {
     return nullptr;
   }
   std::unique_ptr<PeerClient>& link = links[host];
@@ -84,12 +84,12 @@
                           const PlacementRequest& request) {
   if (placer == m_name) {
     const PlacementReply reply = m_placer.OnRequest(request, MonotonicNow());
-    OnReply(placer, &reply, "");
+    OnReply(placer, &reply);
     return;
   }
   PeerClient* link = IdleLink(m_ask_links, placer);
   if (link == nullptr) {
-    OnReply(placer, nullptr, "no-address");
+    OnReply(placer, nullptr);
     return;
   }
   ++m_sent.requests;
@@ -97,7 +97,7 @@
             [this, placer](const std::string* payload) {
               SchedulePump();
               if (payload == nullptr) {
-                OnReply(placer, nullptr, "no-reply");
+                OnReply(placer, nullptr);
                 return;
               }
               const Result<PlacementReply> reply =
@@ -106,27 +106,16 @@
                 Log(LogLevel::kWarning, "peer-refused",
                     {{"peer", placer}, {"why", reply.error().message}});
               }
-              OnReply(placer, reply ? &*reply : nullptr, "invalid-reply");
+              OnReply(placer, reply ? &*reply : nullptr);
             });
 }
 
 void EntryPlacement::OnReply(const std::string& placer,
-                             const PlacementReply* reply,
-                             std::string_view failure) {
+                             const PlacementReply* reply) {
   const TimePoint now = MonotonicNow();
-  if (reply != nullptr) {
-    for (const PlacementAnswer& answer : reply->answers) {
-      const auto* queued = std::get_if<PlacementQueued>(&answer);
-      const auto pending =
-          queued == nullptr ? m_pending.end() : m_pending.find(queued->id);
-      if (pending != m_pending.end() && pending->second.position == 0) {
-        pending->second.position = queued->position;
-      }
-    }
-  }
   std::vector<PlacementClient::Decided> decided =
       m_client.OnReply(placer, reply, now);
-  UpdateFallback(placer, reply == nullptr ? failure : "declined", now);
+  UpdateFallback(placer, now);
   Decide(std::move(decided));
 }
 
@@ -188,11 +177,11 @@
     }
     PendingAsk& ask = pending.mapped();
     m_host.metrics().OnPlacementWait(MonotonicNow() - ask.asked_at);
-    if (std::holds_alternative<ChooseLocally>(row.decision)) {
-      CountFallback(ask.placer, "declined");
+    if (row.cause != PlacementFallback::kNone) {
+      CountFallback(ask.placer, row.cause);
     }
     ask.on_decision(
-        {std::move(row.decision), std::move(ask.placer), ask.position});
+        {std::move(row.decision), std::move(ask.placer), row.position});
   }
 }
 
--- a/source/entry_placement_metrics.cc
+++ b/source/entry_placement_metrics.cc
@@ -9,16 +9,34 @@
 
 namespace filbertrack {
 
-void EntryPlacement::UpdateFallback(const std::string& placer,
-                                    std::string_view cause,
-                                    TimePoint now) {
-  const bool is_paused = !placer.empty() && m_client.IsPaused(placer);
+namespace {
+
+std::string_view CauseName(PlacementFallback cause) {
+  switch (cause) {
+    case PlacementFallback::kNone:
+      return "no-placer";
+    case PlacementFallback::kNoReply:
+      return "no-reply";
+    case PlacementFallback::kDeclined:
+      return "declined";
+    case PlacementFallback::kForgotten:
+      return "forgotten";
+    case PlacementFallback::kPlacerChanged:
+      return "placer-changed";
+  }
+  return "no-placer";
+}
+
+}  // namespace
+
+void EntryPlacement::UpdateFallback(const std::string& placer, TimePoint now) {
+  const PlacementFallback cause = m_client.PauseCause(placer);
   const auto known = m_fallbacks.find(placer);
-  if (is_paused && known == m_fallbacks.end()) {
-    m_fallbacks[placer] = {std::string(cause), now, 0};
+  if (cause != PlacementFallback::kNone && known == m_fallbacks.end()) {
+    m_fallbacks[placer] = {cause, now, 0};
     Log(LogLevel::kWarning, "placement-fallback",
-        {{"placer", placer}, {"cause", cause}, {"state", "began"}});
-  } else if (!is_paused && known != m_fallbacks.end()) {
+        {{"placer", placer}, {"cause", CauseName(cause)}, {"state", "began"}});
+  } else if (cause == PlacementFallback::kNone && known != m_fallbacks.end()) {
     LogFallbackEnd(placer, known->second, now);
     m_fallbacks.erase(known);
   }
@@ -42,20 +60,19 @@
                                     TimePoint now) {
   Log(LogLevel::kInfo, "placement-fallback",
       {{"placer", placer},
-       {"cause", fallback.cause},
+       {"cause", CauseName(fallback.cause)},
        {"state", "ended"},
        {"length_ms", ToMilliseconds(now - fallback.began)},
        {"count", fallback.count}});
 }
 
 void EntryPlacement::CountFallback(const std::string& placer,
-                                   std::string_view cause) {
+                                   PlacementFallback cause) {
   const auto fallback = m_fallbacks.find(placer);
   if (fallback != m_fallbacks.end()) {
     ++fallback->second.count;
-    cause = fallback->second.cause;
   }
-  m_host.metrics().OnPlacementFallback(cause);
+  m_host.metrics().OnPlacementFallback(CauseName(cause));
 }
 
 void EntryPlacement::SampleMetrics(Metrics& metrics) {
--- a/source/entry_relay_placement.cc
+++ b/source/entry_relay_placement.cc
@@ -19,8 +19,16 @@
     // SeekLocally() refuses the request.
     return false;
   }
+  const DispatchQuery query = MakeQuery(now);
+  const auto unusable = m_context.selector.UnusableTargets(query, now);
+  if (!unusable) {
+    // SeekLocally() refuses the request and knows the reason.
+    return false;
+  }
   const uint64_t id = placer->NextId();
-  if (!placer->TryAsk(MakeAsk(id, now),
+  PlacementAsk ask = MakeAsk(id, query);
+  ask.excluded = *unusable;
+  if (!placer->TryAsk(std::move(ask),
                       [this](const PlacementDecision& decision) {
                         OnDecision(decision);
                       })) {
@@ -30,8 +38,8 @@
   return true;
 }
 
-PlacementAsk EntryRelay::MakeAsk(uint64_t id, TimePoint now) const {
-  const DispatchQuery query = MakeQuery(now);
+PlacementAsk EntryRelay::MakeAsk(uint64_t id,
+                                 const DispatchQuery& query) const {
   PlacementAsk ask;
   ask.id = id;
   ask.pool = m_pool;
@@ -40,7 +48,6 @@
   ask.time_left = query.time_left;
   ask.priority = m_request.priority;
   ask.workspace = m_request.workspace;
-  ask.excluded = m_context.selector.UnusableTargets(query, now);
   ask.route_regions = m_request.route->regions;
   ask.workspace_regions.assign(m_request.workspace_regions.begin(),
                                m_request.workspace_regions.end());
@@ -63,8 +70,11 @@
     relay.OnGrant(grant, is_retry);
   }
   void operator()(const PlacementRefusal& refusal) const {
-    relay.m_context.selector.RecordPlacement(relay.MakeQuery(MonotonicNow()),
-                                             false, MonotonicNow());
+    if (refusal.reason == DispatchDenial::kAllBusy) {
+      const TimePoint now = MonotonicNow();
+      relay.m_context.selector.RecordPlacement(relay.MakeQuery(now), false,
+                                               now);
+    }
     relay.RefuseWithoutTarget(
         {refusal.reason, refusal.retry_after, refusal.predicted});
   }
--- a/source/explain_request.cc
+++ b/source/explain_request.cc
@@ -106,7 +106,7 @@
                Milliseconds(Number(end, "aim_ms")) +
                "; the caller was told to retry after " +
                Milliseconds(Number(end, "retry_after_ms")) + "." +
-               DescribeServingGroups(end);
+               DescribePlacement(end) + DescribeServingGroups(end);
       case ResultCode::kServersBackingOff:
         return DescribeRefusal(end) +
                ": every remaining server had asked for fewer requests or "
@@ -134,7 +134,7 @@
       case ResultCode::kDeadlinePassed:
         return "Its deadline passed after " +
                Milliseconds(Number(end, "total_ms")) + ". " +
-               DescribeFailedAttempts() + ".";
+               DescribeFailedAttempts() + "." + DescribePlacement(end);
       case ResultCode::kCallerDisconnected:
         return "The caller disconnected after " +
                Milliseconds(Number(end, "total_ms")) +
@@ -181,7 +181,28 @@
            ", where " + Milliseconds(Number(*placed, "predicted_ms")) +
            " were predicted, with " +
            std::to_string(Number(*placed, "own") + Number(*placed, "others")) +
-           " requests at the target.";
+           " requests at the target." + DescribePlacement(*placed);
+  }
+
+  /// Describes who placed the request and how long it waited for that. Empty
+  /// where placement was off.
+  static std::string DescribePlacement(const RequestLogLine& line) {
+    if (!line.fields.contains("by")) {
+      return "";
+    }
+    const std::string placer = TextField(line, "by");
+    const int64_t waited = Number(line, "waited_ms");
+    const int64_t position = Number(line, "position");
+    std::string text =
+        placer.empty()
+            ? " Its entry host decided by reported loads, since no placer did"
+            : " The placer " + placer + " decided";
+    text += " after " + Milliseconds(waited);
+    if (position > 0) {
+      text += "; the request waited in the queue, first at position " +
+              std::to_string(position);
+    }
+    return text + ".";
   }
 
   /// Lists the failed attempts in order: target, reason and duration of each.
@@ -300,10 +321,11 @@
 
   bool IsContext(const RequestLogLine& line) const {
     static const std::set<std::string_view> kHostEvents = {
-        "config",  "store-lost",        "store-returned", "stopping", "started",
-        "stopped", "settings-reloaded", "peer-lost",      "peer-back"};
+        "config",    "store-lost",        "store-returned",    "stopping",
+        "started",   "stopped",           "settings-reloaded", "peer-lost",
+        "peer-back", "placement-fallback"};
     if (line.event == "host-health" || line.event == "lease-gained" ||
-        line.event == "lease-lost") {
+        line.event == "lease-lost" || line.event == "placement-role") {
       return true;
     }
     if (line.event == "order") {
--- a/tests/explain_test.cc
+++ b/tests/explain_test.cc
@@ -30,6 +30,9 @@
 {"event":"request-marked","node":"e3","time_ms":5900,"at_us":43,"digest":"d7","ends":3,"servers":["h5","h6","h8"],"from":"own"}
 {"event":"request","node":"e3","time_ms":6000,"at_us":44,"request":"r7","code":119,"outcome":"not-run","sends":0,"digest":"d7"}
 {"event":"request","node":"e3","time_ms":6100,"at_us":45,"request":"r8","code":120,"outcome":"not-run","sends":0,"retry_after_ms":700}
+{"event":"request","node":"e2","time_ms":6200,"at_us":46,"request":"r9","code":106,"outcome":"not-run","sends":0,"predicted_ms":700,"aim_ms":300,"retry_after_ms":90,"by":"e7","waited_ms":160,"position":12}
+{"event":"placed","node":"e2","time_ms":6300,"at_us":47,"request":"r10","target":"h3","predicted_ms":200,"own":2,"others":12,"by":"","waited_ms":30}
+{"event":"request","node":"e2","time_ms":7000,"at_us":48,"request":"r10","code":0,"sends":1,"aim_ms":300,"first_ms":700,"total_ms":1000,"by":"","waited_ms":30}
 not a line
 {"no event":1}
 )";
@@ -45,7 +48,7 @@
 
 TEST_CASE("log lines are read despite a collector's prefix") {
   const auto log_lines = ReadLogLines();
-  REQUIRE(log_lines.size() == 18);
+  REQUIRE(log_lines.size() == 21);
   CHECK(log_lines[0].node == "e1");
   CHECK(log_lines[0].fields["target"] == "h1");
 }
@@ -72,6 +75,19 @@
   CHECK(Contains(explanation.cause, "7 loading and 2 quarantined"));
 }
 
+TEST_CASE("a refused or late request is explained by who placed it") {
+  // Guards against refusals after a wait, and late answers during a fallback,
+  // whose cause is not told.
+  const auto log_lines = ReadLogLines();
+  const std::string refused = ExplainRequest(log_lines, "r9").cause;
+  CHECK(Contains(refused, "The placer e7 decided after 160 ms"));
+  CHECK(Contains(refused, "first at position 12"));
+  const std::string late = ExplainRequest(log_lines, "r10").cause;
+  CHECK(Contains(late, "decided by reported loads"));
+  CHECK(Contains(late, "after 30 ms"));
+  CHECK_FALSE(Contains(ExplainRequest(log_lines, "r2").cause, "placer"));
+}
+
 TEST_CASE("a request with an unknown outcome is not reported as not run") {
   // Guards against reporting every failure as not run: this attempt may have
   // been executed before it failed, and no retry was left.
--- a/tests/platform_site.h
+++ b/tests/platform_site.h
@@ -44,6 +44,8 @@
   /// Memory of each entry host, in MiB.
   int entry_memory_mb = 512;
   Duration unread_timeout = Seconds(10);
+  /// Setting [placement] mode.
+  std::string placement = "auto";
 };
 
 /// One entry host.
@@ -63,8 +65,8 @@
                 "\n[evacuations]\nwatched = yes\n"
                 "[callers]\nlisten = 127.0.0.1:0\nunread_timeout = " +
                 std::to_string(ToMilliseconds(site.unread_timeout)) +
-                "ms\n"
-                "[ready]\nlisten = 127.0.0.1:0\n[store]\naddress = " +
+                "ms\n[placement]\nmode = " + site.placement +
+                "\n[ready]\nlisten = 127.0.0.1:0\n[store]\naddress = " +
                 store.ToString() + "\n",
             "test.ini")),
         host(loop, settings, header_codec, engines),
@@ -78,6 +80,7 @@
               decoder,
               client,
               client),
+        placement(loop, name, host, peers),
         control(loop, name, MakePolicy(), host, peers, engines, client),
         poison_record(loop, {}, host.poison(), client, [this] {
           return control.holds_lease();
@@ -116,6 +119,7 @@
   bool listening;
   platform::PlatformStore client;
   EntryPeers peers;
+  EntryPlacement placement;
   EntryControl control;
   EntryPoisonRecord poison_record;
 };
