dispatch: bounds and predictions for a host that knows exact loads

A placer compares all targets by exact loads, and its waiting requests need the time at a target once a slot is free. Two policy fields are added, off by default: estimates_unseen (on as before) and max_requests_per_slot (0, none). PredictFreed() predicts for a target with a free slot; PredictEntry() is split for it.

--- a/include/filbertrack/dispatch_selector.h
+++ b/include/filbertrack/dispatch_selector.h
@@ -156,6 +156,13 @@
   /// to this fraction of its slots: among many targets, one that appears free
   /// is probably being chosen by other entry hosts as well.
   double max_slot_share = 0.85;
+  /// Estimates the requests that other hosts have not reported yet. Off where
+  /// the loads are exact: the estimate would take every slow first event for a
+  /// request that is counted already.
+  bool estimates_unseen = true;
+  /// A target gets no request that would exceed this multiple of its slots; 0:
+  /// no bound other than the predicted time.
+  double max_requests_per_slot = 0;
 
   // Switches for measuring the effect of single mechanisms.
 
@@ -242,6 +249,11 @@
 
   /// Predicted time to first event at target `id`; 0 if there is none.
   Duration Predict(std::string_view id, double prompt_tokens) const;
+  /// The shortest predicted time to first event at the targets of a model once
+  /// each has a free slot; nullopt if there is none.
+  std::optional<Duration> PredictFreed(std::string_view service,
+                                       std::string_view model,
+                                       double prompt_tokens) const;
 
  private:
   struct ModelActivity;
@@ -307,6 +319,8 @@
   /// Requests at the target, including the estimate of unreported ones.
   static double CountRequests(const Entry& entry);
   static bool IsFull(const Entry& entry);
+  /// One more request would exceed max_requests_per_slot.
+  bool IsAtLimit(const Entry& entry) const;
   static bool AreAllSlotsTaken(const Targets& targets,
                                const DispatchQuery& query,
                                TimePoint now);
@@ -317,6 +331,10 @@
                    const DispatchQuery& query,
                    TimePoint now) const;
   Duration PredictEntry(const Entry& entry, double prompt_tokens) const;
+  /// The same with `requests` at the target.
+  Duration PredictWith(const Entry& entry,
+                       double requests,
+                       double prompt_tokens) const;
   /// The target is outside the regions allowed for the request.
   static bool IsOutsideRegions(const Entry& entry, const DispatchQuery& query);
   /// The request was sent to the target already or may not be sent there.
--- a/source/dispatch_predict.cc
+++ b/source/dispatch_predict.cc
@@ -74,7 +74,12 @@
 
 Duration TargetSelector::PredictEntry(const Entry& entry,
                                       double prompt_tokens) const {
-  const double requests = CountRequests(entry);
+  return PredictWith(entry, CountRequests(entry), prompt_tokens);
+}
+
+Duration TargetSelector::PredictWith(const Entry& entry,
+                                     double requests,
+                                     double prompt_tokens) const {
   const double slots = std::max(1, entry.target.slots);
   const double waiting = std::max(0.0, requests + 1 - slots);
   if (entry.engine == nullptr) {
@@ -111,6 +116,24 @@
   return entry == nullptr ? Duration(0) : PredictEntry(*entry, prompt_tokens);
 }
 
+std::optional<Duration> TargetSelector::PredictFreed(
+    std::string_view service,
+    std::string_view model,
+    double prompt_tokens) const {
+  std::optional<Duration> least;
+  const auto group = m_groups.find(GroupKey(service, model));
+  if (group == m_groups.end()) {
+    return least;
+  }
+  for (const Entry* entry : group->second.all) {
+    const double requests =
+        std::min(CountRequests(*entry), entry->target.slots - 1.0);
+    const Duration time = PredictWith(*entry, requests, prompt_tokens);
+    least = least ? std::min(*least, time) : time;
+  }
+  return least;
+}
+
 void TargetSelector::OnFirstEvent(std::string_view id,
                                   double prompt_tokens,
                                   Duration predicted,
@@ -155,6 +178,9 @@
         Duration(0), activity.overhead + Scale(late, m_policy.smoothing));
     return;
   }
+  if (!m_policy.estimates_unseen) {
+    return;
+  }
   const double extra_requests =
       ToSeconds(late) / std::max(ToSeconds(release_interval), 1e-6);
   activity.unseen =
--- a/source/dispatch_selector.cc
+++ b/source/dispatch_selector.cc
@@ -195,7 +195,9 @@
   for (const Entry* entry :
        DrawCandidates(targets, query, m_policy.candidates, now)) {
     const Duration predicted = PredictEntry(*entry, query.prompt_tokens);
-    if (best.entry == nullptr || predicted < best.time) {
+    if (best.entry == nullptr ||
+        std::pair(IsAtLimit(*entry), predicted) <
+            std::pair(IsAtLimit(*best.entry), best.time)) {
       best = {entry, predicted};
     }
   }
@@ -292,6 +294,12 @@
   return CountRequests(entry) + 1 > entry.target.slots;
 }
 
+bool TargetSelector::IsAtLimit(const Entry& entry) const {
+  return m_policy.max_requests_per_slot > 0 &&
+         CountRequests(entry) + 1 >
+             entry.target.slots * m_policy.max_requests_per_slot;
+}
+
 bool TargetSelector::AreAllSlotsTaken(const Targets& targets,
                                       const DispatchQuery& query,
                                       TimePoint now) {
@@ -312,6 +320,9 @@
                                  const Group& group,
                                  const DispatchQuery& query,
                                  TimePoint now) const {
+  if (IsAtLimit(entry)) {
+    return Duration::min();
+  }
   if (CountRequests(entry) < 1) {
     return Duration::max();
   }
