placement: interface, with the pool, its queue and the placer's side

Loads that are reported by gossip admit too many requests in a burst. The pool grants places by exact loads, lets an ask wait while it can still be in time, and refuses the rest with a time after which a place is expected. Placer keeps the message sequence, the incarnation and the unconfirmed answers of each asker.

The public interface changes in one comment only: a lost notice drops its grants and asks for a sync.

--- a/include/filbertrack/placement_placer.h
+++ b/include/filbertrack/placement_placer.h
@@ -44,7 +44,8 @@
   /// Notices to send now, one an asker at most while one is in flight.
   std::vector<std::pair<std::string, PlacementNotice>> TakeNotices(
       TimePoint now);
-  /// Null: no reply. The answers are then sent again with the next message.
+  /// Null: no reply. The grants of the notice are then dropped, and the next
+  /// reply to the asker wants a sync, since the notice may have arrived.
   void OnNoticeReply(std::string_view asker,
                      const PlacementNoticeReply* reply,
                      TimePoint now);
@@ -59,11 +60,36 @@
   const Pools& pools() const { return m_pools; }
 
  private:
+  struct Session {
+    uint64_t incarnation = 0;
+    uint64_t sequence = 0;
+    bool wants_sync = false;
+    /// Sent again if the last message is received twice.
+    PlacementReply last_reply;
+    /// Answers to queued asks for the next message to the asker.
+    std::vector<PlacementAnswer> pending;
+    /// Answers of the notice in flight.
+    std::vector<PlacementAnswer> in_notice;
+  };
+
+  /// Collects the answers of all pools.
+  void Serve(TimePoint now);
+  void Deliver(std::vector<PlacementPool::Answered> answered);
+  void Sync(const PlacementRequest& request, TimePoint now);
+  void Withdraw(std::string_view asker, uint64_t id, TimePoint now);
+  /// Adds the state of all earlier asks of the asker to a reply, so that the
+  /// asker can tell which ones are not known here.
+  void AddEarlierAsks(std::string_view asker,
+                      Session& session,
+                      PlacementReply& reply) const;
+
   std::string m_name;
   uint64_t m_incarnation;
   PlacementPolicy m_policy;
   uint64_t m_seed;
+  bool m_drains = false;
   Pools m_pools;
+  std::map<std::string, Session, std::less<>> m_sessions;
 };
 
 }  // namespace filbertrack
--- a/include/filbertrack/placement_pool.h
+++ b/include/filbertrack/placement_pool.h
@@ -12,16 +12,16 @@
 #include <cstdint>
 #include <map>
 #include <optional>
-#include <set>
+#include <random>
 #include <span>
 #include <string>
 #include <string_view>
 #include <utility>
 #include <vector>
 
-#include "filbertrack/admission_queue.h"
 #include "filbertrack/dispatch_selector.h"
 #include "filbertrack/placement_message.h"
+#include "filbertrack/placement_queue.h"
 
 namespace filbertrack {
 
@@ -42,10 +42,14 @@
   /// How long the loads of hosts that have not synced are estimated: the time
   /// in which all live hosts learn of a new placer.
   Duration unsynced_time = Milliseconds(1500);
+  /// Time from the decision on a waiting ask until its request is sent, within
+  /// the region.
+  Duration delivery = Milliseconds(2);
   Duration min_retry_after = Milliseconds(50);
   Duration max_retry_after = Seconds(2);
-  /// Time constant of the exponential decay of counts, such as the rate of
-  /// endings. Shorter than a burst of 3 s, longer than the time of a request.
+  /// Time constant of the exponential decay of counts, such as those of refused
+  /// asks. Shorter than a burst of 3 s, so that the counts describe it, and
+  /// about the time of a request.
   Duration decay_time = Seconds(1);
 };
 
@@ -111,8 +115,92 @@
   PlacementCounts counts() const;
 
  private:
+  /// A request that was granted or reported.
+  struct Load {
+    PlacementLoad load;
+    /// 0: not known, so the first event trains no estimate.
+    Duration predicted{0};
+    /// When it was granted or sent; nullopt: not known.
+    std::optional<TimePoint> since;
+    /// It is in the loads of the selector, that is, its target is known.
+    bool is_counted = false;
+  };
+  struct Asker {
+    uint64_t incarnation = 0;
+    bool is_synced = false;
+    std::map<uint64_t, Load> loads;
+  };
+  /// Recent asks of one priority, decayed exponentially.
+  struct Kind {
+    double granted = 0;
+    double refused = 0;
+
+    double Asks() const { return granted + refused; }
+    double ServedShare() const { return granted / Asks(); }
+  };
+  using Loads = std::map<uint64_t, Load>;
+
+  /// Grants the ask if it has a place now, and refuses it otherwise.
+  PlacementAnswer Place(const WaitingAsk& waiting, TimePoint now);
+  PlacementAnswer Refuse(const WaitingAsk& waiting,
+                         DispatchDenial reason,
+                         TimePoint now);
+  /// Lets the ask wait if it can be in time; otherwise refuses it. Asks that
+  /// must make way for it are refused by the next Serve().
+  PlacementAnswer Wait(WaitingAsk waiting, TimePoint now);
+  void AnswerWaiting(uint64_t ticket, PlacementAnswer answer, TimePoint now);
+  /// Refuses the least urgent asks that have no prospect of a place in time.
+  void ShedHopeless(TimePoint now);
+  void ServeExpired(TimePoint now);
+  /// Grants a place to one waiting ask; returns false if none has a place.
+  bool ServeOne(TimePoint now);
+  /// The ask of the lowest priority whose turn it is; nullopt: none.
+  std::optional<uint64_t> FindNeglected() const;
+
+  /// Expected time between two endings in the pool; nullopt: not known.
+  std::optional<Duration> EndingInterval(TimePoint now) const;
+  /// Expected time until `ahead` more asks and then one of `priority` are
+  /// served; nullopt: not known.
+  std::optional<Duration> ExpectedWait(int priority,
+                                       size_t ahead,
+                                       TimePoint now) const;
+  Duration RetryAfter(const PlacementAsk& ask, TimePoint now);
+  void DecayKinds(TimePoint now);
+
+  void AddLoad(Asker& asker, Load load);
+  void RemoveLoad(Asker& asker,
+                  Loads::iterator load,
+                  DispatchResult result,
+                  TimePoint now);
+  void OnEnded(Asker& asker, const PlacementEnded& ended, TimePoint now);
+  void OnFirst(Asker& asker, const PlacementFirst& first);
+  void CountLoad(Load& load);
+  /// Drops an ask or a load of this id.
+  void Drop(std::string_view asker, uint64_t id, TimePoint now);
+  void EndEstimate(TimePoint now);
+
   PoolKey m_key;
   PlacementPolicy m_policy;
+  TargetSelector m_selector;
+  std::mt19937_64 m_random;
+  std::map<std::string, Asker, std::less<>> m_askers;
+  PlacementQueue m_queue;
+  /// Answers of the next Serve().
+  std::vector<Answered> m_answered;
+  std::map<int, Kind> m_kinds;
+  TimePoint m_kinds_updated;
+  /// Smoothed time of an answered request at its target.
+  Duration m_request_time{0};
+  TimePoint m_last_end;
+  size_t m_outstanding = 0;
+  /// Grants since the last one to the lowest priority out of turn.
+  int m_grants_since_lowest = 0;
+  /// Latest failure by target.
+  std::map<std::string, TimePoint, std::less<>> m_last_failures;
+  /// End of the estimate of unsynced loads; nullopt before the first one.
+  std::optional<TimePoint> m_estimate_end;
+  bool m_has_estimate = false;
+  PlacementCounts m_counts;
 };
 
 }  // namespace filbertrack
--- a/source/placement_placer.cc
+++ b/source/placement_placer.cc
@@ -1,5 +1,8 @@
 #include "filbertrack/placement_placer.h"
 
+#include <algorithm>
+#include <cmath>
+
 namespace filbertrack {
 
 Placer::Placer(std::string name,
@@ -10,25 +13,227 @@
       m_incarnation(incarnation),
       m_policy(policy),
       m_seed(seed) {}
-void Placer::SetPools(std::span<const PoolKey>, TimePoint) {}
-void Placer::SetTargets(std::span<const DispatchTarget>,
-                        const Catalog&,
-                        TimePoint) {}
-void Placer::SetUnsynced(const TargetLoads&, size_t, TimePoint) {}
-PlacementReply Placer::OnRequest(const PlacementRequest& request, TimePoint) {
-  return {m_name, m_incarnation, request.sequence, false, false, {}};
+
+void Placer::SetPools(std::span<const PoolKey> pools, TimePoint) {
+  for (auto pool = m_pools.begin(); pool != m_pools.end();) {
+    if (std::find(pools.begin(), pools.end(), pool->first) == pools.end()) {
+      Deliver(pool->second->Release());
+      pool = m_pools.erase(pool);
+    } else {
+      ++pool;
+    }
+  }
+  for (const PoolKey& key : pools) {
+    std::unique_ptr<PlacementPool>& pool = m_pools[key];
+    if (pool == nullptr) {
+      pool = std::make_unique<PlacementPool>(key, m_policy, ++m_seed);
+      // Their last syncs were not applied to this pool.
+      for (auto& [asker, session] : m_sessions) {
+        session.wants_sync = true;
+      }
+    }
+  }
+}
+
+void Placer::SetTargets(std::span<const DispatchTarget> targets,
+                        const Catalog& catalog,
+                        TimePoint now) {
+  for (auto& [key, pool] : m_pools) {
+    pool->SetTargets(targets, catalog, now);
+  }
+}
+
+void Placer::SetUnsynced(const TargetLoads& by_gossip,
+                         size_t hosts,
+                         TimePoint now) {
+  for (auto& [key, pool] : m_pools) {
+    const size_t synced = std::min(hosts, pool->counts().synced_askers);
+    const double share = static_cast<double>(hosts - synced) /
+                         static_cast<double>(std::max<size_t>(1, hosts));
+    TargetLoads loads;
+    for (const auto& [target, load] : by_gossip) {
+      loads[target] = {static_cast<int>(std::lround(load.requests * share)),
+                       load.prompt_tokens * share};
+    }
+    pool->SetUnsynced(loads, now);
+  }
+}
+
+PlacementReply Placer::OnRequest(const PlacementRequest& request,
+                                 TimePoint now) {
+  PlacementReply reply{m_name, m_incarnation, request.sequence,
+                       true,   false,         {}};
+  if (m_drains || m_pools.empty()) {
+    reply.places = false;
+    for (const PlacementAsk& ask : request.asks) {
+      reply.answers.emplace_back(ChooseLocally{ask.id});
+    }
+    return reply;
+  }
+  auto found = m_sessions.find(request.asker);
+  if (found != m_sessions.end() &&
+      request.incarnation < found->second.incarnation) {
+    // Late, of a process that has ended.
+    return reply;
+  }
+  if (found != m_sessions.end() &&
+      request.incarnation > found->second.incarnation) {
+    Forget(request.asker, now);
+    found = m_sessions.end();
+  }
+  const bool is_new = found == m_sessions.end();
+  Session& session = is_new ? m_sessions[request.asker] : found->second;
+  if (!is_new && request.sequence <= session.sequence) {
+    return request.sequence == session.sequence ? session.last_reply : reply;
+  }
+  const bool is_next = !is_new && request.sequence == session.sequence + 1;
+  session.incarnation = request.incarnation;
+  session.sequence = request.sequence;
+  session.wants_sync = !request.is_sync && (session.wants_sync || !is_next);
+  if (request.is_sync) {
+    Sync(request, now);
+  }
+  for (const PlacementEvent& event : request.events) {
+    for (auto& [key, pool] : m_pools) {
+      pool->Report(request.asker, event, now);
+    }
+  }
+  // Places that the events freed belong to those that wait.
+  Serve(now);
+  for (const PlacementAsk& ask : request.asks) {
+    const auto pool = m_pools.find(ask.pool);
+    const PlacementAnswer answer =
+        pool == m_pools.end() ? PlacementAnswer(ChooseLocally{ask.id})
+                              : pool->second->Ask(request.asker, ask, now);
+    if (!std::holds_alternative<PlacementQueued>(answer)) {
+      reply.answers.push_back(answer);
+    }
+  }
+  Serve(now);
+  AddEarlierAsks(request.asker, session, reply);
+  reply.wants_sync = session.wants_sync;
+  session.last_reply = reply;
+  return reply;
+}
+
+void Placer::Sync(const PlacementRequest& request, TimePoint now) {
+  for (auto& [key, pool] : m_pools) {
+    std::vector<PlacementLoad> loads;
+    std::copy_if(request.loads.begin(), request.loads.end(),
+                 std::back_inserter(loads),
+                 [&pool = *pool](const PlacementLoad& load) {
+                   return pool.HasTarget(load.target);
+                 });
+    pool->Sync(request.asker, request.incarnation, loads, now);
+  }
+}
+
+void Placer::AddEarlierAsks(std::string_view asker,
+                            Session& session,
+                            PlacementReply& reply) const {
+  reply.answers.insert(reply.answers.end(), session.in_notice.begin(),
+                       session.in_notice.end());
+  reply.answers.insert(reply.answers.end(), session.pending.begin(),
+                       session.pending.end());
+  session.pending.clear();
+  for (const auto& [key, pool] : m_pools) {
+    for (const PlacementQueued& queued : pool->ListQueued(asker)) {
+      reply.answers.emplace_back(queued);
+    }
+  }
+}
+
+void Placer::Serve(TimePoint now) {
+  for (auto& [key, pool] : m_pools) {
+    Deliver(pool->Serve(now));
+  }
 }
+
+void Placer::Deliver(std::vector<PlacementPool::Answered> answered) {
+  for (PlacementPool::Answered& item : answered) {
+    const auto session = m_sessions.find(item.asker);
+    if (session != m_sessions.end()) {
+      session->second.pending.push_back(std::move(item.answer));
+    }
+  }
+}
+
 std::vector<std::pair<std::string, PlacementNotice>> Placer::TakeNotices(
-    TimePoint) {
-  return {};
-}
-void Placer::OnNoticeReply(std::string_view,
-                           const PlacementNoticeReply*,
-                           TimePoint) {}
-void Placer::Forget(std::string_view, TimePoint) {}
-void Placer::Drain(TimePoint) {}
+    TimePoint now) {
+  if (!m_drains) {
+    Serve(now);
+  }
+  std::vector<std::pair<std::string, PlacementNotice>> notices;
+  for (auto& [asker, session] : m_sessions) {
+    if (session.pending.empty() || !session.in_notice.empty()) {
+      continue;
+    }
+    session.in_notice.swap(session.pending);
+    notices.emplace_back(
+        asker, PlacementNotice{m_name, m_incarnation, session.in_notice});
+  }
+  return notices;
+}
+
+void Placer::OnNoticeReply(std::string_view asker,
+                           const PlacementNoticeReply* reply,
+                           TimePoint now) {
+  const auto session = m_sessions.find(asker);
+  if (session == m_sessions.end()) {
+    return;
+  }
+  const auto answers = std::exchange(session->second.in_notice, {});
+  if (reply != nullptr) {
+    for (const uint64_t id : reply->declined) {
+      Withdraw(asker, id, now);
+    }
+    return;
+  }
+  session->second.wants_sync = true;
+  for (const PlacementAnswer& answer : answers) {
+    if (const auto* grant = std::get_if<PlacementGrant>(&answer)) {
+      Withdraw(asker, grant->id, now);
+    }
+  }
+}
+
+void Placer::Withdraw(std::string_view asker, uint64_t id, TimePoint now) {
+  for (auto& [key, pool] : m_pools) {
+    pool->Report(asker, PlacementWithdrawn{id}, now);
+  }
+}
+
+void Placer::Forget(std::string_view asker, TimePoint now) {
+  for (auto& [key, pool] : m_pools) {
+    pool->Forget(asker, now);
+  }
+  const auto session = m_sessions.find(asker);
+  if (session != m_sessions.end()) {
+    m_sessions.erase(session);
+  }
+}
+
+void Placer::Drain(TimePoint) {
+  m_drains = true;
+  for (auto& [key, pool] : m_pools) {
+    Deliver(pool->Release());
+  }
+}
+
 std::optional<TimePoint> Placer::NextDue() const {
-  return std::nullopt;
+  std::optional<TimePoint> due;
+  for (const auto& [asker, session] : m_sessions) {
+    if (!session.pending.empty() && session.in_notice.empty()) {
+      return TimePoint{};
+    }
+  }
+  for (const auto& [key, pool] : m_pools) {
+    const auto pool_due = m_drains ? std::nullopt : pool->NextDue();
+    if (pool_due) {
+      due = due ? std::min(*due, *pool_due) : *pool_due;
+    }
+  }
+  return due;
 }
 
 }  // namespace filbertrack
--- a/source/placement_pool.cc
+++ b/source/placement_pool.cc
@@ -1,49 +1,264 @@
 #include "filbertrack/placement_pool.h"
 
+#include <algorithm>
+
+#include "placement_visit.h"
+
+/// The loads of PlacementPool. Its decisions are in placement_pool_serve.cc.
+
 namespace filbertrack {
 
+namespace {
+
+/// More targets are not compared; a pool of that size is not placed.
+constexpr size_t kMaxTargets = 64;
+/// One request above the slots of a target hides the time in which an ending is
+/// reported and the next request arrives. More would delay requests behind
+/// others that are less urgent.
+constexpr double kMaxRequestsPerSlot = 1.05;
+/// Weight of the latest request in the mean time of a request.
+constexpr double kSmoothing = 0.05;
+
+}  // namespace
+
 DispatchPolicy PlacerDispatchPolicy() {
   DispatchPolicy policy;
-  policy.candidates = 64;
+  policy.candidates = kMaxTargets;
   policy.looks_wider = false;
+  policy.estimates_unseen = false;
+  policy.max_requests_per_slot = kMaxRequestsPerSlot;
   return policy;
 }
 
-PlacementPool::PlacementPool(PoolKey key, PlacementPolicy policy, uint64_t)
-    : m_key(std::move(key)), m_policy(policy) {}
-void PlacementPool::SetTargets(std::span<const DispatchTarget>,
-                               const Catalog&,
-                               TimePoint) {}
-bool PlacementPool::HasTarget(std::string_view) const {
-  return false;
+PlacementPool::PlacementPool(PoolKey key, PlacementPolicy policy, uint64_t seed)
+    : m_key(std::move(key)),
+      m_policy(policy),
+      m_selector(policy.dispatch, seed),
+      m_random(seed),
+      m_queue(policy.max_waiting) {}
+
+void PlacementPool::SetTargets(std::span<const DispatchTarget> targets,
+                               const Catalog& catalog,
+                               TimePoint now) {
+  std::vector<DispatchTarget> own;
+  for (const DispatchTarget& target : targets) {
+    if (target.service == m_key.service && target.model == m_key.model) {
+      own.push_back(target);
+    }
+  }
+  m_selector.SetTargets(std::move(own), catalog, now);
+  for (auto& [name, asker] : m_askers) {
+    for (auto& [id, load] : asker.loads) {
+      CountLoad(load);
+    }
+  }
+}
+
+bool PlacementPool::HasTarget(std::string_view id) const {
+  return m_selector.HasTarget(id);
+}
+
+void PlacementPool::SetUnsynced(const TargetLoads& loads, TimePoint now) {
+  if (!m_estimate_end) {
+    m_estimate_end = now + m_policy.unsynced_time;
+  }
+  if (now < *m_estimate_end) {
+    m_selector.SetRemoteLoads(loads, 0, now);
+    m_has_estimate = true;
+  }
+}
+
+void PlacementPool::EndEstimate(TimePoint now) {
+  if (m_has_estimate && now >= *m_estimate_end) {
+    m_selector.SetRemoteLoads({}, 0, now);
+    m_has_estimate = false;
+  }
+}
+
+void PlacementPool::CountLoad(Load& load) {
+  const PlacementLoad& request = load.load;
+  if (!load.is_counted && m_selector.HasTarget(request.target)) {
+    m_selector.OnSent(request.target,
+                      request.prompt_pending ? request.prompt_tokens : 0);
+    load.is_counted = true;
+  }
+}
+
+void PlacementPool::AddLoad(Asker& asker, Load load) {
+  CountLoad(load);
+  const uint64_t id = load.load.id;
+  m_outstanding += asker.loads.insert_or_assign(id, std::move(load)).second;
+}
+
+void PlacementPool::RemoveLoad(Asker& asker,
+                               Loads::iterator load,
+                               DispatchResult result,
+                               TimePoint now) {
+  const PlacementLoad& request = load->second.load;
+  if (load->second.is_counted) {
+    m_selector.OnEnded(request.target, request.prompt_tokens,
+                       request.prompt_pending, result, now);
+  }
+  asker.loads.erase(load);
+  --m_outstanding;
+}
+
+void PlacementPool::Drop(std::string_view asker, uint64_t id, TimePoint now) {
+  if (const auto ticket = m_queue.Find(asker, id)) {
+    m_queue.Take(*ticket, now);
+  }
+  const auto found = m_askers.find(asker);
+  if (found == m_askers.end()) {
+    return;
+  }
+  const auto load = found->second.loads.find(id);
+  if (load != found->second.loads.end()) {
+    RemoveLoad(found->second, load, DispatchResult::kAbandoned, now);
+  }
 }
-void PlacementPool::SetUnsynced(const TargetLoads&, TimePoint) {}
-PlacementAnswer PlacementPool::Ask(std::string_view,
-                                   const PlacementAsk& ask,
-                                   TimePoint) {
-  return ChooseLocally{ask.id};
+
+void PlacementPool::Report(std::string_view asker,
+                           const PlacementEvent& event,
+                           TimePoint now) {
+  std::visit(
+      Overloaded{[&](const PlacementSent& sent) {
+                   Drop(asker, sent.id, now);
+                   // The target may be another pool's, which knows it.
+                   if (m_selector.HasTarget(sent.target)) {
+                     const Duration predicted =
+                         m_selector.Predict(sent.target, sent.prompt_tokens);
+                     AddLoad(m_askers[std::string(asker)],
+                             {{sent.id, sent.target, sent.prompt_tokens, true},
+                              predicted,
+                              now});
+                   }
+                 },
+                 [&](const PlacementFirst& first) {
+                   if (const auto found = m_askers.find(asker);
+                       found != m_askers.end()) {
+                     OnFirst(found->second, first);
+                   }
+                 },
+                 [&](const PlacementEnded& ended) {
+                   if (const auto found = m_askers.find(asker);
+                       found != m_askers.end()) {
+                     OnEnded(found->second, ended, now);
+                   }
+                 },
+                 [&](const PlacementWithdrawn& withdrawn) {
+                   Drop(asker, withdrawn.id, now);
+                 }},
+      event);
 }
-void PlacementPool::Report(std::string_view, const PlacementEvent&, TimePoint) {
+
+void PlacementPool::OnFirst(Asker& asker, const PlacementFirst& first) {
+  const auto found = asker.loads.find(first.id);
+  if (found == asker.loads.end() || !found->second.load.prompt_pending) {
+    return;
+  }
+  Load& load = found->second;
+  load.load.prompt_pending = false;
+  if (!load.is_counted) {
+    return;
+  }
+  if (load.predicted > Duration(0)) {
+    m_selector.OnFirstEvent(load.load.target, load.load.prompt_tokens,
+                            load.predicted, first.measured);
+    return;
+  }
+  // Without a prediction only the prompt is taken off the load.
+  m_selector.OnEnded(load.load.target, load.load.prompt_tokens, true,
+                     DispatchResult::kAbandoned, TimePoint{});
+  m_selector.OnSent(load.load.target, 0);
 }
-void PlacementPool::Sync(std::string_view,
-                         uint64_t,
-                         std::span<const PlacementLoad>,
-                         TimePoint) {}
-void PlacementPool::Forget(std::string_view, TimePoint) {}
-std::vector<PlacementPool::Answered> PlacementPool::Serve(TimePoint) {
-  return {};
+
+void PlacementPool::OnEnded(Asker& asker,
+                            const PlacementEnded& ended,
+                            TimePoint now) {
+  const auto found = asker.loads.find(ended.id);
+  if (found == asker.loads.end()) {
+    return;
+  }
+  const Load& load = found->second;
+  DispatchResult result = ended.result;
+  if (result == DispatchResult::kAnswered && load.since) {
+    const Duration took = now - *load.since;
+    m_request_time =
+        m_request_time == Duration(0)
+            ? took
+            : m_request_time + Scale(took - m_request_time, kSmoothing);
+  } else if (result == DispatchResult::kFailed ||
+             result == DispatchResult::kRefused) {
+    // All requests at a target that is lost end at once. Counted one by one,
+    // they would pause it for the longest time.
+    TimePoint& last = m_last_failures[load.load.target];
+    if (load.since && *load.since <= last) {
+      result = DispatchResult::kAbandoned;
+    } else {
+      last = now;
+    }
+  }
+  m_last_end = now;
+  RemoveLoad(asker, found, result, now);
 }
-std::vector<PlacementPool::Answered> PlacementPool::Release() {
-  return {};
+
+void PlacementPool::Sync(std::string_view asker,
+                         uint64_t incarnation,
+                         std::span<const PlacementLoad> loads,
+                         TimePoint now) {
+  for (const uint64_t ticket : m_queue.FindAll(asker)) {
+    m_queue.Take(ticket, now);
+  }
+  Asker& own = m_askers[std::string(asker)];
+  // Ids of another process mean other requests.
+  const Loads earlier = own.incarnation == incarnation ? own.loads : Loads();
+  while (!own.loads.empty()) {
+    RemoveLoad(own, own.loads.begin(), DispatchResult::kAbandoned, now);
+  }
+  for (const PlacementLoad& load : loads) {
+    const auto found = earlier.find(load.id);
+    if (found != earlier.end() && found->second.load.target == load.target) {
+      AddLoad(own, {load, found->second.predicted, found->second.since});
+    } else {
+      AddLoad(own, {load, {}, std::nullopt});
+    }
+  }
+  own.incarnation = incarnation;
+  own.is_synced = true;
 }
-std::optional<TimePoint> PlacementPool::NextDue() const {
-  return std::nullopt;
+
+void PlacementPool::Forget(std::string_view asker, TimePoint now) {
+  for (const uint64_t ticket : m_queue.FindAll(asker)) {
+    m_queue.Take(ticket, now);
+  }
+  const auto found = m_askers.find(asker);
+  if (found == m_askers.end()) {
+    return;
+  }
+  while (!found->second.loads.empty()) {
+    RemoveLoad(found->second, found->second.loads.begin(),
+               DispatchResult::kAbandoned, now);
+  }
+  m_askers.erase(found);
 }
-std::vector<PlacementQueued> PlacementPool::ListQueued(std::string_view) const {
-  return {};
+
+std::vector<PlacementQueued> PlacementPool::ListQueued(
+    std::string_view asker) const {
+  std::vector<PlacementQueued> queued;
+  for (const uint64_t ticket : m_queue.FindAll(asker)) {
+    queued.push_back({m_queue.Get(ticket).ask.id, m_queue.Position(ticket)});
+  }
+  return queued;
 }
+
 PlacementCounts PlacementPool::counts() const {
-  return {};
+  PlacementCounts counts = m_counts;
+  counts.outstanding = m_outstanding;
+  counts.synced_askers = static_cast<size_t>(
+      std::count_if(m_askers.begin(), m_askers.end(),
+                    [](const auto& row) { return row.second.is_synced; }));
+  counts.waiting = m_queue.CountByPriority();
+  return counts;
 }
 
 }  // namespace filbertrack
