--- a/source/entry_relay_placement.cc
+++ b/source/entry_relay_placement.cc
@@ -15,6 +15,8 @@
   if (!m_placement) {
     m_placement.emplace();
   }
+  m_placement->by.clear();
+  m_placement->position = 0;
   if (is_retry && !m_context.retries.CanSpend(now)) {
     // SeekLocally() refuses the request.
     return false;
--- a/source/explain_request.cc
+++ b/source/explain_request.cc
@@ -199,7 +199,7 @@
             : " The placer " + placer + " decided";
     text += " after " + Milliseconds(waited);
     if (position > 0) {
-      text += "; the request waited in the queue, first at position " +
+      text += "; the request waited in the queue, last at position " +
               std::to_string(position);
     }
     return text + ".";
