placement: end to end, with a soak over eight processes

Replies that are already in the socket of a host which was stopped for a while count now: asks expire from the timer only, after the event loop has read its sockets. Hosts that are only listed no longer count as live once the startup is over.

--- a/include/filbertrack/entry_placement.h
+++ b/include/filbertrack/entry_placement.h
@@ -95,6 +95,10 @@
   /// Sends the messages that are due and sets the timer for the next ones.
   void Pump();
   void ArmTimer(TimePoint now);
+  /// Decides the asks that were not answered in time. Called by the timer only:
+  /// the event loop has then read the replies that were there when it fell due,
+  /// also if the process was stopped meanwhile.
+  void Expire();
   void Send(const std::string& placer, const PlacementRequest& request);
   void SendNotice(const std::string& asker, const PlacementNotice& notice);
   /// Link to another entry host; null if its address is not known. A link that
@@ -139,6 +143,8 @@
   /// Until then the loads of hosts that have not synced are estimated.
   TimePoint m_unsynced_until;
   uint64_t m_seen_membership = 0;
+  /// Hosts that are only listed no longer count as live.
+  bool m_started_up = false;
   /// Time of the latest message of each asker.
   std::map<std::string, TimePoint, std::less<>> m_askers;
 
--- a/soak/main_soak.cc
+++ b/soak/main_soak.cc
@@ -44,6 +44,7 @@
   int runners = 8;
   bool poison = false;
   bool signals = false;
+  std::string placement = "auto";
 };
 
 /// Runs the loop until `done` returns true, at most for `time`. Returns false
@@ -142,6 +143,7 @@
   FleetOptions fleet_options;
   fleet_options.program = options.program;
   fleet_options.folder = options.folder;
+  fleet_options.placement = options.placement;
   fleet_options.entry_hosts = options.entry_hosts;
   fleet_options.runners = options.runners;
   Fleet fleet(loop, fleet_options);
@@ -221,6 +223,8 @@
       "Repeatedly send a request that crashes the servers that run it.");
   app.add_flag("--signals", options.signals,
                "Servers send rate limits, Retry-After and leaving signals.");
+  app.add_option("--placement", options.placement,
+                 "Setting [placement] mode of the entry hosts.");
   app.add_option("--runners", options.runners, "Initial number of runners.");
   CLI11_PARSE(app, argc, argv);
   return filbertrack::soak::Run(options);
--- a/soak/soak_fleet.cc
+++ b/soak/soak_fleet.cc
@@ -111,7 +111,8 @@
              << "[store]\naddress = " << entry->store->address().ToString()
              << "\n[stop]\ngrace = " << ToMilliseconds(kGrace) << "ms\n"
              << "[groups]\nstall = " << ToMilliseconds(kHeadStallTimeout)
-             << "ms\nspares_per_domain = 1\n";
+             << "ms\nspares_per_domain = 1\n"
+             << "[placement]\nmode = " << m_options.placement << "\n";
     settings.close();
     entry->process = std::make_unique<Process>(
         m_options.program,
--- a/soak/soak_fleet.h
+++ b/soak/soak_fleet.h
@@ -36,6 +36,8 @@
   int entry_hosts = 3;
   int runners = 8;
   int plain_servers = 3;
+  /// Setting [placement] mode of the entry hosts.
+  std::string placement = "auto";
 };
 
 struct EntryProcess {
--- a/source/entry_placement.cc
+++ b/source/entry_placement.cc
@@ -143,8 +143,10 @@
 void EntryPlacement::OnRound() {
   const TimePoint now = MonotonicNow();
   const uint64_t membership = m_peers.MembershipRevision();
-  if (membership != m_seen_membership || m_peers.IsStartingUp(now)) {
+  const bool starts_up = m_peers.IsStartingUp(now);
+  if (membership != m_seen_membership || starts_up || !m_started_up) {
     m_seen_membership = membership;
+    m_started_up = !starts_up;
     Refresh(now);
   }
   ForgetAskers(now);
--- a/source/entry_placement_messages.cc
+++ b/source/entry_placement_messages.cc
@@ -37,11 +37,6 @@
 void EntryPlacement::Pump() {
   m_pump_scheduled = false;
   const TimePoint now = MonotonicNow();
-  std::vector<PlacementClient::Decided> expired = m_client.Expire(now);
-  for (const Pool& pool : m_pools) {
-    UpdateFallback(pool.placer, now);
-  }
-  Decide(std::move(expired));
   for (const auto& [placer, request] : m_client.TakeMessages(now)) {
     Send(placer, request);
   }
@@ -64,10 +59,20 @@
   m_timer_at = *due;
   m_timer = m_loop.After(std::max(kMinTimer, *due - now), [this] {
     m_timer.reset();
+    Expire();
     Pump();
   });
 }
 
+void EntryPlacement::Expire() {
+  const TimePoint now = MonotonicNow();
+  std::vector<PlacementClient::Decided> expired = m_client.Expire(now);
+  for (const Pool& pool : m_pools) {
+    UpdateFallback(pool.placer, now);
+  }
+  Decide(std::move(expired));
+}
+
 PeerClient* EntryPlacement::IdleLink(Links& links, const std::string& host) {
   const Address* address = m_peers.AddressOf(host);
   if (address == nullptr || m_peers.secret().empty()) {
--- a/tests/platform_placement_test.cc
+++ b/tests/platform_placement_test.cc
@@ -110,6 +110,25 @@
                                  .outstanding;
   }
 
+  size_t CountWaiting() {
+    size_t count = 0;
+    const EntryNode* node = Placer();
+    if (node != nullptr) {
+      const auto& pools = node->placement.placer().pools();
+      for (const auto& [priority, waiting] :
+           pools.at(kPool)->counts().waiting) {
+        count += waiting;
+      }
+    }
+    return count;
+  }
+
+  void KillPlacer() {
+    const EntryNode* placer = Placer();
+    std::erase_if(nodes,
+                  [placer](const auto& node) { return node.get() == placer; });
+  }
+
   HttpClient client{loop, 32};
   std::deque<CallerResponse> responses;
   std::vector<std::unique_ptr<HttpCall>> calls;
@@ -191,12 +210,8 @@
   // Guards against requests that wait for the decision of a host that is gone.
   PlacementSite site("on");
   REQUIRE(site.WaitUntilReady());
-  REQUIRE(site.Placer() != nullptr);
   EntryNode& asker = *site.Asker();
   site.SetEvents(3);
-  const auto placer = std::find_if(
-      site.nodes.begin(), site.nodes.end(),
-      [&site](const auto& node) { return node.get() == site.Placer(); });
   for (int i = 0; i < 3; ++i) {
     site.Send(asker);
   }
@@ -204,8 +219,7 @@
   REQUIRE(RunUntil(site.loop,
                    [&] { return asker.placement.sent().requests > before; }));
   // The asks are on their way and the placer has not read them.
-  placer->reset();
-  site.nodes.erase(placer);
+  site.KillPlacer();
   REQUIRE(RunUntil(site.loop, [&site] { return site.AllEnded(); }));
   site.CheckTruthful();
   for (const CallerResponse& response : site.responses) {
@@ -213,6 +227,60 @@
   }
 }
 
+TEST_CASE("queued asks are decided locally when the placer dies") {
+  // Guards against asks that wait in a queue that no longer exists.
+  PlacementSite site("on");
+  REQUIRE(site.WaitUntilReady());
+  EntryNode& asker = *site.Asker();
+  site.SetEvents(60);
+  // The placer lets asks wait once it knows how long a request takes.
+  site.Send(asker);
+  REQUIRE(RunUntil(site.loop, [&site] {
+    return site.AllEnded() && site.CountOutstanding() == 0;
+  }));
+  for (int i = 0; i < 2 * kSlots; ++i) {
+    site.Send(asker);
+  }
+  REQUIRE(RunUntil(site.loop, [&site] {
+    return site.CountOutstanding() == static_cast<size_t>(2 * kSlots);
+  }));
+  for (int i = 0; i < 3; ++i) {
+    site.Send(asker);
+  }
+  REQUIRE(RunUntil(site.loop, [&site] { return site.CountWaiting() == 3; }));
+  site.KillPlacer();
+  REQUIRE(RunUntil(site.loop, [&site] { return site.AllEnded(); }));
+  site.CheckTruthful();
+}
+
+TEST_CASE("a caller that leaves withdraws its queued ask") {
+  // Guards against places that are granted to nobody while others wait.
+  PlacementSite site("on");
+  REQUIRE(site.WaitUntilReady());
+  EntryNode& asker = *site.Asker();
+  site.SetEvents(60);
+  site.Send(asker);
+  REQUIRE(RunUntil(site.loop, [&site] {
+    return site.AllEnded() && site.CountOutstanding() == 0;
+  }));
+  for (int i = 0; i < 2 * kSlots; ++i) {
+    site.Send(asker);
+  }
+  REQUIRE(RunUntil(site.loop, [&site] {
+    return site.CountOutstanding() == static_cast<size_t>(2 * kSlots);
+  }));
+  site.Send(asker);
+  REQUIRE(RunUntil(site.loop, [&site] { return site.CountWaiting() == 1; }));
+  const std::string id = "id-" + std::to_string(site.responses.size());
+  site.calls.back().reset();
+  site.responses.back().ended = true;
+  REQUIRE(RunUntil(site.loop, [&site] { return site.CountWaiting() == 0; }));
+  REQUIRE(RunUntil(site.loop, [&site] {
+    return site.AllEnded() && site.CountOutstanding() == 0;
+  }));
+  CHECK(site.CountSeen(id) == 0);
+}
+
 TEST_CASE("a grant that comes too late is withdrawn") {
   // Guards against places that the placer counts as taken although no request
   // is sent there: it would refuse others.
