--- a/tests/placement_test.cc
+++ b/tests/placement_test.cc
@@ -15,6 +15,7 @@
 TEST_CASE("role: the strongest hosts place, whatever the order of the list") {
   // A weak host that places a pool delays every request of the fleet.
   std::vector<FleetHost> hosts;
+  hosts.reserve(97);
   for (int i = 0; i < 97; ++i) {
     hosts.push_back(
         {"h" + std::to_string(i), "dc", i % 16 == 0 ? 100 : 2, false});
