--- a/tests/entry_placement_rule_test.cc
+++ b/tests/entry_placement_rule_test.cc
@@ -37,8 +37,9 @@
   return Catalog(std::move(parts));
 }
 
-std::vector<FleetHost> MakeFleet(std::vector<int> capacities) {
+std::vector<FleetHost> MakeFleet(const std::vector<int>& capacities) {
   std::vector<FleetHost> hosts;
+  hosts.reserve(capacities.size());
   for (const int capacity : capacities) {
     hosts.push_back({"e" + std::to_string(hosts.size()), "z", capacity});
   }
