placement: interface, private state of the pool for stable estimates

Requests are now compared with what would be predicted at present, and prompts are taken off when the target should have read them. While 90% of the slots are taken, a request must be in time by 1.5 mean errors. TargetSelector gains model_smoothing (off by default), Slowness() and LearnedOverhead().

--- a/include/filbertrack/dispatch_selector.h
+++ b/include/filbertrack/dispatch_selector.h
@@ -188,6 +188,10 @@
   double max_pressure = 3;
   /// Weight of the latest measurement in exponential averages.
   double smoothing = 0.2;
+  /// Least weight in averages over all targets of a model, of which the first
+  /// measurements form the plain mean; 0: `smoothing`. With the measurements of
+  /// a whole fleet, `smoothing` would follow the last few requests.
+  double model_smoothing = 0;
 };
 
 /// Chooses targets for the requests of one entry host and tracks their load.
@@ -254,6 +258,12 @@
   std::optional<Duration> PredictFreed(std::string_view service,
                                        std::string_view model,
                                        double prompt_tokens) const;
+  /// The part of the predicted times of a model that its engine profile does
+  /// not explain.
+  Duration LearnedOverhead(std::string_view service,
+                           std::string_view model) const;
+  /// Measured divided by predicted time of a target; 1 if there is none.
+  double Slowness(std::string_view id) const;
 
  private:
   struct ModelActivity;
@@ -285,6 +295,8 @@
     double refused = 0;
     /// Requests at a chosen target that no host had reported yet, smoothed.
     double unseen = 0;
+    /// Measurements that the overhead is made of.
+    int measurements = 0;
     /// Time to first event in excess of the engine profile while slots are
     /// free: the network round trip, and engine overhead that it does not
     /// publish.
--- a/include/filbertrack/placement_pool.h
+++ b/include/filbertrack/placement_pool.h
@@ -42,6 +42,14 @@
   /// How long the loads of hosts that have not synced are estimated: the time
   /// in which all live hosts learn of a new placer.
   Duration unsynced_time = Milliseconds(1500);
+  /// Share of the pool's slots from which no late request is admitted: when
+  /// all slots are wanted, a few are free at any time, between an ending and
+  /// the next grant.
+  double taken_share = 0.9;
+  /// A request must be predicted in time with this multiple of the mean error
+  /// of predictions to spare while slots are taken, since another one could use
+  /// the place in time.
+  double spared_errors = 1.5;
   /// Time from the decision on a waiting ask until its request is sent, within
   /// the region.
   Duration delivery = Milliseconds(2);
@@ -122,8 +130,13 @@
     Duration predicted{0};
     /// When it was granted or sent; nullopt: not known.
     std::optional<TimePoint> since;
+    /// The part of `predicted` that the engine profile explains, without the
+    /// corrections by measurements.
+    Duration by_profile{0};
     /// It is in the loads of the selector, that is, its target is known.
     bool is_counted = false;
+    /// The target should have read the prompt, so it is not in the loads.
+    bool is_read = false;
   };
   struct Asker {
     uint64_t incarnation = 0;
@@ -167,14 +180,22 @@
   Duration RetryAfter(const PlacementAsk& ask, TimePoint now);
   void DecayKinds(TimePoint now);
 
-  void AddLoad(Asker& asker, Load load);
+  void AddLoad(const std::string& asker, Load load);
   void RemoveLoad(Asker& asker,
                   Loads::iterator load,
                   DispatchResult result,
                   TimePoint now);
   void OnEnded(Asker& asker, const PlacementEnded& ended, TimePoint now);
   void OnFirst(Asker& asker, const PlacementFirst& first);
+  Duration Overhead() const;
+  bool AreSlotsTaken() const;
+  Duration Margin() const;
   void CountLoad(Load& load);
+  /// Takes the prompt off the load of its target.
+  void TakePromptOff(Load& load);
+  /// Takes off the prompts that the targets should have read. First events come
+  /// long after that, and targets would seem to have a backlog of prompts.
+  void TakePromptsOff(TimePoint now);
   /// Drops an ask or a load of this id.
   void Drop(std::string_view asker, uint64_t id, TimePoint now);
   void EndEstimate(TimePoint now);
@@ -192,6 +213,12 @@
   /// Smoothed time of an answered request at its target.
   Duration m_request_time{0};
   TimePoint m_last_end;
+  /// Smoothed absolute error of predictions.
+  Duration m_error{0};
+  /// Slots of all targets.
+  double m_slots = 0;
+  /// Requests by the time at which their target should have read the prompt.
+  std::multimap<TimePoint, std::pair<std::string, uint64_t>> m_prompt_reads;
   size_t m_outstanding = 0;
   /// Grants since the last one to the lowest priority out of turn.
   int m_grants_since_lowest = 0;
--- a/source/dispatch_predict.cc
+++ b/source/dispatch_predict.cc
@@ -134,6 +134,17 @@
   return least;
 }
 
+Duration TargetSelector::LearnedOverhead(std::string_view service,
+                                         std::string_view model) const {
+  const auto found = m_activity.find(GroupKey(service, model));
+  return found == m_activity.end() ? Duration(0) : found->second.overhead;
+}
+
+double TargetSelector::Slowness(std::string_view id) const {
+  const Entry* entry = Find(id);
+  return entry == nullptr ? 1 : entry->slowness;
+}
+
 void TargetSelector::OnFirstEvent(std::string_view id,
                                   double prompt_tokens,
                                   Duration predicted,
@@ -174,8 +185,13 @@
     return;
   }
   if (CountRequests(entry) < slots * kNearlyFullShare) {
-    activity.overhead = std::max(
-        Duration(0), activity.overhead + Scale(late, m_policy.smoothing));
+    ++activity.measurements;
+    const double weight =
+        m_policy.model_smoothing > 0
+            ? std::max(m_policy.model_smoothing, 1.0 / activity.measurements)
+            : m_policy.smoothing;
+    activity.overhead =
+        std::max(Duration(0), activity.overhead + Scale(late, weight));
     return;
   }
   if (!m_policy.estimates_unseen) {
--- a/source/placement_pool.cc
+++ b/source/placement_pool.cc
@@ -16,6 +16,11 @@
 /// reported and the next request arrives. More would delay requests behind
 /// others that are less urgent.
 constexpr double kMaxRequestsPerSlot = 1.05;
+/// Weights of the latest measurement in averages over one target and over all.
+/// The averages cover about a second of 26 requests per second at a target and
+/// 50 requests of all targets.
+constexpr double kTargetSmoothing = 0.05;
+constexpr double kModelSmoothing = 0.02;
 /// Weight of the latest request in the mean time of a request.
 constexpr double kSmoothing = 0.05;
 
@@ -26,6 +31,8 @@
   policy.candidates = kMaxTargets;
   policy.looks_wider = false;
   policy.estimates_unseen = false;
+  policy.smoothing = kTargetSmoothing;
+  policy.model_smoothing = kModelSmoothing;
   policy.max_requests_per_slot = kMaxRequestsPerSlot;
   return policy;
 }
@@ -41,9 +48,11 @@
                                const Catalog& catalog,
                                TimePoint now) {
   std::vector<DispatchTarget> own;
+  m_slots = 0;
   for (const DispatchTarget& target : targets) {
     if (target.service == m_key.service && target.model == m_key.model) {
       own.push_back(target);
+      m_slots += target.evacuated ? 0 : target.slots;
     }
   }
   m_selector.SetTargets(std::move(own), catalog, now);
@@ -75,18 +84,64 @@
   }
 }
 
+Duration PlacementPool::Overhead() const {
+  return m_selector.LearnedOverhead(m_key.service, m_key.model);
+}
+
+bool PlacementPool::AreSlotsTaken() const {
+  return static_cast<double>(m_outstanding) >= m_slots * m_policy.taken_share;
+}
+
+Duration PlacementPool::Margin() const {
+  return Scale(m_error, m_policy.spared_errors);
+}
+
 void PlacementPool::CountLoad(Load& load) {
   const PlacementLoad& request = load.load;
   if (!load.is_counted && m_selector.HasTarget(request.target)) {
-    m_selector.OnSent(request.target,
-                      request.prompt_pending ? request.prompt_tokens : 0);
+    const bool is_pending = request.prompt_pending && !load.is_read;
+    m_selector.OnSent(request.target, is_pending ? request.prompt_tokens : 0);
     load.is_counted = true;
   }
 }
 
-void PlacementPool::AddLoad(Asker& asker, Load load) {
-  CountLoad(load);
+void PlacementPool::TakePromptOff(Load& load) {
+  const PlacementLoad& request = load.load;
+  if (load.is_counted && request.prompt_pending && !load.is_read) {
+    m_selector.OnEnded(request.target, request.prompt_tokens, true,
+                       DispatchResult::kAbandoned, TimePoint{});
+    m_selector.OnSent(request.target, 0);
+  }
+  load.is_read = true;
+}
+
+void PlacementPool::TakePromptsOff(TimePoint now) {
+  while (!m_prompt_reads.empty() && m_prompt_reads.begin()->first <= now) {
+    const auto [asker, id] = m_prompt_reads.begin()->second;
+    m_prompt_reads.erase(m_prompt_reads.begin());
+    const auto found = m_askers.find(asker);
+    if (found == m_askers.end()) {
+      continue;
+    }
+    const auto load = found->second.loads.find(id);
+    if (load != found->second.loads.end()) {
+      TakePromptOff(load->second);
+    }
+  }
+}
+
+void PlacementPool::AddLoad(const std::string& name, Load load) {
+  Asker& asker = m_askers[name];
   const uint64_t id = load.load.id;
+  if (load.since && load.load.prompt_pending) {
+    if (load.by_profile == Duration(0)) {
+      load.by_profile = Scale(load.predicted - Overhead(),
+                              1 / m_selector.Slowness(load.load.target));
+    }
+    m_prompt_reads.emplace(*load.since + load.predicted - Overhead(),
+                           std::pair(name, id));
+  }
+  CountLoad(load);
   m_outstanding += asker.loads.insert_or_assign(id, std::move(load)).second;
 }
 
@@ -96,8 +151,9 @@
                                TimePoint now) {
   const PlacementLoad& request = load->second.load;
   if (load->second.is_counted) {
-    m_selector.OnEnded(request.target, request.prompt_tokens,
-                       request.prompt_pending, result, now);
+    const bool is_pending = request.prompt_pending && !load->second.is_read;
+    m_selector.OnEnded(request.target, request.prompt_tokens, is_pending,
+                       result, now);
   }
   asker.loads.erase(load);
   --m_outstanding;
@@ -127,7 +183,7 @@
                    if (m_selector.HasTarget(sent.target)) {
                      const Duration predicted =
                          m_selector.Predict(sent.target, sent.prompt_tokens);
-                     AddLoad(m_askers[std::string(asker)],
+                     AddLoad(std::string(asker),
                              {{sent.id, sent.target, sent.prompt_tokens, true},
                               predicted,
                               now});
@@ -157,19 +213,19 @@
     return;
   }
   Load& load = found->second;
+  TakePromptOff(load);
   load.load.prompt_pending = false;
-  if (!load.is_counted) {
-    return;
+  if (load.is_counted && load.by_profile > Duration(0)) {
+    // Compared with what would be predicted now. The averages would oscillate
+    // if they followed errors that were corrected since the grant: 140 requests
+    // wait for their first event at 700 requests per second.
+    const Duration predicted =
+        Scale(load.by_profile, m_selector.Slowness(load.load.target)) +
+        Overhead();
+    m_selector.OnFirstEvent(load.load.target, 0, predicted, first.measured);
+    const Duration error = std::chrono::abs(first.measured - load.predicted);
+    m_error += Scale(error - m_error, kModelSmoothing);
   }
-  if (load.predicted > Duration(0)) {
-    m_selector.OnFirstEvent(load.load.target, load.load.prompt_tokens,
-                            load.predicted, first.measured);
-    return;
-  }
-  // Without a prediction only the prompt is taken off the load.
-  m_selector.OnEnded(load.load.target, load.load.prompt_tokens, true,
-                     DispatchResult::kAbandoned, TimePoint{});
-  m_selector.OnSent(load.load.target, 0);
 }
 
 void PlacementPool::OnEnded(Asker& asker,
@@ -216,12 +272,14 @@
     RemoveLoad(own, own.loads.begin(), DispatchResult::kAbandoned, now);
   }
   for (const PlacementLoad& load : loads) {
+    Load own_load;
     const auto found = earlier.find(load.id);
     if (found != earlier.end() && found->second.load.target == load.target) {
-      AddLoad(own, {load, found->second.predicted, found->second.since});
-    } else {
-      AddLoad(own, {load, {}, std::nullopt});
+      own_load = found->second;
+      own_load.is_counted = false;
     }
+    own_load.load = load;
+    AddLoad(std::string(asker), std::move(own_load));
   }
   own.incarnation = incarnation;
   own.is_synced = true;
--- a/source/placement_pool_serve.cc
+++ b/source/placement_pool_serve.cc
@@ -32,6 +32,7 @@
                                    const PlacementAsk& ask,
                                    TimePoint now) {
   EndEstimate(now);
+  TakePromptsOff(now);
   Drop(asker, ask.id, now);
   WaitingAsk waiting;
   waiting.asker = asker;
@@ -61,6 +62,9 @@
   query.prompt_tokens = ask.prompt_tokens;
   query.time_to_slo = ask.time_to_slo - waited;
   query.time_left = ask.time_left - waited;
+  if (AreSlotsTaken()) {
+    query.time_left = std::min(query.time_left, query.time_to_slo - Margin());
+  }
   query.excluded = &waiting.excluded;
   query.route_regions = ask.route_regions;
   query.workspace_regions = ask.workspace_regions;
@@ -70,10 +74,9 @@
                             refusal->predicted};
   }
   const auto& choice = std::get<DispatchChoice>(decision);
-  AddLoad(m_askers[waiting.asker],
-          {{ask.id, choice.target.id, ask.prompt_tokens, true},
-           choice.predicted,
-           now});
+  AddLoad(waiting.asker, {{ask.id, choice.target.id, ask.prompt_tokens, true},
+                          choice.predicted,
+                          now});
   DecayKinds(now);
   m_kinds[ask.priority].granted += 1;
   ++m_counts.granted;
@@ -98,7 +101,8 @@
   const auto freed =
       m_selector.PredictFreed(m_key.service, m_key.model, ask.prompt_tokens);
   const Duration longest = std::min(ask.time_to_slo, ask.time_left) -
-                           freed.value_or(Duration(0)) - m_policy.delivery;
+                           freed.value_or(Duration(0)) - Margin() -
+                           m_policy.delivery;
   if (waiting.predicted == Duration(0)) {
     waiting.predicted = freed.value_or(Duration(0));
   }
@@ -131,6 +135,7 @@
 
 std::vector<PlacementPool::Answered> PlacementPool::Serve(TimePoint now) {
   EndEstimate(now);
+  TakePromptsOff(now);
   ServeExpired(now);
   while (ServeOne(now)) {
   }
