--- a/tests/platform_placement_test.cc
+++ b/tests/platform_placement_test.cc
@@ -110,6 +110,21 @@
                                  .outstanding;
   }
 
+  /// Sends long streams through `node` until all slots are taken and the placer
+  /// knows how long a request takes, so that it lets further asks wait.
+  void FillSlots(EntryNode& node) {
+    SetEvents(60);
+    Send(node);
+    REQUIRE(RunUntil(loop,
+                     [this] { return AllEnded() && CountOutstanding() == 0; }));
+    for (int i = 0; i < 2 * kSlots; ++i) {
+      Send(node);
+    }
+    REQUIRE(RunUntil(loop, [this] {
+      return CountOutstanding() == static_cast<size_t>(2 * kSlots);
+    }));
+  }
+
   size_t CountWaiting() {
     size_t count = 0;
     const EntryNode* node = Placer();
@@ -159,6 +174,16 @@
     CHECK(runner->seen().size() <= kSlots);
   }
   CHECK(site.Asker()->placement.sent().requests >= 1);
+  const std::string metrics = site.Placer()->host.metrics().Text();
+  for (const std::string_view row :
+       {"filbertrack_placements{pool=\"llm/m\",result=\"granted\"} 8",
+        "filbertrack_placement_grants_outstanding 8",
+        "filbertrack_placement_synced_hosts 2"}) {
+    CAPTURE(row);
+    CHECK(metrics.find(row) != std::string::npos);
+  }
+  CHECK(site.Asker()->host.metrics().Text().find(
+            "filbertrack_placement_wait_seconds_count 4") != std::string::npos);
   REQUIRE(RunUntil(site.loop, [&site] { return site.AllEnded(); }));
   site.CheckTruthful();
   CHECK(RunUntil(site.loop, [&site] { return site.CountOutstanding() == 0; }));
@@ -232,25 +257,40 @@
   PlacementSite site("on");
   REQUIRE(site.WaitUntilReady());
   EntryNode& asker = *site.Asker();
-  site.SetEvents(60);
-  // The placer lets asks wait once it knows how long a request takes.
-  site.Send(asker);
-  REQUIRE(RunUntil(site.loop, [&site] {
-    return site.AllEnded() && site.CountOutstanding() == 0;
-  }));
-  for (int i = 0; i < 2 * kSlots; ++i) {
+  site.FillSlots(asker);
+  for (int i = 0; i < 3; ++i) {
     site.Send(asker);
   }
-  REQUIRE(RunUntil(site.loop, [&site] {
-    return site.CountOutstanding() == static_cast<size_t>(2 * kSlots);
-  }));
+  REQUIRE(RunUntil(site.loop, [&site] { return site.CountWaiting() == 3; }));
+  site.KillPlacer();
+  REQUIRE(RunUntil(site.loop, [&site] { return site.AllEnded(); }));
+  site.CheckTruthful();
+}
+
+TEST_CASE("asks that wait are decided locally when placement is switched off") {
+  // Guards against requests that wait for a placer which no longer places, and
+  // against a switch that takes effect only after a restart.
+  PlacementSite site("on");
+  REQUIRE(site.WaitUntilReady());
+  EntryNode& asker = *site.Asker();
+  site.FillSlots(asker);
   for (int i = 0; i < 3; ++i) {
     site.Send(asker);
   }
   REQUIRE(RunUntil(site.loop, [&site] { return site.CountWaiting() == 3; }));
-  site.KillPlacer();
+  for (size_t i = 0; i < site.nodes.size(); ++i) {
+    site.nodes[i]->host.Reload(EntryNode::MakeSettings(
+        site.store.address(), "e" + std::to_string(i + 1), site.options,
+        "off"));
+  }
+  CHECK_FALSE(asker.placement.Places(kPool.service, kPool.model));
   REQUIRE(RunUntil(site.loop, [&site] { return site.AllEnded(); }));
   site.CheckTruthful();
+  const uint64_t sent = asker.placement.sent().requests;
+  site.Send(asker);
+  REQUIRE(RunUntil(site.loop, [&site] { return site.AllEnded(); }));
+  CHECK(asker.placement.sent().requests == sent);
+  CHECK(site.responses.back().status == 200);
 }
 
 TEST_CASE("a caller that leaves withdraws its queued ask") {
@@ -258,17 +298,7 @@
   PlacementSite site("on");
   REQUIRE(site.WaitUntilReady());
   EntryNode& asker = *site.Asker();
-  site.SetEvents(60);
-  site.Send(asker);
-  REQUIRE(RunUntil(site.loop, [&site] {
-    return site.AllEnded() && site.CountOutstanding() == 0;
-  }));
-  for (int i = 0; i < 2 * kSlots; ++i) {
-    site.Send(asker);
-  }
-  REQUIRE(RunUntil(site.loop, [&site] {
-    return site.CountOutstanding() == static_cast<size_t>(2 * kSlots);
-  }));
+  site.FillSlots(asker);
   site.Send(asker);
   REQUIRE(RunUntil(site.loop, [&site] { return site.CountWaiting() == 1; }));
   const std::string id = "id-" + std::to_string(site.responses.size());
--- a/tests/platform_site.h
+++ b/tests/platform_site.h
@@ -57,18 +57,7 @@
             const CallHeaderCodec& header_codec,
             const SiteDecoder& decoder)
       : engines(loop),
-        settings(*EntrySchema().ParseText(
-            "[node]\nname = " + name +
-                "\ndata_centre = z\nregions = z:region-z,y:region-y\n"
-                "memory_mb = " +
-                std::to_string(site.entry_memory_mb) +
-                "\n[evacuations]\nwatched = yes\n"
-                "[callers]\nlisten = 127.0.0.1:0\nunread_timeout = " +
-                std::to_string(ToMilliseconds(site.unread_timeout)) +
-                "ms\n[placement]\nmode = " + site.placement +
-                "\n[ready]\nlisten = 127.0.0.1:0\n[store]\naddress = " +
-                store.ToString() + "\n",
-            "test.ini")),
+        settings(MakeSettings(store, name, site, site.placement)),
         host(loop, settings, header_codec, engines),
         listening(host.Listen().has_value()),
         client(loop, store, MakeStorePolicy(), host, 1),
@@ -90,6 +79,25 @@
     control.Start();
   }
 
+  /// `placement` is the setting [placement] mode.
+  static Settings MakeSettings(const Address& store,
+                               const std::string& name,
+                               const SiteOptions& site,
+                               const std::string& placement) {
+    return *EntrySchema().ParseText(
+        "[node]\nname = " + name +
+            "\ndata_centre = z\nregions = z:region-z,y:region-y\n"
+            "memory_mb = " +
+            std::to_string(site.entry_memory_mb) +
+            "\n[evacuations]\nwatched = yes\n"
+            "[callers]\nlisten = 127.0.0.1:0\nunread_timeout = " +
+            std::to_string(ToMilliseconds(site.unread_timeout)) +
+            "ms\n[placement]\nmode = " + placement +
+            "\n[ready]\nlisten = 127.0.0.1:0\n[store]\naddress = " +
+            store.ToString() + "\n",
+        "test.ini");
+  }
+
   /// Capacity of an entry host with a quarter of a core and 1,000 Mbit/s.
   static constexpr int kCapacity = 250;
 
