placement: interface, served shares of kinds in the pool's private state

In a burst of 1.6 of two kinds, the one with the longer objective was served 0.91 and the urgent one 0.58: it found places where an urgent request would be late, so none became free for those. While 90% of the slots are taken, a kind that is served more often than a more urgent one gets no place and does not wait. One grant in ten counts only grants past a waiting ask of a lower priority.

PlacementQueue gains Count(). placement_test passes.

--- a/include/filbertrack/placement_pool.h
+++ b/include/filbertrack/placement_pool.h
@@ -167,6 +167,9 @@
   void ServeExpired(TimePoint now);
   /// Grants a place to one waiting ask; returns false if none has a place.
   bool ServeOne(TimePoint now);
+  /// Asks of the priority are served more often than more urgent ones, if
+  /// `waiting` more of them are served.
+  bool IsOverServed(int priority, size_t waiting = 0) const;
   /// The ask of the lowest priority whose turn it is; nullopt: none.
   std::optional<uint64_t> FindNeglected() const;
 
@@ -220,7 +223,8 @@
   /// Requests by the time at which their target should have read the prompt.
   std::multimap<TimePoint, std::pair<std::string, uint64_t>> m_prompt_reads;
   size_t m_outstanding = 0;
-  /// Grants since the last one to the lowest priority out of turn.
+  /// Grants past a waiting ask of a lower priority, since the last one that it
+  /// got out of turn.
   int m_grants_since_lowest = 0;
   /// Latest failure by target.
   std::map<std::string, TimePoint, std::less<>> m_last_failures;
--- a/include/filbertrack/placement_queue.h
+++ b/include/filbertrack/placement_queue.h
@@ -38,6 +38,7 @@
   /// An ask of this or a more urgent priority waits.
   bool HasAsUrgent(int priority) const;
   std::map<int, size_t> CountByPriority() const;
+  size_t Count(int priority) const;
 
   /// Number of asks that would be served before a new one of `workspace`.
   size_t CountAhead(int priority, std::string_view workspace) const;
--- a/source/placement_pool_serve.cc
+++ b/source/placement_pool_serve.cc
@@ -63,6 +63,11 @@
   query.time_to_slo = ask.time_to_slo - waited;
   query.time_left = ask.time_left - waited;
   if (AreSlotsTaken()) {
+    // Its objective may be longer, so that it finds a place where an urgent
+    // request would be late, and places never become free for those.
+    if (IsOverServed(ask.priority)) {
+      return PlacementRefusal{ask.id, DispatchDenial::kAllBusy, {}, {}};
+    }
     query.time_left = std::min(query.time_left, query.time_to_slo - Margin());
   }
   query.excluded = &waiting.excluded;
@@ -80,7 +85,10 @@
   DecayKinds(now);
   m_kinds[ask.priority].granted += 1;
   ++m_counts.granted;
-  ++m_grants_since_lowest;
+  const auto lowest = m_queue.LongestOfLowest();
+  if (lowest && m_queue.Get(*lowest).ask.priority > ask.priority) {
+    ++m_grants_since_lowest;
+  }
   return PlacementGrant{ask.id, choice.target.id, choice.predicted,
                         choice.own_requests + choice.other_requests};
 }
@@ -108,7 +116,10 @@
   }
   const auto expected = ExpectedWait(
       ask.priority, m_queue.CountAhead(ask.priority, ask.workspace), now);
-  if (!freed || !expected || *expected > longest) {
+  const bool is_over_served =
+      AreSlotsTaken() &&
+      IsOverServed(ask.priority, m_queue.Count(ask.priority) + 1);
+  if (!freed || !expected || *expected > longest || is_over_served) {
     return Refuse(waiting, DispatchDenial::kAllBusy, now);
   }
   if (m_queue.full()) {
@@ -194,19 +205,24 @@
       m_grants_since_lowest + 1 < m_policy.lowest_priority_interval) {
     return std::nullopt;
   }
-  const int lowest = m_queue.Get(*ticket).ask.priority;
-  const auto own = m_kinds.find(lowest);
+  return IsOverServed(m_queue.Get(*ticket).ask.priority) ? std::nullopt
+                                                         : ticket;
+}
+
+bool PlacementPool::IsOverServed(int priority, size_t waiting) const {
+  const auto own = m_kinds.find(priority);
   if (own == m_kinds.end() || own->second.Asks() < kMinAsks) {
-    return ticket;
+    return false;
   }
-  // No kind is served less often than a less urgent one.
-  for (const auto& [priority, kind] : m_kinds) {
-    if (priority < lowest && kind.Asks() >= kMinAsks &&
-        kind.ServedShare() < own->second.ServedShare()) {
-      return std::nullopt;
+  const auto more = static_cast<double>(waiting);
+  const double share =
+      (own->second.granted + more) / (own->second.Asks() + more);
+  for (auto kind = m_kinds.begin(); kind != own; ++kind) {
+    if (kind->second.Asks() >= kMinAsks && kind->second.ServedShare() < share) {
+      return true;
     }
   }
-  return ticket;
+  return false;
 }
 
 void PlacementPool::ShedHopeless(TimePoint now) {
--- a/source/placement_queue.cc
+++ b/source/placement_queue.cc
@@ -16,6 +16,11 @@
   return counts;
 }
 
+size_t PlacementQueue::Count(int priority) const {
+  const auto level = m_levels.find(priority);
+  return level == m_levels.end() ? 0 : level->second.tickets.size();
+}
+
 size_t PlacementQueue::CountAhead(int priority,
                                   std::string_view workspace) const {
   size_t ahead = 0;
