placement: tests of the pool, and a replay of bursts on 97 entry hosts

The replay runs clients, placers and their messages with delays against choices by reported loads and against that scheduler; FakeEngine gets the engine times as fields.

--- a/tests/fake_engine.h
+++ b/tests/fake_engine.h
@@ -42,8 +42,9 @@
       }
       writing += request.prompt_left <= 0 ? 1 : 0;
     }
-    const double step = 7.8 + 0.095 * writing;
-    const double ms = 0.6 * ((writing > 0 ? stride * step : 0) + read / 45.9);
+    const double step = step_ms + step_per_request_ms * writing;
+    const double ms = pace * ((writing > 0 ? stride * step : 0) +
+                              read / prompt_tokens_per_ms);
     const TimePoint done = now + Duration(static_cast<int64_t>(ms * 1000));
     for (Request& request : running) {
       if (request.prompt_left > 0) {
@@ -68,6 +69,10 @@
   size_t size() const { return running.size() + waiting.size(); }
 
   size_t slots = 17;
+  double step_ms = 7.8;
+  double step_per_request_ms = 0.095;
+  double prompt_tokens_per_ms = 45.9;
+  double pace = 0.6;
   /// Tokens that each generating request gets per pass.
   int stride = 5;
   std::deque<Request> waiting;
--- /dev/null
+++ b/tests/placement_replay.cc
@@ -0,0 +1,657 @@
+#include "placement_replay.h"
+
+#include <algorithm>
+
+namespace filbertrack {
+
+namespace {
+
+const TimePoint kStart{Seconds(1000)};
+const PoolKey kPool{"llm", "m"};
+constexpr size_t kHosts = 97;
+constexpr size_t kStrongHosts = 6;
+constexpr size_t kTargets = 27;
+constexpr int kSlots = 34;
+/// Passes before each first event in addition to the engine's passes.
+constexpr Duration kFirstDelay = Milliseconds(120);
+constexpr Duration kReportInterval = Milliseconds(50);
+/// Ages of reported loads in intervals: 100 ms within a data centre and 500 ms
+/// between data centres.
+constexpr size_t kLocalAge = 2;
+constexpr size_t kRemoteAge = 10;
+constexpr Duration kLength = Seconds(7);
+/// Time in which a lost target or host becomes known.
+constexpr Duration kDetection = Milliseconds(300);
+
+std::string DataCentre(size_t number) {
+  return "dc" + std::to_string(number % 3);
+}
+
+std::string TargetName(size_t number) {
+  return "t" + std::to_string(number);
+}
+
+size_t TargetNumber(const std::string& name) {
+  return std::stoul(name.substr(1));
+}
+
+Catalog MakeCatalog(double pace) {
+  EngineProfile engine;
+  engine.slots = kSlots;
+  engine.step = Duration(6070);
+  engine.step_per_request = Duration(241);
+  engine.prompt_tokens_per_second = 46000;
+  engine.chunk_tokens = 2048;
+  engine.stride = 5;
+  engine.usual_prompt_tokens = 714;
+  engine.usual_answer_tokens = 115;
+  engine.models = {{"m", 4, 1, pace, Seconds(12), Seconds(1)}};
+  CatalogParts parts;
+  parts.services["llm"] = {"llm", 300, engine};
+  return Catalog(std::move(parts));
+}
+
+}  // namespace
+
+PlacementReplay::PlacementReplay(ReplayScenario scenario)
+    : m_scenario(std::move(scenario)),
+      m_now(kStart),
+      m_engines(kTargets),
+      m_is_running(kTargets),
+      m_is_gone(kTargets),
+      m_under_way(kTargets) {
+  std::vector<double> weights;
+  for (size_t i = 0; i < kHosts; ++i) {
+    Host host;
+    host.name = "h" + std::to_string(i);
+    host.data_centre = DataCentre(i);
+    host.capacity = i < kStrongHosts ? 100 : 1;
+    host.selector = std::make_unique<TargetSelector>(DispatchPolicy{}, i);
+    host.client = std::make_unique<PlacementClient>(host.name, 1);
+    host.placer = std::make_unique<Placer>(host.name, 1, PlacementPolicy{}, i);
+    m_hosts.push_back(std::move(host));
+    // Callers are distributed unevenly.
+    weights.push_back(1 + static_cast<double>(i % 4));
+  }
+  m_draw_host = {weights.begin(), weights.end()};
+  std::vector<double> parts;
+  for (const ReplayKind& kind : m_scenario.kinds) {
+    parts.push_back(kind.part);
+  }
+  m_draw_kind = {parts.begin(), parts.end()};
+  for (FakeEngine& engine : m_engines) {
+    engine.slots = kSlots;
+    engine.step_ms = 6.07;
+    engine.step_per_request_ms = 0.241;
+    engine.prompt_tokens_per_ms = 46;
+    engine.pace = m_scenario.pace;
+    engine.next = kStart;
+  }
+  SetTargets(true);
+}
+
+ReplayResult PlacementReplay::Run() {
+  if (m_scenario.scheduler == ReplayScheduler::kPlaced) {
+    for (size_t i = 0; i < kHosts; ++i) {
+      AgreeOnPlacer(i);
+    }
+  }
+  ScheduleTrouble();
+  ReportLoads();
+  Arrive();
+  while (!m_actions.empty()) {
+    const auto first = m_actions.begin();
+    m_now = first->first;
+    const std::function<void()> action = std::move(first->second);
+    m_actions.erase(first);
+    if (m_now > kStart + kLength + Seconds(4)) {
+      break;
+    }
+    action();
+  }
+  return m_result;
+}
+
+void PlacementReplay::At(TimePoint time, std::function<void()> action) {
+  m_actions.emplace(std::max(time, m_now), std::move(action));
+}
+
+void PlacementReplay::Arrive() {
+  const Duration at = m_now - kStart;
+  if (at >= kLength) {
+    return;
+  }
+  const bool bursts = at >= Seconds(2) && at < Seconds(5);
+  const double rate = m_scenario.capacity * (bursts ? m_scenario.burst : 0.6);
+  At(m_now + FromSeconds(m_gap(m_random) / rate), [this] { Arrive(); });
+  Request request;
+  do {
+    request.host = m_draw_host(m_random);
+  } while (!m_hosts[request.host].takes_requests);
+  request.kind = &m_scenario.kinds[m_draw_kind(m_random)];
+  request.arrived = m_now;
+  Count(request, &ReplayResult::Count::offered);
+  m_requests[++m_number] = request;
+  Place(m_number);
+}
+
+Duration PlacementReplay::Delay(const std::string& from,
+                                const std::string& to) const {
+  return from == to ? Duration(200) : Duration(1400);
+}
+
+size_t PlacementReplay::IndexOf(const std::string& host) const {
+  return std::stoul(host.substr(1));
+}
+
+void PlacementReplay::Count(const Request& request,
+                            int ReplayResult::Count::*counter) {
+  const Duration at = request.arrived - kStart;
+  if (at < Seconds(2) || at >= Seconds(5)) {
+    return;
+  }
+  ++(m_result.all.*counter);
+  ++(m_result.by_priority[request.kind->priority].*counter);
+}
+
+void PlacementReplay::Place(int number) {
+  const Request& request = m_requests.at(number);
+  if (m_scenario.scheduler == ReplayScheduler::kOmniscient) {
+    m_waiting.push_back(number);
+    ServeOmniscient();
+    return;
+  }
+  Host& host = m_hosts[request.host];
+  PlacementAsk ask;
+  ask.id = static_cast<uint64_t>(number);
+  ask.pool = kPool;
+  ask.prompt_tokens = request.kind->prompt_tokens;
+  ask.time_to_slo = request.arrived + request.kind->slo - m_now;
+  ask.time_left = request.arrived + Seconds(6) - m_now;
+  ask.priority = request.kind->priority;
+  ask.workspace = "w" + std::to_string(number % 5);
+  ask.excluded = {request.excluded.begin(), request.excluded.end()};
+  if (m_scenario.scheduler == ReplayScheduler::kPlaced &&
+      host.client->TryAsk(std::move(ask), m_now)) {
+    Pump(request.host);
+    return;
+  }
+  ChooseByReports(number);
+}
+
+void PlacementReplay::ChooseByReports(int number) {
+  const Request& request = m_requests.at(number);
+  Host& host = m_hosts[request.host];
+  m_result.fallbacks +=
+      m_scenario.scheduler == ReplayScheduler::kPlaced ? 1 : 0;
+  DispatchQuery query;
+  query.service = kPool.service;
+  query.model = kPool.model;
+  query.prompt_tokens = request.kind->prompt_tokens;
+  query.time_to_slo = request.arrived + request.kind->slo - m_now;
+  query.time_left = request.arrived + Seconds(6) - m_now;
+  query.local_data_centre = host.data_centre;
+  query.excluded = &request.excluded;
+  const auto decision = host.selector->Choose(query, m_now);
+  const auto* choice = std::get_if<DispatchChoice>(&decision);
+  if (choice == nullptr) {
+    Count(request, &ReplayResult::Count::refused);
+    m_requests.erase(number);
+    return;
+  }
+  Send(number, TargetNumber(choice->target.id), choice->predicted, false);
+}
+
+void PlacementReplay::Send(int number,
+                           size_t target,
+                           Duration predicted,
+                           bool is_granted) {
+  Request& request = m_requests.at(number);
+  Host& host = m_hosts[request.host];
+  const std::string name = TargetName(target);
+  request.target = target;
+  request.predicted = predicted;
+  request.sent = m_now;
+  host.selector->OnSent(name, request.kind->prompt_tokens);
+  if (!is_granted) {
+    host.client->OnEvent(kPool,
+                         PlacementSent{static_cast<uint64_t>(number), name,
+                                       request.kind->prompt_tokens},
+                         m_now);
+    Pump(request.host);
+  }
+  m_result.most_requests =
+      std::max(m_result.most_requests, ++m_under_way[target]);
+  const bool is_free = m_scenario.scheduler == ReplayScheduler::kOmniscient;
+  const Duration delay = Delay(host.data_centre, DataCentre(target));
+  if (is_free) {
+    Receive(number);
+  } else {
+    At(m_now + delay, [this, number] { Receive(number); });
+  }
+}
+
+void PlacementReplay::Receive(int number) {
+  const auto found = m_requests.find(number);
+  if (found == m_requests.end()) {
+    // Its target was lost while it was under way.
+    return;
+  }
+  const Request& request = found->second;
+  const size_t target = request.target;
+  if (m_is_gone[target]) {
+    At(m_now + Duration(1400),
+       [this, number] { OnEnd(number, DispatchResult::kRefused); });
+    return;
+  }
+  FakeEngine& engine = m_engines[target];
+  engine.waiting.push_back({number, m_now, request.kind->prompt_tokens,
+                            request.kind->answer_tokens});
+  if (!m_is_running[target]) {
+    m_is_running[target] = true;
+    engine.next = m_now;
+    At(m_now, [this, target] { RunEngine(target); });
+  }
+}
+
+void PlacementReplay::RunEngine(size_t target) {
+  FakeEngine& engine = m_engines[target];
+  if (m_is_gone[target] || engine.size() == 0) {
+    m_is_running[target] = false;
+    return;
+  }
+  const std::string data_centre = DataCentre(target);
+  const auto back = [this, &data_centre](const FakeEngine::Request& request) {
+    const Request& sent = m_requests.at(request.number);
+    return m_scenario.scheduler == ReplayScheduler::kOmniscient
+               ? Duration(0)
+               : Delay(data_centre, m_hosts[sent.host].data_centre);
+  };
+  engine.next =
+      m_now + engine.Pass(
+                  m_now,
+                  [&](const FakeEngine::Request& request, TimePoint at) {
+                    at += kFirstDelay + back(request);
+                    At(at, [this, number = request.number, at] {
+                      OnFirst(number, at);
+                    });
+                  },
+                  [&](const FakeEngine::Request& request, TimePoint at) {
+                    At(at + back(request), [this, number = request.number] {
+                      OnEnd(number, DispatchResult::kAnswered);
+                    });
+                  });
+  At(engine.next, [this, target] { RunEngine(target); });
+  if (m_scenario.scheduler == ReplayScheduler::kOmniscient) {
+    At(engine.next, [this] { ServeOmniscient(); });
+  }
+}
+
+void PlacementReplay::OnFirst(int number, TimePoint at) {
+  const auto found = m_requests.find(number);
+  if (found == m_requests.end()) {
+    return;
+  }
+  Request& request = found->second;
+  request.has_begun = true;
+  Count(request, at - request.arrived <= request.kind->slo
+                     ? &ReplayResult::Count::in_time
+                     : &ReplayResult::Count::late);
+  Host& host = m_hosts[request.host];
+  if (!host.is_alive) {
+    return;
+  }
+  const std::string target = TargetName(request.target);
+  host.selector->OnFirstEvent(target, request.kind->prompt_tokens,
+                              request.predicted, at - request.sent);
+  host.client->OnEvent(
+      kPool,
+      PlacementFirst{static_cast<uint64_t>(number), target, at - request.sent},
+      m_now);
+  Pump(request.host);
+}
+
+void PlacementReplay::OnEnd(int number, DispatchResult result) {
+  const auto found = m_requests.find(number);
+  if (found == m_requests.end()) {
+    return;
+  }
+  Request& request = found->second;
+  const std::string target = TargetName(request.target);
+  --m_under_way[request.target];
+  Host& host = m_hosts[request.host];
+  const bool may_retry =
+      result == DispatchResult::kRefused && request.excluded.size() < 2;
+  if (host.is_alive) {
+    host.selector->OnEnded(target, request.kind->prompt_tokens,
+                           !request.has_begun, result, m_now);
+    host.client->OnEvent(kPool,
+                         PlacementEnded{static_cast<uint64_t>(number), target,
+                                        !request.has_begun, result},
+                         m_now);
+  }
+  const size_t index = request.host;
+  if (may_retry && host.is_alive) {
+    Request retry = request;
+    retry.excluded.insert(target);
+    retry.sent = {};
+    m_requests.erase(found);
+    m_requests[++m_number] = retry;
+    Place(m_number);
+  } else {
+    if (result != DispatchResult::kAnswered && !request.has_begun) {
+      Count(request, &ReplayResult::Count::failed);
+    }
+    m_requests.erase(found);
+  }
+  Pump(index);
+}
+
+void PlacementReplay::Pump(size_t index) {
+  Host& host = m_hosts[index];
+  if (!host.is_alive || m_scenario.scheduler != ReplayScheduler::kPlaced) {
+    return;
+  }
+  Apply(host.client->Expire(m_now));
+  for (auto& [placer, request] : host.client->TakeMessages(m_now)) {
+    SendRequest(index, placer, std::move(request));
+  }
+  for (auto& [asker, notice] : host.placer->TakeNotices(m_now)) {
+    SendNotice(index, asker, std::move(notice));
+  }
+  for (const auto due : {host.client->NextDue(), host.placer->NextDue()}) {
+    const TimePoint wake = std::max(due.value_or(TimePoint::max()), m_now);
+    if (due && (wake < host.wake || host.wake <= m_now)) {
+      host.wake = wake;
+      At(wake, [this, index] { Pump(index); });
+    }
+  }
+}
+
+void PlacementReplay::SendRequest(size_t from,
+                                  const std::string& to,
+                                  PlacementRequest request) {
+  const size_t placer = IndexOf(to);
+  const Duration delay = from == placer ? Duration(0)
+                                        : Delay(m_hosts[from].data_centre,
+                                                m_hosts[placer].data_centre);
+  At(m_now + delay, [this, from, placer, delay, request = std::move(request)] {
+    if (!m_hosts[placer].is_alive) {
+      return;
+    }
+    const auto reply = m_hosts[placer].placer->OnRequest(request, m_now);
+    At(m_now + delay, [this, from, placer, reply] {
+      Apply(m_hosts[from].client->OnReply(m_hosts[placer].name, &reply, m_now));
+      Pump(from);
+    });
+    Pump(placer);
+  });
+}
+
+void PlacementReplay::SendNotice(size_t from,
+                                 const std::string& to,
+                                 PlacementNotice notice) {
+  const size_t asker = IndexOf(to);
+  const Duration delay = from == asker ? Duration(0)
+                                       : Delay(m_hosts[from].data_centre,
+                                               m_hosts[asker].data_centre);
+  At(m_now + delay, [this, from, asker, delay, notice = std::move(notice)] {
+    PlacementNoticeReply reply;
+    if (m_hosts[asker].is_alive) {
+      Apply(m_hosts[asker].client->OnNotice(notice, reply, m_now));
+      Pump(asker);
+    }
+    At(m_now + delay, [this, from, asker, reply] {
+      m_hosts[from].placer->OnNoticeReply(
+          m_hosts[asker].name, m_hosts[asker].is_alive ? &reply : nullptr,
+          m_now);
+      Pump(from);
+    });
+  });
+}
+
+void PlacementReplay::Apply(
+    const std::vector<PlacementClient::Decided>& decided) {
+  for (const auto& item : decided) {
+    const int number = static_cast<int>(item.id);
+    if (const auto* grant = std::get_if<PlacementGrant>(&item.decision)) {
+      Send(number, TargetNumber(grant->target), grant->predicted, true);
+    } else if (std::holds_alternative<ChooseLocally>(item.decision)) {
+      ChooseByReports(number);
+    } else {
+      Count(m_requests.at(number), &ReplayResult::Count::refused);
+      m_requests.erase(number);
+    }
+  }
+}
+
+void PlacementReplay::AgreeOnPlacer(size_t index) {
+  std::vector<FleetHost> live;
+  for (const Host& host : m_hosts) {
+    if (host.takes_requests) {
+      live.push_back({host.name, host.data_centre, host.capacity, false});
+    }
+  }
+  Host& host = m_hosts[index];
+  const std::string placer = ChoosePlacer(kPool, live);
+  host.client->SetPlacer(kPool, placer, m_now);
+  if (placer == host.name && host.placer->pools().empty()) {
+    host.placer->SetPools(std::vector{kPool}, m_now);
+    SetTargets(std::count(m_is_gone.begin(), m_is_gone.end(), true) == 0);
+    TargetLoads loads;
+    if (!m_reports.empty()) {
+      for (const auto& own : m_reports.front()) {
+        for (const auto& [target, load] : own) {
+          loads[target].requests += load.requests;
+          loads[target].prompt_tokens += load.prompt_tokens;
+        }
+      }
+    }
+    host.placer->SetUnsynced(loads, kHosts, m_now);
+  }
+  Pump(index);
+}
+
+void PlacementReplay::ReportLoads() {
+  if (m_now >= kStart + kLength) {
+    return;
+  }
+  Snapshot now;
+  for (const Host& host : m_hosts) {
+    std::map<std::string, TargetLoad, std::less<>> loads;
+    if (host.is_alive) {
+      const auto own = host.selector->OwnLoads();
+      loads.insert(own.begin(), own.end());
+    }
+    now.push_back(std::move(loads));
+  }
+  m_reports.push_front(std::move(now));
+  m_reports.resize(std::min(m_reports.size(), kRemoteAge + 1));
+  const Snapshot& local = m_reports[std::min(kLocalAge, m_reports.size() - 1)];
+  const Snapshot& remote = m_reports.back();
+  const auto add = [](TargetLoads& sum, const TargetLoads& loads, int sign) {
+    for (const auto& [target, load] : loads) {
+      sum[target].requests += sign * load.requests;
+      sum[target].prompt_tokens += sign * load.prompt_tokens;
+    }
+  };
+  std::array<TargetLoads, 3> sums;
+  for (size_t i = 0; i < kHosts; ++i) {
+    for (size_t centre = 0; centre < sums.size(); ++centre) {
+      add(sums[centre], (i % 3 == centre ? local : remote)[i], 1);
+    }
+  }
+  for (size_t i = 0; i < kHosts; ++i) {
+    TargetLoads loads = sums[i % 3];
+    add(loads, local[i], -1);
+    m_hosts[i].selector->SetRemoteLoads(loads, 0, m_now);
+  }
+  At(m_now + kReportInterval, [this] { ReportLoads(); });
+}
+
+void PlacementReplay::SetTargets(bool all) {
+  std::vector<DispatchTarget> targets;
+  for (size_t i = 0; i < kTargets; ++i) {
+    if (all || i % 3 != 0) {
+      targets.push_back({TargetName(i),
+                         {"127.0.0.1", 1},
+                         kPool.service,
+                         kPool.model,
+                         DataCentre(i),
+                         kSlots,
+                         690});
+    }
+  }
+  const Catalog catalog = MakeCatalog(m_scenario.pace);
+  for (Host& host : m_hosts) {
+    host.selector->SetTargets(targets, catalog, m_now);
+    host.placer->SetTargets(targets, catalog, m_now);
+  }
+}
+
+void PlacementReplay::ScheduleTrouble() {
+  if (m_scenario.loses_targets) {
+    At(kStart + Seconds(3), [this] { LoseTargets(); });
+    At(kStart + Seconds(3) + kDetection, [this] { SetTargets(false); });
+    At(kStart + Seconds(5), [this] {
+      m_is_gone.assign(kTargets, false);
+      SetTargets(true);
+    });
+  }
+  if (m_scenario.stops_hosts) {
+    for (size_t i = 0; i < 30; ++i) {
+      // Three of the strong hosts remain.
+      const size_t host = i < 3 ? i : i + kStrongHosts;
+      At(kStart + Milliseconds(2500 + 60 * static_cast<int>(i)),
+         [this, host] { StopHost(host); });
+    }
+  }
+  if (m_scenario.kills_placer) {
+    At(kStart + Milliseconds(3500), [this] { KillPlacer(); });
+  }
+}
+
+void PlacementReplay::LoseTargets() {
+  for (size_t i = 0; i < kTargets; i += 3) {
+    m_is_gone[i] = true;
+    m_engines[i].running.clear();
+    m_engines[i].waiting.clear();
+  }
+  std::vector<int> lost;
+  for (const auto& [number, request] : m_requests) {
+    if (request.sent > TimePoint{} && m_is_gone[request.target]) {
+      lost.push_back(number);
+    }
+  }
+  for (const int number : lost) {
+    OnEnd(number, DispatchResult::kFailed);
+  }
+}
+
+void PlacementReplay::StopHost(size_t index) {
+  m_hosts[index].takes_requests = false;
+  m_hosts[index].placer->Drain(m_now);
+  Pump(index);
+  for (size_t i = 0; i < kHosts; ++i) {
+    // Gossip tells the others within 0.2 s.
+    At(m_now + Milliseconds(2) * static_cast<int>(i),
+       [this, i] { AgreeOnPlacer(i); });
+  }
+}
+
+void PlacementReplay::KillPlacer() {
+  std::vector<FleetHost> live;
+  for (const Host& host : m_hosts) {
+    if (host.takes_requests) {
+      live.push_back({host.name, host.data_centre, host.capacity, false});
+    }
+  }
+  Host& placer = m_hosts[IndexOf(ChoosePlacer(kPool, live))];
+  placer.is_alive = false;
+  placer.takes_requests = false;
+  for (size_t i = 0; i < kHosts; ++i) {
+    // Hosts agree on the live hosts within 1 to 1.5 s.
+    if (m_hosts[i].is_alive) {
+      At(m_now + Seconds(1) + Milliseconds(5) * static_cast<int>(i),
+         [this, i] { AgreeOnPlacer(i); });
+    }
+  }
+}
+
+TimePoint PlacementReplay::PredictExactly(const Request& request,
+                                          size_t target) const {
+  FakeEngine engine = m_engines[target];
+  constexpr int kNew = -1;
+  engine.waiting.push_back(
+      {kNew, m_now, request.kind->prompt_tokens, request.kind->answer_tokens});
+  TimePoint pass = m_is_running[target] ? engine.next : m_now;
+  std::optional<TimePoint> first;
+  while (!first) {
+    pass += engine.Pass(
+        pass,
+        [&first](const FakeEngine::Request& began, TimePoint at) {
+          if (began.number == kNew) {
+            first = at;
+          }
+        },
+        [](const FakeEngine::Request&, TimePoint) {});
+  }
+  return *first + kFirstDelay;
+}
+
+TimePoint PlacementReplay::EarliestFirst(const Request& request,
+                                         size_t target) const {
+  const FakeEngine& engine = m_engines[target];
+  const double step =
+      engine.step_ms +
+      engine.step_per_request_ms * static_cast<double>(engine.running.size());
+  const double ms =
+      engine.pace * (engine.stride * step +
+                     request.kind->prompt_tokens / engine.prompt_tokens_per_ms);
+  // An idle engine makes no steps in the pass that reads the prompt.
+  return engine.running.empty()
+             ? m_now + kFirstDelay
+             : engine.next + FromSeconds(ms * 1e-3) + kFirstDelay;
+}
+
+void PlacementReplay::ServeOmniscient() {
+  std::deque<int> waiting;
+  waiting.swap(m_waiting);
+  for (const int number : waiting) {
+    const Request& request = m_requests.at(number);
+    const TimePoint deadline = request.arrived + request.kind->slo;
+    if (m_now + kFirstDelay > deadline) {
+      Count(request, &ReplayResult::Count::refused);
+      m_requests.erase(number);
+      continue;
+    }
+    // Only targets at which it could be in time are simulated, in the order of
+    // the earliest possible first event.
+    std::vector<std::pair<TimePoint, size_t>> targets;
+    for (size_t i = 0; i < kTargets; ++i) {
+      const TimePoint earliest = EarliestFirst(request, i);
+      if (!m_is_gone[i] && m_engines[i].size() < kSlots &&
+          earliest <= deadline - m_scenario.margin) {
+        targets.emplace_back(earliest, i);
+      }
+    }
+    std::sort(targets.begin(), targets.end());
+    TimePoint best = TimePoint::max();
+    size_t best_target = 0;
+    for (const auto& [earliest, target] : targets) {
+      const TimePoint first =
+          earliest < best ? PredictExactly(request, target) : best;
+      if (first < best) {
+        best = first;
+        best_target = target;
+      }
+    }
+    if (best > deadline - m_scenario.margin) {
+      m_waiting.push_back(number);
+      continue;
+    }
+    Send(number, best_target, best - m_now, true);
+  }
+}
+
+}  // namespace filbertrack
