tests: a withdrawn ask leaves the queue without a decision

Without the withdrawal the test of a caller that leaves passed as well, since the ask expired in the queue and was refused. It now requires that the placer decided nothing.

--- a/tests/platform_placement_test.cc
+++ b/tests/platform_placement_test.cc
@@ -302,9 +302,17 @@
   site.Send(asker);
   REQUIRE(RunUntil(site.loop, [&site] { return site.CountWaiting() == 1; }));
   const std::string id = "id-" + std::to_string(site.responses.size());
+  const auto count_decided = [&site] {
+    const PlacementCounts counts =
+        site.Placer()->placement.placer().pools().at(kPool)->counts();
+    return counts.granted + counts.refused;
+  };
+  const uint64_t decided_before = count_decided();
   site.calls.back().reset();
   site.responses.back().ended = true;
   REQUIRE(RunUntil(site.loop, [&site] { return site.CountWaiting() == 0; }));
+  // The ask left the queue without a decision.
+  CHECK(count_decided() == decided_before);
   REQUIRE(RunUntil(site.loop, [&site] {
     return site.AllEnded() && site.CountOutstanding() == 0;
   }));
