placement: interface, two mean errors to spare in the pool's policy

While slots are taken, a request that is predicted in time by less than the error of the prediction is often late, and its place could have served another in time. spared_errors goes from 1.5 to 2.

--- a/include/filbertrack/placement_pool.h
+++ b/include/filbertrack/placement_pool.h
@@ -49,7 +49,7 @@
   /// A request must be predicted in time with this multiple of the mean error
   /// of predictions to spare while slots are taken, since another one could use
   /// the place in time.
-  double spared_errors = 1.5;
+  double spared_errors = 2.0;
   /// Time from the decision on a waiting ask until its request is sent, within
   /// the region.
   Duration delivery = Milliseconds(2);
