Merge placement of requests by one entry host

One entry host decides where the requests of a model go, with exact loads, one queue and one estimate for each target.

--- a/include/filbertrack/dispatch_selector.h
+++ b/include/filbertrack/dispatch_selector.h
@@ -156,6 +156,13 @@
   /// to this fraction of its slots: among many targets, one that appears free
   /// is probably being chosen by other entry hosts as well.
   double max_slot_share = 0.85;
+  /// Estimates the requests that other hosts have not reported yet. Off where
+  /// the loads are exact: the estimate would take every slow first event for a
+  /// request that is counted already.
+  bool estimates_unseen = true;
+  /// A target gets no request that would exceed this multiple of its slots; 0:
+  /// no bound other than the predicted time.
+  double max_requests_per_slot = 0;
 
   // Switches for measuring the effect of single mechanisms.
 
@@ -181,6 +188,10 @@
   double max_pressure = 3;
   /// Weight of the latest measurement in exponential averages.
   double smoothing = 0.2;
+  /// Least weight in averages over all targets of a model, of which the first
+  /// measurements form the plain mean; 0: `smoothing`. With the measurements of
+  /// a whole fleet, `smoothing` would follow the last few requests.
+  double model_smoothing = 0;
 };
 
 /// Chooses targets for the requests of one entry host and tracks their load.
@@ -208,6 +219,27 @@
 
   DispatchDecision Choose(const DispatchQuery& query, TimePoint now);
 
+  /// The choice of target `id` that another host made for the request, with
+  /// its prediction and its count of requests there. nullopt: the request may
+  /// not be sent there from this host, because the target is not known, was
+  /// evacuated or tried, or accepts no request now.
+  std::optional<DispatchChoice> ConfirmChoice(std::string_view id,
+                                              const DispatchQuery& query,
+                                              Duration predicted,
+                                              int requests,
+                                              TimePoint now) const;
+  /// Targets of the query's model that ConfirmChoice() would not confirm, and
+  /// those that failed lately, unless so many failed that the targets are
+  /// unlikely to be the cause. nullopt: no target is usable.
+  std::optional<std::vector<std::string>> UnusableTargets(
+      const DispatchQuery& query,
+      TimePoint now) const;
+  /// Counts a request whose target was chosen, or which was refused, by another
+  /// host, for the pressure of its model.
+  void RecordPlacement(const DispatchQuery& query, bool placed, TimePoint now) {
+    RecordOutcome(query, placed, now);
+  }
+
   void OnSent(std::string_view id, double prompt_tokens);
   /// The first event of an answer came `measured` after the request was sent.
   void OnFirstEvent(std::string_view id,
@@ -242,6 +274,17 @@
 
   /// Predicted time to first event at target `id`; 0 if there is none.
   Duration Predict(std::string_view id, double prompt_tokens) const;
+  /// The shortest predicted time to first event at the targets of a model once
+  /// each has a free slot; nullopt if there is none.
+  std::optional<Duration> PredictFreed(std::string_view service,
+                                       std::string_view model,
+                                       double prompt_tokens) const;
+  /// The part of the predicted times of a model that its engine profile does
+  /// not explain.
+  Duration LearnedOverhead(std::string_view service,
+                           std::string_view model) const;
+  /// Measured divided by predicted time of a target; 1 if there is none.
+  double Slowness(std::string_view id) const;
 
  private:
   struct ModelActivity;
@@ -273,6 +316,8 @@
     double refused = 0;
     /// Requests at a chosen target that no host had reported yet, smoothed.
     double unseen = 0;
+    /// Measurements that the overhead is made of.
+    int measurements = 0;
     /// Time to first event in excess of the engine profile while slots are
     /// free: the network round trip, and engine overhead that it does not
     /// publish.
@@ -307,6 +352,8 @@
   /// Requests at the target, including the estimate of unreported ones.
   static double CountRequests(const Entry& entry);
   static bool IsFull(const Entry& entry);
+  /// One more request would exceed max_requests_per_slot.
+  bool IsAtLimit(const Entry& entry) const;
   static bool AreAllSlotsTaken(const Targets& targets,
                                const DispatchQuery& query,
                                TimePoint now);
@@ -317,6 +364,10 @@
                    const DispatchQuery& query,
                    TimePoint now) const;
   Duration PredictEntry(const Entry& entry, double prompt_tokens) const;
+  /// The same with `requests` at the target.
+  Duration PredictWith(const Entry& entry,
+                       double requests,
+                       double prompt_tokens) const;
   /// The target is outside the regions allowed for the request.
   static bool IsOutsideRegions(const Entry& entry, const DispatchQuery& query);
   /// The request was sent to the target already or may not be sent there.
--- a/source/entry_settings.cc
+++ b/source/entry_settings.cc
@@ -105,6 +105,9 @@
        TextKey{"auto", false, {"auto", "yes", "no"}},
        "Whether hosts follow the demand by whole groups; auto: if each model "
        "has large groups and one has few of them."},
+      {"placement", "mode", TextKey{"auto", false, {"auto", "on", "off"}},
+       "Whether one entry host chooses the targets of a model for all; auto: "
+       "where routes differ in priority or an entry host is weak."},
       {"mechanisms", "looks_wider", YesOrNo(),
        "More targets are considered before a request is rejected."},
       {"mechanisms", "pauses_failing", YesOrNo(),
--- a/tests/platform_site.h
+++ b/tests/platform_site.h
@@ -11,6 +11,7 @@
 #include "filbertrack/entry_control.h"
 #include "filbertrack/entry_host.h"
 #include "filbertrack/entry_peers.h"
+#include "filbertrack/entry_placement.h"
 #include "filbertrack/entry_poison_record.h"
 #include "platform_config.h"
 #include "platform_decode.h"
@@ -43,6 +44,8 @@
   /// Memory of each entry host, in MiB.
   int entry_memory_mb = 512;
   Duration unread_timeout = Seconds(10);
+  /// Setting [placement] mode.
+  std::string placement = "auto";
 };
 
 /// One entry host.
@@ -54,18 +57,7 @@
             const CallHeaderCodec& header_codec,
             const SiteDecoder& decoder)
       : engines(loop),
-        settings(*EntrySchema().ParseText(
-            "[node]\nname = " + name +
-                "\ndata_centre = z\nregions = z:region-z,y:region-y\n"
-                "memory_mb = " +
-                std::to_string(site.entry_memory_mb) +
-                "\n[evacuations]\nwatched = yes\n"
-                "[callers]\nlisten = 127.0.0.1:0\nunread_timeout = " +
-                std::to_string(ToMilliseconds(site.unread_timeout)) +
-                "ms\n"
-                "[ready]\nlisten = 127.0.0.1:0\n[store]\naddress = " +
-                store.ToString() + "\n",
-            "test.ini")),
+        settings(MakeSettings(store, name, site, site.placement)),
         host(loop, settings, header_codec, engines),
         listening(host.Listen().has_value()),
         client(loop, store, MakeStorePolicy(), host, 1),
@@ -77,6 +69,7 @@
               decoder,
               client,
               client),
+        placement(loop, name, host, peers),
         control(loop, name, MakePolicy(), host, peers, engines, client),
         poison_record(loop, {}, host.poison(), client, [this] {
           return control.holds_lease();
@@ -86,6 +79,25 @@
     control.Start();
   }
 
+  /// `placement` is the setting [placement] mode.
+  static Settings MakeSettings(const Address& store,
+                               const std::string& name,
+                               const SiteOptions& site,
+                               const std::string& placement) {
+    return *EntrySchema().ParseText(
+        "[node]\nname = " + name +
+            "\ndata_centre = z\nregions = z:region-z,y:region-y\n"
+            "memory_mb = " +
+            std::to_string(site.entry_memory_mb) +
+            "\n[evacuations]\nwatched = yes\n"
+            "[callers]\nlisten = 127.0.0.1:0\nunread_timeout = " +
+            std::to_string(ToMilliseconds(site.unread_timeout)) +
+            "ms\n[placement]\nmode = " + placement +
+            "\n[ready]\nlisten = 127.0.0.1:0\n[store]\naddress = " +
+            store.ToString() + "\n",
+        "test.ini");
+  }
+
   /// Capacity of an entry host with a quarter of a core and 1,000 Mbit/s.
   static constexpr int kCapacity = 250;
 
@@ -115,6 +127,7 @@
   bool listening;
   platform::PlatformStore client;
   EntryPeers peers;
+  EntryPlacement placement;
   EntryControl control;
   EntryPoisonRecord poison_record;
 };
