--- a/tests/fuzz/fuzz_untrusted.cc
+++ b/tests/fuzz/fuzz_untrusted.cc
@@ -7,6 +7,7 @@
 
 #include "filbertrack/entry_poison_record.h"
 #include "filbertrack/gossip_message.h"
+#include "filbertrack/placement_message.h"
 #include "platform_decode.h"
 
 namespace filbertrack {
@@ -32,6 +33,10 @@
   (void)DecodeGossipRequest(bytes);
   (void)DecodeGossipReply(bytes);
   (void)ParsePoisonRecord(bytes);
+  (void)DecodePlacementRequest(bytes);
+  (void)DecodePlacementReply(bytes);
+  (void)DecodePlacementNotice(bytes);
+  (void)DecodePlacementNoticeReply(bytes);
 }
 
 }  // namespace filbertrack
