--- a/include/filbertrack/placement_message.h
+++ b/include/filbertrack/placement_message.h
@@ -143,6 +143,11 @@
   std::vector<uint64_t> declined;
 };
 
+/// Returns the amount of prompt tokens within the bounds of the messages.
+/// Callers state the amount, and a placer rejects a whole message for one bad
+/// field.
+double ClampTokens(double tokens);
+
 /// Returns whether `bytes` have the outer shape of a placement message, which
 /// is a CBOR map; gossip messages are arrays.
 bool IsPlacementMessage(std::string_view bytes);
--- a/source/placement_message.cc
+++ b/source/placement_message.cc
@@ -1,5 +1,6 @@
 #include "filbertrack/placement_message.h"
 
+#include <algorithm>
 #include <cmath>
 #include <optional>
 #include <utility>
@@ -18,8 +19,8 @@
 constexpr int64_t kMaxTokens = 1'000'000'000'000;
 /// Maximum length of a duration, in microseconds: about three years.
 constexpr int64_t kMaxMicroseconds = 100'000'000'000'000;
-/// Bound of a route's priority in either direction.
-constexpr int kMaxPriority = 1'000'000;
+/// Bound of a route's priority in either direction. The catalog allows as much.
+constexpr int kMaxPriority = 1'000'000'000;
 /// Major type 5 of CBOR, a map, in the upper three bits of the first byte.
 constexpr unsigned kCborMap = 5;
 
@@ -35,7 +36,7 @@
 }
 
 int64_t PackTokens(double tokens) {
-  return std::llround(tokens);
+  return std::llround(ClampTokens(tokens));
 }
 
 double ReadTokens(const Json& value) {
@@ -238,6 +239,12 @@
 
 }  // namespace
 
+double ClampTokens(double tokens) {
+  return std::isnan(tokens)
+             ? 0
+             : std::clamp(tokens, 0.0, static_cast<double>(kMaxTokens));
+}
+
 bool IsPlacementMessage(std::string_view bytes) {
   return !bytes.empty() &&
          static_cast<unsigned char>(bytes.front()) >> 5 == kCborMap;
--- a/tests/placement_message_test.cc
+++ b/tests/placement_message_test.cc
@@ -1,6 +1,8 @@
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
 
+#include <limits>
+
 #include <nlohmann/json.hpp>
 
 #include "filbertrack/base_cbor.h"
@@ -163,6 +165,27 @@
           "/declined/0", -8);
 }
 
+TEST_CASE("message: every ask of a valid request can be decoded") {
+  // Callers state the prompt tokens, and a catalog may have any priority up to
+  // 10^9. One ask that the placer rejects would lose the message, and with it
+  // the asks of all other callers of this host.
+  for (const double tokens : {-1.0, -0.4, 1e13, 1e300, -1e300,
+                              std::numeric_limits<double>::infinity(),
+                              std::numeric_limits<double>::quiet_NaN()}) {
+    CAPTURE(tokens);
+    PlacementRequest request = MakeRequest();
+    request.loads.at(0).prompt_tokens = tokens;
+    request.asks.at(0).prompt_tokens = tokens;
+    request.asks.at(0).priority = 1'000'000'000;
+    request.events = {PlacementSent{1, "t", tokens}};
+    const auto decoded =
+        DecodePlacementRequest(EncodePlacementRequest(request));
+    REQUIRE(decoded);
+    CHECK(decoded->asks.at(0).priority == 1'000'000'000);
+    CHECK(decoded->asks.at(0).prompt_tokens >= 0);
+  }
+}
+
 TEST_CASE("message: arbitrary and truncated bytes are rejected") {
   // An exception would end the process.
   REQUIRE(rc::check("any bytes", [](const std::string& bytes) {
