placement: exact loads after a sync, and no answer to an unsent ask

A notice for the asker's earlier process could have the id of an ask that was not sent yet; the next message then terminated the process (map::at). Events from before a sync followed it and restored requests that had ended. A sync dropped grants that the asker did not know yet, which it then used without reporting them. NaN prompt tokens no longer reach the placer of this host.

--- a/include/filbertrack/placement_placer.h
+++ b/include/filbertrack/placement_placer.h
@@ -75,7 +75,12 @@
   /// Collects the answers of all pools.
   void Serve(TimePoint now);
   void Deliver(std::vector<PlacementPool::Answered> answered);
-  void Sync(const PlacementRequest& request, TimePoint now);
+  /// Applies a sync. Keeps the grants that the asker may not know yet, since it
+  /// does not report those that it uses. The reply lists them again, and the
+  /// asker withdraws those that it no longer needs.
+  void Sync(const PlacementRequest& request,
+            const Session& session,
+            TimePoint now);
   void Withdraw(std::string_view asker, uint64_t id, TimePoint now);
   /// Adds the state of all earlier asks of the asker to a reply, so that the
   /// asker can tell which ones are not known here.
--- a/include/filbertrack/placement_pool.h
+++ b/include/filbertrack/placement_pool.h
@@ -107,6 +107,8 @@
             uint64_t incarnation,
             std::span<const PlacementLoad> loads,
             TimePoint now);
+  /// A request of `asker` that was granted or reported; null if there is none.
+  const PlacementLoad* FindLoad(std::string_view asker, uint64_t id) const;
   /// The asker has gone or restarted: drops its loads and queued asks.
   void Forget(std::string_view asker, TimePoint now);
 
--- a/source/placement_client.cc
+++ b/source/placement_client.cc
@@ -44,8 +44,11 @@
   });
   current = std::move(placer);
   if (!current.empty()) {
-    // The loads of the pool are new to this placer.
-    m_links[current].needs_sync = true;
+    // The loads of the pool are new to this placer. The sync covers all events
+    // so far; sent after it, they would restore requests that have ended.
+    Link& link = m_links[current];
+    link.needs_sync = true;
+    link.events.clear();
   }
 }
 
@@ -58,6 +61,7 @@
   if (link.pause > Duration(0)) {
     return false;
   }
+  ask.prompt_tokens = ClampTokens(ask.prompt_tokens);
   const uint64_t id = ask.id;
   link.asks.push_back(id);
   m_asks[id] = {placer->second, std::move(ask), now};
@@ -85,7 +89,8 @@
                               PlacementEvent event,
                               TimePoint now) {
   const bool is_known = std::visit(
-      Overloaded{[&](const PlacementSent& sent) {
+      Overloaded{[&](PlacementSent& sent) {
+                   sent.prompt_tokens = ClampTokens(sent.prompt_tokens);
                    Withdraw(sent.id, now);
                    m_loads[sent.id] = {
                        pool, {sent.id, sent.target, sent.prompt_tokens, true}};
@@ -245,8 +250,10 @@
                             std::vector<Decided>& decided) {
   const uint64_t id = IdOf(answer);
   const auto found = m_asks.find(id);
-  if (found == m_asks.end() || found->second.placer != placer) {
-    // A grant that was delivered twice is in use; a refusal needs no answer.
+  if (found == m_asks.end() || !found->second.is_sent ||
+      found->second.placer != placer) {
+    // Not an answer to an ask of this process that is still pending. A grant
+    // that was delivered twice is in use; a refusal needs no answer.
     return m_loads.contains(id) ||
            std::holds_alternative<PlacementRefusal>(answer) ||
            std::holds_alternative<ChooseLocally>(answer);
--- a/source/placement_placer.cc
+++ b/source/placement_placer.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <set>
 
 namespace filbertrack {
 
@@ -91,7 +92,7 @@
   session.sequence = request.sequence;
   session.wants_sync = !request.is_sync && (session.wants_sync || !is_next);
   if (request.is_sync) {
-    Sync(request, now);
+    Sync(request, session, now);
   }
   for (const PlacementEvent& event : request.events) {
     for (auto& [key, pool] : m_pools) {
@@ -116,9 +117,29 @@
   return reply;
 }
 
-void Placer::Sync(const PlacementRequest& request, TimePoint now) {
+void Placer::Sync(const PlacementRequest& request,
+                  const Session& session,
+                  TimePoint now) {
+  std::set<uint64_t> listed;
+  for (const PlacementLoad& load : request.loads) {
+    listed.insert(load.id);
+  }
+  std::vector<uint64_t> unconfirmed;
+  for (const auto* answers : {&session.pending, &session.in_notice}) {
+    for (const PlacementAnswer& answer : *answers) {
+      const auto* grant = std::get_if<PlacementGrant>(&answer);
+      if (grant != nullptr && !listed.contains(grant->id)) {
+        unconfirmed.push_back(grant->id);
+      }
+    }
+  }
   for (auto& [key, pool] : m_pools) {
     std::vector<PlacementLoad> loads;
+    for (const uint64_t id : unconfirmed) {
+      if (const PlacementLoad* load = pool->FindLoad(request.asker, id)) {
+        loads.push_back(*load);
+      }
+    }
     std::copy_if(request.loads.begin(), request.loads.end(),
                  std::back_inserter(loads),
                  [&pool = *pool](const PlacementLoad& load) {
--- a/source/placement_pool.cc
+++ b/source/placement_pool.cc
@@ -285,6 +285,16 @@
   own.is_synced = true;
 }
 
+const PlacementLoad* PlacementPool::FindLoad(std::string_view asker,
+                                             uint64_t id) const {
+  const auto found = m_askers.find(asker);
+  if (found == m_askers.end()) {
+    return nullptr;
+  }
+  const auto load = found->second.loads.find(id);
+  return load == found->second.loads.end() ? nullptr : &load->second.load;
+}
+
 void PlacementPool::Forget(std::string_view asker, TimePoint now) {
   for (const uint64_t ticket : m_queue.FindAll(asker)) {
     m_queue.Take(ticket, now);
--- a/tests/placement_client_test.cc
+++ b/tests/placement_client_test.cc
@@ -1,6 +1,7 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <limits>
 #include <string>
 #include <vector>
 
@@ -390,6 +391,146 @@
   CHECK(exchange.Outstanding() == 0);
 }
 
+TEST_CASE("client: prompt tokens that are no amount do not reach a placer") {
+  // Callers state the prompt tokens. A sum with one NaN stays NaN, so that
+  // no prediction for the target would be valid again.
+  Exchange exchange;
+  for (const double tokens :
+       {-1.0, 1e300, std::numeric_limits<double>::quiet_NaN()}) {
+    CAPTURE(tokens);
+    PlacementAsk ask = MakeAsk(1);
+    ask.prompt_tokens = tokens;
+    REQUIRE(exchange.client.TryAsk(ask, exchange.now));
+    const auto messages = exchange.client.TakeMessages(exchange.now);
+    REQUIRE(messages.size() == 1);
+    CHECK(messages[0].second.asks.at(0).prompt_tokens >= 0);
+    CHECK(messages[0].second.asks.at(0).prompt_tokens <= 1e12);
+    const auto reply =
+        exchange.placer->OnRequest(messages[0].second, exchange.now);
+    exchange.client.OnReply("p", &reply, exchange.now);
+    exchange.client.OnEvent(kPool, PlacementSent{2, "t0", tokens},
+                            exchange.now);
+    exchange.now += Milliseconds(10);
+    const auto sent = exchange.client.TakeMessages(exchange.now);
+    REQUIRE(sent.size() == 1);
+    REQUIRE_FALSE(sent[0].second.events.empty());
+    const auto* event =
+        std::get_if<PlacementSent>(&sent[0].second.events.back());
+    REQUIRE(event != nullptr);
+    CHECK(event->prompt_tokens >= 0);
+    CHECK(event->prompt_tokens <= 1e12);
+    const auto answer =
+        exchange.placer->OnRequest(sent[0].second, exchange.now);
+    exchange.client.OnReply("p", &answer, exchange.now);
+  }
+}
+
+TEST_CASE("client: a notice cannot decide an ask that was not sent") {
+  // Ids begin again with the process, so a notice for the asker's earlier
+  // process can have the id of an ask that the next message will contain.
+  Exchange exchange;
+  REQUIRE(exchange.client.TryAsk(MakeAsk(1), exchange.now));
+  const auto first = exchange.client.TakeMessages(exchange.now);
+  REQUIRE(first.size() == 1);
+  REQUIRE(exchange.client.TryAsk(MakeAsk(2), exchange.now));
+  PlacementNoticeReply reply;
+  const PlacementNotice notice{
+      "p", 1, {PlacementGrant{2, "t0", Milliseconds(100), 0}}};
+  CHECK(exchange.client.OnNotice(notice, reply, exchange.now).empty());
+  CHECK(reply.declined == std::vector<uint64_t>{2});
+  const auto answer = exchange.placer->OnRequest(first[0].second, exchange.now);
+  CHECK(exchange.client.OnReply("p", &answer, exchange.now).size() == 1);
+  const auto decided = exchange.Deliver();
+  REQUIRE(decided.size() == 1);
+  CHECK(decided[0].id == 2);
+  CHECK(exchange.Outstanding() == 2);
+}
+
+TEST_CASE("client: a sync contains no events from before it") {
+  // The request was reported as sent before the sync and ended before it was
+  // sent, so an event after the sync would count it for ever.
+  Exchange exchange;
+  exchange.client.OnEvent(kPool, PlacementSent{1, "t0", 714}, exchange.now);
+  exchange.client.SetPlacer({"llm", "other"}, "p", exchange.now);
+  exchange.client.OnEvent(
+      kPool, PlacementEnded{1, "t0", true, DispatchResult::kAnswered},
+      exchange.now);
+  exchange.Deliver();
+  CHECK(exchange.Outstanding() == 0);
+}
+
+/// Has the placer grant the queued ask of "e1" with a notice, since a request
+/// of another asker ended.
+void GrantByOther(Exchange& exchange, uint64_t sequence) {
+  PlacementRequest ended;
+  ended.asker = "e2";
+  ended.sequence = sequence;
+  ended.events = {PlacementEnded{1, "t0", true, DispatchResult::kAnswered}};
+  exchange.placer->OnRequest(ended, exchange.now);
+}
+
+/// A request of asker "e2" at the only target.
+void SendByOther(Exchange& exchange) {
+  PlacementRequest sync;
+  sync.asker = "e2";
+  sync.sequence = 1;
+  sync.is_sync = true;
+  sync.loads = {{1, "t0", 714, false}};
+  exchange.placer->OnRequest(sync, exchange.now);
+}
+
+TEST_CASE("placer: a sync keeps the grants that the asker does not know yet") {
+  // The asker uses the grant without reporting it, so it would not be counted.
+  Exchange exchange(1);
+  SendByOther(exchange);
+  const uint64_t queued = exchange.FillUntilQueued();
+  const size_t outstanding = exchange.Outstanding();
+  GrantByOther(exchange, 2);
+  REQUIRE(exchange.Outstanding() == outstanding);
+  bool is_in_notice = false;
+  SUBCASE("not sent") {}
+  SUBCASE("in a notice") {
+    is_in_notice = true;
+    REQUIRE(exchange.placer->TakeNotices(exchange.now).size() == 1);
+  }
+  exchange.client.SetPlacer({"llm", "other"}, "p", exchange.now);
+  const auto decided = exchange.Deliver();
+  REQUIRE(decided.size() == 1);
+  CHECK(decided[0].id == queued);
+  REQUIRE(std::holds_alternative<PlacementGrant>(decided[0].decision));
+  CHECK(exchange.Outstanding() == outstanding);
+  if (is_in_notice) {
+    const PlacementNoticeReply reply;
+    exchange.placer->OnNoticeReply("e1", &reply, exchange.now);
+    CHECK(exchange.Outstanding() == outstanding);
+  }
+}
+
+TEST_CASE("placer: a grant that ended before a sync is not kept") {
+  // The reply to the notice may arrive after the sync.
+  Exchange exchange(1);
+  SendByOther(exchange);
+  const uint64_t queued = exchange.FillUntilQueued();
+  const size_t outstanding = exchange.Outstanding();
+  GrantByOther(exchange, 2);
+  const auto notices = exchange.placer->TakeNotices(exchange.now);
+  REQUIRE(notices.size() == 1);
+  PlacementNoticeReply reply;
+  REQUIRE(
+      exchange.client.OnNotice(notices[0].second, reply, exchange.now).size() ==
+      1);
+  exchange.client.SetPlacer({"llm", "other"}, "p", exchange.now);
+  exchange.client.OnEvent(
+      kPool, PlacementEnded{queued, "t0", true, DispatchResult::kFailed},
+      exchange.now);
+  exchange.Deliver();
+  exchange.placer->OnNoticeReply("e1", &reply, exchange.now);
+  // The reply to the sync listed the grant, and the asker withdraws it.
+  exchange.now += Milliseconds(10);
+  exchange.Deliver();
+  CHECK(exchange.Outstanding() == outstanding - 1);
+}
+
 TEST_CASE("placer: what a restarted asker held is dropped") {
   // Its requests ended with it; their places would never be free again.
   Exchange exchange;
