--- a/source/entry_relay_placement.cc
+++ b/source/entry_relay_placement.cc
@@ -133,6 +133,12 @@
 
 void EntryRelay::SeekAgainLocally(bool is_retry) {
   const TimePoint now = MonotonicNow();
+  // A process that was stopped can read the decision before the deadline timer
+  // runs.
+  if (now >= m_request.deadline) {
+    Feed(DeadlinePassed{});
+    return;
+  }
   if (!CheckAdmission(now)) {
     Feed(NoTarget{ResultCode::kRequestEndsServers});
     return;
--- a/tests/platform_placement_test.cc
+++ b/tests/platform_placement_test.cc
@@ -2,6 +2,7 @@
 #include <doctest/doctest.h>
 
 #include <deque>
+#include <thread>
 
 #include "platform_site.h"
 
@@ -164,6 +165,65 @@
   CHECK(RunUntil(site.loop, [&site] { return site.CountOutstanding() == 0; }));
 }
 
+/// Keeps each ask until the test decides it.
+struct HeldPlacer : RequestPlacer {
+  bool Places(std::string_view service, std::string_view) const override {
+    return service == kPool.service;
+  }
+  uint64_t NextId() override { return ++last_id; }
+  bool TryAsk(PlacementAsk ask, OnDecision decision) override {
+    id = ask.id;
+    on_decision = std::move(decision);
+    return true;
+  }
+  void Withdraw(uint64_t) override {}
+  void Report(const PoolKey&, PlacementEvent) override {}
+  void OnGrantUnused() override {}
+  void OnTargets(std::span<const DispatchTarget>, const Catalog&) override {}
+  void OnSettings(const Settings&) override {}
+  void Drain() override {}
+
+  uint64_t last_id = 0;
+  uint64_t id = 0;
+  OnDecision on_decision;
+};
+
+TEST_CASE("a decision after the deadline sends nothing") {
+  // Guards against requests that run although their callers gave up. A process
+  // that was stopped reads the decision before its deadline timers run.
+  PlacementSite site("off");
+  REQUIRE(site.WaitUntilReady());
+  EntryNode& node = *site.nodes.front();
+  HeldPlacer placer;
+  node.host.SetPlacer(&placer);
+  site.responses.emplace_back();
+  RequestOptions options;
+  options.deadline_ms = "300";
+  site.calls.push_back(SendRequestTo(node.host.caller_address(), site.client,
+                                     "/s/x", "id-1", site.responses.back(),
+                                     options));
+  REQUIRE(RunUntil(site.loop, [&] { return placer.on_decision != nullptr; }));
+  std::this_thread::sleep_for(Milliseconds(350));
+  PlacementDecision decision;
+  SUBCASE("choose locally") {
+    decision.decision = ChooseLocally{placer.id};
+  }
+  SUBCASE("granted") {
+    const std::vector<DispatchTarget> targets = node.host.Targets();
+    const auto target = std::find_if(
+        targets.begin(), targets.end(),
+        [](const auto& row) { return row.service == kPool.service; });
+    REQUIRE(target != targets.end());
+    decision.decision =
+        PlacementGrant{placer.id, target->id, Milliseconds(100), 0};
+  }
+  placer.on_decision(decision);
+  REQUIRE(RunUntil(site.loop, [&site] { return site.AllEnded(); }));
+  CHECK(site.CountSeen("id-1") == 0);
+  CHECK(site.responses.back().status != 200);
+  node.host.SetPlacer(nullptr);
+}
+
 TEST_CASE("no placement message is sent while placement is off") {
   // Guards against costs and other behaviour in deployments without placement.
   PlacementSite site("off");
--- a/tests/platform_site.h
+++ b/tests/platform_site.h
@@ -203,6 +203,8 @@
 struct RequestOptions {
   std::string key = "key";
   std::string body;
+  /// Time left until the deadline, in milliseconds.
+  std::string deadline_ms = "8000";
 };
 
 inline std::unique_ptr<HttpCall> SendRequestTo(
@@ -219,7 +221,7 @@
                      {"X-Attempt-Id", id},
                      {"X-Model", "m"},
                      {"X-Token-Usage", "100,50"},
-                     {"X-Deadline-Remaining", "8000"},
+                     {"X-Deadline-Remaining", options.deadline_ms},
                      {"Authorization", "Bearer " + options.key}};
   request.body = options.body;
   HttpCallEvents events;
