replicas: hosts of a given group stay with its receiver

A group that was closed for a move formed again at once: its hosts still had the weights of the giving model in memory. It was then given and closed again. Its hosts are now kept for the receiver until all given groups of the domain are closed, and a model gives no group that FormGroups() would form again.

--- a/include/filbertrack/replica_plan.h
+++ b/include/filbertrack/replica_plan.h
@@ -216,6 +216,10 @@
   std::string receiver;
   int groups = 0;
   TimePoint last_seen;
+  std::string domain;
+  /// Hosts that only the receiver may use. They still have the weights of the
+  /// giving model in memory, with which they would form the same group again.
+  std::vector<std::string> members;
 };
 
 /// State that the planner of one controller keeps between passes.
@@ -263,7 +267,8 @@
   std::deque<RecordedNeed> needs;
   /// Since when each model has been short of a whole group.
   std::map<std::string, TimePoint, std::less<>> short_since;
-  /// Groups that were closed for a move, by group and epoch.
+  /// Groups that were closed for a move, by group and epoch; kept until all of
+  /// the same domain are closed.
   std::map<std::string, GivenGroup, std::less<>> given_groups;
   /// Start time of each host's process, Unix time in ms. When a host has
   /// restarted, the orders and loads of its earlier process are over.
--- a/source/replica_form.cc
+++ b/source/replica_form.cc
@@ -208,7 +208,7 @@
 bool ReplicaPass::FormWarm(Domain& domain, const ModelProfile& model) {
   std::vector<const BackendServer*> chosen;
   for (const BackendServer* host : domain.free) {
-    if (IsWarm(*host, model.name)) {
+    if (IsWarm(*host, model.name) && !IsKeptForOther(host->id, model.name)) {
       chosen.push_back(host);
     }
   }
--- a/source/replica_move.cc
+++ b/source/replica_move.cc
@@ -75,6 +75,40 @@
   return m_memory.given_groups.contains(GroupEpochKey(replica));
 }
 
+bool ReplicaPass::IsKeptForOther(const std::string& host,
+                                 std::string_view model) const {
+  return std::any_of(m_memory.given_groups.begin(), m_memory.given_groups.end(),
+                     [&host, model](const auto& entry) {
+                       const auto& members = entry.second.members;
+                       return entry.second.receiver != model &&
+                              std::find(members.begin(), members.end(), host) !=
+                                  members.end();
+                     });
+}
+
+void ReplicaPass::PruneGivenGroups() {
+  if (m_memory.given_groups.empty()) {
+    return;
+  }
+  for (const ReplicaView& replica : m_replicas) {
+    const auto given = m_memory.given_groups.find(GroupEpochKey(replica));
+    if (given != m_memory.given_groups.end() && HasHead(replica)) {
+      given->second.last_seen = m_now;
+    }
+  }
+  // The hosts of several small groups form one large group only once the last
+  // of them is closed.
+  std::set<std::string, std::less<>> closing;
+  for (const auto& [group, given] : m_memory.given_groups) {
+    if (m_now - given.last_seen <= m_policy.order_retry) {
+      closing.insert(given.domain);
+    }
+  }
+  std::erase_if(m_memory.given_groups, [&closing](const auto& entry) {
+    return !closing.contains(entry.second.domain);
+  });
+}
+
 void ReplicaPass::ReconcileGiven(const ReplicaView& replica) {
   Dissolve(replica, "its hosts serve another model");
 }
@@ -116,7 +150,10 @@
   const auto found = m_group_counts.find(giver.name);
   const int have = found == m_group_counts.end() ? 0 : found->second;
   // One group more than needed is kept for the next loss.
-  const int kept = static_cast<int>(std::ceil(greatest / giver.members)) + 1;
+  const int needed = static_cast<int>(std::ceil(greatest / giver.members)) + 1;
+  const auto wanted = m_wanted.find(giver.name);
+  const int kept =
+      std::max(needed, wanted == m_wanted.end() ? 0 : wanted->second);
   int given = 0;
   while (have - given > kept) {
     const int hosts = (given + 1) * giver.members;
@@ -293,8 +330,11 @@
   int groups = move.groups;
   for (const ReplicaView* replica : move.giving) {
     // The groups formed are counted once.
-    m_memory.given_groups[GroupEpochKey(*replica)] = {receiver.name, groups,
-                                                      m_now};
+    GivenGroup& given = m_memory.given_groups[GroupEpochKey(*replica)];
+    given = {receiver.name, groups, m_now, replica->domain, {}};
+    for (const BackendServer* member : replica->members) {
+      given.members.push_back(member->id);
+    }
     groups = 0;
     ReconcileGiven(*replica);
   }
--- a/source/replica_pass.h
+++ b/source/replica_pass.h
@@ -137,6 +137,12 @@
   /// Whether the group was closed for a move.
   bool IsGiven(const ReplicaView& replica) const;
 
+  /// Whether the host is kept for a move to another model than this one.
+  bool IsKeptForOther(const std::string& host, std::string_view model) const;
+
+  /// Forgets the given groups of the domains in which all have been closed.
+  void PruneGivenGroups();
+
   /// Lets go on with the closing of a given group whose order was lost.
   void ReconcileGiven(const ReplicaView& replica);
 
@@ -153,8 +159,9 @@
   int CountConvertible(const ModelProfile& model) const;
 
   /// Groups that the giver can spare for the receiver: it keeps its greatest
-  /// need and one group for its next loss, and its hosts stay less loaded than
-  /// the receiver's would be with its least need.
+  /// need and one group for its next loss, as well as the groups that
+  /// FormGroups() would form again, and its hosts stay less loaded than the
+  /// receiver's would be with its least need.
   int CountGivable(const ModelProfile& giver,
                    const ModelProfile& receiver) const;
 
--- a/source/replica_plan.cc
+++ b/source/replica_plan.cc
@@ -224,15 +224,7 @@
   std::erase_if(m_memory.headless_since, [&present](const auto& entry) {
     return !present.contains(entry.first);
   });
-  for (const ReplicaView& replica : m_replicas) {
-    const auto given = m_memory.given_groups.find(GroupEpochKey(replica));
-    if (given != m_memory.given_groups.end() && HasHead(replica)) {
-      given->second.last_seen = m_now;
-    }
-  }
-  std::erase_if(m_memory.given_groups, [this](const auto& entry) {
-    return m_now - entry.second.last_seen > m_policy.order_retry;
-  });
+  PruneGivenGroups();
   std::erase_if(m_memory.joining_since, [&present](const auto& entry) {
     return !present.contains(entry.first);
   });
--- a/tests/fake_fleet.h
+++ b/tests/fake_fleet.h
@@ -39,6 +39,8 @@
     bool loads = false;
     std::optional<TimePoint> staged_at;
     std::string staging;
+    /// For a head that is closing: when its requests are complete.
+    TimePoint closed_at;
     /// For a head: since when a member has been missing.
     std::optional<TimePoint> incomplete_since;
     /// The latest group of the host, and its head.
@@ -171,6 +173,9 @@
     m_model_times[model] = {load, warm_up};
   }
 
+  /// Groups that close complete their requests first, which takes up to `time`.
+  void SetCloseTime(Duration time) { m_close_time = time; }
+
   /// Whether the host is a member of a group that is open and whole.
   bool Serves(const Host& host) const {
     const auto& membership = host.server.membership;
@@ -302,6 +307,16 @@
     if (membership && membership->group == close.group &&
         membership->epoch == close.epoch && membership->rank == 0 &&
         IsOpen(host)) {
+      if (!close.cancel && m_close_time > Duration(0)) {
+        if (membership->state == MembershipState::kOpen) {
+          membership->state = MembershipState::kClosing;
+          host.closed_at =
+              now +
+              Duration(static_cast<int64_t>(
+                  m_random() % static_cast<uint64_t>(m_close_time.count())));
+        }
+        return true;
+      }
       membership->state = MembershipState::kReady;
       host.incomplete_since.reset();
     }
@@ -402,6 +417,10 @@
     }
     if (IsWhole(host)) {
       host.incomplete_since.reset();
+      if (membership->state == MembershipState::kClosing &&
+          now >= host.closed_at) {
+        membership->state = MembershipState::kReady;
+      }
       return;
     }
     if (!host.incomplete_since) {
@@ -418,6 +437,7 @@
   std::vector<std::string> m_violations;
   int m_last = 0;
   bool m_traffic = false;
+  Duration m_close_time{0};
   std::map<std::string, ModelTimes> m_model_times;
   size_t m_max_shown = std::numeric_limits<size_t>::max();
   std::string m_last_reported;
--- a/tests/replica_demand_test.cc
+++ b/tests/replica_demand_test.cc
@@ -326,5 +326,40 @@
   CHECK(MovesOnWave(kStep, kStep) > 0);
 }
 
+/// Runs a load whose mix differs from the shares for 120 s, in which groups
+/// take up to `close` to close. Checks that each group that was closed for a
+/// move became groups of the other model.
+void CheckMovesLast(const Mix& mix, double large_share, Duration close) {
+  Replay run(mix, CoarseGroups::kYes);
+  run.service.engine->models[0].share = large_share;
+  run.service.engine->models[1].share = 1 - large_share;
+  run.fleet.SetCloseTime(close);
+  run.PassFor(Seconds(20));
+  const int large = run.Groups("large");
+  const int small = run.Groups("small");
+  run.Run(Seconds(120), Mean, Mean);
+  const int given =
+      std::max(large - run.Groups("large"), small - run.Groups("small"));
+  CHECK(run.closed_for_move > 0);
+  CHECK(run.closed_for_move == given);
+  CHECK(run.fleet.violations().empty());
+}
+
+TEST_CASE("hosts of a given group do not form it again") {
+  // Guards against a group that is closed and formed again in turn: its hosts
+  // have the weights of the giving model in memory, and that model is short of
+  // a group by its share, which follows the demand by a factor of 2 at most.
+  const Mix few_large{{10, 1668, 80.3}, {600, 714, 115}};
+  const Mix many_large{{150, 1668, 80.3}, {60, 714, 115}};
+  const Mix balanced{{120, 1668, 80.3}, {100, 714, 115}};
+  for (const Duration close : {Duration(0), Seconds(3)}) {
+    CheckMovesLast(few_large, 0.5, close);
+    CheckMovesLast(kHints, 0.9, close);
+    // Two groups of 4 are given for one of 8 and do not close together.
+    CheckMovesLast(many_large, 0.5, close);
+    CheckMovesLast(balanced, 0.2, close);
+  }
+}
+
 }  // namespace
 }  // namespace filbertrack
--- a/tests/replicas_faults_test.cc
+++ b/tests/replicas_faults_test.cc
@@ -74,6 +74,7 @@
       fleet.AddHost("d" + std::to_string(i % 3), false, "");
     }
     pressure = {{"large", 0.05}, {"small", 0.9}};
+    fleet.SetCloseTime(Seconds(3));
     // Controllers change every ten seconds.
     policy.move_delay = Milliseconds(500);
   }
