--- a/include/filbertrack/replica_plan.h
+++ b/include/filbertrack/replica_plan.h
@@ -166,6 +166,8 @@
   bool repeats_joins = true;
   /// The models' shares follow the demand for them.
   bool follows_demand = true;
+  /// Coarse groups: whole groups move to the model that needs them.
+  bool moves_groups = true;
   /// Idle hosts of one model load another that lacks groups.
   bool converts_idle = true;
   /// Spares load their weights into memory.
--- a/source/entry_settings.cc
+++ b/source/entry_settings.cc
@@ -129,6 +129,9 @@
        "The models' shares of the hosts follow the demand."},
       {"mechanisms", "converts_idle", YesOrNo(),
        "Idle hosts of one model load another that lacks groups."},
+      {"mechanisms", "moves_groups", YesOrNo("no"),
+       "With coarse planning, whole groups move to the model that needs them; "
+       "no by default, as no gain is shown for loads of half a minute."},
       {"mechanisms", "warms_spares", YesOrNo(),
        "Spare hosts keep their weights in memory."},
       {"control", "takes_lease", TextKey{"yes", false, {"yes", "no"}},
--- a/source/replica_plan.cc
+++ b/source/replica_plan.cc
@@ -52,7 +52,7 @@
   if (m_policy.warms_spares) {
     WarmSpares();
   }
-  if (HasCoarseGroups() && m_policy.follows_demand) {
+  if (HasCoarseGroups() && m_policy.follows_demand && m_policy.moves_groups) {
     MoveGroups();
   }
   return std::move(m_orders);
