--- a/include/filbertrack/replica_plan.h
+++ b/include/filbertrack/replica_plan.h
@@ -214,14 +214,14 @@
 };
 
 /// A group that was closed so that its hosts can serve another model.
-struct GivenGroup {
+struct DonorGroup {
   /// Model that receives the hosts, and the groups expected from them.
   std::string receiver;
   int groups = 0;
   TimePoint last_seen;
   std::string domain;
   /// Hosts that only the receiver may use. They still have the weights of the
-  /// giving model in memory, with which they would form the same group again.
+  /// donor model in memory, with which they would form the same group again.
   std::vector<std::string> members;
 };
 
@@ -265,7 +265,7 @@
   std::map<std::string, uint64_t, std::less<>> usable_hosts;
   /// Since when a domain has had too few idle hosts for a group of a model, by
   /// domain and model.
-  std::map<std::string, TimePoint, std::less<>> stuck_since;
+  std::map<std::string, TimePoint, std::less<>> incomplete_since;
   /// Needs of the last passes, the oldest first.
   std::deque<RecordedNeed> needs;
   /// Since when another model could give each model a whole group that it
@@ -273,7 +273,7 @@
   std::map<std::string, TimePoint, std::less<>> short_since;
   /// Groups that were closed for a move, by group and epoch; kept until all of
   /// the same domain are closed.
-  std::map<std::string, GivenGroup, std::less<>> given_groups;
+  std::map<std::string, DonorGroup, std::less<>> donor_groups;
   /// Start time of each host's process, Unix time in ms. When a host has
   /// restarted, the orders and loads of its earlier process are over.
   std::map<std::string, uint64_t, std::less<>> process_starts;
--- a/source/replica_move.cc
+++ b/source/replica_move.cc
@@ -13,7 +13,7 @@
 namespace {
 
 /// A group moves only if the load of the receiver's hosts stays this much
-/// higher than that of the giver's. Covers the error of the needs, which are
+/// higher than that of the donor's. Covers the error of the needs, which are
 /// computed from the usual tokens of all models together, and keeps a group
 /// from moving back.
 constexpr double kMinLoadRatio = 1.1;
@@ -71,13 +71,13 @@
   return greatest;
 }
 
-bool ReplicaPass::IsGiven(const ReplicaView& replica) const {
-  return m_memory.given_groups.contains(GroupEpochKey(replica));
+bool ReplicaPass::IsDonorGroup(const ReplicaView& replica) const {
+  return m_memory.donor_groups.contains(GroupEpochKey(replica));
 }
 
 bool ReplicaPass::IsKeptForOther(const std::string& host,
                                  std::string_view model) const {
-  return std::any_of(m_memory.given_groups.begin(), m_memory.given_groups.end(),
+  return std::any_of(m_memory.donor_groups.begin(), m_memory.donor_groups.end(),
                      [&host, model](const auto& entry) {
                        const auto& members = entry.second.members;
                        return entry.second.receiver != model &&
@@ -86,30 +86,30 @@
                      });
 }
 
-void ReplicaPass::PruneGivenGroups() {
-  if (m_memory.given_groups.empty()) {
+void ReplicaPass::PruneDonorGroups() {
+  if (m_memory.donor_groups.empty()) {
     return;
   }
   for (const ReplicaView& replica : m_replicas) {
-    const auto given = m_memory.given_groups.find(GroupEpochKey(replica));
-    if (given != m_memory.given_groups.end() && HasHead(replica)) {
-      given->second.last_seen = m_now;
+    const auto donor = m_memory.donor_groups.find(GroupEpochKey(replica));
+    if (donor != m_memory.donor_groups.end() && HasHead(replica)) {
+      donor->second.last_seen = m_now;
     }
   }
   // The hosts of several small groups form one large group only once the last
   // of them is closed.
   std::set<std::string, std::less<>> closing;
-  for (const auto& [group, given] : m_memory.given_groups) {
-    if (m_now - given.last_seen <= m_policy.order_retry) {
-      closing.insert(given.domain);
+  for (const auto& [group, donor] : m_memory.donor_groups) {
+    if (m_now - donor.last_seen <= m_policy.order_retry) {
+      closing.insert(donor.domain);
     }
   }
-  std::erase_if(m_memory.given_groups, [&closing](const auto& entry) {
+  std::erase_if(m_memory.donor_groups, [&closing](const auto& entry) {
     return !closing.contains(entry.second.domain);
   });
 }
 
-void ReplicaPass::ReconcileGiven(const ReplicaView& replica) {
+void ReplicaPass::ReconcileDonor(const ReplicaView& replica) {
   Dissolve(replica, "its hosts serve another model");
 }
 
@@ -119,7 +119,7 @@
                     [this, model](const ReplicaView& replica) {
                       return ModelOfGroup(replica.group) == model &&
                              !IsStandbyGroup(replica.group) &&
-                             !IsGiven(replica) && HasHead(replica);
+                             !IsDonorGroup(replica) && HasHead(replica);
                     }));
 }
 
@@ -136,43 +136,43 @@
   return groups;
 }
 
-int ReplicaPass::CountGivable(const ModelProfile& giver,
+int ReplicaPass::CountMovable(const ModelProfile& donor,
                               const ModelProfile& receiver) const {
   const auto least = LeastNeed(receiver.name);
   if (!least) {
     return 0;
   }
-  const double greatest = GreatestNeed(giver.name);
+  const double greatest = GreatestNeed(donor.name);
   int receiving = CountGroups(receiver.name) + CountConvertible(receiver);
-  for (const auto& [group, given] : m_memory.given_groups) {
-    receiving += given.receiver == receiver.name ? given.groups : 0;
+  for (const auto& [group, closing] : m_memory.donor_groups) {
+    receiving += closing.receiver == receiver.name ? closing.groups : 0;
   }
-  const auto found = m_group_counts.find(giver.name);
+  const auto found = m_group_counts.find(donor.name);
   const int have = found == m_group_counts.end() ? 0 : found->second;
   // One group more than needed is kept for the next loss.
-  const int needed = static_cast<int>(std::ceil(greatest / giver.members)) + 1;
-  const auto wanted = m_wanted.find(giver.name);
+  const int needed = static_cast<int>(std::ceil(greatest / donor.members)) + 1;
+  const auto wanted = m_wanted.find(donor.name);
   const int kept =
       std::max(needed, wanted == m_wanted.end() ? 0 : wanted->second);
-  int given = 0;
-  while (have - given > kept) {
-    const int hosts = (given + 1) * giver.members;
+  int moved = 0;
+  while (have - moved > kept) {
+    const int hosts = (moved + 1) * donor.members;
     const double receiver_load =
         *least / std::max(1, receiving * receiver.members + hosts);
-    const double giver_load = greatest / (have * giver.members - hosts);
-    if (receiver_load < giver_load * kMinLoadRatio) {
+    const double donor_load = greatest / (have * donor.members - hosts);
+    if (receiver_load < donor_load * kMinLoadRatio) {
       break;
     }
-    ++given;
+    ++moved;
   }
-  return given;
+  return moved;
 }
 
-bool ReplicaPass::MayGive(const ReplicaView& replica,
-                          const ModelProfile& giver) const {
-  return ModelOfGroup(replica.group) == giver.name &&
-         !IsStandbyGroup(replica.group) && !IsGiven(replica) &&
-         IsServing(replica, giver.members) && !IsBusy(replica.head()->id) &&
+bool ReplicaPass::MayMove(const ReplicaView& replica,
+                          const ModelProfile& donor) const {
+  return ModelOfGroup(replica.group) == donor.name &&
+         !IsStandbyGroup(replica.group) && !IsDonorGroup(replica) &&
+         IsServing(replica, donor.members) && !IsBusy(replica.head()->id) &&
          std::all_of(replica.members.begin(), replica.members.end(),
                      [this](const BackendServer* member) {
                        return IsUsable(member) && !IsEvacuated(*member);
@@ -182,7 +182,7 @@
 std::optional<ReplicaPass::Move> ReplicaPass::FindMove(
     const std::string& domain_name,
     const Domain& domain,
-    const ModelProfile& giver,
+    const ModelProfile& donor,
     const ModelProfile& receiver) const {
   const auto size = static_cast<size_t>(receiver.members);
   std::vector<const BackendServer*> hosts;
@@ -206,10 +206,10 @@
   for (const ReplicaView& replica : m_replicas) {
     const bool needs_more = hosts.size() + cold.size() < size;
     if (replica.domain != domain_name || !needs_more ||
-        !MayGive(replica, giver)) {
+        !MayMove(replica, donor)) {
       continue;
     }
-    move.giving.push_back(&replica);
+    move.donors.push_back(&replica);
     for (const BackendServer* member : replica.members) {
       const bool ready = HasStaged(*member, receiver.name) || loads(member);
       (ready ? hosts : cold).push_back(member);
@@ -219,7 +219,7 @@
   std::stable_partition(
       cold.begin(), cold.end(),
       [](const BackendServer* host) { return host->membership->rank > 0; });
-  if (move.giving.empty() || hosts.size() + cold.size() < size) {
+  if (move.donors.empty() || hosts.size() + cold.size() < size) {
     return std::nullopt;
   }
   // One group is enough: loads are scarce, and hosts that remain idle load the
@@ -265,40 +265,40 @@
   RecordNeeds();
   for (const ModelProfile& receiver : m_engine.models) {
     // The model with the most room gives.
-    const ModelProfile* giver = nullptr;
-    int givable = 0;
+    const ModelProfile* donor = nullptr;
+    int movable = 0;
     for (const ModelProfile& model : m_engine.models) {
       const int groups =
-          model.name == receiver.name ? 0 : CountGivable(model, receiver);
-      const int most = giver == nullptr ? 0 : givable * giver->members;
+          model.name == receiver.name ? 0 : CountMovable(model, receiver);
+      const int most = donor == nullptr ? 0 : movable * donor->members;
       if (groups * model.members > most) {
-        giver = &model;
-        givable = groups;
+        donor = &model;
+        movable = groups;
       }
     }
-    if (giver == nullptr) {
+    if (donor == nullptr) {
       m_memory.short_since.erase(receiver.name);
       continue;
     }
     const TimePoint since =
         m_memory.short_since.try_emplace(receiver.name, m_now).first->second;
     if (m_now - since >= m_policy.move_delay) {
-      MoveBetween(*giver, givable, receiver);
+      MoveBetween(*donor, movable, receiver);
     }
   }
 }
 
-void ReplicaPass::MoveBetween(const ModelProfile& giver,
-                              int givable,
+void ReplicaPass::MoveBetween(const ModelProfile& donor,
+                              int movable,
                               const ModelProfile& receiver) {
   std::vector<Move> moves;
   for (const auto& [name, domain] : m_domains) {
     const bool gives =
         std::any_of(m_replicas.begin(), m_replicas.end(),
                     [this, &name = name](const ReplicaView& replica) {
-                      return replica.domain == name && IsGiven(replica);
+                      return replica.domain == name && IsDonorGroup(replica);
                     });
-    auto move = gives ? std::nullopt : FindMove(name, domain, giver, receiver);
+    auto move = gives ? std::nullopt : FindMove(name, domain, donor, receiver);
     if (move) {
       moves.push_back(std::move(*move));
     }
@@ -309,13 +309,13 @@
                      return left.to_load.size() < right.to_load.size();
                    });
   for (const Move& move : moves) {
-    const int given = static_cast<int>(move.giving.size());
-    if (given > givable) {
+    const int closed = static_cast<int>(move.donors.size());
+    if (closed > movable) {
       return;
     }
-    givable -= given;
+    movable -= closed;
     if (move.to_load.empty() && move.loading == 0) {
-      Give(move, receiver);
+      CloseForMove(move, receiver);
     } else {
       StageForMove(move, receiver);
     }
@@ -342,17 +342,17 @@
   }
 }
 
-void ReplicaPass::Give(const Move& move, const ModelProfile& receiver) {
+void ReplicaPass::CloseForMove(const Move& move, const ModelProfile& receiver) {
   int groups = move.groups;
-  for (const ReplicaView* replica : move.giving) {
+  for (const ReplicaView* replica : move.donors) {
     // The groups formed are counted once.
-    GivenGroup& given = m_memory.given_groups[GroupEpochKey(*replica)];
-    given = {receiver.name, groups, m_now, replica->domain, {}};
+    DonorGroup& donor = m_memory.donor_groups[GroupEpochKey(*replica)];
+    donor = {receiver.name, groups, m_now, replica->domain, {}};
     for (const BackendServer* member : replica->members) {
-      given.members.push_back(member->id);
+      donor.members.push_back(member->id);
     }
     groups = 0;
-    ReconcileGiven(*replica);
+    ReconcileDonor(*replica);
   }
 }
 
--- a/source/replica_pass.h
+++ b/source/replica_pass.h
@@ -135,16 +135,16 @@
   double GreatestNeed(std::string_view model) const;
 
   /// Whether the group was closed for a move.
-  bool IsGiven(const ReplicaView& replica) const;
+  bool IsDonorGroup(const ReplicaView& replica) const;
 
   /// Whether the host is kept for a move to another model than this one.
   bool IsKeptForOther(const std::string& host, std::string_view model) const;
 
-  /// Forgets the given groups of the domains in which all have been closed.
-  void PruneGivenGroups();
+  /// Forgets the donor groups of the domains in which all have been closed.
+  void PruneDonorGroups();
 
-  /// Lets go on with the closing of a given group whose order was lost.
-  void ReconcileGiven(const ReplicaView& replica);
+  /// Sends the close order of a donor group again if it was lost.
+  void ReconcileDonor(const ReplicaView& replica);
 
   /// Whether the head is in the group. Released members still report a group
   /// that its head has left.
@@ -152,22 +152,22 @@
     return replica.head() != nullptr && !HeadLeft(replica);
   }
 
-  /// Groups of `model` that are complete or broken, without the given ones.
+  /// Groups of `model` that are complete or broken, without donor groups.
   int CountGroups(std::string_view model) const;
 
   /// Groups that free hosts can form once idle ones have loaded the model.
   int CountConvertible(const ModelProfile& model) const;
 
-  /// Groups that the giver can spare for the receiver: it keeps its greatest
+  /// Groups that the donor can spare for the receiver: it keeps its greatest
   /// need and one group for its next loss, as well as the groups that
   /// FormGroups() would form again, and its hosts stay less loaded than the
   /// receiver's would be with its least need.
-  int CountGivable(const ModelProfile& giver,
+  int CountMovable(const ModelProfile& donor,
                    const ModelProfile& receiver) const;
 
   /// Groups of one domain that may become groups of another model.
   struct Move {
-    std::vector<const ReplicaView*> giving;
+    std::vector<const ReplicaView*> donors;
     /// Groups of the receiving model that their hosts and the spares make.
     int groups = 0;
     /// Hosts that still have to load the weights.
@@ -178,11 +178,11 @@
 
   std::optional<Move> FindMove(const std::string& domain_name,
                                const Domain& domain,
-                               const ModelProfile& giver,
+                               const ModelProfile& donor,
                                const ModelProfile& receiver) const;
 
   /// Whether the group serves and no order to its head is under way.
-  bool MayGive(const ReplicaView& replica, const ModelProfile& giver) const;
+  bool MayMove(const ReplicaView& replica, const ModelProfile& donor) const;
 
   /// Whether the host was found executing an order, which may be the load of an
   /// earlier controller.
@@ -191,16 +191,16 @@
   size_t CountMoveLoads() const;
 
   /// Moves whole groups to models that need more hosts. The weights are loaded
-  /// while the giving group serves, so that a move costs no capacity.
+  /// while the donor group serves, so that a move costs no capacity.
   void MoveGroups();
 
-  void MoveBetween(const ModelProfile& giver,
-                   int givable,
+  void MoveBetween(const ModelProfile& donor,
+                   int movable,
                    const ModelProfile& receiver);
 
   void StageForMove(const Move& move, const ModelProfile& receiver);
 
-  void Give(const Move& move, const ModelProfile& receiver);
+  void CloseForMove(const Move& move, const ModelProfile& receiver);
 
   // Existing groups.
 
@@ -407,7 +407,8 @@
 
   /// Whether the domain has had too few idle hosts for a group of the model for
   /// longer than a lost host takes to be replaced.
-  bool IsStuck(const std::string& domain, const ModelProfile& model);
+  bool IsIncompleteForLong(const std::string& domain,
+                           const ModelProfile& model);
 
   /// Value of `count` spares of the model, which load another one: of the
   /// protection that they give, and of the group that they are part of. The
--- a/source/replica_plan.cc
+++ b/source/replica_plan.cc
@@ -224,7 +224,7 @@
   std::erase_if(m_memory.headless_since, [&present](const auto& entry) {
     return !present.contains(entry.first);
   });
-  PruneGivenGroups();
+  PruneDonorGroups();
   std::erase_if(m_memory.joining_since, [&present](const auto& entry) {
     return !present.contains(entry.first);
   });
--- a/source/replica_reconcile.cc
+++ b/source/replica_reconcile.cc
@@ -38,8 +38,8 @@
     joining = joining || (member != nullptr && member->membership->state ==
                                                    MembershipState::kJoining);
   }
-  if (complete && model != nullptr && IsGiven(replica)) {
-    ReconcileGiven(replica);
+  if (complete && model != nullptr && IsDonorGroup(replica)) {
+    ReconcileDonor(replica);
     return;
   }
   if (complete && model != nullptr) {
--- a/source/replica_spares.cc
+++ b/source/replica_spares.cc
@@ -212,15 +212,17 @@
   return found;
 }
 
-bool ReplicaPass::IsStuck(const std::string& name, const ModelProfile& model) {
+bool ReplicaPass::IsIncompleteForLong(const std::string& name,
+                                      const ModelProfile& model) {
   const std::string key = name + kGroupNameSeparator + model.name;
   const auto idle = m_idle.find(name);
   const size_t hosts = idle == m_idle.end() ? 0 : idle->second.size();
   if (hosts >= static_cast<size_t>(model.members)) {
-    m_memory.stuck_since.erase(key);
+    m_memory.incomplete_since.erase(key);
     return false;
   }
-  const auto since = m_memory.stuck_since.try_emplace(key, m_now).first->second;
+  const auto since =
+      m_memory.incomplete_since.try_emplace(key, m_now).first->second;
   return m_now - since >= kReplacementTime;
 }
 
@@ -234,7 +236,7 @@
   const double size = model.members;
   const double before = static_cast<double>(spares) / size;
   const double after = static_cast<double>(spares - count) / size;
-  double cost = IsStuck(name, model)
+  double cost = IsIncompleteForLong(name, model)
                     ? 0
                     : GroupValue(model) * (before * before - after * after);
   for (size_t left = spares - count; left < spares; ++left) {
--- a/tests/replica_demand_test.cc
+++ b/tests/replica_demand_test.cc
@@ -244,7 +244,7 @@
   CHECK(on.Groups("large") >= 5);
   CHECK(on.Groups("small") >= 24);
   // A move closes a group only when the hosts have the weights of another
-  // group, and the giving model keeps its need of 4 groups and one more.
+  // group, and the donor model keeps its need of 4 groups and one more.
   CHECK(on.fewest_large >= 5);
   CHECK(on.fewest_small == 18);
   CHECK(on.fleet.violations().empty());
@@ -368,7 +368,7 @@
 }
 
 TEST_CASE("groups follow the mix while hosts are lost") {
-  // Guards against moves that take a group which the giving model needs after
+  // Guards against moves that take a group which the donor model needs after
   // its next losses, and against moves that stop for the rest of the day.
   const GroupsOverTime off = GroupsUnderLosses(CoarseGroups::kNo);
   const GroupsOverTime on = GroupsUnderLosses(CoarseGroups::kYes);
@@ -418,16 +418,16 @@
   const int large = run.Groups("large");
   const int small = run.Groups("small");
   run.Run(Seconds(120), Mean, Mean);
-  const int given =
+  const int moved =
       std::max(large - run.Groups("large"), small - run.Groups("small"));
   CHECK(run.closed_for_move > 0);
-  CHECK(run.closed_for_move == given);
+  CHECK(run.closed_for_move == moved);
   CHECK(run.fleet.violations().empty());
 }
 
-TEST_CASE("hosts of a given group do not form it again") {
+TEST_CASE("hosts of a donor group do not form it again") {
   // Guards against a group that is closed and formed again in turn: its hosts
-  // have the weights of the giving model in memory, and that model is short of
+  // have the weights of the donor model in memory, and that model is short of
   // a group by its share, which follows the demand by a factor of 2 at most.
   const Mix few_large{{10, 1668, 80.3}, {600, 714, 115}};
   const Mix many_large{{150, 1668, 80.3}, {60, 714, 115}};
@@ -435,7 +435,7 @@
   for (const Duration close : {Duration(0), Seconds(3)}) {
     CheckMovesLast(few_large, 0.5, close);
     CheckMovesLast(kHints, 0.9, close);
-    // Two groups of 4 are given for one of 8 and do not close together.
+    // Two groups of 4 are closed for one of 8 and do not close together.
     CheckMovesLast(many_large, 0.5, close);
     CheckMovesLast(balanced, 0.2, close);
   }
--- a/tests/replicas_faults_test.cc
+++ b/tests/replicas_faults_test.cc
@@ -96,7 +96,7 @@
 
 TEST_CASE("moves of groups open no group before it is ready") {
   // Guards against a host that serves in two groups when the order to close or
-  // leave the giving group is lost or late, when the group loses a member
+  // leave the donor group is lost or late, when the group loses a member
   // during the move, and when the controller changes.
   int moved = 0;
   REQUIRE(rc::check("random faults during moves", [&moved](uint64_t seed) {
