entry: tells a partition from all backend servers from failures of servers

Callers of hosts that were cut off got 503 and 502, and no line or metric told such a host from one whose servers failed. Failures of requests and silence of all servers now start a check: a connection probe to six servers spread over all. If more than half of them fail, the host logs servers-unreachable, and servers-reachable once most succeed again; filbertrack_servers_reachable shows the state. Nothing acts on it yet.

With [servers] source, a host connects to servers from a given IP address.

--- a/include/filbertrack/entry_host.h
+++ b/include/filbertrack/entry_host.h
@@ -16,6 +16,7 @@
 #include "filbertrack/entry_placer.h"
 #include "filbertrack/entry_poison.h"
 #include "filbertrack/entry_ports.h"
+#include "filbertrack/entry_reach.h"
 #include "filbertrack/entry_relay.h"
 #include "filbertrack/entry_targets.h"
 #include "filbertrack/gossip_fleet.h"
@@ -165,6 +166,9 @@
   /// that are still waiting for an answer.
   void BlockPoisonRequests();
 
+  /// Whether this host reaches the backend servers.
+  const ReachMonitor& reach() const { return m_reach.monitor(); }
+
   /// Limits and back-offs that servers request in their responses.
   EntryBackpressure& backpressure() { return m_backpressure; }
 
@@ -215,6 +219,10 @@
   /// Enforces the bound on the bytes buffered for callers.
   void CheckHeldBytes();
   void CheckDrained();
+  /// Addresses of the registered servers that are not draining.
+  std::vector<Address> ServerAddresses() const;
+  /// Whether enough servers accept connections from this host has changed.
+  void OnReachChanged();
 
   EventLoop& m_loop;
   Settings m_settings;
@@ -239,6 +247,7 @@
   HeldAnswersDecision m_held_decision;
 
   HttpClient m_upstream;
+  EntryReach m_reach;
   TargetSelector m_selector;
   RetryBudget m_retries;
   EntryPoison m_poison;
--- a/include/filbertrack/http_buffered_client.h
+++ b/include/filbertrack/http_buffered_client.h
@@ -21,8 +21,8 @@
   /// Expires when the call ends.
   using Handle = std::weak_ptr<Open>;
 
-  /// Keeps up to `max_idle` idle connections per address.
-  BufferedHttpClient(EventLoop& loop, size_t max_idle);
+  /// As HttpClient.
+  BufferedHttpClient(EventLoop& loop, size_t max_idle, std::string source = {});
   ~BufferedHttpClient();
   BufferedHttpClient(const BufferedHttpClient&) = delete;
   BufferedHttpClient& operator=(const BufferedHttpClient&) = delete;
--- a/include/filbertrack/http_client.h
+++ b/include/filbertrack/http_client.h
@@ -13,6 +13,7 @@
 
 #include "filbertrack/event_loop.h"
 #include "filbertrack/http_server.h"
+#include "filbertrack/net_stream.h"
 #include "filbertrack/settings.h"
 
 namespace filbertrack {
@@ -54,6 +55,17 @@
   size_t max_kept = std::numeric_limits<size_t>::max();
 };
 
+/// Receives the state of the connections of a client, also of idle ones.
+class HttpClientObserver {
+ public:
+  virtual ~HttpClientObserver() = default;
+
+  virtual void OnConnected(const Address& address) = 0;
+  virtual void OnBytes(const Address& address) = 0;
+  /// A connection was refused or reset, or was not established in time.
+  virtual void OnConnectionFailed(const Address& address) = 0;
+};
+
 class HttpClient;
 
 /// A call in flight. Destroying it cancels the call and closes the connection,
@@ -78,8 +90,9 @@
 
 class HttpClient {
  public:
-  /// Keeps up to `max_idle` idle connections per address.
-  HttpClient(EventLoop& loop, size_t max_idle);
+  /// Keeps up to `max_idle` idle connections per address. Connects from the IP
+  /// address `source` unless it is empty.
+  HttpClient(EventLoop& loop, size_t max_idle, std::string source = {});
   ~HttpClient();
   HttpClient(const HttpClient&) = delete;
   HttpClient& operator=(const HttpClient&) = delete;
@@ -88,6 +101,17 @@
                                   HttpCallRequest request,
                                   HttpCallEvents events);
 
+  /// Opens a connection outside of the pool.
+  std::shared_ptr<TcpStream> Connect(const Address& address) const;
+
+  /// Sets the observer of all connections; null: none. It must outlive the
+  /// client or be removed before it is destroyed.
+  void SetObserver(HttpClientObserver* observer);
+
+  /// Addresses to which a connection has been in progress for longer than
+  /// `min_age`, once for each connection.
+  std::vector<Address> SlowConnects(TimePoint now, Duration min_age) const;
+
   /// Number of connections opened since construction, including failed
   /// attempts.
   uint64_t connections_opened() const;
--- a/include/filbertrack/net_stream.h
+++ b/include/filbertrack/net_stream.h
@@ -5,6 +5,7 @@
 
 #include <functional>
 #include <memory>
+#include <string>
 #include <string_view>
 
 #include "filbertrack/base_address.h"
@@ -35,9 +36,11 @@
  public:
   /// Takes ownership of an accepted socket.
   static std::shared_ptr<TcpStream> Accepted(EventLoop& loop, int fd);
-  /// Starts connecting. Failure is reported through on_end, from the loop.
+  /// Starts connecting, from the IP address `source` unless it is empty.
+  /// Failure is reported through on_end, from the loop.
   static std::shared_ptr<TcpStream> Connect(EventLoop& loop,
-                                            const Address& address);
+                                            const Address& address,
+                                            const std::string& source = {});
 
   ~TcpStream();
   TcpStream(const TcpStream&) = delete;
--- a/source/entry_host.cc
+++ b/source/entry_host.cc
@@ -81,7 +81,13 @@
       m_server_log(kMaxRemovedServers),
       m_regions(
           ParseRegions(settings.Text("node", "regions")).value_or(RegionMap{})),
-      m_upstream(loop, kMaxKeptConnections),
+      m_upstream(loop, kMaxKeptConnections, settings.Text("servers", "source")),
+      m_reach(loop,
+              {},
+              m_upstream,
+              RendezvousWeight("reach", settings.Text("node", "name")),
+              [this] { return ServerAddresses(); },
+              {nullptr, [this] { OnReachChanged(); }}),
       m_selector(DispatchPolicyOf(settings),
                  RendezvousWeight("board", settings.Text("node", "name"))),
       m_retries(RetryPolicyOf(settings), MonotonicNow()),
@@ -223,6 +229,7 @@
       });
   EntryRelay* started = relay.get();
   m_relays.emplace(started, std::move(relay));
+  m_reach.SetRequests(m_relays.size());
   if (m_silence_timer == nullptr) {
     m_silence_timer =
         m_loop.Every(kSilenceCheckInterval, [this] { CheckSilence(); });
@@ -253,6 +260,7 @@
               relay.placement()});
   // Destruction is deferred, as the relay's own callback is still running.
   auto row = m_relays.extract(&relay);
+  m_reach.SetRequests(m_relays.size());
   auto ended =
       std::make_shared<std::unique_ptr<EntryRelay>>(std::move(row.mapped()));
   m_loop.Post([ended] { ended->reset(); });
--- a/source/entry_host_probe.cc
+++ b/source/entry_host_probe.cc
@@ -62,6 +62,10 @@
   m_metrics.AddGauge("filbertrack_data_centres_evacuated", "", [this] {
     return static_cast<double>(m_evacuations.data_centres().size());
   });
+  m_metrics.AddGauge("filbertrack_servers_reachable", "",
+                     [this] { return reach().reachable(); });
+  m_metrics.AddGauge("filbertrack_reach_probes", "",
+                     [this] { return static_cast<double>(m_reach.probes()); });
   m_metrics.AddGauge("filbertrack_held_bytes", "",
                      [this] { return static_cast<double>(HeldBytes()); });
   m_metrics.AddGauge("filbertrack_callers_let_go", "",
--- a/source/entry_host_site.cc
+++ b/source/entry_host_site.cc
@@ -184,6 +184,18 @@
   Log(LogLevel::kInfo, "store-returned", {{"for_all", was_outage}});
 }
 
+std::vector<Address> EntryHost::ServerAddresses() const {
+  std::vector<Address> addresses;
+  for (const auto& [id, server] : m_directory.servers()) {
+    if (!server.draining) {
+      addresses.push_back(server.address);
+    }
+  }
+  return addresses;
+}
+
+void EntryHost::OnReachChanged() {}
+
 void EntryHost::ScheduleExpiry() {
   const auto next = m_directory.NextExpiry();
   if (!next) {
--- a/source/entry_settings.cc
+++ b/source/entry_settings.cc
@@ -84,6 +84,9 @@
        "Address for readiness checks and metrics."},
       {"peers", "listen", AddressKey{"0.0.0.0:8090"},
        "Address for requests of other entry hosts; published to them."},
+      {"servers", "source", TextKey{"", false, {}},
+       "IP address from which this host connects to backend servers; empty: "
+       "the system chooses."},
       {"store", "address", AddressKey{""},
        "Address of the platform's metadata store."},
       {"stop", "grace", DurationKey{Seconds(8), Seconds(1), Seconds(600)},
--- a/source/http_buffered_client.cc
+++ b/source/http_buffered_client.cc
@@ -11,8 +11,10 @@
   Done done;
 };
 
-BufferedHttpClient::BufferedHttpClient(EventLoop& loop, size_t max_idle)
-    : m_loop(loop), m_http(loop, max_idle) {}
+BufferedHttpClient::BufferedHttpClient(EventLoop& loop,
+                                       size_t max_idle,
+                                       std::string source)
+    : m_loop(loop), m_http(loop, max_idle, std::move(source)) {}
 
 BufferedHttpClient::~BufferedHttpClient() = default;
 
--- a/source/http_client.cc
+++ b/source/http_client.cc
@@ -73,8 +73,12 @@
 struct HttpClient::Pool {
   EventLoop& loop;
   size_t max_idle;
+  std::string source;
   std::map<Address, std::deque<std::shared_ptr<ServerConnection>>> idle;
   uint64_t opened = 0;
+  HttpClientObserver* observer = nullptr;
+  /// Start of each connection that is not established yet, by its call.
+  std::map<const HttpCall::State*, std::pair<Address, TimePoint>> connecting;
 
   /// Closes an idle connection that received bytes or was closed by the server.
   /// An unsolicited response would otherwise be taken for that of the next
@@ -164,9 +168,10 @@
 
   void Connect(Duration timeout) {
     ++pool->opened;
+    pool->connecting[this] = {address, MonotonicNow()};
     connection = std::make_shared<ServerConnection>();
     connection->call = this;
-    connection->stream = TcpStream::Connect(pool->loop, address);
+    connection->stream = TcpStream::Connect(pool->loop, address, pool->source);
     connection->stream->SetDeadPeerTimeout(kDeadServerTimeout);
     // The connection can outlive this call, so its callbacks look up the
     // current call through it.
@@ -178,17 +183,33 @@
             [weak](std::string_view bytes) { OnBody(weak, bytes); },
             [weak] { OnComplete(weak); }});
     connection->stream->Start(
-        {[weak] { OnConnected(weak); },
+        {[weak, owner = std::weak_ptr(pool), to = address] {
+           Notify(owner, &HttpClientObserver::OnConnected, to);
+           OnConnected(weak);
+         },
          [weak, owner = std::weak_ptr(pool), to = address](
              std::string_view bytes) { OnBytes(weak, owner, to, bytes); },
          [weak, owner = std::weak_ptr(pool), to = address](StreamEnd end) {
            OnStreamEnd(weak, owner, to, end);
          },
          {}});
-    timer = pool->loop.After(timeout, [this] { Fail(); });
+    timer = pool->loop.After(timeout, [this] {
+      Notify(pool, &HttpClientObserver::OnConnectionFailed, address);
+      Fail();
+    });
+  }
+
+  static void Notify(const std::weak_ptr<HttpClient::Pool>& owner,
+                     void (HttpClientObserver::*event)(const Address&),
+                     const Address& address) {
+    const auto pool = owner.lock();
+    if (pool != nullptr && pool->observer != nullptr) {
+      (pool->observer->*event)(address);
+    }
   }
 
   void SendRequest() {
+    pool->connecting.erase(this);
     timer.reset();
     last_byte = MonotonicNow();
     connection->stream->Write(unsent_request);
@@ -217,6 +238,7 @@
   /// Closes the connection instead of returning it to the pool: the rest of the
   /// response could otherwise reach the next call.
   void Drop() {
+    pool->connecting.erase(this);
     timer.reset();
     if (connection != nullptr) {
       connection->call = nullptr;
@@ -303,6 +325,7 @@
                       const std::weak_ptr<HttpClient::Pool>& owner,
                       const Address& address,
                       std::string_view bytes) {
+    Notify(owner, &HttpClientObserver::OnBytes, address);
     const auto connection = weak.lock();
     const std::shared_ptr<State> call = CurrentCall(connection, owner, address);
     if (call == nullptr) {
@@ -327,6 +350,9 @@
                           const std::weak_ptr<HttpClient::Pool>& owner,
                           const Address& address,
                           StreamEnd end) {
+    if (end == StreamEnd::kReset) {
+      Notify(owner, &HttpClientObserver::OnConnectionFailed, address);
+    }
     const auto connection = weak.lock();
     const std::shared_ptr<State> call = CurrentCall(connection, owner, address);
     if (call == nullptr) {
@@ -402,8 +428,9 @@
   state->Drop();
 }
 
-HttpClient::HttpClient(EventLoop& loop, size_t max_idle)
-    : m_pool(std::make_shared<Pool>(Pool{loop, max_idle, {}})) {}
+HttpClient::HttpClient(EventLoop& loop, size_t max_idle, std::string source)
+    : m_pool(std::make_shared<Pool>(
+          Pool{loop, max_idle, std::move(source), {}, 0, nullptr, {}})) {}
 
 HttpClient::~HttpClient() = default;
 
@@ -418,6 +445,25 @@
   return std::unique_ptr<HttpCall>(new HttpCall(state));
 }
 
+std::shared_ptr<TcpStream> HttpClient::Connect(const Address& address) const {
+  return TcpStream::Connect(m_pool->loop, address, m_pool->source);
+}
+
+void HttpClient::SetObserver(HttpClientObserver* observer) {
+  m_pool->observer = observer;
+}
+
+std::vector<Address> HttpClient::SlowConnects(TimePoint now,
+                                              Duration min_age) const {
+  std::vector<Address> slow;
+  for (const auto& [call, started] : m_pool->connecting) {
+    if (now - started.second > min_age) {
+      slow.push_back(started.first);
+    }
+  }
+  return slow;
+}
+
 uint64_t HttpClient::connections_opened() const {
   return m_pool->opened;
 }
--- a/source/net_stream.cc
+++ b/source/net_stream.cc
@@ -24,6 +24,21 @@
   (void)setsockopt(fd, level, option, &value, sizeof(value));
 }
 
+/// Returns whether the socket uses `source`; an empty one is left to the
+/// kernel.
+bool BindSource(int fd, const std::string& source) {
+  if (source.empty()) {
+    return true;
+  }
+  // The port is chosen on connecting, so that one port serves connections to
+  // several addresses.
+  SetOption(fd, IPPROTO_IP, IP_BIND_ADDRESS_NO_PORT, 1);
+  sockaddr_in from{};
+  from.sin_family = AF_INET;
+  return inet_pton(AF_INET, source.c_str(), &from.sin_addr) == 1 &&
+         bind(fd, reinterpret_cast<const sockaddr*>(&from), sizeof(from)) == 0;
+}
+
 }  // namespace
 
 TcpStream::TcpStream(EventLoop& loop, int fd, bool connecting)
@@ -45,7 +60,8 @@
 }
 
 std::shared_ptr<TcpStream> TcpStream::Connect(EventLoop& loop,
-                                              const Address& address) {
+                                              const Address& address,
+                                              const std::string& source) {
   const int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   auto stream = std::shared_ptr<TcpStream>(new TcpStream(loop, fd, true));
   sockaddr_in to{};
@@ -54,7 +70,7 @@
   const bool numeric =
       inet_pton(AF_INET, address.host.c_str(), &to.sin_addr) == 1;
   const bool started =
-      fd >= 0 && numeric &&
+      fd >= 0 && numeric && BindSource(fd, source) &&
       (connect(fd, reinterpret_cast<const sockaddr*>(&to), sizeof(to)) == 0 ||
        errno == EINPROGRESS);
   if (started) {
--- a/tools/check_layers.sh
+++ b/tools/check_layers.sh
@@ -6,8 +6,8 @@
 cd "$(dirname "$0")/.."
 adapters='event_loop|http_server|http_client|store_client|store_watch|member_watch|peer_link|config_follower|log|metrics|program|gateway[a-z_]*|controller|operator_client|load_runner'
 failed=0
-for file in source/{base,settings,state,config_g,config_r,groups,routing,fleet,admission,request,keyed,peer_f,peer_m,peer_t,placement,exchange,history,load_p,site,server_d,replica,dispatch,gossip,poison,change,explain,backpressure}*.{cc,h} \
-  include/filbertrack/{base,settings,state,config_g,config_r,groups,routing,fleet,admission,request,keyed,peer_f,peer_m,peer_t,placement,exchange,history,load_p,site,server_d,replica,dispatch,gossip,poison,change,explain,backpressure}*.h; do
+for file in source/{base,settings,state,config_g,config_r,groups,routing,fleet,admission,request,keyed,peer_f,peer_m,peer_t,placement,exchange,history,load_p,site,server_d,replica,dispatch,gossip,poison,change,explain,backpressure,reach,forward}*.{cc,h} \
+  include/filbertrack/{base,settings,state,config_g,config_r,groups,routing,fleet,admission,request,keyed,peer_f,peer_m,peer_t,placement,exchange,history,load_p,site,server_d,replica,dispatch,gossip,poison,change,explain,backpressure,reach,forward}*.h; do
   [ -e "$file" ] || continue
   if grep -nE "#include \"filbertrack/($adapters)\.h\"|#include <(event2|sys/socket|boost/(log|asio|histogram)|websocketpp)|steady_clock::now|system_clock::now" "$file"; then
     echo "$file: a decision library must not perform I/O or read a clock"
