entry: hosts that reach no backend server forward requests to others

Cause: an entry host had no way to a server but its own connections. Each failure was taken for one of the server, the next one was tried, and the retry budget ran out after one or two connections of 600 ms each.

Now a host whose check finds most servers unreachable forwards requests over HTTP to an entry host that reaches them and has said that it accepts them. The second host takes the request as if the caller had sent it there, with the time, the attempts and the position in the stream that are left. A request is forwarded once, never leaves its regions, and is refused at once if no host accepts it. Attempts that are connecting end as not run; those sent are repeated if the request is idempotent and no open connection delivers any more.

Also: failures during a cut do not count against servers, neither in the selector nor as ends of servers under a request.

--- a/include/filbertrack/base_result.h
+++ b/include/filbertrack/base_result.h
@@ -46,6 +46,7 @@
   kServersBackingOff = 120,
   kEvacuated = 121,
   kNoServerInRegions = 122,
+  kServersUnreachable = 123,
 };
 
 /// One row of the table of result codes.
--- a/include/filbertrack/dispatch_selector.h
+++ b/include/filbertrack/dispatch_selector.h
@@ -253,6 +253,9 @@
                DispatchResult result,
                TimePoint now);
 
+  /// Forgets the failures of all targets, as their cause was this host's link.
+  void ClearFailures();
+
   /// This host's load at every target where it has requests.
   std::vector<std::pair<std::string, TargetLoad>> OwnLoads() const;
 
--- a/include/filbertrack/entry_host.h
+++ b/include/filbertrack/entry_host.h
@@ -172,6 +172,24 @@
   /// Limits and back-offs that servers request in their responses.
   EntryBackpressure& backpressure() { return m_backpressure; }
 
+  /// Starts accepting requests that other entry hosts forward to this one.
+  /// `secret` is the shared secret of the entry hosts.
+  Result<Address> ListenForForwarded(const Address& address,
+                                     const std::string& secret);
+  /// How this host takes forwarded requests; nullopt if it does not listen.
+  std::optional<ForwardOffer> OwnForwardOffer() const;
+  /// A peer answered how it takes forwarded requests.
+  void OnPeerForwardOffer(const FleetHost& peer,
+                          const std::string& peer_address,
+                          const ForwardOffer& offer);
+  /// Whether the offers of the peers are needed, as this host may not reach the
+  /// backend servers.
+  bool NeedsForwardOffers() const;
+  /// Sets the callback for NeedsForwardOffers() becoming true.
+  void OnForwardOffersNeeded(std::function<void()> action) {
+    m_on_offers_needed = std::move(action);
+  }
+
   /// Sets the callback for changes of the server directory, the evacuations or
   /// the configuration.
   void OnChange(std::function<void()> action) {
@@ -223,6 +241,13 @@
   std::vector<Address> ServerAddresses() const;
   /// Whether enough servers accept connections from this host has changed.
   void OnReachChanged();
+  /// This host may not reach the servers; a check has been started.
+  void OnReachSuspected();
+  /// Applies the limits of the configuration to forwarded requests.
+  void UpdateForwardLimits();
+  void OnForwarded(const std::shared_ptr<HttpExchange>& exchange);
+  /// Whether this host can serve requests of hosts that reach no server.
+  bool AcceptsForwarded() const;
 
   EventLoop& m_loop;
   Settings m_settings;
@@ -252,6 +277,7 @@
   RetryBudget m_retries;
   EntryPoison m_poison;
   EntryBackpressure m_backpressure;
+  EntryForward m_forward;
   RelayContext m_context;
   EntryMetrics m_metrics;
   std::unordered_map<const EntryRelay*, std::unique_ptr<EntryRelay>> m_relays;
@@ -259,6 +285,11 @@
 
   std::unique_ptr<HttpServer> m_caller_server;
   std::unique_ptr<HttpServer> m_probe_server;
+  /// Null until ListenForForwarded().
+  std::unique_ptr<HttpServer> m_forward_server;
+  Address m_forward_address;
+  TimePoint m_suspected_at;
+  std::function<void()> m_on_offers_needed;
   Address m_caller_address;
   Address m_ready_address;
   std::unique_ptr<Timer> m_silence_timer;
--- a/include/filbertrack/entry_peers.h
+++ b/include/filbertrack/entry_peers.h
@@ -171,6 +171,9 @@
   /// and receive its own loads instead of a sum. Also true for an empty name,
   /// and for every data centre in a fleet with at most `neighbours` peers.
   bool IsLocal(std::string_view data_centre) const;
+  /// Asks peers in turn, `neighbours` at most, how they take forwarded
+  /// requests.
+  void AskForForwardOffers(TimePoint now);
   /// Sends a request to the next local peers in turn, `neighbours` at most.
   void AskLocalPeers(TimePoint now);
   /// Exchanges loads if that is due: with a relay of the local data centre, or,
@@ -253,6 +256,8 @@
   FleetGossip m_gossip;
   /// Name of the last peer that AskLocalPeers() sent a request to; the next
   /// round continues after it.
+  /// Peer that was last asked for its forward offer.
+  std::string m_last_offer_peer;
   std::string m_last_local_peer;
   LoadExchange m_load_exchange;
   std::optional<Roles> m_roles;
--- a/include/filbertrack/entry_poison.h
+++ b/include/filbertrack/entry_poison.h
@@ -64,6 +64,10 @@
   /// Records that the trial copy is being sent.
   void BeginTrial(const RequestDigest& digest, TimePoint now);
 
+  /// Whether this host reaches the backend servers. While it does not, a server
+  /// that does not answer its probes is no evidence.
+  void SetServersReachable(bool reachable, TimePoint now);
+
   /// Sets the reachable entry hosts, including this one. Rendezvous hashing
   /// selects one of them to send the trial copies of each blocked request.
   /// Empty: this host may be partitioned from the others and sends none.
@@ -113,6 +117,9 @@
   std::vector<std::string> m_hosts;
   uint64_t m_attempts_ended = 0;
   bool m_has_new_blocks = false;
+  bool m_servers_reachable = true;
+  /// When it last changed.
+  TimePoint m_reach_changed_at;
 };
 
 }  // namespace filbertrack
--- a/include/filbertrack/entry_relay.h
+++ b/include/filbertrack/entry_relay.h
@@ -13,17 +13,26 @@
 
 #include "filbertrack/dispatch_selector.h"
 #include "filbertrack/entry_backpressure.h"
+#include "filbertrack/entry_forward.h"
 #include "filbertrack/entry_placer.h"
 #include "filbertrack/entry_poison.h"
 #include "filbertrack/entry_ports.h"
 #include "filbertrack/http_client.h"
 #include "filbertrack/http_server.h"
+#include "filbertrack/reach_monitor.h"
 #include "filbertrack/request_machine.h"
 #include "filbertrack/request_retry_budget.h"
 #include "filbertrack/site_catalog.h"
 
 namespace filbertrack {
 
+/// A request that another entry host forwarded to this one.
+struct ForwardedFrom {
+  std::string host;
+  /// Servers that may still run the request.
+  int attempts = 1;
+};
+
 /// An admitted request with its route and limits.
 struct EntryRequest {
   CallFacts facts;
@@ -39,6 +48,9 @@
   int priority = 0;
   TimePoint arrived;
   TimePoint deadline;
+  /// nullopt: the caller sent it to this host. Such a request is not forwarded
+  /// to a third host.
+  std::optional<ForwardedFrom> forwarded{};
 };
 
 /// Final result of a request, for logs and metrics.
@@ -58,6 +70,8 @@
   /// Time within which a backend server must accept a connection; after it the
   /// attempt fails and another target is tried.
   Duration connect_timeout = Milliseconds(600);
+  /// The same for another entry host.
+  Duration forward_connect_timeout = Milliseconds(150);
 };
 
 /// State of the entry host that its relays share.
@@ -69,6 +83,8 @@
   RetryBudget& retries;
   EntryPoison& poison;
   EntryBackpressure& backpressure;
+  EntryForward& forward;
+  const ReachMonitor& reach;
   RelayTimes times;
   /// Number of entry hosts that share the connection limits of the backend
   /// servers.
@@ -109,6 +125,10 @@
   /// attempt ends and the request is sent elsewhere.
   void TargetLost(std::string_view target);
 
+  /// This host no longer reaches the servers. Ends an attempt that cannot be
+  /// answered any more, so that the request is forwarded to another entry host.
+  void OnServersUnreachable();
+
   /// Refuses the request if it was blocked after it was sent and no part of its
   /// answer has arrived: it may still be queued on a server, and would crash
   /// that server as well. A trial copy is left to run.
@@ -146,6 +166,8 @@
   /// first use.
   const RequestDigest& digest() const;
   int sends() const { return m_state.sends; }
+  /// Entry host that the request was forwarded to last; empty: none.
+  const std::string& last_forwarded_to() const { return m_last_forwarded_to; }
   /// Predicted time to the first event at the best target if the request was
   /// refused because all targets were too busy; else nullopt.
   std::optional<Duration> refused_prediction() const {
@@ -172,6 +194,19 @@
 
   void Feed(const RequestEvent& event);
   void Seek(bool is_retry, uint64_t resume_from);
+  /// Forwards the request to another entry host, or refuses it, if this host
+  /// reaches no server. False: a target is to be chosen here.
+  bool ForwardOrRefuse(bool is_retry, TimePoint now);
+  const ForwardPeer* ChooseForwardPeer(TimePoint now) const;
+  void Forward(const ForwardPeer& peer, TimePoint now);
+  HttpCallRequest MakeForwardedCall(const ForwardPeer& peer,
+                                    TimePoint now) const;
+  /// Clears what is known of the previous attempt.
+  void ResetAttempt(TimePoint now);
+  void OnForwardHead(int status, const HttpHeaders& headers);
+  void OnForwardRefusal(std::string_view text);
+  void EndForward(bool failed);
+  bool has_attempt() const { return m_choice || !m_forwarded_to.empty(); }
   /// Chooses the target of the next attempt by the loads that other entry hosts
   /// reported, and sends the request there.
   void SeekLocally(bool is_retry, TimePoint now);
@@ -202,6 +237,8 @@
   void Send(const DispatchChoice& choice);
   HttpCallRequest MakeCall(const DispatchChoice& choice, TimePoint now) const;
   void OnHead(int status, const HttpHeaders& headers);
+  /// Prepares the forwarding of a response with this head.
+  void FeedHead(const AttemptHead& head, const HttpHeaders& headers);
   /// Applies the rate limit for cold servers to the target for the time `left`.
   void ReportCold(const DispatchTarget& target, Duration left);
   void OnBytes(std::string_view bytes);
@@ -232,6 +269,10 @@
   // The current attempt.
   std::unique_ptr<HttpCall> m_call;
   std::optional<DispatchChoice> m_choice;
+  /// Entry host that the current attempt was forwarded to; empty: none.
+  std::string m_forwarded_to;
+  /// The request was queued for sending on an open connection.
+  bool m_is_sent = false;
   TimePoint m_sent_at;
   TimePoint m_last_byte;
   bool m_attempt_first_event = false;
@@ -250,6 +291,10 @@
   /// Target found by CanFailOver(), for the next attempt.
   std::optional<DispatchChoice> m_failover_choice;
   std::set<std::string, std::less<>> m_tried_targets;
+  /// Entry hosts that the request was forwarded to.
+  std::set<std::string, std::less<>> m_tried_hosts;
+  /// A backend server may have received the request.
+  bool m_may_have_arrived = false;
   PoolKey m_pool;
   std::optional<PendingAsk> m_ask;
   /// Id of the grant that the next Send() uses; 0: none.
@@ -262,6 +307,7 @@
   /// The current attempt is a trial copy of a blocked request.
   bool m_on_trial = false;
   std::string m_last_target;
+  std::string m_last_forwarded_to;
   Duration m_retry_after{0};
   std::optional<Duration> m_sent_retry_after;
   std::optional<Duration> m_refused_prediction;
@@ -278,13 +324,15 @@
 };
 
 /// Sends a refusal in the name of the entry host, with a JSON body that holds
-/// the result code and whether the request ran.
+/// the result code and whether the request ran. `forward_refusal` tells the
+/// same to the entry host that forwarded the request; null: a caller sent it.
 void RefuseCall(HttpExchange& exchange,
                 const CallHeaderCodec& header_codec,
                 std::string_view request_id,
                 ResultCode code,
                 Outcome outcome,
-                std::optional<Duration> retry_after);
+                std::optional<Duration> retry_after,
+                const ForwardRefusal* forward_refusal = nullptr);
 
 /// HTTP status of a refusal. 503 and 429 guarantee that the request did not
 /// run.
--- a/include/filbertrack/gossip_message.h
+++ b/include/filbertrack/gossip_message.h
@@ -86,6 +86,16 @@
   std::vector<DataCentreLoads> remote_loads;
 };
 
+/// How a host takes requests that other entry hosts forward to it.
+struct ForwardOffer {
+  /// At the host of GossipState::address.
+  uint16_t port = 0;
+  /// Identifies the process.
+  std::string token;
+  /// Whether it accepts forwarded requests now.
+  bool accepts = false;
+};
+
 struct GossipRequest {
   GossipState state;
   /// The reply may include a newer configuration. A host sets this for one peer
@@ -106,6 +116,8 @@
   /// Revision of the replier up to which the requester has its records of the
   /// rate limits of backend servers.
   uint64_t known_limits_revision = 0;
+  /// Asks for the replier's ForwardOffer, which is not sent otherwise.
+  bool wants_forward_offer = false;
 };
 
 struct GossipReply {
@@ -122,6 +134,8 @@
   PoisonUpdate poison;
   /// Rate limits of backend servers that the requester lacks.
   LimitUpdate limits;
+  /// nullopt if it was not asked for, or the replier is of an earlier version.
+  std::optional<ForwardOffer> forward_offer;
 };
 
 std::string EncodeGossipRequest(const GossipRequest& request);
--- a/include/filbertrack/http_server.h
+++ b/include/filbertrack/http_server.h
@@ -49,6 +49,8 @@
     return FindHeader(m_headers, name);
   }
   const HttpHeaders& Headers() const { return m_headers; }
+  /// Removes all fields with this name.
+  void RemoveHeader(std::string_view name);
   const std::string& body() const { return m_body; }
 
   /// Whether the response can still be written: it has not ended and the
--- a/include/filbertrack/request_machine.h
+++ b/include/filbertrack/request_machine.h
@@ -52,6 +52,8 @@
   /// Sends after which the request may have run.
   int attempts = 0;
   bool attempt_open = false;
+  /// The attempt was forwarded to another entry host.
+  bool attempt_is_forwarded = false;
   /// The attempt's response is to be forwarded.
   bool attempt_relays = false;
   /// Token number of the attempt's next event, if the event has no id.
@@ -72,6 +74,9 @@
 
 /// The driver has sent the request to a target.
 struct TargetChosen {};
+/// The driver has forwarded the request to another entry host, which may send
+/// it to as many servers as attempts are left.
+struct RequestForwarded {};
 /// No target is available, or no retry is permitted; `code` is the error to
 /// return.
 struct NoTarget {
@@ -86,6 +91,8 @@
   bool request_id_matches = true;
   /// The backend server states that it did not start the request.
   bool says_not_run = false;
+  /// Forwarded whatever its status: another entry host made the retries.
+  bool is_final = false;
 };
 struct AttemptToken {
   SseEvent event;
@@ -95,17 +102,28 @@
 struct AttemptFailed {
   bool bytes_may_have_left = true;
 };
+/// The entry host that the request was forwarded to refused it.
+struct ForwardRefused {
+  ResultCode code;
+  Outcome outcome;
+  /// Servers that may have run the request.
+  int attempts = 0;
+  /// The request may be sent elsewhere if the outcome allows it.
+  bool may_be_accepted_elsewhere = false;
+};
 /// The group that handles the attempt is no longer complete.
 struct TargetLost {};
 struct DeadlinePassed {};
 struct CallerDisconnected {};
 
 using RequestEvent = std::variant<TargetChosen,
+                                  RequestForwarded,
                                   NoTarget,
                                   AttemptHead,
                                   AttemptToken,
                                   AttemptComplete,
                                   AttemptFailed,
+                                  ForwardRefused,
                                   TargetLost,
                                   DeadlinePassed,
                                   CallerDisconnected>;
--- a/source/base_result.cc
+++ b/source/base_result.cc
@@ -69,6 +69,9 @@
     {kNoServerInRegions, "no-server-in-regions", 503,
      "No server answers this in the regions to which the route or the "
      "workspace is bound."},
+    {kServersUnreachable, "servers-unreachable", 503,
+     "This entry host reaches no backend server, and no other entry host took "
+     "the request."},
 });
 
 }  // namespace
--- a/source/dispatch_selector.cc
+++ b/source/dispatch_selector.cc
@@ -437,6 +437,12 @@
   }
 }
 
+void TargetSelector::ClearFailures() {
+  for (auto& [id, entry] : m_entries) {
+    entry->failures = 0;
+  }
+}
+
 std::vector<std::pair<std::string, TargetLoad>> TargetSelector::OwnLoads()
     const {
   std::vector<std::pair<std::string, TargetLoad>> loads;
--- a/source/entry_host.cc
+++ b/source/entry_host.cc
@@ -87,15 +87,29 @@
               m_upstream,
               RendezvousWeight("reach", settings.Text("node", "name")),
               [this] { return ServerAddresses(); },
-              {nullptr, [this] { OnReachChanged(); }}),
+              {[this] { OnReachSuspected(); }, [this] { OnReachChanged(); }}),
       m_selector(DispatchPolicyOf(settings),
                  RendezvousWeight("board", settings.Text("node", "name"))),
       m_retries(RetryPolicyOf(settings), MonotonicNow()),
       m_poison(m_directory, engines, MonotonicNow, FirstRevision()),
       m_backpressure(settings.Text("node", "name"), FirstRevision()),
-      m_context{loop,     m_upstream,     header_codec, m_selector, m_retries,
-                m_poison, m_backpressure, {},           1,          {},
-                0,        nullptr},
+      m_forward(loop,
+                settings.Text("node", "name"),
+                settings.Text("node", "data_centre")),
+      m_context{loop,
+                m_upstream,
+                header_codec,
+                m_selector,
+                m_retries,
+                m_poison,
+                m_backpressure,
+                m_forward,
+                m_reach.monitor(),
+                {},
+                1,
+                {},
+                0,
+                nullptr},
       m_random(RendezvousWeight("split", settings.Text("node", "name"))) {
   m_context.times.moves_silent = IsEnabled(settings, "moves_silent");
   m_held_policy = HeldPolicyOf(settings);
@@ -139,7 +153,8 @@
                        ResultCode code) {
   std::optional<Duration> retry_after;
   if (code == ResultCode::kConfigMayBeStale || code == ResultCode::kDraining ||
-      code == ResultCode::kOverloaded) {
+      code == ResultCode::kOverloaded ||
+      code == ResultCode::kServersUnreachable) {
     const bool waits_for_store = m_catalog == nullptr && store_away();
     const Duration min_delay =
         waits_for_store ? kStoreRetryAfter : kStartRetryAfter;
@@ -157,14 +172,14 @@
        {"left_ms",
         request.facts.time_left ? ToMilliseconds(*request.facts.time_left) : 0},
        {"config", m_catalog == nullptr ? 0 : m_catalog->version()}});
+  const ForwardRefusal forward_refusal{code, Outcome::kNotRun, 0, retry_after};
   RefuseCall(exchange, m_header_codec, request.facts.request_id, code,
-             Outcome::kNotRun, retry_after);
+             Outcome::kNotRun, retry_after,
+             request.forwarded ? &forward_refusal : nullptr);
 }
 
 bool EntryHost::Admit(const std::shared_ptr<HttpExchange>& exchange,
                       EntryRequest& request) {
-  request.arrived = MonotonicNow();
-  request.facts = m_header_codec.ReadCall(*exchange);
   if (m_catalog == nullptr || !m_servers_known) {
     Reject(*exchange, request, ResultCode::kConfigMayBeStale);
     return false;
@@ -206,14 +221,19 @@
     request.facts.model.clear();
   }
   const Duration timeout = request.facts.time_left.value_or(kDefaultTimeout);
-  request.deadline = request.arrived +
-                     std::min(timeout, request.route->timeout + kTimeoutSlack);
+  if (!request.forwarded) {
+    request.deadline =
+        request.arrived +
+        std::min(timeout, request.route->timeout + kTimeoutSlack);
+  }
   return true;
 }
 
 void EntryHost::OnCaller(const std::shared_ptr<HttpExchange>& exchange) {
   m_traffic_seen = true;
   EntryRequest request;
+  request.arrived = MonotonicNow();
+  request.facts = m_header_codec.ReadCall(*exchange);
   if (Admit(exchange, request)) {
     m_retries.OnRequest(request.arrived);
     StartRelay(std::move(request), exchange);
@@ -251,9 +271,12 @@
   }
   request_metrics.longest_pause = relay.longest_pause();
   request_metrics.total = now - request.arrived;
-  m_metrics.OnRequest(request_metrics);
-  LogRequest({request, end, relay.last_target(), relay.sends(), first,
-              now - request.arrived, relay.longest_pause(), relay.retry_after(),
+  if (!request.forwarded) {
+    m_metrics.OnRequest(request_metrics);
+  }
+  LogRequest({request, relay.last_forwarded_to(), end, relay.last_target(),
+              relay.sends(), first, now - request.arrived,
+              relay.longest_pause(), relay.retry_after(),
               relay.refused_prediction(), m_selector.LoadsAge(now),
               end.code == ResultCode::kRequestEndsServers ? relay.digest()
                                                           : std::string_view(),
@@ -432,6 +455,9 @@
   m_drain_began = MonotonicNow();
   Log(LogLevel::kInfo, "stopping", {{"requests", m_relays.size()}});
   m_caller_server->CloseAfterAnswers();
+  if (m_forward_server != nullptr) {
+    m_forward_server->CloseAfterAnswers();
+  }
   if (m_context.placer != nullptr) {
     m_context.placer->Drain();
   }
@@ -441,7 +467,10 @@
 void EntryHost::CheckDrained() {
   const Duration since = MonotonicNow() - m_drain_began;
   const Duration grace = m_settings.Time("stop", "grace") - kShutdownMargin;
-  const size_t unsent = m_caller_server->HeldAnswers(MonotonicNow()).size();
+  size_t unsent = m_caller_server->HeldAnswers(MonotonicNow()).size();
+  if (m_forward_server != nullptr) {
+    unsent += m_forward_server->HeldAnswers(MonotonicNow()).size();
+  }
   if (!MayStop({since, m_relays.size(), unsent}, kBalancerDelay, grace)) {
     return;
   }
--- a/source/entry_host_held.cc
+++ b/source/entry_host_held.cc
@@ -25,6 +25,9 @@
 
 size_t EntryHost::HeldBytes() const {
   size_t bytes = m_caller_server->RequestBytes();
+  if (m_forward_server != nullptr) {
+    bytes += m_forward_server->RequestBytes();
+  }
   for (const HeldAnswer& held : m_caller_server->HeldAnswers(MonotonicNow())) {
     bytes += held.bytes;
   }
@@ -35,6 +38,14 @@
   const std::vector<HeldAnswer> answers =
       m_caller_server->HeldAnswers(MonotonicNow());
   size_t other = m_caller_server->RequestBytes();
+  if (m_forward_server != nullptr) {
+    other += m_forward_server->RequestBytes();
+    // Dropping one would break off the response of a caller that may read fast.
+    for (const HeldAnswer& held :
+         m_forward_server->HeldAnswers(MonotonicNow())) {
+      other += held.bytes;
+    }
+  }
   for (const auto& [key, relay] : m_relays) {
     other += relay->buffered_bytes();
   }
--- a/source/entry_host_probe.cc
+++ b/source/entry_host_probe.cc
@@ -66,6 +66,13 @@
                      [this] { return reach().reachable(); });
   m_metrics.AddGauge("filbertrack_reach_probes", "",
                      [this] { return static_cast<double>(m_reach.probes()); });
+  const auto add_forwarded = [this](std::string name, const uint64_t& count) {
+    m_metrics.AddGauge(std::move(name), "",
+                       [&count] { return static_cast<double>(count); });
+  };
+  add_forwarded("filbertrack_requests_forwarded", m_forward.forwarded);
+  add_forwarded("filbertrack_forwarded_accepted", m_forward.accepted);
+  add_forwarded("filbertrack_forwarded_refused", m_forward.refused);
   m_metrics.AddGauge("filbertrack_held_bytes", "",
                      [this] { return static_cast<double>(HeldBytes()); });
   m_metrics.AddGauge("filbertrack_callers_let_go", "",
--- a/source/entry_host_site.cc
+++ b/source/entry_host_site.cc
@@ -33,6 +33,7 @@
   m_caller_server->SetLimits({limits.max_header_bytes, limits.max_body_bytes,
                               limits.header_timeout, limits.idle_timeout,
                               m_settings.Time("callers", "unread_timeout")});
+  UpdateForwardLimits();
   Log(LogLevel::kInfo, "config",
       {{"config", m_catalog->version()}, {"routes", m_catalog->route_count()}});
   OnSiteChanged();
@@ -194,8 +195,6 @@
   return addresses;
 }
 
-void EntryHost::OnReachChanged() {}
-
 void EntryHost::ScheduleExpiry() {
   const auto next = m_directory.NextExpiry();
   if (!next) {
--- a/source/entry_peers.cc
+++ b/source/entry_peers.cc
@@ -62,6 +62,7 @@
   m_secret = secret;
   Listen(secret);
   m_round_timer = m_loop.Every(m_policy.interval, [this] { RunRound(); });
+  m_host.OnForwardOffersNeeded([this] { AskForForwardOffers(MonotonicNow()); });
 }
 
 void EntryPeers::Listen(const std::string& secret) {
@@ -76,6 +77,14 @@
     Log(LogLevel::kError, "peers-not-listening",
         {{"address", m_listen.ToString()}});
   }
+  const auto port =
+      static_cast<uint16_t>(m_host.settings().Integer("peers", "forward_port"));
+  const Result<Address> forwarded =
+      m_host.ListenForForwarded({m_listen.host, port}, secret);
+  if (!forwarded) {
+    Log(LogLevel::kError, "forwarded-not-listening",
+        {{"why", forwarded.error().message}});
+  }
 }
 
 void EntryPeers::AddPeer(const FleetHost& host, const std::string& address) {
@@ -143,6 +152,9 @@
   UpdateWatching(now);
   AskLocalPeers(now);
   ExchangeLoads(now);
+  if (m_host.NeedsForwardOffers()) {
+    AskForForwardOffers(now);
+  }
   if (m_on_round) {
     m_on_round();
   }
@@ -198,6 +210,22 @@
   }
 }
 
+void EntryPeers::AskForForwardOffers(TimePoint now) {
+  // Of all data centres, as the hosts of the local one may all be cut off.
+  size_t asked = 0;
+  auto next = m_peers.upper_bound(m_last_offer_peer);
+  for (size_t i = 0; i < m_peers.size() && asked < m_policy.neighbours; ++i) {
+    if (next == m_peers.end()) {
+      next = m_peers.begin();
+    }
+    if (TryAsk(next->first, next->second, now)) {
+      m_last_offer_peer = next->first;
+      ++asked;
+    }
+    ++next;
+  }
+}
+
 bool EntryPeers::TryAsk(const std::string& name, Peer& peer, TimePoint now) {
   const Duration pause =
       peer.unresponsive ? m_policy.unresponsive_interval : Duration(0);
@@ -219,7 +247,8 @@
                               scope != LoadScope::kOwn,
                               peer.known_poison_revision,
                               scope == LoadScope::kRemoteAndLocal,
-                              peer.known_limits_revision};
+                              peer.known_limits_revision,
+                              m_host.NeedsForwardOffers()};
   std::string message = EncodeGossipRequest(request);
   m_sent.states += message.size();
   if (peer.client == nullptr) {
@@ -263,6 +292,10 @@
   m_host.poison().OnPeerUpdate(reply->poison, name, now);
   peer->second.known_limits_revision = reply->limits.revision;
   m_host.backpressure().OnPeerUpdate(reply->limits, name, now);
+  if (reply->forward_offer) {
+    m_host.OnPeerForwardOffer(peer->second.host, reply->state.address,
+                              *reply->forward_offer);
+  }
   ApplyReply(*reply);
   FetchNewer(name, reply->state);
 }
@@ -327,6 +360,9 @@
       m_host.poison().Since(request.known_poison_revision, MonotonicNow());
   reply.limits = m_host.backpressure().Since(request.known_limits_revision,
                                              MonotonicNow());
+  if (request.wants_forward_offer) {
+    reply.forward_offer = m_host.OwnForwardOffer();
+  }
   std::string message = EncodeGossipReply(reply);
   m_sent.configs += reply.config.size();
   (reply.servers.empty() ? m_sent.states : m_sent.servers) +=
--- a/source/entry_poison.cc
+++ b/source/entry_poison.cc
@@ -74,7 +74,19 @@
   }
 }
 
+void EntryPoison::SetServersReachable(bool reachable, TimePoint now) {
+  m_servers_reachable = reachable;
+  m_reach_changed_at = now;
+}
+
 void EntryPoison::OnEnd(const ServerEnd& end) {
+  // The check may have begun while the servers were unreachable.
+  const bool was_cut_off =
+      !m_servers_reachable || m_clock() - m_reach_changed_at <= end.age;
+  if (end.evidence == EndEvidence::kNoAnswer && was_cut_off &&
+      m_reach_changed_at != TimePoint()) {
+    return;
+  }
   m_attempts_ended += end.attempts.size();
   const TimePoint now = m_clock();
   const ServerInstance instance{end.server.id, end.server.process_start_ms};
--- a/source/entry_relay.cc
+++ b/source/entry_relay.cc
@@ -53,7 +53,8 @@
                 std::string_view request_id,
                 ResultCode code,
                 Outcome outcome,
-                std::optional<Duration> retry_after) {
+                std::optional<Duration> retry_after,
+                const ForwardRefusal* forward_refusal) {
   const ResultCodeRow& row = ResultCodeInfo(code);
   const nlohmann::json body = {{"code", static_cast<int>(code)},
                                {"name", row.name},
@@ -61,6 +62,10 @@
                                {"outcome", OutcomeName(outcome)}};
   HttpHeaders headers = header_codec.RefusalHeaders(request_id, retry_after);
   headers.emplace_back("Content-Type", "application/json");
+  if (forward_refusal != nullptr) {
+    headers.emplace_back(kForwardRefusalHeader,
+                         EncodeForwardRefusal(*forward_refusal));
+  }
   exchange.Reply(RefusalStatus(code, outcome), headers, body.dump());
 }
 
@@ -107,7 +112,9 @@
   traits.relays_last_error = true;
   traits.ends_with_framing = true;
   traits.deadline = m_request.deadline;
-  m_policy.max_attempts = std::max(1, route.max_attempts);
+  m_policy.max_attempts =
+      std::max(1, m_request.forwarded ? m_request.forwarded->attempts
+                                      : route.max_attempts);
   m_policy.max_sends = m_policy.max_attempts + kSendsBeyondAttempts;
   // Events are numbered from 1.
   m_state.next_token = m_request.facts.last_event.value_or(0) + 1;
@@ -160,6 +167,9 @@
     Feed(NoTarget{ResultCode::kRequestEndsServers});
     return;
   }
+  if (ForwardOrRefuse(is_retry, now)) {
+    return;
+  }
   if (!resumes && TryPlace(is_retry, now)) {
     return;
   }
@@ -233,15 +243,7 @@
   if (m_on_trial) {
     m_context.poison.BeginTrial(digest(), now);
   }
-  m_sent_at = now;
-  m_last_byte = now;
-  m_attempt_first_event = false;
-  m_attempt_status = 0;
-  m_not_run = false;
-  m_backoff.reset();
-  m_end_reason = "broke off";
-  m_splitter = {};
-  m_answer_body.clear();
+  ResetAttempt(now);
   m_context.selector.OnSent(choice.target.id, m_request.facts.prompt_tokens);
   m_context.backpressure.OnSent(choice.target, now);
   ReportSent();
@@ -264,10 +266,24 @@
   events.on_bytes = [this](std::string_view bytes) { OnBytes(bytes); };
   events.on_end = [this](int) { OnComplete(); };
   events.on_failure = [this](bool may_have_left) { OnFailure(may_have_left); };
+  events.on_sent = [this] { m_is_sent = true; };
   m_call = m_context.http.Start(choice.target.address, MakeCall(choice, now),
                                 std::move(events));
 }
 
+void EntryRelay::ResetAttempt(TimePoint now) {
+  m_sent_at = now;
+  m_last_byte = now;
+  m_is_sent = false;
+  m_attempt_first_event = false;
+  m_attempt_status = 0;
+  m_not_run = false;
+  m_backoff.reset();
+  m_end_reason = "broke off";
+  m_splitter = {};
+  m_answer_body.clear();
+}
+
 HttpCallRequest EntryRelay::MakeCall(const DispatchChoice& choice,
                                      TimePoint now) const {
   ForwardFacts facts;
@@ -297,9 +313,11 @@
 void EntryRelay::CloseAttempt(bool failed) {
   m_call.reset();
   m_paused = false;
+  EndForward(failed);
   if (!m_choice) {
     return;
   }
+  m_may_have_arrived = m_may_have_arrived || m_is_sent;
   if (failed) {
     const TimePoint now = MonotonicNow();
     LogAttemptEnded({m_request, m_choice->target.id, m_end_reason,
@@ -309,8 +327,11 @@
   DispatchResult result = DispatchResult::kAnswered;
   if (m_not_run) {
     result = DispatchResult::kRefused;
-  } else if (failed) {
+  } else if (failed && m_context.reach.reachable()) {
     result = DispatchResult::kFailed;
+  } else if (failed) {
+    // The server is not the cause.
+    result = DispatchResult::kAbandoned;
   } else if (m_state.ended && !m_attempt_first_event) {
     result = DispatchResult::kAbandoned;
   }
@@ -390,8 +411,11 @@
     retry_after = m_retry_after;
   }
   m_sent_retry_after = retry_after;
+  const ForwardRefusal forward_refusal{code, outcome, m_state.attempts,
+                                       retry_after};
   RefuseCall(*m_exchange, m_context.header_codec, m_request.facts.request_id,
-             code, outcome, retry_after);
+             code, outcome, retry_after,
+             m_request.forwarded ? &forward_refusal : nullptr);
   Finish({code, outcome, RefusalStatus(code, outcome)});
 }
 
--- a/source/entry_relay_answer.cc
+++ b/source/entry_relay_answer.cc
@@ -25,6 +25,10 @@
   return passed;
 }
 
+bool IsEventStream(const HttpHeaders& headers) {
+  return FindHeader(headers, "Content-Type").starts_with(kEventStream);
+}
+
 /// Reason to log if an attempt with this status and these headers ends without
 /// a response to forward.
 std::string_view EndReason(int status,
@@ -46,6 +50,10 @@
 }  // namespace
 
 void EntryRelay::OnHead(int status, const HttpHeaders& headers) {
+  if (!m_forwarded_to.empty()) {
+    OnForwardHead(status, headers);
+    return;
+  }
   const AnswerFacts facts = m_context.header_codec.ReadAnswer(status, headers);
   m_last_byte = MonotonicNow();
   if (m_choice && !facts.wrong_server) {
@@ -63,26 +71,31 @@
                                     m_last_byte);
   }
   const bool unsealed = IsSuccess(status) && !facts.sealed;
-  const bool is_events =
-      FindHeader(headers, "Content-Type").starts_with(kEventStream);
   m_attempt_status = status;
   m_end_reason = EndReason(status, m_not_run, is_other_request, unsealed);
-  if (m_state.answer_started && !m_not_run &&
-      (!IsSuccess(status) || !is_events)) {
+  AttemptHead head;
+  head.status = status;
+  head.request_id_matches = !is_other_request && !unsealed;
+  head.says_not_run = m_not_run;
+  FeedHead(head, headers);
+}
+
+void EntryRelay::FeedHead(const AttemptHead& head, const HttpHeaders& headers) {
+  const bool is_events = IsSuccess(head.status) && IsEventStream(headers);
+  if (m_state.answer_started && !head.says_not_run && !is_events) {
     // The caller has received part of the stream, and only further events can
     // continue it.
     Feed(AttemptFailed{true});
     return;
   }
   if (!m_state.answer_started) {
-    m_answer_status = status;
+    m_answer_status = head.status;
     m_answer_headers = PassedHeaders(headers);
-    m_state.traits.shape =
-        IsStream(m_request.route->repeat) && IsSuccess(status) && is_events
-            ? AnswerShape::kTokenStream
-            : AnswerShape::kWhole;
+    m_state.traits.shape = IsStream(m_request.route->repeat) && is_events
+                               ? AnswerShape::kTokenStream
+                               : AnswerShape::kWhole;
   }
-  Feed(AttemptHead{status, !is_other_request && !unsealed, m_not_run});
+  Feed(head);
 }
 
 void EntryRelay::ReportCold(const DispatchTarget& target, Duration left) {
@@ -108,7 +121,7 @@
   const std::shared_ptr<bool> alive = m_alive;
   for (SseEvent& event : m_splitter.Push(bytes)) {
     Feed(AttemptToken{std::move(event)});
-    if (!*alive || !m_choice) {
+    if (!*alive || !has_attempt()) {
       return;
     }
   }
@@ -131,6 +144,10 @@
 
 void EntryRelay::OnFailure(bool may_have_left) {
   m_end_reason = may_have_left ? "connection broke" : "no connection";
+  m_is_sent = may_have_left;
+  if (!m_forwarded_to.empty()) {
+    m_context.forward.choice().OnRefused(m_forwarded_to, MonotonicNow());
+  }
   if (may_have_left && m_choice) {
     m_context.poison.OnBroken(m_choice->target, CurrentAttempt());
   }
--- a/source/entry_request_log.cc
+++ b/source/entry_request_log.cc
@@ -49,6 +49,11 @@
   Log(LogLevel::kInfo, "placed", fields);
 }
 
+void LogForwarded(const EntryRequest& request, std::string_view host) {
+  Log(LogLevel::kInfo, "forwarded",
+      {{"request", request.facts.request_id}, {"to", host}});
+}
+
 void LogAttemptEnded(const AttemptEndedLogLine& line) {
   if (!IsLogged(LogLevel::kInfo)) {
     return;
@@ -107,6 +112,12 @@
   if (!line.digest.empty()) {
     fields["digest"] = line.digest;
   }
+  if (!line.forwarded_to.empty()) {
+    fields["forwarded_to"] = line.forwarded_to;
+  }
+  if (request.forwarded) {
+    fields["forwarded_from"] = request.forwarded->host;
+  }
   AddPlacement(fields, line.placement);
   Log(LogLevel::kInfo, "request", fields);
 }
--- a/source/entry_request_log.h
+++ b/source/entry_request_log.h
@@ -28,6 +28,10 @@
 };
 void LogPlaced(const PlacedLogLine& line);
 
+/// Event "forwarded": a request is sent to another entry host, as this one
+/// reaches no backend server.
+void LogForwarded(const EntryRequest& request, std::string_view host);
+
 /// Event "attempt-ended": an attempt ended without a response to forward.
 struct AttemptEndedLogLine {
   const EntryRequest& request;
@@ -47,6 +51,8 @@
 /// Event "request": the request ended.
 struct RequestEndLogLine {
   const EntryRequest& request;
+  /// Entry host that the request was forwarded to last; empty: none.
+  std::string_view forwarded_to;
   const EntryResult& end;
   std::string_view target;
   int sends = 0;
--- a/source/entry_settings.cc
+++ b/source/entry_settings.cc
@@ -84,6 +84,9 @@
        "Address for readiness checks and metrics."},
       {"peers", "listen", AddressKey{"0.0.0.0:8090"},
        "Address for requests of other entry hosts; published to them."},
+      {"peers", "forward_port", IntegerKey{0, 0, 65535},
+       "Port at the same address for requests of entry hosts that reach no "
+       "backend server; 0: the system chooses."},
       {"servers", "source", TextKey{"", false, {}},
        "IP address from which this host connects to backend servers; empty: "
        "the system chooses."},
--- a/source/gossip_message.cc
+++ b/source/gossip_message.cc
@@ -40,6 +40,9 @@
 /// Indexes of the data about rate limits of backend servers.
 constexpr size_t kLimitsKnownField = 6;
 constexpr size_t kLimitsField = 5;
+/// Indexes of the data about forwarded requests, which is usually absent.
+constexpr size_t kWantsOfferField = 7;
+constexpr size_t kOfferField = 6;
 
 enum class GossipMessageKind : int { kAsk = 1, kAnswer = 2 };
 
@@ -212,20 +215,25 @@
 }  // namespace
 
 std::string EncodeGossipRequest(const GossipRequest& request) {
-  return ToCbor(Envelope(
-      GossipMessageKind::kAsk,
-      Json::array({Pack(request.state), request.wants_config,
-                   request.wants_servers, request.wants_remote_loads,
-                   request.known_poison_revision, request.wants_local_loads,
-                   request.known_limits_revision})));
+  Json body = Json::array(
+      {Pack(request.state), request.wants_config, request.wants_servers,
+       request.wants_remote_loads, request.known_poison_revision,
+       request.wants_local_loads, request.known_limits_revision});
+  if (request.wants_forward_offer) {
+    body.push_back(true);
+  }
+  return ToCbor(Envelope(GossipMessageKind::kAsk, std::move(body)));
 }
 
 std::string EncodeGossipReply(const GossipReply& reply) {
-  return ToCbor(Envelope(
-      GossipMessageKind::kAnswer,
-      Json::array({Pack(reply.state), ToBytes(reply.config),
-                   PackServers(reply.servers), reply.servers_complete,
-                   PackPoison(reply.poison), PackLimits(reply.limits)})));
+  Json body = Json::array({Pack(reply.state), ToBytes(reply.config),
+                           PackServers(reply.servers), reply.servers_complete,
+                           PackPoison(reply.poison), PackLimits(reply.limits)});
+  if (reply.forward_offer) {
+    const ForwardOffer& offer = *reply.forward_offer;
+    body.push_back(Json::array({offer.port, offer.token, offer.accepts}));
+  }
+  return ToCbor(Envelope(GossipMessageKind::kAnswer, std::move(body)));
 }
 
 Result<GossipRequest> DecodeGossipRequest(std::string_view bytes) {
@@ -244,6 +252,9 @@
           request.known_limits_revision =
               ReadVersion(body.at(kLimitsKnownField));
         }
+        if (body.size() > kWantsOfferField) {
+          request.wants_forward_offer = body.at(kWantsOfferField).get<bool>();
+        }
         return request;
       });
 }
@@ -263,6 +274,12 @@
         if (body.size() > kLimitsField) {
           reply.limits = UnpackLimits(body.at(kLimitsField));
         }
+        if (body.size() > kOfferField) {
+          const Json& offer = body.at(kOfferField);
+          reply.forward_offer = ForwardOffer{
+              ReadInteger<uint16_t>(offer.at(0), 1, UINT16_MAX),
+              offer.at(1).get<std::string>(), offer.at(2).get<bool>()};
+        }
         return reply;
       });
 }
--- a/source/http_server.cc
+++ b/source/http_server.cc
@@ -445,6 +445,12 @@
   connection->AnswerEnded(false);
 }
 
+void HttpExchange::RemoveHeader(std::string_view name) {
+  std::erase_if(m_headers, [name](const auto& field) {
+    return EqualHeaderNames(field.first, name);
+  });
+}
+
 size_t HttpExchange::UnsentBytes() const {
   const auto connection = m_connection.lock();
   return connection == nullptr ? 0 : connection->unsent();
--- a/source/request_machine.cc
+++ b/source/request_machine.cc
@@ -1,5 +1,7 @@
 #include "filbertrack/request_machine.h"
 
+#include <algorithm>
+
 namespace filbertrack {
 
 namespace {
@@ -16,10 +18,12 @@
 
   Actions operator()(const TargetChosen&) {
     ++m_state.sends;
-    ++m_state.attempts;
-    m_state.attempt_open = true;
-    m_state.attempt_relays = false;
-    m_state.attempt_token = m_state.next_token;
+    OpenAttempt(false);
+    return {};
+  }
+
+  Actions operator()(const RequestForwarded&) {
+    OpenAttempt(true);
     return {};
   }
 
@@ -40,7 +44,7 @@
     }
     const bool last = m_state.attempts >= m_policy.max_attempts &&
                       m_state.traits.relays_last_error;
-    if (!m_state.traits.pass_any_status && !last &&
+    if (!m_state.traits.pass_any_status && !last && !event.is_final &&
         event.status >= kFirstServerError) {
       return EndAttempt(true);
     }
@@ -102,6 +106,26 @@
     return EndAttempt(event.bytes_may_have_left);
   }
 
+  Actions operator()(const ForwardRefused& event) {
+    if (!m_state.attempt_open) {
+      return {};
+    }
+    // Opening the attempt counted one server.
+    m_state.attempts += std::max(0, event.attempts - 1);
+    m_state.attempt_is_forwarded = false;
+    const bool may_have_run = event.outcome != Outcome::kNotRun;
+    if (event.may_be_accepted_elsewhere) {
+      return EndAttempt(may_have_run);
+    }
+    Actions actions;
+    actions.emplace_back(CloseAttempt{true});
+    m_state.attempt_open = false;
+    if (may_have_run) {
+      m_state.known = Outcome::kUnknown;
+    }
+    return Append(std::move(actions), EndRequest(event.code));
+  }
+
   Actions operator()(const TargetLost&) {
     if (!m_state.attempt_open) {
       return {};
@@ -124,6 +148,14 @@
   }
 
  private:
+  void OpenAttempt(bool is_forwarded) {
+    ++m_state.attempts;
+    m_state.attempt_open = true;
+    m_state.attempt_is_forwarded = is_forwarded;
+    m_state.attempt_relays = false;
+    m_state.attempt_token = m_state.next_token;
+  }
+
   void Close(Actions& actions) {
     if (m_state.attempt_open) {
       actions.emplace_back(CloseAttempt{});
@@ -136,10 +168,14 @@
     Actions actions;
     actions.emplace_back(CloseAttempt{true});
     m_state.attempt_open = false;
-    if (may_have_run) {
-      m_state.known = Outcome::kUnknown;
-    } else {
+    if (!may_have_run) {
       --m_state.attempts;
+    } else {
+      m_state.known = Outcome::kUnknown;
+      if (m_state.attempt_is_forwarded) {
+        // How many servers the other host tried is not known.
+        m_state.attempts = m_policy.max_attempts;
+      }
     }
     if (m_now >= m_state.traits.deadline) {
       return Append(std::move(actions),
--- a/tests/gossip_test.cc
+++ b/tests/gossip_test.cc
@@ -22,6 +22,27 @@
   return state;
 }
 
+TEST_CASE("offers to take forwarded requests cost bytes only when asked for") {
+  GossipRequest request{MakeState(3, 6), false, false};
+  const size_t quiet = EncodeGossipRequest(request).size();
+  CHECK_FALSE(
+      DecodeGossipRequest(EncodeGossipRequest(request))->wants_forward_offer);
+  request.wants_forward_offer = true;
+  CHECK(EncodeGossipRequest(request).size() == quiet + 1);
+  CHECK(DecodeGossipRequest(EncodeGossipRequest(request))->wants_forward_offer);
+  GossipReply reply;
+  reply.state = MakeState(3, 6);
+  CHECK_FALSE(
+      DecodeGossipReply(EncodeGossipReply(reply))->forward_offer.has_value());
+  reply.forward_offer = ForwardOffer{7341, "token", true};
+  const auto decoded = DecodeGossipReply(EncodeGossipReply(reply));
+  REQUIRE(decoded);
+  REQUIRE(decoded->forward_offer);
+  CHECK(decoded->forward_offer->port == 7341);
+  CHECK(decoded->forward_offer->token == "token");
+  CHECK(decoded->forward_offer->accepts);
+}
+
 TEST_CASE("a reply holds only what the requester lacks") {
   ChangeLog log(10);
   log.Put({"a", 1, "one"});
--- a/tests/platform_site.h
+++ b/tests/platform_site.h
@@ -47,7 +47,7 @@
   /// Setting [placement] mode.
   std::string placement = "auto";
   /// As RunnerStandinOptions::published, for all backend servers.
-  std::function<Address(const Address&)> published;
+  std::function<Address(const Address&)> published{};
 };
 
 /// One entry host.
--- a/tests/request_test.cc
+++ b/tests/request_test.cc
@@ -77,6 +77,78 @@
   CHECK(FindAction<ForwardAnswer>(Feed(state, AttemptComplete{})) == nullptr);
 }
 
+TEST_CASE(
+    "a forwarded request that the other host did not run is sought a way "
+    "for again") {
+  RequestState state = MakeRequest(false, AnswerShape::kWhole);
+  StartRequest(state, kStart);
+  Feed(state, RequestForwarded{});
+  const auto actions =
+      Feed(state, ForwardRefused{ResultCode::kServersUnreachable,
+                                 Outcome::kNotRun, 0, true});
+  CHECK(FindAction<SeekTarget>(actions) != nullptr);
+  CHECK(state.known == Outcome::kNotRun);
+  CHECK(state.attempts == 0);
+  CHECK(state.sends == 0);
+}
+
+TEST_CASE(
+    "a forwarded request is not repeated if the way breaks, unless it is "
+    "idempotent and attempts are left") {
+  // Guards against a request that runs twice, and against more attempts than
+  // the route allows over both hosts: how many the other host made is unknown.
+  for (const bool idempotent : {false, true}) {
+    RequestState state = MakeRequest(idempotent, AnswerShape::kWhole);
+    StartRequest(state, kStart);
+    Feed(state, RequestForwarded{});
+    const auto actions = Feed(state, AttemptFailed{true});
+    const auto* refusal = FindAction<Refuse>(actions);
+    REQUIRE(refusal != nullptr);
+    CHECK(refusal->outcome == Outcome::kUnknown);
+    CHECK(FindAction<SeekTarget>(actions) == nullptr);
+  }
+}
+
+TEST_CASE("attempts of the host that a request was forwarded to count") {
+  RequestState state = MakeRequest(true, AnswerShape::kWhole);
+  StartRequest(state, kStart);
+  Feed(state, RequestForwarded{});
+  const auto actions = Feed(
+      state, ForwardRefused{ResultCode::kServersUnreachable, Outcome::kUnknown,
+                            kPolicy.max_attempts - 1, true});
+  CHECK(FindAction<SeekTarget>(actions) != nullptr);
+  CHECK(state.attempts == kPolicy.max_attempts - 1);
+  Feed(state, RequestForwarded{});
+  const auto last = Feed(state, ForwardRefused{ResultCode::kServersUnreachable,
+                                               Outcome::kUnknown, 1, true});
+  CHECK(FindAction<SeekTarget>(last) == nullptr);
+}
+
+TEST_CASE("a refusal that holds for all hosts is final") {
+  // Guards against asking every entry host when the servers are full.
+  RequestState state = MakeRequest(true, AnswerShape::kWhole);
+  StartRequest(state, kStart);
+  Feed(state, RequestForwarded{});
+  const auto actions = Feed(state, ForwardRefused{ResultCode::kOverloaded,
+                                                  Outcome::kNotRun, 0, false});
+  const auto* refusal = FindAction<Refuse>(actions);
+  REQUIRE(refusal != nullptr);
+  CHECK(refusal->code == ResultCode::kOverloaded);
+  CHECK(refusal->outcome == Outcome::kNotRun);
+}
+
+TEST_CASE("an error response to a forwarded request is passed on") {
+  // Guards against repeating a request that the other host repeated already.
+  RequestState state = MakeRequest(true, AnswerShape::kWhole);
+  StartRequest(state, kStart);
+  Feed(state, RequestForwarded{});
+  AttemptHead head;
+  head.status = 500;
+  head.is_final = true;
+  CHECK(Feed(state, head).empty());
+  CHECK(FindAction<ForwardAnswer>(Feed(state, AttemptComplete{})) != nullptr);
+}
+
 TEST_CASE("a stream that cannot be resumed is aborted, not finished") {
   // The caller must receive an error event and a connection that closes without
   // the closing event. The group fails after two tokens and no other group is
