entry: servers that only this host does not reach are left out or reached through others

The check of all servers does not see such a cut, since most servers accept connections.

Cause: as with whole cuts, and besides, each attempt that found no connection took a retry from the budget, although nothing had been sent: a request was refused after one or two servers.

A server to which a connection is refused or slow, or which is silent while requests wait there, is probed by itself. One that accepts no connection is left out of the choice and probed every 200 ms until it does; after three in a second all servers are probed once. A request whose targets are all unreachable is forwarded, or refused at once if no host that accepts it reaches them. An attempt that cannot have reached a server no longer takes a retry.

--- a/include/filbertrack/dispatch_selector.h
+++ b/include/filbertrack/dispatch_selector.h
@@ -72,6 +72,8 @@
   Duration time_left{0};
   /// Targets that this request was sent to already; null: none.
   const std::set<std::string, std::less<>>* excluded = nullptr;
+  /// Servers that accept no connections from this host; null: none.
+  const std::set<Address>* unreachable = nullptr;
   /// Targets of this data centre are preferred while one of them is predicted
   /// to meet the SLO; empty: no preference. Loads from the local data centre
   /// are about 100 ms old and others about 500 ms, in which time a target
@@ -256,6 +258,10 @@
   /// Forgets the failures of all targets, as their cause was this host's link.
   void ClearFailures();
 
+  /// Whether targets that the query allows are left, and all of them are among
+  /// the unreachable servers.
+  bool AreAllUnreachable(const DispatchQuery& query) const;
+
   /// This host's load at every target where it has requests.
   std::vector<std::pair<std::string, TargetLoad>> OwnLoads() const;
 
@@ -373,6 +379,8 @@
                        double prompt_tokens) const;
   /// The target is outside the regions allowed for the request.
   static bool IsOutsideRegions(const Entry& entry, const DispatchQuery& query);
+  /// This host cannot connect to the target.
+  static bool IsUnreachable(const Entry& entry, const DispatchQuery& query);
   /// The request was sent to the target already or may not be sent there.
   static bool IsExcluded(const Entry& entry, const DispatchQuery& query);
   /// The request was sent to the target already.
--- a/include/filbertrack/entry_host.h
+++ b/include/filbertrack/entry_host.h
@@ -169,6 +169,10 @@
   /// Whether this host reaches the backend servers.
   const ReachMonitor& reach() const { return m_reach.monitor(); }
 
+  const std::set<Address>& unreachable_servers() const {
+    return m_reach.unreachable_servers();
+  }
+
   /// Limits and back-offs that servers request in their responses.
   EntryBackpressure& backpressure() { return m_backpressure; }
 
@@ -241,6 +245,7 @@
   std::vector<Address> ServerAddresses() const;
   /// Whether enough servers accept connections from this host has changed.
   void OnReachChanged();
+  void OnServerUnreachable(const Address& server);
   /// This host may not reach the servers; a check has been started.
   void OnReachSuspected();
   /// Applies the limits of the configuration to forwarded requests.
--- a/include/filbertrack/entry_relay.h
+++ b/include/filbertrack/entry_relay.h
@@ -17,9 +17,9 @@
 #include "filbertrack/entry_placer.h"
 #include "filbertrack/entry_poison.h"
 #include "filbertrack/entry_ports.h"
+#include "filbertrack/entry_reach.h"
 #include "filbertrack/http_client.h"
 #include "filbertrack/http_server.h"
-#include "filbertrack/reach_monitor.h"
 #include "filbertrack/request_machine.h"
 #include "filbertrack/request_retry_budget.h"
 #include "filbertrack/site_catalog.h"
@@ -84,7 +84,7 @@
   EntryPoison& poison;
   EntryBackpressure& backpressure;
   EntryForward& forward;
-  const ReachMonitor& reach;
+  const EntryReach& reach;
   RelayTimes times;
   /// Number of entry hosts that share the connection limits of the backend
   /// servers.
@@ -129,6 +129,10 @@
   /// answered any more, so that the request is forwarded to another entry host.
   void OnServersUnreachable();
 
+  /// This host cannot connect to one server. Ends an attempt there that has no
+  /// answer.
+  void OnServerUnreachable(const Address& server);
+
   /// Refuses the request if it was blocked after it was sent and no part of its
   /// answer has arrived: it may still be queued on a server, and would crash
   /// that server as well. A trial copy is left to run.
@@ -206,6 +210,11 @@
   void OnForwardHead(int status, const HttpHeaders& headers);
   void OnForwardRefusal(std::string_view text);
   void EndForward(bool failed);
+  /// Whether the next attempt takes a retry from the budget. It does not if no
+  /// server can have received the request yet.
+  bool NeedsRetry(bool is_retry) const {
+    return is_retry && m_may_have_arrived;
+  }
   bool has_attempt() const { return m_choice || !m_forwarded_to.empty(); }
   /// Chooses the target of the next attempt by the loads that other entry hosts
   /// reported, and sends the request there.
--- a/include/filbertrack/forward_choice.h
+++ b/include/filbertrack/forward_choice.h
@@ -28,6 +28,7 @@
 };
 
 struct ForwardQuery {
+  std::string_view service;
   /// Hosts that this request was forwarded to already; null: none.
   const std::set<std::string, std::less<>>* excluded = nullptr;
   /// Regions that the route and the workspace allow; empty: any.
@@ -37,7 +38,7 @@
 
 struct ForwardPolicy {
   /// A host that refused a request, or could not be reached, gets no other one
-  /// for this long, unless it reports in the meantime that it accepts them.
+  /// for the same service for this long.
   Duration refusal_pause = Milliseconds(300);
   /// Reports older than this are not used: several gossip rounds.
   Duration report_ttl = Milliseconds(1500);
@@ -52,8 +53,10 @@
 
   /// A peer reported whether it accepts forwarded requests.
   void OnReport(ForwardPeer peer, bool accepts, TimePoint now);
-  /// A request was refused by the peer, or did not reach it.
-  void OnRefused(std::string_view name, TimePoint now);
+  /// A request for the service was refused by the peer, or did not reach it.
+  void OnRefused(std::string_view name,
+                 std::string_view service,
+                 TimePoint now);
   void OnSent(std::string_view name);
   void OnEnded(std::string_view name);
 
@@ -66,7 +69,8 @@
     ForwardPeer peer;
     bool accepts = false;
     TimePoint reported;
-    TimePoint paused_until;
+    /// Time until which it gets no requests for a service.
+    std::map<std::string, TimePoint, std::less<>> paused_until;
     size_t requests = 0;
   };
 
--- a/include/filbertrack/http_client.h
+++ b/include/filbertrack/http_client.h
@@ -112,6 +112,10 @@
   /// `min_age`, once for each connection.
   std::vector<Address> SlowConnects(TimePoint now, Duration min_age) const;
 
+  /// Addresses that have sent nothing for longer than `min_silence` while
+  /// requests that were sent to them wait.
+  std::vector<Address> SilentServers(TimePoint now, Duration min_silence) const;
+
   /// Number of connections opened since construction, including failed
   /// attempts.
   uint64_t connections_opened() const;
--- a/source/dispatch_selector.cc
+++ b/source/dispatch_selector.cc
@@ -150,7 +150,32 @@
 
 bool TargetSelector::IsExcluded(const Entry& entry,
                                 const DispatchQuery& query) {
-  return WasTried(entry, query) || IsOutsideRegions(entry, query);
+  return WasTried(entry, query) || IsOutsideRegions(entry, query) ||
+         IsUnreachable(entry, query);
+}
+
+bool TargetSelector::IsUnreachable(const Entry& entry,
+                                   const DispatchQuery& query) {
+  return query.unreachable != nullptr &&
+         query.unreachable->contains(entry.target.address);
+}
+
+bool TargetSelector::AreAllUnreachable(const DispatchQuery& query) const {
+  const auto group = m_groups.find(GroupKey(query.service, query.model));
+  if (query.unreachable == nullptr || group == m_groups.end()) {
+    return false;
+  }
+  bool any = false;
+  for (const Entry* entry : group->second.all) {
+    if (WasTried(*entry, query) || IsOutsideRegions(*entry, query)) {
+      continue;
+    }
+    if (!IsUnreachable(*entry, query)) {
+      return false;
+    }
+    any = true;
+  }
+  return any;
 }
 
 bool TargetSelector::IsHeldBack(const Entry& entry,
--- a/source/entry_host_forward.cc
+++ b/source/entry_host_forward.cc
@@ -78,7 +78,8 @@
 }
 
 bool EntryHost::NeedsForwardOffers() const {
-  return !reach().reachable() || MonotonicNow() - m_suspected_at < kOffersTtl;
+  return !reach().reachable() || !m_reach.unreachable_servers().empty() ||
+         MonotonicNow() - m_suspected_at < kOffersTtl;
 }
 
 void EntryHost::OnReachSuspected() {
@@ -102,6 +103,12 @@
   }
 }
 
+void EntryHost::OnServerUnreachable(const Address& server) {
+  for (EntryRelay* relay : OpenRelays()) {
+    relay->OnServerUnreachable(server);
+  }
+}
+
 void EntryHost::OnForwarded(const std::shared_ptr<HttpExchange>& exchange) {
   EntryRequest request;
   const TimePoint now = MonotonicNow();
--- a/source/entry_host_probe.cc
+++ b/source/entry_host_probe.cc
@@ -64,6 +64,9 @@
   });
   m_metrics.AddGauge("filbertrack_servers_reachable", "",
                      [this] { return reach().reachable(); });
+  m_metrics.AddGauge("filbertrack_servers_unreachable", "", [this] {
+    return static_cast<double>(m_reach.unreachable_servers().size());
+  });
   m_metrics.AddGauge("filbertrack_reach_probes", "",
                      [this] { return static_cast<double>(m_reach.probes()); });
   const auto add_forwarded = [this](std::string name, const uint64_t& count) {
--- a/source/entry_reach.cc
+++ b/source/entry_reach.cc
@@ -1,7 +1,6 @@
 #include "filbertrack/entry_reach.h"
 
 #include <algorithm>
-#include <utility>
 
 #include <nlohmann/json.hpp>
 
@@ -12,19 +11,23 @@
 namespace {
 
 constexpr Duration kTickInterval = Milliseconds(50);
+/// Ticks from one look for silent servers to the next.
+constexpr uint64_t kTicksPerSilenceCheck = 4;
+/// Silence of a server to requests that wait there, after which it is probed.
+constexpr Duration kServerSilence = Milliseconds(500);
 /// Weight of the latest tick in the average lateness of the loop.
 constexpr double kLatenessWeight = 0.2;
 
 }  // namespace
 
 EntryReach::EntryReach(EventLoop& loop,
-                       ReachPolicy policy,
                        HttpClient& client,
                        uint64_t seed,
                        Servers servers,
                        Events events)
     : m_loop(loop),
-      m_monitor(policy),
+      m_monitor(ReachPolicy{}),
+      m_server_reach(ServerReachPolicy{}),
       m_client(client),
       m_random(seed),
       m_servers(std::move(servers)),
@@ -44,7 +47,8 @@
 }
 
 void EntryReach::UpdateTimer() {
-  const bool is_active = m_requests > 0 || !m_monitor.reachable();
+  const bool is_active = m_requests > 0 || !m_monitor.reachable() ||
+                         !m_server_reach.unreachable().empty();
   if (!is_active) {
     m_tick_timer.reset();
   } else if (m_tick_timer == nullptr) {
@@ -53,8 +57,9 @@
   }
 }
 
-void EntryReach::OnConnected(const Address&) {
+void EntryReach::OnConnected(const Address& address) {
   m_monitor.OnConnected(MonotonicNow());
+  m_server_reach.OnConnected(address);
 }
 
 void EntryReach::OnBytes(const Address&) {
@@ -62,14 +67,21 @@
 }
 
 void EntryReach::OnConnectionFailed(const Address& address) {
-  m_monitor.OnFailure(address.ToString(), MonotonicNow());
-  if (m_monitor.IsCheckDue(MonotonicNow())) {
-    // Deferred, as the call that failed is still being handled.
-    m_loop.Post([this, alive = m_alive] {
-      if (*alive) {
-        CheckIfDue();
-      }
-    });
+  // Deferred, as the call that failed is still being handled.
+  m_loop.Post([this, address, alive = m_alive] {
+    if (*alive) {
+      Suspect(address);
+      CheckIfDue();
+    }
+  });
+}
+
+void EntryReach::Suspect(const Address& server) {
+  const TimePoint now = MonotonicNow();
+  m_monitor.OnFailure(server.ToString(), now);
+  if (m_monitor.reachable() && !IsProbed(server) &&
+      !m_server_reach.unreachable().contains(server)) {
+    StartProbe(server, false);
   }
 }
 
@@ -81,9 +93,18 @@
   m_lateness += Scale(late - m_lateness, kLatenessWeight);
   for (const Address& address :
        m_client.SlowConnects(now, m_monitor.policy().slow_connect)) {
-    m_monitor.OnFailure(address.ToString(), now);
+    Suspect(address);
+  }
+  if (++m_ticks % kTicksPerSilenceCheck == 0 && m_monitor.reachable()) {
+    for (const Address& server : m_client.SilentServers(now, kServerSilence)) {
+      if (m_server_reach.MayProbeSilent(server, now) && !IsProbed(server)) {
+        StartProbe(server, false);
+      }
+    }
   }
   CheckIfDue();
+  ProbeUnreachable();
+  UpdateTimer();
 }
 
 std::vector<Address> EntryReach::Sample(size_t count) {
@@ -108,57 +129,119 @@
   m_monitor.BeginCheck(now);
   m_check_began = now;
   m_check = {};
+  m_outcomes.clear();
   const std::vector<Address> servers = Sample(m_monitor.policy().probes);
-  m_pending = servers.size();
   m_check.probed = servers.size();
+  m_pending_samples = servers.size();
   if (servers.empty()) {
     EndCheck();
     return;
   }
-  m_check_timer =
-      m_loop.After(m_monitor.policy().probe_timeout, [this] { EndCheck(); });
   for (const Address& server : servers) {
-    StartProbe(server);
+    StartProbe(server, true);
   }
   if (m_events.suspected) {
     m_events.suspected();
   }
 }
 
-void EntryReach::StartProbe(const Address& server) {
-  ++m_probes_sent;
-  auto probe = m_client.Connect(server);
-  probe->Start({[this, weak = std::weak_ptr(probe)] {
-                  // A connection takes up one of those that the server accepts.
-                  weak.lock()->Close();
-                  OnProbed(true);
-                },
-                [](std::string_view) {},
-                [this](StreamEnd) { OnProbed(false); },
-                {}});
-  m_probes.push_back(std::move(probe));
+void EntryReach::ProbeUnreachable() {
+  const TimePoint now = MonotonicNow();
+  if (m_server_reach.unreachable().empty()) {
+    return;
+  }
+  const std::vector<Address> servers = m_servers();
+  m_server_reach.Retain({servers.begin(), servers.end()});
+  for (const Address& server : m_server_reach.TakeDueProbes(now)) {
+    StartProbe(server, false);
+  }
+  if (m_server_reach.TakeSweep(now)) {
+    const size_t count =
+        std::min(servers.size(), m_server_reach.policy().max_swept);
+    for (const Address& server : Sample(count)) {
+      if (!IsProbed(server)) {
+        StartProbe(server, false);
+      }
+    }
+  }
+}
+
+bool EntryReach::IsProbed(const Address& server) const {
+  return std::any_of(
+      m_probes.begin(), m_probes.end(),
+      [&server](const auto& row) { return row.second.server == server; });
 }
 
-void EntryReach::OnProbed(bool accepted) {
-  if (m_pending == 0) {
+void EntryReach::StartProbe(const Address& server, bool is_sample) {
+  const uint64_t id = ++m_probes_sent;
+  auto stream = m_client.Connect(server);
+  stream->Start({[this, id] { EndProbe(id, true, true); },
+                 [](std::string_view) {},
+                 [this, id](StreamEnd) { EndProbe(id, false, true); },
+                 {}});
+  const Duration timeout = m_monitor.policy().probe_timeout;
+  m_probes[id] = {std::move(stream), server, is_sample, MonotonicNow()};
+  m_loop.Call(timeout, [this, id, alive = m_alive] {
+    if (*alive) {
+      ExpireProbe(id);
+    }
+  });
+}
+
+void EntryReach::ExpireProbe(uint64_t id) {
+  const auto found = m_probes.find(id);
+  if (found != m_probes.end()) {
+    const Duration age = MonotonicNow() - found->second.started;
+    const ReachPolicy& policy = m_monitor.policy();
+    EndProbe(id, false, age <= policy.probe_timeout + policy.max_lateness);
+  }
+}
+
+void EntryReach::EndProbe(uint64_t id, bool accepted, bool decides) {
+  const auto found = m_probes.find(id);
+  if (found == m_probes.end()) {
+    return;
+  }
+  const Probe probe = std::move(found->second);
+  m_probes.erase(found);
+  // An open connection takes up one of those that the server accepts.
+  probe.stream->Close();
+  if (decides && m_monitor.is_checking()) {
+    m_outcomes.emplace_back(probe.server, accepted);
+  } else if (decides && m_monitor.reachable()) {
+    RecordServer(probe.server, accepted);
+  }
+  if (!probe.is_sample) {
     return;
   }
-  --m_pending;
   m_check.failed += accepted ? 0 : 1;
-  if (m_pending == 0) {
-    // Deferred, as the stream that reported is destroyed with the check.
-    m_check_timer = m_loop.After(Duration(0), [this] { EndCheck(); });
+  --m_pending_samples;
+  if (m_pending_samples == 0) {
+    EndCheck();
+  }
+}
+
+void EntryReach::RecordServer(const Address& server, bool accepted) {
+  if (!m_server_reach.OnProbed(server, accepted, MonotonicNow())) {
+    return;
+  }
+  Log(LogLevel::kInfo, accepted ? "server-reachable" : "server-unreachable",
+      {{"server", server.ToString()},
+       {"unreachable", m_server_reach.unreachable().size()}});
+  if (accepted) {
+    return;
+  }
+  if (m_events.suspected) {
+    m_events.suspected();
+  }
+  if (m_events.server_lost) {
+    m_events.server_lost(server);
   }
 }
 
 void EntryReach::EndCheck() {
   const TimePoint now = MonotonicNow();
-  m_check.failed += std::exchange(m_pending, 0);
   m_check.took = now - m_check_began;
-  for (const auto& probe : m_probes) {
-    probe->Close();
-  }
-  m_probes.clear();
   const bool changed = m_monitor.EndCheck(m_check, now);
   if (changed) {
     Log(LogLevel::kWarning,
@@ -168,8 +251,14 @@
          {"took_ms", ToMilliseconds(m_check.took)},
          {"requests", m_requests}});
   }
-  UpdateTimer();
-  m_check_timer.reset();
+  const auto outcomes = std::exchange(m_outcomes, {});
+  if (!m_monitor.reachable()) {
+    m_server_reach.Clear();
+  } else {
+    for (const auto& [server, accepted] : outcomes) {
+      RecordServer(server, accepted);
+    }
+  }
   if (changed && m_events.changed) {
     m_events.changed();
   }
--- a/source/entry_relay.cc
+++ b/source/entry_relay.cc
@@ -177,7 +177,7 @@
 }
 
 void EntryRelay::SeekLocally(bool is_retry, TimePoint now) {
-  if (is_retry && !m_context.retries.TrySpend(now)) {
+  if (NeedsRetry(is_retry) && !m_context.retries.TrySpend(now)) {
     Feed(NoTarget{ResultCode::kAttemptRefused});
     return;
   }
@@ -214,6 +214,9 @@
           : m_request.arrived + m_request.route->target_latency - now;
   query.excluded = &m_tried_targets;
   query.local_data_centre = m_context.local_data_centre;
+  if (!m_context.reach.unreachable_servers().empty()) {
+    query.unreachable = &m_context.reach.unreachable_servers();
+  }
   query.backpressure = m_context.backpressure.Active();
   query.route_regions = m_request.route->regions;
   query.workspace_regions = m_request.workspace_regions;
@@ -327,7 +330,7 @@
   DispatchResult result = DispatchResult::kAnswered;
   if (m_not_run) {
     result = DispatchResult::kRefused;
-  } else if (failed && m_context.reach.reachable()) {
+  } else if (failed && m_context.reach.monitor().reachable()) {
     result = DispatchResult::kFailed;
   } else if (failed) {
     // The server is not the cause.
--- a/source/entry_relay_answer.cc
+++ b/source/entry_relay_answer.cc
@@ -146,7 +146,8 @@
   m_end_reason = may_have_left ? "connection broke" : "no connection";
   m_is_sent = may_have_left;
   if (!m_forwarded_to.empty()) {
-    m_context.forward.choice().OnRefused(m_forwarded_to, MonotonicNow());
+    m_context.forward.choice().OnRefused(m_forwarded_to, m_request.service,
+                                         MonotonicNow());
   }
   if (may_have_left && m_choice) {
     m_context.poison.OnBroken(m_choice->target, CurrentAttempt());
--- a/source/entry_relay_forward.cc
+++ b/source/entry_relay_forward.cc
@@ -19,27 +19,31 @@
 
 const ForwardPeer* EntryRelay::ChooseForwardPeer(TimePoint now) const {
   return m_context.forward.choice().Choose(
-      {&m_tried_hosts, m_request.route->regions, m_request.workspace_regions},
+      {m_request.service, &m_tried_hosts, m_request.route->regions,
+       m_request.workspace_regions},
       now);
 }
 
 bool EntryRelay::ForwardOrRefuse(bool is_retry, TimePoint now) {
-  if (m_context.reach.reachable()) {
+  const ReachMonitor& monitor = m_context.reach.monitor();
+  const bool some_reachable =
+      monitor.reachable()
+          ? !m_context.selector.AreAllUnreachable(MakeQuery(now))
+          : !monitor.all_failed();
+  if (monitor.reachable() && some_reachable) {
     return false;
   }
   const ForwardPeer* peer =
       m_request.forwarded ? nullptr : ChooseForwardPeer(now);
   if (peer == nullptr) {
-    if (!m_context.reach.all_failed() && !m_request.forwarded) {
-      // Some servers accept connections, so the attempt may succeed.
+    if (some_reachable && !m_request.forwarded) {
       return false;
     }
     m_retry_after = kUnreachableRetryAfter;
     Feed(NoTarget{ResultCode::kServersUnreachable});
     return true;
   }
-  // A request that reached no server yet is not sent again.
-  if (is_retry && m_may_have_arrived && !m_context.retries.TrySpend(now)) {
+  if (NeedsRetry(is_retry) && !m_context.retries.TrySpend(now)) {
     Feed(NoTarget{ResultCode::kAttemptRefused});
     return true;
   }
@@ -130,7 +134,8 @@
   }
   const bool elsewhere = MayBeAcceptedElsewhere(refusal->code);
   if (elsewhere) {
-    m_context.forward.choice().OnRefused(m_forwarded_to, now);
+    m_context.forward.choice().OnRefused(m_forwarded_to, m_request.service,
+                                         now);
   }
   m_end_reason = ResultCodeInfo(refusal->code).name;
   m_retry_after = refusal->retry_after.value_or(Duration(0));
@@ -153,6 +158,23 @@
   m_forwarded_to.clear();
 }
 
+void EntryRelay::OnServerUnreachable(const Address& server) {
+  if (m_finished || !m_choice || !(m_choice->target.address == server)) {
+    return;
+  }
+  m_end_reason = "server unreachable";
+  if (!m_is_sent) {
+    Feed(AttemptFailed{false});
+    return;
+  }
+  // With bytes of the answer here, the open connection works.
+  if (m_state.traits.idempotent && m_attempt_status == 0 &&
+      HasAttemptsLeft(m_state, m_policy) &&
+      m_context.retries.CanSpend(MonotonicNow())) {
+    Feed(filbertrack::TargetLost{});
+  }
+}
+
 void EntryRelay::OnServersUnreachable() {
   if (m_finished || !m_choice) {
     return;
@@ -173,7 +195,8 @@
                                  m_context.retries.CanSpend(now);
   // Otherwise the attempt is left to run, as the connection may work again
   // before the caller gives up.
-  if (may_repeat && has_way && !m_context.reach.open_connections_work()) {
+  if (may_repeat && has_way &&
+      !m_context.reach.monitor().open_connections_work()) {
     Feed(filbertrack::TargetLost{});
   }
 }
--- a/source/entry_relay_placement.cc
+++ b/source/entry_relay_placement.cc
@@ -17,7 +17,7 @@
   }
   m_placement->by.clear();
   m_placement->position = 0;
-  if (is_retry && !m_context.retries.CanSpend(now)) {
+  if (NeedsRetry(is_retry) && !m_context.retries.CanSpend(now)) {
     // SeekLocally() refuses the request.
     return false;
   }
@@ -121,7 +121,7 @@
     Feed(NoTarget{ResultCode::kRequestEndsServers});
     return;
   }
-  if (is_retry && !m_context.retries.TrySpend(now)) {
+  if (NeedsRetry(is_retry) && !m_context.retries.TrySpend(now)) {
     m_context.placer->Withdraw(grant.id);
     Feed(NoTarget{ResultCode::kAttemptRefused});
     return;
--- a/source/forward_choice.cc
+++ b/source/forward_choice.cc
@@ -23,13 +23,15 @@
   entry.peer = std::move(peer);
   entry.accepts = accepts;
   entry.reported = now;
-  entry.paused_until = {};
 }
 
-void ForwardChoice::OnRefused(std::string_view name, TimePoint now) {
+void ForwardChoice::OnRefused(std::string_view name,
+                              std::string_view service,
+                              TimePoint now) {
   const auto found = m_peers.find(name);
   if (found != m_peers.end()) {
-    found->second.paused_until = now + m_policy.refusal_pause;
+    found->second.paused_until.insert_or_assign(std::string(service),
+                                                now + m_policy.refusal_pause);
   }
 }
 
@@ -54,7 +56,10 @@
   for (const auto& [name, entry] : m_peers) {
     const bool tried =
         query.excluded != nullptr && query.excluded->contains(name);
-    if (tried || !entry.accepts || now < entry.paused_until ||
+    const auto paused = entry.paused_until.find(query.service);
+    const bool is_paused =
+        paused != entry.paused_until.end() && now < paused->second;
+    if (tried || !entry.accepts || is_paused ||
         now - entry.reported > m_policy.report_ttl ||
         !IsAllowed(query.route_regions, entry.peer.region) ||
         !IsAllowed(query.workspace_regions, entry.peer.region)) {
--- a/source/http_client.cc
+++ b/source/http_client.cc
@@ -3,6 +3,7 @@
 #include <charconv>
 #include <deque>
 #include <optional>
+#include <set>
 
 #include "filbertrack/http_message.h"
 #include "filbertrack/net_stream.h"
@@ -79,6 +80,8 @@
   HttpClientObserver* observer = nullptr;
   /// Start of each connection that is not established yet, by its call.
   std::map<const HttpCall::State*, std::pair<Address, TimePoint>> connecting;
+  /// Calls whose request was sent and whose response is not complete.
+  std::set<const HttpCall::State*> waiting;
 
   /// Closes an idle connection that received bytes or was closed by the server.
   /// An unsolicited response would otherwise be taken for that of the next
@@ -141,6 +144,8 @@
   Duration idle_timeout{0};
   std::shared_ptr<ServerConnection> connection;
   std::unique_ptr<Timer> timer;
+  TimePoint sent_at;
+  /// The same as `sent_at` until bytes of the response arrive.
   TimePoint last_byte;
   uint64_t sent_at_start = 0;
   size_t max_kept = 0;
@@ -210,8 +215,10 @@
 
   void SendRequest() {
     pool->connecting.erase(this);
+    pool->waiting.insert(this);
     timer.reset();
-    last_byte = MonotonicNow();
+    sent_at = MonotonicNow();
+    last_byte = sent_at;
     connection->stream->Write(unsent_request);
     unsent_request.clear();
     if (idle_timeout > Duration(0)) {
@@ -239,6 +246,7 @@
   /// response could otherwise reach the next call.
   void Drop() {
     pool->connecting.erase(this);
+    pool->waiting.erase(this);
     timer.reset();
     if (connection != nullptr) {
       connection->call = nullptr;
@@ -269,6 +277,7 @@
     const std::shared_ptr<State> keep = shared_from_this();
     const TimePoint now = MonotonicNow();
     const auto used = connection;
+    pool->waiting.erase(this);
     timer.reset();
     const bool reusable = head.keep_alive && !trailing_bytes &&
                           used->stream->is_open() &&
@@ -430,7 +439,7 @@
 
 HttpClient::HttpClient(EventLoop& loop, size_t max_idle, std::string source)
     : m_pool(std::make_shared<Pool>(
-          Pool{loop, max_idle, std::move(source), {}, 0, nullptr, {}})) {}
+          Pool{loop, max_idle, std::move(source), {}, 0, nullptr, {}, {}})) {}
 
 HttpClient::~HttpClient() = default;
 
@@ -464,6 +473,29 @@
   return slow;
 }
 
+std::vector<Address> HttpClient::SilentServers(TimePoint now,
+                                               Duration min_silence) const {
+  struct Waiting {
+    TimePoint oldest_sent = TimePoint::max();
+    TimePoint last_byte = TimePoint::min();
+  };
+  std::map<Address, Waiting> servers;
+  for (const HttpCall::State* call : m_pool->waiting) {
+    Waiting& server = servers[call->address];
+    server.oldest_sent = std::min(server.oldest_sent, call->sent_at);
+    if (call->last_byte > call->sent_at) {
+      server.last_byte = std::max(server.last_byte, call->last_byte);
+    }
+  }
+  std::vector<Address> silent;
+  for (const auto& [address, server] : servers) {
+    if (now - std::max(server.oldest_sent, server.last_byte) > min_silence) {
+      silent.push_back(address);
+    }
+  }
+  return silent;
+}
+
 uint64_t HttpClient::connections_opened() const {
   return m_pool->opened;
 }
--- a/tests/dispatch_test.cc
+++ b/tests/dispatch_test.cc
@@ -33,6 +33,29 @@
   CHECK(fixture.Place(MakeQuery()) == "t0");
 }
 
+TEST_CASE("a target that this host cannot connect to is left out") {
+  std::vector<DispatchTarget> targets = MakeTargets(2, "m");
+  targets[0].address.port = 7;
+  TargetSelector selector(DispatchPolicy{}, 1);
+  selector.SetTargets(targets, MakeCatalog(), kStart);
+  std::set<Address> unreachable = {targets[0].address};
+  DispatchQuery query = MakeQuery();
+  query.unreachable = &unreachable;
+  for (int i = 0; i < 10; ++i) {
+    const auto decision = selector.Choose(query, kStart);
+    REQUIRE(std::holds_alternative<DispatchChoice>(decision));
+    CHECK(std::get<DispatchChoice>(decision).target.id == "t1");
+  }
+  CHECK_FALSE(selector.AreAllUnreachable(query));
+  unreachable.insert(targets[1].address);
+  CHECK(selector.AreAllUnreachable(query));
+  // Targets that were tried are not counted, and without any left the request
+  // is refused for another reason.
+  const std::set<std::string, std::less<>> tried = {"t0", "t1"};
+  query.excluded = &tried;
+  CHECK_FALSE(selector.AreAllUnreachable(query));
+}
+
 TEST_CASE("an answered request no longer counts as load") {
   // Otherwise the load of a target grows with every answer until its requests
   // are refused although it is idle.
--- a/tests/platform_cut_off_test.cc
+++ b/tests/platform_cut_off_test.cc
@@ -63,6 +63,13 @@
       proxy->Cut(Source(index), cut);
     }
   }
+  /// Cuts the host off from the first `count` of the two plain servers only.
+  void CutPlain(size_t index, size_t count) {
+    // Their proxies were made last.
+    for (size_t i = 0; i < count; ++i) {
+      proxies[proxies.size() - 2 + i]->Cut(Source(index), {});
+    }
+  }
   void Heal(size_t index) {
     for (const auto& proxy : proxies) {
       proxy->Heal(Source(index));
@@ -190,5 +197,68 @@
   cut.CheckRuns();
 }
 
+TEST_CASE("cut off: a host that reaches no server of one service is served") {
+  // Guards against a service that fails at one entry host because most servers,
+  // those of other services, are reachable.
+  CutSite cut(3);
+  REQUIRE(cut.CountServed(0, 30) == 30);
+  cut.CutPlain(0, 2);
+  REQUIRE(cut.SendUntil(
+      0, [&] { return cut.host(0).unreachable_servers().size() == 2; }));
+  CHECK(cut.host(0).reach().reachable());
+  CHECK(cut.CountServed(0, 60) >= 57);
+  cut.CheckRuns();
+}
+
+TEST_CASE("cut off: a server that only this host does not reach is left out") {
+  CutSite cut(3);
+  REQUIRE(cut.CountServed(0, 30) == 30);
+  cut.CutPlain(0, 1);
+  REQUIRE(cut.SendUntil(
+      0, [&] { return cut.host(0).unreachable_servers().size() == 1; }));
+  CHECK(cut.CountServed(0, 60) >= 57);
+  cut.CheckRuns();
+}
+
+TEST_CASE("cut off: direct work begins again after each of several cuts") {
+  CutSite cut(3);
+  REQUIRE(cut.CountServed(0, 30) == 30);
+  for (int i = 0; i < 3; ++i) {
+    cut.Cut(0);
+    REQUIRE(cut.SendUntil(0, [&] { return !cut.host(0).reach().reachable(); }));
+    CHECK(cut.CountServed(0, 20) >= 19);
+    cut.Heal(0);
+    REQUIRE(RunUntil(cut.site.loop,
+                     [&] { return cut.host(0).reach().reachable(); }));
+    CHECK(cut.CountServed(0, 20) >= 19);
+  }
+  cut.CheckRuns();
+}
+
+TEST_CASE(
+    "cut off: requests are refused as not run while all hosts are cut "
+    "off") {
+  // Guards against requests that wait for connections nobody can open, and
+  // against hosts that forward to each other.
+  CutSite cut(2);
+  REQUIRE(cut.CountServed(0, 30) == 30);
+  for (size_t i = 0; i < 2; ++i) {
+    cut.Cut(i);
+  }
+  for (size_t i = 0; i < 2; ++i) {
+    REQUIRE(cut.SendUntil(i, [&] { return !cut.host(i).reach().reachable(); }));
+  }
+  // Reports of the other host are older than its check.
+  REQUIRE(RunUntil(cut.site.loop, [&, until = MonotonicNow() + Seconds(1)] {
+    return MonotonicNow() >= until;
+  }));
+  CHECK(cut.CountServed(0, 30) == 0);
+  for (size_t i = cut.responses.size() - 30; i < cut.responses.size(); ++i) {
+    CHECK(cut.responses[i].status == 503);
+    CHECK_FALSE(FindHeader(cut.responses[i].headers, "Retry-After").empty());
+  }
+  cut.CheckRuns();
+}
+
 }  // namespace
 }  // namespace filbertrack
--- a/tests/reach_test.cc
+++ b/tests/reach_test.cc
@@ -2,6 +2,7 @@
 #include <doctest/doctest.h>
 
 #include "filbertrack/reach_monitor.h"
+#include "filbertrack/reach_servers.h"
 
 namespace filbertrack {
 namespace {
@@ -121,5 +122,50 @@
   CHECK(host.monitor.open_connections_work());
 }
 
+const Address kServer{"127.0.0.1", 1};
+
+TEST_CASE("a server that accepts no connection is probed until it does") {
+  ServerReach reach{ServerReachPolicy{}};
+  CHECK(reach.OnProbed(kServer, false, kStart));
+  CHECK_FALSE(reach.OnProbed(kServer, false, kStart));
+  CHECK(reach.unreachable().contains(kServer));
+  CHECK(reach.TakeDueProbes(kStart + Milliseconds(100)).empty());
+  CHECK(reach.TakeDueProbes(kStart + Milliseconds(200)).size() == 1);
+  CHECK(reach.TakeDueProbes(kStart + Milliseconds(210)).empty());
+  CHECK(reach.OnProbed(kServer, true, kStart + Milliseconds(220)));
+  CHECK(reach.unreachable().empty());
+}
+
+TEST_CASE(
+    "a server whose requests wait in its queue is not probed again and "
+    "again") {
+  // Guards against probes as a cost of long queues.
+  ServerReach reach{ServerReachPolicy{}};
+  CHECK(reach.MayProbeSilent(kServer, kStart));
+  reach.OnProbed(kServer, true, kStart);
+  CHECK_FALSE(reach.MayProbeSilent(kServer, kStart + Milliseconds(500)));
+  CHECK(reach.MayProbeSilent(kServer, kStart + Seconds(1)));
+}
+
+TEST_CASE("all servers are probed once several are unreachable") {
+  // Load: a third of the servers is cut off; without the sweep each of them is
+  // found by a request that fails there.
+  ServerReach reach{ServerReachPolicy{}};
+  for (uint16_t i = 1; i <= 2; ++i) {
+    reach.OnProbed({"127.0.0.1", i}, false, kStart);
+  }
+  CHECK_FALSE(reach.TakeSweep(kStart));
+  reach.OnProbed({"127.0.0.1", 3}, false, kStart + Milliseconds(100));
+  CHECK(reach.TakeSweep(kStart + Milliseconds(100)));
+  CHECK_FALSE(reach.TakeSweep(kStart + Milliseconds(150)));
+}
+
+TEST_CASE("servers that are no longer registered are forgotten") {
+  ServerReach reach{ServerReachPolicy{}};
+  reach.OnProbed(kServer, false, kStart);
+  reach.Retain({});
+  CHECK(reach.unreachable().empty());
+}
+
 }  // namespace
 }  // namespace filbertrack
