entry: finds servers cut off in part sooner, and forwards what they would be too busy for

A server that falls silent within a response is probed after 250 ms, and silence is looked for every 100 ms. While servers are unreachable, a request that the others would answer too late is forwarded to a host that accepts it.

--- a/include/filbertrack/entry_relay.h
+++ b/include/filbertrack/entry_relay.h
@@ -201,6 +201,9 @@
   /// Forwards the request to another entry host, or refuses it, if this host
   /// reaches no server. False: a target is to be chosen here.
   bool ForwardOrRefuse(bool is_retry, TimePoint now);
+  /// Forwards the request if the targets that this host reaches are too busy,
+  /// and others that it does not reach may not be.
+  bool ForwardIfBusy(const DispatchDecision& decision, TimePoint now);
   const ForwardPeer* ChooseForwardPeer(TimePoint now) const;
   void Forward(const ForwardPeer& peer, TimePoint now);
   HttpCallRequest MakeForwardedCall(const ForwardPeer& peer,
--- a/include/filbertrack/http_client.h
+++ b/include/filbertrack/http_client.h
@@ -112,9 +112,12 @@
   /// `min_age`, once for each connection.
   std::vector<Address> SlowConnects(TimePoint now, Duration min_age) const;
 
-  /// Addresses that have sent nothing for longer than `min_silence` while
-  /// requests that were sent to them wait.
-  std::vector<Address> SilentServers(TimePoint now, Duration min_silence) const;
+  /// Addresses that have sent nothing for longer than `max_wait` while requests
+  /// that were sent to them wait, or than `max_pause` if one of the responses
+  /// has begun.
+  std::vector<Address> SilentServers(TimePoint now,
+                                     Duration max_wait,
+                                     Duration max_pause) const;
 
   /// Number of connections opened since construction, including failed
   /// attempts.
--- a/source/entry_host_forward.cc
+++ b/source/entry_host_forward.cc
@@ -29,7 +29,7 @@
         OnForwarded(exchange);
       });
   UpdateForwardLimits();
-  const Result<Address> bound = m_forward_server->Listen(address);
+  Result<Address> bound = m_forward_server->Listen(address);
   if (!bound) {
     m_forward_server.reset();
     return bound;
--- a/source/entry_reach.cc
+++ b/source/entry_reach.cc
@@ -12,9 +12,11 @@
 
 constexpr Duration kTickInterval = Milliseconds(50);
 /// Ticks from one look for silent servers to the next.
-constexpr uint64_t kTicksPerSilenceCheck = 4;
-/// Silence of a server to requests that wait there, after which it is probed.
-constexpr Duration kServerSilence = Milliseconds(500);
+constexpr uint64_t kTicksPerSilenceCheck = 2;
+/// Silence of a server after which it is probed: to requests that wait there,
+/// and within a response.
+constexpr Duration kMaxWait = Milliseconds(500);
+constexpr Duration kMaxPause = Milliseconds(250);
 /// Weight of the latest tick in the average lateness of the loop.
 constexpr double kLatenessWeight = 0.2;
 
@@ -96,7 +98,8 @@
     Suspect(address);
   }
   if (++m_ticks % kTicksPerSilenceCheck == 0 && m_monitor.reachable()) {
-    for (const Address& server : m_client.SilentServers(now, kServerSilence)) {
+    for (const Address& server :
+         m_client.SilentServers(now, kMaxWait, kMaxPause)) {
       if (m_server_reach.MayProbeSilent(server, now) && !IsProbed(server)) {
         StartProbe(server, false);
       }
--- a/source/entry_relay.cc
+++ b/source/entry_relay.cc
@@ -185,6 +185,9 @@
                                         ? DispatchDecision(*m_failover_choice)
                                         : ChooseTarget(now);
   m_failover_choice.reset();
+  if (ForwardIfBusy(decision, now)) {
+    return;
+  }
   if (const auto* choice = std::get_if<DispatchChoice>(&decision)) {
     Send(*choice);
     return;
@@ -327,15 +330,16 @@
                      m_attempt_status, now - m_sent_at, now - m_last_byte,
                      m_backoff, m_digest});
   }
+  // While no server is reachable, a failure is not one of the target.
+  const bool is_target_failure =
+      failed && m_context.reach.monitor().reachable();
+  const bool is_abandoned = failed || (m_state.ended && !m_attempt_first_event);
   DispatchResult result = DispatchResult::kAnswered;
   if (m_not_run) {
     result = DispatchResult::kRefused;
-  } else if (failed && m_context.reach.monitor().reachable()) {
+  } else if (is_target_failure) {
     result = DispatchResult::kFailed;
-  } else if (failed) {
-    // The server is not the cause.
-    result = DispatchResult::kAbandoned;
-  } else if (m_state.ended && !m_attempt_first_event) {
+  } else if (is_abandoned) {
     result = DispatchResult::kAbandoned;
   }
   m_context.selector.OnEnded(m_choice->target.id, m_request.facts.prompt_tokens,
--- a/source/entry_relay_forward.cc
+++ b/source/entry_relay_forward.cc
@@ -51,6 +51,23 @@
   return true;
 }
 
+bool EntryRelay::ForwardIfBusy(const DispatchDecision& decision,
+                               TimePoint now) {
+  if (m_request.forwarded || m_context.reach.unreachable_servers().empty()) {
+    return false;
+  }
+  const auto* choice = std::get_if<DispatchChoice>(&decision);
+  const auto* refusal = std::get_if<DispatchRefusal>(&decision);
+  const bool is_busy = choice != nullptr
+                           ? choice->predicted > MakeQuery(now).time_to_slo
+                           : refusal->reason == DispatchDenial::kAllBusy;
+  const ForwardPeer* peer = is_busy ? ChooseForwardPeer(now) : nullptr;
+  if (peer != nullptr) {
+    Forward(*peer, now);
+  }
+  return peer != nullptr;
+}
+
 void EntryRelay::Forward(const ForwardPeer& peer, TimePoint now) {
   m_forwarded_to = peer.name;
   m_last_forwarded_to = peer.name;
--- a/source/http_client.cc
+++ b/source/http_client.cc
@@ -474,7 +474,8 @@
 }
 
 std::vector<Address> HttpClient::SilentServers(TimePoint now,
-                                               Duration min_silence) const {
+                                               Duration max_wait,
+                                               Duration max_pause) const {
   struct Waiting {
     TimePoint oldest_sent = TimePoint::max();
     TimePoint last_byte = TimePoint::min();
@@ -489,7 +490,9 @@
   }
   std::vector<Address> silent;
   for (const auto& [address, server] : servers) {
-    if (now - std::max(server.oldest_sent, server.last_byte) > min_silence) {
+    const bool has_begun = server.last_byte != TimePoint::min();
+    if (now - std::max(server.oldest_sent, server.last_byte) >
+        (has_begun ? max_pause : max_wait)) {
       silent.push_back(address);
     }
   }
