control: a holder of the lease that reaches no server leaves it to others

While the host that holds the lease on the groups is cut off from all servers it can neither probe hosts nor give orders, and kept the lease as long as it reached the store: no group was repaired until the cut ended. It releases the lease after a second and does not compete for it until servers are reachable. A new case of platform_cut_off cuts the holder off.

--- a/include/filbertrack/entry_control.h
+++ b/include/filbertrack/entry_control.h
@@ -34,6 +34,8 @@
   /// this long. Twice FleetGossipPolicy::host_ttl, the time for which a host
   /// that stopped responding still counts as live.
   Duration yield_after = Seconds(3);
+  /// Time for which a host that reaches no backend server keeps the lease.
+  Duration cut_off_yield_after = Seconds(1);
 };
 
 class EntryControl {
@@ -58,6 +60,10 @@
   void Tick();
   /// Releases the lease if stronger hosts have been live for `yield_after`.
   void YieldToStronger(TimePoint now);
+  /// Whether this host reaches no server for long enough to leave the lease to
+  /// others: it can neither probe hosts nor send orders.
+  bool IsCutOff(TimePoint now) const;
+  void ReleaseIfCutOff(TimePoint now);
   void OnLeaseGained();
   void OnLeaseLost();
   /// Runs a pass after `coalesce_delay` unless one is scheduled already.
--- a/source/entry_control.cc
+++ b/source/entry_control.cc
@@ -106,8 +106,10 @@
   }
   // Only the hosts that watch the store compete for the lease. If every host
   // read the lease record, store calls would grow with the fleet.
-  m_lease.Tick(m_peers.watches());
-  YieldToStronger(MonotonicNow());
+  const TimePoint now = MonotonicNow();
+  m_lease.Tick(m_peers.watches() && !IsCutOff(now));
+  YieldToStronger(now);
+  ReleaseIfCutOff(now);
   const bool holds = holds_lease();
   if (holds) {
     if (m_host.catalog() != nullptr) {
@@ -134,6 +136,22 @@
   }
 }
 
+bool EntryControl::IsCutOff(TimePoint now) const {
+  const ReachMonitor& reach = m_host.reach();
+  return !reach.reachable() &&
+         now - reach.unreachable_since() >= m_policy.cut_off_yield_after;
+}
+
+void EntryControl::ReleaseIfCutOff(TimePoint now) {
+  if (!holds_lease() || !IsCutOff(now)) {
+    return;
+  }
+  Log(LogLevel::kWarning, "lease-released",
+      {{"fence", m_lease.fence()}, {"why", "servers unreachable"}});
+  m_lease.Release();
+  m_lease.Tick(false);
+}
+
 void EntryControl::OnLeaseGained() {
   m_peers.SetNeedsWatch(true);
   m_memory.clear();
--- a/tests/platform_cut_off_test.cc
+++ b/tests/platform_cut_off_test.cc
@@ -235,6 +235,28 @@
   cut.CheckRuns();
 }
 
+TEST_CASE(
+    "cut off: the lease on the groups moves to a host that reaches the "
+    "servers") {
+  // Guards against groups that nobody repairs while the holder is cut off.
+  CutSite cut(3);
+  const auto holder = [&cut] {
+    for (size_t i = 0; i < cut.site.nodes.size(); ++i) {
+      if (cut.site.nodes[i]->control.holds_lease()) {
+        return i;
+      }
+    }
+    return cut.site.nodes.size();
+  };
+  const size_t first = holder();
+  REQUIRE(first < cut.site.nodes.size());
+  cut.Cut(first);
+  REQUIRE(cut.SendUntil(first, [&] {
+    return holder() != first && holder() < cut.site.nodes.size();
+  }));
+  CHECK_FALSE(cut.host(first).reach().reachable());
+}
+
 TEST_CASE(
     "cut off: requests are refused as not run while all hosts are cut "
     "off") {
