soak: entry hosts are cut off from all servers in series

--cuts cuts one entry host at a time off from all servers, silently, with open connections reset, going on, or silent while new ones work, beside all other faults. From 0.3 s after the beginning of a cut, its callers must be served 0.95 times as often as those of the other hosts in the same time; calls at hosts whose process was disturbed in the 4 s before are left out.

--- a/soak/main_soak.cc
+++ b/soak/main_soak.cc
@@ -7,6 +7,7 @@
 #include <CLI/CLI.hpp>
 
 #include "soak_callers.h"
+#include "soak_cuts.h"
 #include "soak_faults.h"
 #include "soak_fleet.h"
 #include "soak_signals.h"
@@ -31,6 +32,8 @@
 constexpr Duration kMaxLoopGap = Seconds(1);
 /// Mean time between two signals of backend servers.
 constexpr Duration kSignalInterval = Milliseconds(700);
+/// Mean time between two cuts of entry hosts from all backend servers.
+constexpr Duration kCutPause = Milliseconds(800);
 /// Servers of the whole fleet that the request may still crash after
 /// kBlockPropagationTime.
 constexpr int kMaxLateCrashes = 3;
@@ -44,6 +47,7 @@
   int runners = 8;
   bool poison = false;
   bool signals = false;
+  bool cuts = false;
   std::string placement = "auto";
 };
 
@@ -169,10 +173,15 @@
   if (options.signals) {
     signals.Start(kSignalInterval);
   }
+  Cuts cuts(loop, fleet, options.seed + 4);
+  if (options.cuts) {
+    cuts.Start(kCutPause);
+  }
   faults.Start(kFaultInterval);
   RunFor(loop, Seconds(options.seconds), [] { return false; });
   faults.Stop();
   signals.Stop();
+  cuts.Stop();
   const size_t before = callers.CountAnswered();
   if (options.poison) {
     CheckUnderPoison(loop, fleet, callers, kRecoveryTime);
@@ -187,14 +196,18 @@
   RunFor(loop, kDrainTimeout, [&callers] { return callers.idle(); });
   callers.Check(fleet.violations());
   signals.Check(callers, fleet.violations());
+  cuts.Check(callers, fleet.violations());
   PrintViolations(options, fleet.violations());
   std::printf(
       "%zu calls, %zu answered, %d faults, %zu copies of a request "
       "that crashed %d servers, %zu server signals with %zu requests checked, "
-      "%d stalls of the soak process\n",
+      "%zu cuts with %zu of %zu calls served at hosts cut off and %zu of %zu "
+      "at "
+      "others, %d stalls of the soak process\n",
       callers.count(), callers.CountAnswered(), faults.count(), poison.copies(),
-      fleet.crashes(), signals.count(), signals.checked(),
-      stall_detector.count());
+      fleet.crashes(), signals.count(), signals.checked(), cuts.count(),
+      cuts.at_cut().served, cuts.at_cut().calls, cuts.at_others().served,
+      cuts.at_others().calls, stall_detector.count());
   const size_t bad = fleet.violations().size();
   std::printf("%d passed, %zu failed\n", bad == 0 ? 1 : 0, bad);
   return bad == 0 ? 0 : 1;
@@ -223,6 +236,9 @@
       "Repeatedly send a request that crashes the servers that run it.");
   app.add_flag("--signals", options.signals,
                "Servers send rate limits, Retry-After and leaving signals.");
+  app.add_flag(
+      "--cuts", options.cuts,
+      "Entry hosts are cut off from all servers, one after the other.");
   app.add_option("--placement", options.placement,
                  "Setting [placement] mode of the entry hosts.");
   app.add_option("--runners", options.runners, "Initial number of runners.");
--- a/soak/soak_fleet.cc
+++ b/soak/soak_fleet.cc
@@ -24,15 +24,18 @@
 constexpr Duration kGraceMargin = Seconds(3);
 constexpr int kDomains = 2;
 
+/// First source address of the entry hosts, in its last byte.
+constexpr int kFirstSource = 2;
+
 /// Loopback address of all entry hosts of this run, derived from the process
 /// id. Concurrent runs use different addresses: otherwise another run could
 /// bind a port between its allocation and the start or restart of the entry
 /// host, which would then exit on each start.
-std::string RunAddress() {
+std::string RunAddress(int last = 1) {
   constexpr unsigned kHosts = 250;
   const auto pid = static_cast<unsigned>(getpid());
   return "127." + std::to_string(1 + pid % kHosts) + "." +
-         std::to_string(1 + pid / kHosts % kHosts) + ".1";
+         std::to_string(1 + pid / kHosts % kHosts) + "." + std::to_string(last);
 }
 
 /// A port that the kernel reports as free now.
@@ -98,6 +101,7 @@
   for (int i = 0; i < m_options.entry_hosts; ++i) {
     auto entry = std::make_unique<EntryProcess>();
     entry->name = "e" + std::to_string(i);
+    entry->source = RunAddress(kFirstSource + i);
     entry->callers = addresses.Next();
     entry->ready = addresses.Next();
     entry->store = std::make_unique<Proxy>(m_loop, m_store.address());
@@ -108,6 +112,7 @@
              << "[callers]\nlisten = " << entry->callers.ToString() << "\n"
              << "[ready]\nlisten = " << entry->ready.ToString() << "\n"
              << "[peers]\nlisten = " << addresses.Next().ToString() << "\n"
+             << "[servers]\nsource = " << entry->source << "\n"
              << "[store]\naddress = " << entry->store->address().ToString()
              << "\n[stop]\ngrace = " << ToMilliseconds(kGrace) << "ms\n"
              << "[groups]\nstall = " << ToMilliseconds(kHeadStallTimeout)
@@ -137,6 +142,9 @@
   options.domain = "d" + std::to_string(m_next_runner % kDomains);
   options.published = [this, &host](const Address& listening) {
     host->proxy = std::make_unique<Proxy>(m_loop, listening);
+    for (const auto& [source, cut] : m_cuts) {
+      host->proxy->Cut(source, cut);
+    }
     return host->proxy->address();
   };
   host->standin =
@@ -144,6 +152,24 @@
   return host;
 }
 
+void Fleet::Cut(const EntryProcess& entry, const LinkCut& cut) {
+  m_cuts[entry.source] = cut;
+  for (const auto* hosts : {&m_runners, &m_plain}) {
+    for (const auto& host : *hosts) {
+      host->proxy->Cut(entry.source, cut);
+    }
+  }
+}
+
+void Fleet::Heal(const EntryProcess& entry) {
+  m_cuts.erase(entry.source);
+  for (const auto* hosts : {&m_runners, &m_plain}) {
+    for (const auto& host : *hosts) {
+      host->proxy->Heal(entry.source);
+    }
+  }
+}
+
 void Fleet::AddRunner() {
   m_runners.push_back(MakeHost("r" + std::to_string(m_next_runner), false));
   ++m_next_runner;
--- a/soak/soak_fleet.h
+++ b/soak/soak_fleet.h
@@ -42,6 +42,8 @@
 
 struct EntryProcess {
   std::string name;
+  /// IP address from which it connects to backend servers.
+  std::string source;
   Address callers;
   Address ready;
   std::unique_ptr<Proxy> store;
@@ -76,6 +78,11 @@
   void OnOpen(const PlatformRunnerStandin& runner) override;
   void OnCrash(const PlatformRunnerStandin& runner) override;
 
+  /// Cuts the entry host off from all backend servers, also from those that are
+  /// added before Heal().
+  void Cut(const EntryProcess& entry, const LinkCut& cut);
+  void Heal(const EntryProcess& entry);
+
   void AddRunner();
   void AddPlainServer();
   void PutConfig();
@@ -108,6 +115,8 @@
   /// Last group that each runner joined.
   std::map<std::string, std::string> m_last_group;
   std::vector<std::string> m_violations;
+  /// Cuts in force, by source.
+  std::map<std::string, LinkCut> m_cuts;
   std::unique_ptr<Timer> m_break_timer;
   std::unique_ptr<Timer> m_watch_timer;
   uint64_t m_config_version = 0;
