control: asks other entry hosts before several hosts count as silent

Cause: the prober believes what its own host sees; it only notices when most of its probes fail.

From the third host on that is found silent within a second, up to four other entry hosts are asked to probe them. Hosts that answer one of them are not reported; if there are three, the holder leaves the lease to others for 5 s, as it cannot give orders to them. Single losses are reported at once as before; several at a time up to 0.3 s later. Hosts of earlier versions do not answer, and then the holder's own probes decide.

--- a/include/filbertrack/entry_control.h
+++ b/include/filbertrack/entry_control.h
@@ -36,6 +36,10 @@
   Duration yield_after = Seconds(3);
   /// Time for which a host that reaches no backend server keeps the lease.
   Duration cut_off_yield_after = Seconds(1);
+  /// Hosts that answer others but not this one from which it leaves the lease
+  /// to others, and for how long.
+  size_t min_disputed = 3;
+  Duration disputed_pause = Seconds(5);
 };
 
 class EntryControl {
@@ -63,6 +67,10 @@
   /// Whether this host reaches no server for long enough to leave the lease to
   /// others: it can neither probe hosts nor send orders.
   bool IsCutOff(TimePoint now) const;
+  /// Probes servers on behalf of another entry host.
+  void ProbeForPeer(
+      const std::vector<std::string>& servers,
+      const std::function<void(const std::vector<std::string>&)>& done);
   void ReleaseIfCutOff(TimePoint now);
   void OnLeaseGained();
   void OnLeaseLost();
@@ -95,6 +103,10 @@
 
   // Valid while this host holds the lease.
   std::map<std::string, ReplicaMemory, std::less<>> m_memory;
+  /// Fence of the lease that ReleaseIfCutOff() released last; 0: none.
+  uint64_t m_released_fence = 0;
+  /// Latest time at which hosts answered others but not this one.
+  std::optional<TimePoint> m_disputed_at;
   EntryOutbox m_outbox;
   std::unique_ptr<Timer> m_tick_timer;
   TimePoint m_counts_logged_at;
--- a/include/filbertrack/entry_peers.h
+++ b/include/filbertrack/entry_peers.h
@@ -118,6 +118,18 @@
     m_on_placement_message = std::move(handler);
   }
 
+  using Probed = std::function<void(const std::set<std::string>& answered)>;
+  /// Asks some other entry hosts to probe the backend servers. `done` is called
+  /// once, with those that answered one of them.
+  void AskForProbes(const std::vector<std::string>& servers, Probed done);
+  using ProbeHandler = std::function<void(
+      std::vector<std::string> servers,
+      std::function<void(const std::vector<std::string>& answered)>)>;
+  /// Sets the handler of such a question by another host.
+  void OnProbeRequest(ProbeHandler handler) {
+    m_on_probe_request = std::move(handler);
+  }
+
   /// Bytes of gossip messages sent to other entry hosts, by content.
   struct Traffic {
     uint64_t states = 0;
@@ -148,6 +160,10 @@
   EntryRoster::Events RosterEvents();
   void OnSecret(const std::string& secret);
   void Listen(const std::string& secret);
+  /// Handles a message that is neither gossip nor about placement; false if it
+  /// is not understood.
+  bool HandleProbeRequest(std::string_view payload,
+                          const PeerServer::Answer& answer);
   void RunRound();
   /// Loads that a peer is asked for.
   enum class LoadScope {
@@ -256,6 +272,7 @@
   FleetGossip m_gossip;
   /// Name of the last peer that AskLocalPeers() sent a request to; the next
   /// round continues after it.
+  ProbeHandler m_on_probe_request;
   /// Peer that was last asked for its forward offer.
   std::string m_last_offer_peer;
   std::string m_last_local_peer;
--- a/include/filbertrack/entry_prober.h
+++ b/include/filbertrack/entry_prober.h
@@ -22,8 +22,11 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
+#include <span>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "filbertrack/entry_ports.h"
 
@@ -59,6 +62,13 @@
   /// rate that probes every host once per interval. Above 1, so that delayed
   /// probes can catch up.
   double rate_headroom = 1.5;
+  /// From this many hosts found silent within `confirm_window` on, other entry
+  /// hosts are asked whether the hosts answer them: a partition between this
+  /// host and some of them looks like their failure.
+  size_t confirm_from = 3;
+  Duration confirm_window = Seconds(1);
+  /// Time in which hosts are collected for one question.
+  Duration confirm_delay = Milliseconds(20);
   /// Time after a change of the interval until it is halved again.
   Duration recovery_interval = Seconds(10);
 };
@@ -70,12 +80,25 @@
   using Schedule =
       std::function<void(Duration delay, std::function<void()> action)>;
 
+  /// Receives the ids of the hosts that answered another entry host.
+  using Confirmed = std::function<void(const std::set<std::string>& answered)>;
+  /// Asks other entry hosts to probe the hosts.
+  using Confirm =
+      std::function<void(std::vector<std::string> hosts, Confirmed done)>;
+
   EntryProber(EngineClient& engines,
               const ProbePolicy& policy,
               Clock clock,
               Schedule schedule);
   ~EntryProber();
 
+  /// Without a confirmation, this host's own probes decide. `disputed` is
+  /// called with the number of hosts that answer others but not this one.
+  void SetConfirmation(Confirm confirm, std::function<void(size_t)> disputed) {
+    m_confirm = std::move(confirm);
+    m_on_disputed = std::move(disputed);
+  }
+
   /// Starts a round for each host that is due, and drops hosts that are no
   /// longer in the directory.
   void Tick(const ServerDirectory& directory, const Catalog& catalog);
@@ -129,6 +152,11 @@
   /// Evaluates why a host has not answered since `started_at`.
   Verdict Evaluate(TimePoint started_at) const;
   void OnUnanswered(const std::string& id, ProbeState& probe);
+  /// Records that the host is silent, or has it confirmed first.
+  void ReportSilent(const std::string& id, uint64_t process_start_ms);
+  void ConfirmSilent();
+  void OnConfirmed(std::span<const std::string> hosts,
+                   const std::set<std::string>& answered);
   bool IsSilent(std::string_view id) const;
   void MarkAnswered(uint64_t round);
   void ForgetOldRounds(TimePoint now);
@@ -154,6 +182,12 @@
   ProbePolicy m_policy;
   Clock m_clock;
   Schedule m_schedule;
+  Confirm m_confirm;
+  std::function<void(size_t)> m_on_disputed;
+  /// When hosts were found silent, within ProbePolicy::confirm_window.
+  std::deque<TimePoint> m_silent_at;
+  /// Hosts found silent that are to be confirmed.
+  std::vector<std::string> m_unconfirmed;
   HostProbeResults m_probe_results;
   std::map<std::string, ProbeState, std::less<>> m_probes;
   /// Recent rounds of all hosts, oldest first. Round number n is at index
--- a/include/filbertrack/gossip_message.h
+++ b/include/filbertrack/gossip_message.h
@@ -146,6 +146,14 @@
 Result<GossipRequest> DecodeGossipRequest(std::string_view bytes);
 Result<GossipReply> DecodeGossipReply(std::string_view bytes);
 
+/// Asks an entry host to probe backend servers, by id, and its answer: those
+/// that answered. Hosts of earlier versions do not answer it.
+std::string EncodeProbeRequest(const std::vector<std::string>& servers);
+std::string EncodeProbeReply(const std::vector<std::string>& servers);
+/// Fail with kBadRequest as above.
+Result<std::vector<std::string>> DecodeProbeRequest(std::string_view bytes);
+Result<std::vector<std::string>> DecodeProbeReply(std::string_view bytes);
+
 /// Returns the capacity of a host, which compares the hosts of a fleet: the
 /// bandwidth of its link in Mbit/s times its share of a processor, at least 1.
 int CapacityOf(double link_mbps, double processor_share);
--- a/source/entry_control.cc
+++ b/source/entry_control.cc
@@ -17,6 +17,9 @@
 /// Interval between ticks of an entry host that does not hold the lease.
 constexpr Duration kFollowerInterval = Milliseconds(200);
 constexpr Duration kCountsLogInterval = Seconds(1);
+/// Limits of the probes on behalf of another entry host.
+constexpr size_t kMaxProbedForPeer = 256;
+constexpr Duration kProbeForPeerTimeout = Milliseconds(200);
 
 /// Log fields of an order.
 struct OrderToJson {
@@ -86,7 +89,25 @@
                MonotonicNow,
                [this](Duration delay, std::function<void()> action) {
                  m_loop.Call(delay, std::move(action));
-               }) {}
+               }) {
+  m_prober.SetConfirmation(
+      [this](const std::vector<std::string>& hosts,
+             EntryProber::Confirmed done) {
+        m_peers.AskForProbes(hosts, std::move(done));
+      },
+      [this](size_t disputed) {
+        if (disputed >= m_policy.min_disputed) {
+          m_disputed_at = MonotonicNow();
+        }
+      });
+  m_peers.OnProbeRequest(
+      [this, alive = m_alive](const std::vector<std::string>& servers,
+                              const auto& done) {
+        if (*alive) {
+          ProbeForPeer(servers, done);
+        }
+      });
+}
 
 EntryControl::~EntryControl() {
   *m_alive = false;
@@ -138,16 +159,54 @@
 
 bool EntryControl::IsCutOff(TimePoint now) const {
   const ReachMonitor& reach = m_host.reach();
-  return !reach.reachable() &&
-         now - reach.unreachable_since() >= m_policy.cut_off_yield_after;
+  const bool is_partly_cut_off =
+      m_disputed_at && now - *m_disputed_at < m_policy.disputed_pause;
+  return is_partly_cut_off ||
+         (!reach.reachable() &&
+          now - reach.unreachable_since() >= m_policy.cut_off_yield_after);
+}
+
+void EntryControl::ProbeForPeer(
+    const std::vector<std::string>& servers,
+    const std::function<void(const std::vector<std::string>&)>& done) {
+  struct Answers {
+    size_t pending = 0;
+    std::vector<std::string> answered;
+  };
+  const auto answers = std::make_shared<Answers>();
+  std::vector<const BackendServer*> known;
+  for (const std::string& id : servers) {
+    const BackendServer* server = m_host.directory().Find(id);
+    if (server != nullptr && known.size() < kMaxProbedForPeer) {
+      known.push_back(server);
+    }
+  }
+  answers->pending = known.size();
+  if (known.empty()) {
+    done({});
+    return;
+  }
+  for (const BackendServer* server : known) {
+    m_engines.Probe(*server, kProbeForPeerTimeout,
+                    [answers, done, id = server->id](const ProbeAnswer& probe) {
+                      if (probe.answered) {
+                        answers->answered.push_back(id);
+                      }
+                      if (--answers->pending == 0) {
+                        done(answers->answered);
+                      }
+                    });
+  }
 }
 
 void EntryControl::ReleaseIfCutOff(TimePoint now) {
-  if (!holds_lease() || !IsCutOff(now)) {
+  // The release takes effect with the answer of the store.
+  if (!holds_lease() || !IsCutOff(now) || m_released_fence == m_lease.fence()) {
     return;
   }
+  m_released_fence = m_lease.fence();
   Log(LogLevel::kWarning, "lease-released",
-      {{"fence", m_lease.fence()}, {"why", "servers unreachable"}});
+      {{"fence", m_lease.fence()}, {"why", "servers unreachable from here"}});
   m_lease.Release();
   m_lease.Tick(false);
 }
--- a/source/entry_peers.cc
+++ b/source/entry_peers.cc
@@ -17,6 +17,9 @@
 /// Maximum size of a decompressed configuration. The store accepts values up to
 /// 1 MiB; the text that peers send may contain more whitespace.
 constexpr size_t kMaxConfigBytes = 4 * 1024 * 1024;
+/// Entry hosts that are asked to probe servers, and the time for their reply.
+constexpr size_t kProbingPeers = 4;
+constexpr Duration kProbeReplyTimeout = Milliseconds(300);
 
 }  // namespace
 
@@ -210,6 +213,57 @@
   }
 }
 
+void EntryPeers::AskForProbes(const std::vector<std::string>& servers,
+                              Probed done) {
+  struct Question {
+    size_t pending = 0;
+    std::set<std::string> answered;
+    Probed done;
+  };
+  const auto question = std::make_shared<Question>();
+  question->done = std::move(done);
+  std::vector<Peer*> asked;
+  for (auto& [name, peer] : m_peers) {
+    if (asked.size() < kProbingPeers && !peer.unresponsive && !peer.busy() &&
+        peer.client != nullptr) {
+      asked.push_back(&peer);
+    }
+  }
+  question->pending = asked.size();
+  if (asked.empty()) {
+    question->done({});
+    return;
+  }
+  const std::string message = EncodeProbeRequest(servers);
+  for (Peer* peer : asked) {
+    peer->client->Ask(
+        message, kProbeReplyTimeout, [question](const std::string* payload) {
+          const auto answered = payload == nullptr
+                                    ? Result<std::vector<std::string>>()
+                                    : DecodeProbeReply(*payload);
+          if (answered) {
+            question->answered.insert(answered->begin(), answered->end());
+          }
+          if (--question->pending == 0) {
+            question->done(question->answered);
+          }
+        });
+  }
+}
+
+bool EntryPeers::HandleProbeRequest(std::string_view payload,
+                                    const PeerServer::Answer& answer) {
+  const auto servers = DecodeProbeRequest(payload);
+  if (!servers || !m_on_probe_request) {
+    return false;
+  }
+  m_on_probe_request(*servers,
+                     [answer](const std::vector<std::string>& answered) {
+                       answer(EncodeProbeReply(answered));
+                     });
+  return true;
+}
+
 void EntryPeers::AskForForwardOffers(TimePoint now) {
   // Of all data centres, as the hosts of the local one may all be cut off.
   size_t asked = 0;
@@ -330,6 +384,9 @@
     return;
   }
   const Result<GossipRequest> request = DecodeGossipRequest(payload);
+  if (!request && HandleProbeRequest(payload, answer)) {
+    return;
+  }
   if (!request) {
     Log(LogLevel::kWarning, "peer-refused", {{"why", request.error().message}});
     return;
--- a/source/entry_prober.cc
+++ b/source/entry_prober.cc
@@ -48,6 +48,8 @@
   m_alive = std::make_shared<bool>(true);
   m_probe_results.clear();
   m_probes.clear();
+  m_silent_at.clear();
+  m_unconfirmed.clear();
   m_interval_factor = 1;
 }
 
@@ -178,7 +180,61 @@
   probe.unanswered_since.reset();
   if (verdict == Verdict::kSilent) {
     probe.completed = true;
-    RecordResult(id, {HostHealth::kSilent, false, probe.process_start_ms});
+    ReportSilent(id, probe.process_start_ms);
+  }
+}
+
+void EntryProber::ReportSilent(const std::string& id,
+                               uint64_t process_start_ms) {
+  const TimePoint now = m_clock();
+  const bool was_silent = IsSilent(id);
+  while (!m_silent_at.empty() &&
+         now - m_silent_at.front() > m_policy.confirm_window) {
+    m_silent_at.pop_front();
+  }
+  if (!was_silent) {
+    m_silent_at.push_back(now);
+  }
+  if (was_silent || !m_confirm || m_silent_at.size() < m_policy.confirm_from) {
+    RecordResult(id, {HostHealth::kSilent, false, process_start_ms});
+    return;
+  }
+  m_unconfirmed.push_back(id);
+  if (m_unconfirmed.size() == 1) {
+    m_schedule(m_policy.confirm_delay, [this, alive = m_alive] {
+      if (*alive) {
+        ConfirmSilent();
+      }
+    });
+  }
+}
+
+void EntryProber::ConfirmSilent() {
+  const std::vector<std::string> hosts = std::exchange(m_unconfirmed, {});
+  m_confirm(hosts,
+            [this, hosts, alive = m_alive](const std::set<std::string>& heard) {
+              if (*alive) {
+                OnConfirmed(hosts, heard);
+              }
+            });
+}
+
+void EntryProber::OnConfirmed(std::span<const std::string> hosts,
+                              const std::set<std::string>& answered) {
+  size_t disputed = 0;
+  for (const std::string& id : hosts) {
+    const auto probe = m_probes.find(id);
+    if (answered.contains(id)) {
+      ++disputed;
+    } else if (probe != m_probes.end() && !probe->second.answered) {
+      RecordResult(
+          id, {HostHealth::kSilent, false, probe->second.process_start_ms});
+    }
+  }
+  if (disputed > 0) {
+    Log(LogLevel::kWarning, "silence-disputed",
+        {{"hosts", hosts.size()}, {"answer_others", disputed}});
+    m_on_disputed(disputed);
   }
 }
 
--- a/source/gossip_message.cc
+++ b/source/gossip_message.cc
@@ -44,7 +44,12 @@
 constexpr size_t kWantsOfferField = 7;
 constexpr size_t kOfferField = 6;
 
-enum class GossipMessageKind : int { kAsk = 1, kAnswer = 2 };
+enum class GossipMessageKind : int {
+  kAsk = 1,
+  kAnswer = 2,
+  kProbeAsk = 3,
+  kProbeAnswer = 4
+};
 
 Json PackLoads(const std::vector<GossipLoad>& loads) {
   Json rows = Json::array();
@@ -284,6 +289,33 @@
       });
 }
 
+namespace {
+
+Result<std::vector<std::string>> DecodeServers(std::string_view bytes,
+                                               GossipMessageKind kind) {
+  return Decode<std::vector<std::string>>(bytes, kind, [](const Json& body) {
+    return body.get<std::vector<std::string>>();
+  });
+}
+
+}  // namespace
+
+std::string EncodeProbeRequest(const std::vector<std::string>& servers) {
+  return ToCbor(Envelope(GossipMessageKind::kProbeAsk, servers));
+}
+
+std::string EncodeProbeReply(const std::vector<std::string>& servers) {
+  return ToCbor(Envelope(GossipMessageKind::kProbeAnswer, servers));
+}
+
+Result<std::vector<std::string>> DecodeProbeRequest(std::string_view bytes) {
+  return DecodeServers(bytes, GossipMessageKind::kProbeAsk);
+}
+
+Result<std::vector<std::string>> DecodeProbeReply(std::string_view bytes) {
+  return DecodeServers(bytes, GossipMessageKind::kProbeAnswer);
+}
+
 int CapacityOf(double link_mbps, double processor_share) {
   return static_cast<int>(
       std::clamp(std::round(link_mbps * processor_share), 1.0, kMaxCapacity));
--- a/tests/entry_prober_test.cc
+++ b/tests/entry_prober_test.cc
@@ -269,5 +269,108 @@
   CHECK(fleet.CountSilent() == 26);
 }
 
+/// A prober with twelve hosts, of which the first `silent` do not answer.
+class PartlyReached : public EngineClient {
+ public:
+  explicit PartlyReached(size_t silent)
+      : prober(
+            *this,
+            {},
+            [this] { return m_now; },
+            [this](Duration delay, std::function<void()> action) {
+              m_actions.emplace(m_now + delay, std::move(action));
+            }),
+        m_silent(silent) {
+    CatalogParts parts;
+    parts.services["llm"] = {"llm", 100, EngineProfile{}};
+    m_catalog = std::make_unique<Catalog>(std::move(parts));
+    for (size_t i = 0; i < kHosts; ++i) {
+      BackendServer server;
+      server.id = std::string(1, static_cast<char>('a' + i));
+      server.service = "llm";
+      server.membership = Membership{"m/1", 1, 0, MembershipState::kOpen};
+      m_directory.Put(server, m_now);
+    }
+    prober.SetConfirmation(
+        [this](const std::vector<std::string>& hosts,
+               const EntryProber::Confirmed& done) {
+          asked += hosts.size();
+          done(others_hear ? std::set<std::string>(hosts.begin(), hosts.end())
+                           : std::set<std::string>());
+        },
+        [this](size_t hosts) { disputed += hosts; });
+  }
+
+  void Order(const BackendServer&,
+             const ReplicaOrder&,
+             std::function<void(OrderResult)>) override {}
+  void Probe(const BackendServer& server,
+             Duration timeout,
+             std::function<void(const ProbeAnswer&)> done) override {
+    ProbeAnswer answer;
+    answer.answered = static_cast<size_t>(server.id.front() - 'a') >= m_silent;
+    m_actions.emplace(m_now + (answer.answered ? Milliseconds(5) : timeout),
+                      [done, answer] { done(answer); });
+  }
+
+  void RunFor(Duration time) {
+    for (const TimePoint end = m_now + time; m_now < end;) {
+      m_now += Milliseconds(10);
+      while (!m_actions.empty() && m_actions.begin()->first <= m_now) {
+        m_actions.extract(m_actions.begin()).mapped()();
+      }
+      prober.Tick(m_directory, *m_catalog);
+    }
+  }
+
+  size_t CountSilent() const {
+    return static_cast<size_t>(
+        std::count_if(prober.probe_results().begin(),
+                      prober.probe_results().end(), [](const auto& row) {
+                        return row.second.health == HostHealth::kSilent;
+                      }));
+  }
+
+  EntryProber prober;
+  bool others_hear = false;
+  size_t asked = 0;
+  size_t disputed = 0;
+
+ private:
+  static constexpr size_t kHosts = 12;
+  size_t m_silent;
+  TimePoint m_now{Seconds(1000)};
+  std::multimap<TimePoint, std::function<void()>> m_actions;
+  ServerDirectory m_directory{DirectoryPolicy{}};
+  std::unique_ptr<Catalog> m_catalog;
+};
+
+TEST_CASE("hosts that answer other entry hosts are not reported as silent") {
+  // Guards against orders that break up groups because the host that gives them
+  // lost its way to some of their members.
+  PartlyReached fleet(5);
+  fleet.others_hear = true;
+  fleet.RunFor(Milliseconds(900));
+  CHECK(fleet.disputed >= 3);
+  // The first two are believed at once, as a single loss is repaired at once.
+  CHECK(fleet.CountSilent() <= 2);
+}
+
+TEST_CASE("hosts that answer nobody are reported as silent") {
+  PartlyReached fleet(5);
+  fleet.RunFor(Milliseconds(900));
+  CHECK(fleet.disputed == 0);
+  CHECK(fleet.asked >= 3);
+  CHECK(fleet.CountSilent() == 5);
+}
+
+TEST_CASE("the loss of one or two hosts is reported without a question") {
+  // Guards against longer repairs of usual losses.
+  PartlyReached fleet(2);
+  fleet.RunFor(Milliseconds(900));
+  CHECK(fleet.asked == 0);
+  CHECK(fleet.CountSilent() == 2);
+}
+
 }  // namespace
 }  // namespace filbertrack
