entry: a placer's grant is not used while no server is reachable; forward messages in the fuzzer

A request that waited for the decision of the placer when the cut was found was still sent directly. Found by reading. A server's response can no longer carry the field in which entry hosts refuse forwarded requests.

--- a/source/entry_relay_answer.cc
+++ b/source/entry_relay_answer.cc
@@ -18,7 +18,9 @@
   HttpHeaders passed;
   passed.reserve(headers.size());
   for (const auto& header : headers) {
-    if (!IsHopByHop(header.first)) {
+    // Only an entry host may state that it refused a forwarded request.
+    if (!IsHopByHop(header.first) &&
+        !EqualHeaderNames(header.first, kForwardRefusalHeader)) {
       passed.push_back(header);
     }
   }
--- a/source/entry_relay_placement.cc
+++ b/source/entry_relay_placement.cc
@@ -108,7 +108,7 @@
   const DispatchQuery query = MakeQuery(now);
   const auto choice = m_context.selector.ConfirmChoice(
       grant.target, query, grant.predicted, grant.requests, now);
-  if (!choice) {
+  if (!choice || !m_context.reach.monitor().reachable()) {
     m_context.placer->Withdraw(grant.id);
     m_context.placer->OnGrantUnused();
     m_placement->by.clear();
@@ -143,6 +143,9 @@
     Feed(NoTarget{ResultCode::kRequestEndsServers});
     return;
   }
+  if (ForwardOrRefuse(is_retry, now)) {
+    return;
+  }
   SeekLocally(is_retry, now);
 }
 
--- a/tests/fuzz/fuzz_untrusted.cc
+++ b/tests/fuzz/fuzz_untrusted.cc
@@ -6,6 +6,7 @@
 #include <nlohmann/json.hpp>
 
 #include "filbertrack/entry_poison_record.h"
+#include "filbertrack/forward_message.h"
 #include "filbertrack/gossip_message.h"
 #include "filbertrack/placement_message.h"
 #include "platform_decode.h"
@@ -32,6 +33,10 @@
   (void)decoder.ReadCatalog(bytes);
   (void)DecodeGossipRequest(bytes);
   (void)DecodeGossipReply(bytes);
+  (void)DecodeProbeRequest(bytes);
+  (void)DecodeProbeReply(bytes);
+  (void)DecodeForwardedCall(bytes, {"secret", "token", "GET", "/", "id", ""});
+  (void)DecodeForwardRefusal(bytes);
   (void)ParsePoisonRecord(bytes);
   (void)IsPlacementMessage(bytes);
   (void)DecodePlacementRequest(bytes);
