--- a/soak/soak_cuts.cc
+++ b/soak/soak_cuts.cc
@@ -17,6 +17,8 @@
 /// the configuration again and hears from its peers.
 constexpr Duration kProcessRecovery = Seconds(4);
 constexpr int kServed = 200;
+/// A fault of a backend server lasts no longer.
+constexpr Duration kMaxServerFault = Seconds(3);
 
 }  // namespace
 
@@ -83,14 +85,36 @@
   });
 }
 
+std::set<std::string> Cuts::RequestsOfDisturbedServers() const {
+  std::set<std::string> ids;
+  for (const auto* hosts : {&m_fleet.runners(), &m_fleet.plain()}) {
+    for (const auto& host : *hosts) {
+      for (const SeenRequest& seen : host->standin->seen()) {
+        const bool disturbed =
+            std::any_of(host->disruptions.begin(), host->disruptions.end(),
+                        [&seen](TimePoint at) {
+                          return at >= seen.arrived - kMaxServerFault &&
+                                 at <= seen.arrived + kMaxServerFault;
+                        });
+        if (disturbed) {
+          ids.insert(seen.id);
+        }
+      }
+    }
+  }
+  return ids;
+}
+
 void Cuts::Check(const Callers& callers, std::vector<std::string>& violations) {
+  const std::set<std::string> excused = RequestsOfDisturbedServers();
   for (const CallRecord& record : callers.records()) {
     const auto window = std::find_if(
         m_windows.begin(), m_windows.end(), [&record](const Window& cut) {
           return record.started_at >= cut.began + kDetectionTime &&
                  record.started_at < cut.ended;
         });
-    if (window == m_windows.end() || IsDisturbed(record)) {
+    if (window == m_windows.end() || IsDisturbed(record) ||
+        excused.contains(record.id)) {
       continue;
     }
     Served& served = window->entry == record.entry ? m_at_cut : m_at_others;
--- a/soak/soak_cuts.h
+++ b/soak/soak_cuts.h
@@ -4,6 +4,7 @@
 /// different ways, and checks that their callers are served all the same.
 
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -47,6 +48,9 @@
   /// Whether the process of the entry host was disturbed shortly before or
   /// during the call.
   bool IsDisturbed(const CallRecord& record) const;
+  /// Ids of the requests that ran on a backend server while it lost responses
+  /// or its own link was disturbed, whichever entry host sent them.
+  std::set<std::string> RequestsOfDisturbedServers() const;
 
   EventLoop& m_loop;
   Fleet& m_fleet;
--- a/soak/soak_faults.cc
+++ b/soak/soak_faults.cc
@@ -238,9 +238,12 @@
   if (host == nullptr) {
     return;
   }
+  host->disruptions.push_back(MonotonicNow());
   host->standin->SetDropsResponses(true);
-  UndoWithin(kMaxLinkFault,
-             [host] { host->standin->SetDropsResponses(false); });
+  UndoWithin(kMaxLinkFault, [host] {
+    host->disruptions.push_back(MonotonicNow());
+    host->standin->SetDropsResponses(false);
+  });
 }
 
 void Faults::ChangeConfig() {
--- a/soak/soak_fleet.h
+++ b/soak/soak_fleet.h
@@ -60,7 +60,7 @@
 struct RunnerHost {
   std::unique_ptr<PlatformRunnerStandin> standin;
   std::unique_ptr<Proxy> proxy;
-  /// When faults of its link started and ended.
+  /// When faults of its link and lost responses started and ended.
   std::vector<TimePoint> disruptions;
 };
 
