--- a/include/filbertrack/reach_monitor.h
+++ b/include/filbertrack/reach_monitor.h
@@ -23,8 +23,8 @@
   double silence_gaps = 8;
   /// Weight of the latest gap in the moving average.
   double gap_weight = 0.05;
-  /// Requests in flight from which a silence counts like failures of several
-  /// servers: a single one may wait in the queue of its server.
+  /// Requests in flight from which a silence is likely to be a partition: fewer
+  /// may all wait in queues.
   size_t min_silent_requests = 3;
   /// Servers with failures within `failure_window` that suggest a partition.
   size_t min_failed_servers = 2;
@@ -33,6 +33,10 @@
   /// start the next one.
   Duration weak_pause = Milliseconds(500);
   Duration strong_pause = Milliseconds(100);
+  /// The same after which silence starts a check, with at least
+  /// `min_silent_requests` in flight or with fewer: long queues look alike.
+  Duration silence_pause = Milliseconds(500);
+  Duration weak_silence_pause = Seconds(2);
   /// Pause between checks while the servers are unreachable.
   Duration recheck_pause = Milliseconds(50);
   /// Servers that a check probes, and the time that each has to accept.
--- a/include/filbertrack/reach_servers.h
+++ b/include/filbertrack/reach_servers.h
@@ -15,8 +15,10 @@
 namespace filbertrack {
 
 struct ServerReachPolicy {
-  /// Interval between probes of an unreachable server.
+  /// Interval between probes of an unreachable server; doubles with each one
+  /// that fails, up to the maximum, as most such servers have failed for good.
   Duration probe_interval = Milliseconds(200);
+  Duration max_probe_interval = Milliseconds(1600);
   /// Probes that may start at a time.
   size_t max_probes = 16;
   /// Servers found unreachable within `sweep_window` after which all servers
@@ -28,7 +30,7 @@
   size_t max_swept = 128;
   /// A server that accepted a probe is not probed again for silence alone
   /// within this time: its requests wait in its queue.
-  Duration silence_pause = Seconds(1);
+  Duration silence_pause = Seconds(4);
 };
 
 class ServerReach {
@@ -41,7 +43,10 @@
   /// The server accepted a connection of a request.
   void OnConnected(const Address& server);
   /// Forgets all unreachable servers.
-  void Clear() { m_unreachable.clear(); }
+  void Clear() {
+    m_unreachable.clear();
+    m_probing.clear();
+  }
   /// Forgets the servers that are not in `registered`.
   void Retain(const std::set<Address>& registered);
 
@@ -58,9 +63,16 @@
   const ServerReachPolicy& policy() const { return m_policy; }
 
  private:
+  /// Returns whether the server was unreachable.
+  bool Restore(const Address& server);
+
   ServerReachPolicy m_policy;
   std::set<Address> m_unreachable;
-  std::map<Address, TimePoint> m_probe_started;
+  struct Probing {
+    TimePoint started;
+    Duration interval{0};
+  };
+  std::map<Address, Probing> m_probing;
   /// When each server last accepted a probe.
   std::map<Address, TimePoint> m_accepted;
   /// When the latest servers became unreachable.
--- a/source/entry_reach.cc
+++ b/source/entry_reach.cc
@@ -209,9 +209,10 @@
   m_probes.erase(found);
   // An open connection takes up one of those that the server accepts.
   probe.stream->Close();
-  if (decides && m_monitor.is_checking()) {
+  const bool is_single = decides && !probe.is_sample;
+  if (is_single && m_monitor.is_checking()) {
     m_outcomes.emplace_back(probe.server, accepted);
-  } else if (decides && m_monitor.reachable()) {
+  } else if (is_single && m_monitor.reachable()) {
     RecordServer(probe.server, accepted);
   }
   if (!probe.is_sample) {
@@ -234,6 +235,7 @@
   if (accepted) {
     return;
   }
+  m_monitor.OnFailure(server.ToString(), MonotonicNow());
   if (m_events.suspected) {
     m_events.suspected();
   }
--- a/source/reach_monitor.cc
+++ b/source/reach_monitor.cc
@@ -46,11 +46,14 @@
       m_failures.begin(), m_failures.end(), [this, now](const auto& row) {
         return now - row.second <= m_policy.failure_window;
       }));
-  const bool silent = IsSilent(now);
-  const bool strong = failed >= m_policy.min_failed_servers ||
-                      (silent && m_requests >= m_policy.min_silent_requests);
-  return (strong && pause >= m_policy.strong_pause) ||
-         ((silent || failed > 0) && pause >= m_policy.weak_pause);
+  const Duration failure_pause = failed >= m_policy.min_failed_servers
+                                     ? m_policy.strong_pause
+                                     : m_policy.weak_pause;
+  const Duration silence_pause = m_requests >= m_policy.min_silent_requests
+                                     ? m_policy.silence_pause
+                                     : m_policy.weak_silence_pause;
+  return (failed > 0 && pause >= failure_pause) ||
+         (IsSilent(now) && pause >= silence_pause);
 }
 
 void ReachMonitor::BeginCheck(TimePoint now) {
--- a/source/reach_servers.cc
+++ b/source/reach_servers.cc
@@ -9,13 +9,12 @@
                            TimePoint now) {
   if (accepted) {
     m_accepted[server] = now;
-    m_probe_started.erase(server);
-    return m_unreachable.erase(server) > 0;
+    return Restore(server);
   }
   if (!m_unreachable.insert(server).second) {
     return false;
   }
-  m_probe_started[server] = now;
+  m_probing[server] = {now, m_policy.probe_interval};
   std::erase_if(m_lost_at, [this, now](TimePoint at) {
     return now - at > m_policy.sweep_window;
   });
@@ -24,18 +23,29 @@
 }
 
 void ServerReach::OnConnected(const Address& server) {
-  if (!m_unreachable.empty() && m_unreachable.erase(server) > 0) {
-    m_probe_started.erase(server);
+  if (!m_unreachable.empty()) {
+    Restore(server);
   }
 }
 
+bool ServerReach::Restore(const Address& server) {
+  if (m_unreachable.erase(server) == 0) {
+    return false;
+  }
+  m_probing.erase(server);
+  // The way to the others may work again as well.
+  for (auto& [other, probing] : m_probing) {
+    probing = {};
+  }
+  return true;
+}
+
 void ServerReach::Retain(const std::set<Address>& registered) {
   const auto is_gone = [&registered](const Address& server) {
     return !registered.contains(server);
   };
   std::erase_if(m_unreachable, is_gone);
-  std::erase_if(m_probe_started,
-                [&](const auto& row) { return is_gone(row.first); });
+  std::erase_if(m_probing, [&](const auto& row) { return is_gone(row.first); });
   std::erase_if(m_accepted,
                 [&](const auto& row) { return is_gone(row.first); });
 }
@@ -50,10 +60,11 @@
 std::vector<Address> ServerReach::TakeDueProbes(TimePoint now) {
   std::vector<Address> due;
   for (const Address& server : m_unreachable) {
-    TimePoint& started = m_probe_started[server];
+    Probing& probing = m_probing[server];
     if (due.size() < m_policy.max_probes &&
-        now - started >= m_policy.probe_interval) {
-      started = now;
+        now - probing.started >= probing.interval) {
+      probing = {now, std::clamp(2 * probing.interval, m_policy.probe_interval,
+                                 m_policy.max_probe_interval)};
       due.push_back(server);
     }
   }
