--- a/include/filbertrack/entry_relay.h
+++ b/include/filbertrack/entry_relay.h
@@ -247,6 +247,8 @@
   /// continue.
   bool CanFailOver(TimePoint now);
   void Send(const DispatchChoice& choice);
+  /// Callbacks of the call of an attempt.
+  HttpCallEvents CallEvents();
   HttpCallRequest MakeCall(const DispatchChoice& choice, TimePoint now) const;
   void OnHead(int status, const HttpHeaders& headers);
   /// Prepares the forwarding of a response with this head.
--- a/source/entry_relay.cc
+++ b/source/entry_relay.cc
@@ -265,6 +265,11 @@
     line.resumes_at = m_resume_from;
   }
   LogPlaced(line);
+  m_call = m_context.http.Start(choice.target.address, MakeCall(choice, now),
+                                CallEvents());
+}
+
+HttpCallEvents EntryRelay::CallEvents() {
   HttpCallEvents events;
   events.on_head = [this](int status, const HttpHeaders& headers) {
     OnHead(status, headers);
@@ -273,8 +278,7 @@
   events.on_end = [this](int) { OnComplete(); };
   events.on_failure = [this](bool may_have_left) { OnFailure(may_have_left); };
   events.on_sent = [this] { m_is_sent = true; };
-  m_call = m_context.http.Start(choice.target.address, MakeCall(choice, now),
-                                std::move(events));
+  return events;
 }
 
 void EntryRelay::ResetAttempt(TimePoint now) {
--- a/source/entry_relay_forward.cc
+++ b/source/entry_relay_forward.cc
@@ -79,16 +79,8 @@
   HttpCallRequest call = MakeForwardedCall(peer, now);
   Feed(RequestForwarded{});
   LogForwarded(m_request, peer.name);
-  HttpCallEvents events;
-  events.on_head = [this](int status, const HttpHeaders& headers) {
-    OnHead(status, headers);
-  };
-  events.on_bytes = [this](std::string_view bytes) { OnBytes(bytes); };
-  events.on_end = [this](int) { OnComplete(); };
-  events.on_failure = [this](bool may_have_left) { OnFailure(may_have_left); };
-  events.on_sent = [this] { m_is_sent = true; };
   m_call = m_context.forward.http().Start(peer.address, std::move(call),
-                                          std::move(events));
+                                          CallEvents());
 }
 
 HttpCallRequest EntryRelay::MakeForwardedCall(const ForwardPeer& peer,
