--- a/include/filbertrack/entry_control.h
+++ b/include/filbertrack/entry_control.h
@@ -36,6 +36,8 @@
   Duration yield_after = Seconds(3);
   /// Time for which a host that reaches no backend server keeps the lease.
   Duration cut_off_yield_after = Seconds(1);
+  /// Time after which a release that did not take effect is repeated.
+  Duration release_interval = Milliseconds(500);
   /// Hosts that answer others but not this one from which it leaves the lease
   /// to others, and for how long.
   size_t min_disputed = 3;
@@ -105,8 +107,8 @@
   std::map<std::string, ReplicaMemory, std::less<>> m_memory;
   /// Whether this host reached the servers at the last Tick().
   bool m_was_reachable = true;
-  /// Fence of the lease that ReleaseIfCutOff() released last; 0: none.
-  uint64_t m_released_fence = 0;
+  /// When ReleaseIfCutOff() last released the lease.
+  TimePoint m_released_at;
   /// Latest time at which hosts answered others but not this one.
   std::optional<TimePoint> m_disputed_at;
   EntryOutbox m_outbox;
--- a/source/entry_control.cc
+++ b/source/entry_control.cc
@@ -204,11 +204,12 @@
 }
 
 void EntryControl::ReleaseIfCutOff(TimePoint now) {
-  // The release takes effect with the answer of the store.
-  if (!holds_lease() || !IsCutOff(now) || m_released_fence == m_lease.fence()) {
+  // A renewal that is under way can win over the release.
+  if (!holds_lease() || !IsCutOff(now) ||
+      now - m_released_at < m_policy.release_interval) {
     return;
   }
-  m_released_fence = m_lease.fence();
+  m_released_at = now;
   Log(LogLevel::kWarning, "lease-released",
       {{"fence", m_lease.fence()}, {"why", "servers unreachable from here"}});
   m_lease.Release();
