--- a/include/filbertrack/dispatch_selector.h
+++ b/include/filbertrack/dispatch_selector.h
@@ -255,6 +255,26 @@
                DispatchResult result,
                TimePoint now);
 
+  /// Bounds the requests at each target; targets that are not named get none.
+  /// Null: no bounds.
+  void SetRequestBounds(const std::map<std::string, int, std::less<>>* bounds);
+  struct TakenSlots {
+    double requests = 0;
+    double slots = 0;
+  };
+  /// Requests and slots of a model's targets that are used: while targets are
+  /// skipped because they failed, nobody can use their free slots. A target
+  /// has no more slots than its bound.
+  TakenSlots CountTakenSlots(std::string_view service,
+                             std::string_view model,
+                             TimePoint now) const;
+  /// Requests at a target as far as known; 0 if there is none.
+  int CountRequests(std::string_view id) const;
+  /// Sets the learned overhead of a model of which nothing was measured yet.
+  void SeedOverhead(std::string_view service,
+                    std::string_view model,
+                    Duration overhead);
+
   /// Forgets the failures of all targets, as their cause was this host's link.
   void ClearFailures();
 
@@ -309,6 +329,8 @@
     double slowness = 1;
     int failures = 0;
     TimePoint last_failure;
+    /// Most requests that it may have; nullopt: no bound.
+    std::optional<int> bound;
     /// Activity of its service and model.
     ModelActivity* activity = nullptr;
   };
@@ -363,9 +385,12 @@
   static bool IsFull(const Entry& entry);
   /// One more request would exceed max_requests_per_slot.
   bool IsAtLimit(const Entry& entry) const;
-  static bool AreAllSlotsTaken(const Targets& targets,
-                               const DispatchQuery& query,
-                               TimePoint now);
+  /// Whether targets that failed are skipped. If most fail at once, they are
+  /// not.
+  bool SkipsPaused(const Targets& targets, TimePoint now) const;
+  bool AreAllSlotsTaken(const Targets& targets,
+                        const DispatchQuery& query,
+                        TimePoint now) const;
   /// The longest predicted time to first event at which a request is accepted
   /// at the target.
   Duration MaxWait(const Entry& entry,
--- a/include/filbertrack/entry_placement.h
+++ b/include/filbertrack/entry_placement.h
@@ -46,7 +46,8 @@
   /// placer to other hosts. This host's own asks go to these.
   void Drain() override;
 
-  /// Placer of the pool; empty if placement is off for it or nobody places it.
+  /// The host that the pool's asks go to; empty if placement is off for it or
+  /// nobody places it.
   std::string PlacerOf(const PoolKey& pool) const;
   /// The pools that this host places.
   const Placer& placer() const { return m_placer; }
@@ -62,12 +63,11 @@
   /// A pool for which placement is on.
   struct Pool {
     PoolKey key;
-    /// Empty: nobody.
-    std::string placer;
+    /// Hosts that are asked in turn; empty: nobody.
+    std::vector<std::string> ranking;
   };
   struct PendingAsk {
     OnDecision on_decision;
-    std::string placer;
     TimePoint asked_at;
   };
   /// A time in which asks of one placer are decided locally.
@@ -82,8 +82,15 @@
   /// the live hosts.
   void Refresh(TimePoint now);
   std::vector<Pool> ComputePools(std::span<const FleetHost> live) const;
-  /// Sets the pools that this host places and logs those that changed.
-  void UpdateRole(size_t hosts, TimePoint now);
+  /// Sets this host's part in each pool and logs the pools that it begins or
+  /// ends to place.
+  void UpdateRole(std::span<const FleetHost> live, TimePoint now);
+  std::vector<PlacementRole> ComputeRoles(TimePoint now) const;
+  /// The first host in the pool's ranking; empty if nobody is ranked.
+  std::string FirstOf(const PoolKey& key) const;
+  /// Tells the placer of this host which hosts do not reply, and has the client
+  /// ask those that it wants to know about.
+  void ExchangeUnresponsive(TimePoint now);
   void OnRound();
   /// Drops the loads of askers that are gone.
   void ForgetAskers(TimePoint now);
@@ -140,6 +147,8 @@
   /// Targets of each pool, without evacuated ones.
   std::map<PoolKey, size_t> m_target_counts;
   std::set<PoolKey> m_own_pools;
+  std::vector<PlacementRole> m_roles;
+  uint64_t m_logged_claims = 0;
   /// Until then the loads of hosts that have not synced are estimated.
   TimePoint m_unsynced_until;
   uint64_t m_seen_membership = 0;
--- a/include/filbertrack/placement_client.h
+++ b/include/filbertrack/placement_client.h
@@ -4,10 +4,15 @@
 /// are sent to the placers and when the host chooses a target itself; it sends
 /// nothing. If this host is the placer, the adapter passes the message to its
 /// own Placer instead of sending it.
+///
+/// The asks of a pool go to the first host of its ranking that replies. See
+/// docs/design/placer-failover.md.
 
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
+#include <span>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -19,8 +24,9 @@
 namespace filbertrack {
 
 struct PlacementClientPolicy {
-  /// Without a reply in this time the asker decides itself. Ten times the
-  /// round trip between data centres; a target of 250 ms leaves some 50 ms.
+  /// Without a reply in this time the next host of the ranking is asked. Ten
+  /// times the round trip between data centres; a target of 250 ms leaves some
+  /// 50 ms.
   Duration answer_timeout = Milliseconds(30);
   /// After a failure the placer is asked again after `first_pause`, doubling
   /// to `longest_pause`.
@@ -52,6 +58,8 @@
   struct Decided {
     uint64_t id = 0;
     std::variant<PlacementGrant, PlacementRefusal, ChooseLocally> decision;
+    /// Host that was asked last.
+    std::string placer;
     /// Last known position in the placer's queue; 0: the ask did not wait.
     int position = 0;
     /// For ChooseLocally.
@@ -60,8 +68,13 @@
 
   PlacementClient(std::string name, uint64_t incarnation, Policy policy = {});
 
-  /// Empty `placer`: nobody. Asks that the earlier placer has not answered are
+  /// Hosts that are asked in turn; empty: nobody. If the placer changes to one
+  /// that was not ranked before, asks that the earlier one has not answered are
   /// decided locally by the next Expire(), which is due at once.
+  void SetRanking(const PoolKey& pool,
+                  std::vector<std::string> ranking,
+                  TimePoint now);
+  /// A ranking of one host. Empty `placer`: nobody.
   void SetPlacer(const PoolKey& pool, std::string placer, TimePoint now);
   /// Returns false if the request must be placed locally, at once.
   bool TryAsk(PlacementAsk ask, TimePoint now);
@@ -86,8 +99,17 @@
   /// Time at which Expire() or TakeMessages() must be called next.
   std::optional<TimePoint> NextDue() const;
 
-  /// Asks of `placer` are decided locally, since it did not reply or does not
-  /// decide.
+  /// Sends a message to `host`, to learn whether it replies.
+  void Check(const std::string& host);
+  /// Hosts that did not reply or do not place.
+  std::set<std::string, std::less<>> Unresponsive() const;
+  /// Hosts that have not replied to a message for at least `time`.
+  std::set<std::string, std::less<>> SilentFor(Duration time,
+                                               TimePoint now) const;
+  /// The host that the pool's asks go to; empty: nobody.
+  std::string PlacerOf(const PoolKey& pool) const;
+
+  /// Asks do not go to `placer`, since it did not reply or does not decide.
   bool IsPaused(std::string_view placer) const;
   /// kNone unless paused.
   PlacementFallback PauseCause(std::string_view placer) const;
@@ -96,6 +118,8 @@
   struct Ask {
     std::string placer;
     PlacementAsk ask;
+    TimePoint arrived;
+    /// When it was given to `placer`.
     TimePoint asked;
     /// It was in a message, so the placer may know it.
     bool is_sent = false;
@@ -105,6 +129,15 @@
   struct Load {
     PoolKey pool;
     PlacementLoad load;
+    TimePoint since;
+  };
+  struct Pool {
+    std::vector<std::string> ranking;
+    /// The first host of the ranking that is not paused; empty: none.
+    std::string placer;
+    /// `placer` has not been told yet that it is asked for this pool.
+    bool is_moved = false;
+    std::optional<PlacementEstimate> estimate;
   };
   struct InFlight {
     uint64_t sequence = 0;
@@ -125,11 +158,36 @@
     Duration pause{0};
     TimePoint paused_until;
     PlacementFallback cause = PlacementFallback::kNone;
+    /// Another placer took over, so that this one is not tried again while
+    /// another one is asked.
+    bool is_replaced = false;
+    /// A message is to be sent, see Check().
+    bool is_checked = false;
   };
   using Links = std::map<std::string, Link, std::less<>>;
 
+  /// The asks of a pool go to `placer`.
   bool IsUsed(std::string_view placer) const;
+  /// Whether the host ranks before the one that a pool's asks go to.
+  bool RanksBeforePlacer(std::string_view host) const;
   bool HasQueued(std::string_view placer) const;
+  /// Ends pauses of hosts that rank after the pool's placer and are therefore
+  /// not retried.
+  void EndOldPauses(const Pool& pool, TimePoint now);
+  /// Sets the pool's placer to the first host of its ranking that is not
+  /// paused. Its asks move there, or are decided locally if there is none.
+  void UpdatePlacer(const PoolKey& key,
+                    Pool& pool,
+                    bool moves_asks,
+                    PlacementFallback cause,
+                    TimePoint now,
+                    std::vector<Decided>& decided);
+  void UpdatePlacers(PlacementFallback cause,
+                     TimePoint now,
+                     std::vector<Decided>& decided);
+  /// Ends the pause of a link.
+  static void Resume(Link& link);
+  void AddMoved(std::string_view placer, PlacementRequest& request);
   /// Time at which a message must be sent to the placer; nullopt: none.
   std::optional<TimePoint> SendDue(std::string_view placer,
                                    const Link& link) const;
@@ -138,7 +196,7 @@
                                TimePoint now);
   void AddEvent(const PoolKey& pool, PlacementEvent event, TimePoint now);
   void AddEvent(Link& link, PlacementEvent event, TimePoint now);
-  /// Pauses the link and decides all its asks locally.
+  /// Pauses the link. Its asks go to the next host of their ranking.
   void Pause(std::string_view placer,
              Link& link,
              PlacementFallback cause,
@@ -154,22 +212,33 @@
                         const PlacementReply& reply,
                         std::vector<Decided>& decided);
   /// Applies an answer; returns false if the ask is unknown, so that the placer
-  /// must drop it.
+  /// must drop it. With `may_move`, an ask that the placer hands back stays
+  /// pending if another host can be asked.
   bool Apply(std::string_view placer,
              const PlacementAnswer& answer,
+             bool may_move,
+             TimePoint now,
              std::vector<Decided>& decided);
+  /// Whether the ask can go to another host.
+  bool HasNext(const Ask& ask) const;
+  /// Whether the asks of the pool go to `placer`, or would if it replied and
+  /// now go to nobody.
+  static bool IsAskedOrAlone(std::string_view placer, const Pool& pool);
+  bool IsAskedOrAlone(std::string_view placer) const;
+  /// Whether `first` ranks before `second` for any pool.
+  bool RanksBefore(std::string_view first, std::string_view second) const;
 
   std::string m_name;
   uint64_t m_incarnation;
   Policy m_policy;
-  std::map<PoolKey, std::string> m_placers;
+  std::map<PoolKey, Pool> m_pools;
   /// Kept while the process runs, so that sequence numbers do not repeat.
   Links m_links;
   /// Asks without a decision.
   std::map<uint64_t, Ask> m_asks;
   /// Requests under way, including grants that were not used yet.
   std::map<uint64_t, Load> m_loads;
-  /// Decided by SetPlacer(), to be returned by Expire().
+  /// Decided by SetRanking(), to be returned by Expire().
   std::vector<Decided> m_decided;
 };
 
--- a/include/filbertrack/placement_message.h
+++ b/include/filbertrack/placement_message.h
@@ -105,6 +105,19 @@
   std::string target;
   double prompt_tokens = 0;
   bool prompt_pending = false;
+  /// Time since it was sent; 0: not known.
+  Duration age{0};
+};
+
+/// What a placer has learned about a pool, with which the next one starts.
+struct PlacementEstimate {
+  PoolKey pool;
+  /// Mean time of an answered request.
+  Duration request_time{0};
+  /// Time to the first event in excess of the engine profile.
+  Duration overhead{0};
+  /// Mean absolute error of predicted times to the first event.
+  Duration error{0};
 };
 
 struct PlacementRequest {
@@ -118,6 +131,13 @@
   std::vector<PlacementLoad> loads;
   std::vector<PlacementEvent> events;
   std::vector<PlacementAsk> asks;
+  /// Pools whose asks went to another placer before; with is_sync only.
+  std::vector<PoolKey> moved{};
+  /// Hosts that rank before the receiver and do not reply to the asker or do
+  /// not place; with `moved` only.
+  std::vector<std::string> unresponsive{};
+  /// What the earlier placers of `moved` had learned.
+  std::vector<PlacementEstimate> estimates{};
 };
 
 struct PlacementReply {
@@ -129,13 +149,18 @@
   /// The next message must be a sync.
   bool wants_sync = false;
   std::vector<PlacementAnswer> answers;
+  /// Sent now and then, see Placer::kEstimateInterval.
+  std::vector<PlacementEstimate> estimates{};
 };
 
-/// Later answers to queued asks.
+/// Later answers to queued asks, or the claim of a placer.
 struct PlacementNotice {
   std::string placer;
   uint64_t incarnation = 0;
   std::vector<PlacementAnswer> answers;
+  /// Hosts that the sender takes over from, since they do not reply. The
+  /// receiver asks them no longer.
+  std::vector<std::string> replaced{};
 };
 
 struct PlacementNoticeReply {
--- a/include/filbertrack/placement_pool.h
+++ b/include/filbertrack/placement_pool.h
@@ -102,11 +102,23 @@
               const PlacementEvent& event,
               TimePoint now);
   /// Replaces the loads of `asker` and drops its queued asks. Loads at targets
-  /// of other pools must not be included.
+  /// of other pools must not be included. `has_moved`: the asker asked another
+  /// placer before.
   void Sync(std::string_view asker,
             uint64_t incarnation,
             std::span<const PlacementLoad> loads,
-            TimePoint now);
+            TimePoint now,
+            bool has_moved = false);
+
+  /// While confined, a target gets only as many requests as the askers that
+  /// moved here had there, and one more: the earlier placer still counts those.
+  void SetConfined(bool is_confined);
+  bool is_confined() const { return m_is_confined; }
+
+  /// What was learned so far; nullopt: too little.
+  std::optional<PlacementEstimate> Estimate() const;
+  /// Starts with what an earlier placer learned, unless this one knows better.
+  void AdoptEstimate(const PlacementEstimate& estimate, TimePoint now);
   /// A request of `asker` that was granted or reported; null if there is none.
   const PlacementLoad* FindLoad(std::string_view asker, uint64_t id) const;
   /// The asker has gone or restarted: drops its loads and queued asks.
@@ -193,7 +205,11 @@
   void OnEnded(Asker& asker, const PlacementEnded& ended, TimePoint now);
   void OnFirst(Asker& asker, const PlacementFirst& first);
   Duration Overhead() const;
-  bool AreSlotsTaken() const;
+  bool AreSlotsTaken(TimePoint now) const;
+  /// Changes the bounds of targets while confined.
+  void ShiftBounds(const Loads& before, const Loads& after);
+  /// Time at which the target of a synced load should have read its prompt.
+  TimePoint ReadTime(const PlacementLoad& load, TimePoint now) const;
   Duration Margin() const;
   void CountLoad(Load& load);
   /// Takes the prompt off the load of its target.
@@ -220,11 +236,12 @@
   TimePoint m_last_end;
   /// Smoothed absolute error of predictions.
   Duration m_error{0};
-  /// Slots of all targets.
-  double m_slots = 0;
   /// Requests by the time at which their target should have read the prompt.
   std::multimap<TimePoint, std::pair<std::string, uint64_t>> m_prompt_reads;
   size_t m_outstanding = 0;
+  bool m_is_confined = false;
+  /// Most requests by target while confined.
+  std::map<std::string, int, std::less<>> m_bounds;
   /// Grants past a waiting ask of a lower priority, since the last one that it
   /// got out of turn.
   int m_grants_since_lowest = 0;
--- a/include/filbertrack/placement_role.h
+++ b/include/filbertrack/placement_role.h
@@ -6,6 +6,7 @@
 #include <span>
 #include <string>
 #include <tuple>
+#include <vector>
 
 #include "filbertrack/gossip_message.h"
 
@@ -28,4 +29,13 @@
 /// pool within a class. Hosts that are draining must not be listed.
 std::string ChoosePlacer(const PoolKey& pool, std::span<const FleetHost> live);
 
+/// Hosts that are ranked for a pool: the placer and those that are asked in
+/// turn if it does not reply.
+inline constexpr size_t kRankedPlacers = 3;
+
+/// Returns the first kRankedPlacers hosts in the order of ChoosePlacer(): each
+/// is the one that ChoosePlacer() returns without those before it.
+std::vector<std::string> RankPlacers(const PoolKey& pool,
+                                     std::span<const FleetHost> live);
+
 }  // namespace filbertrack
--- a/source/dispatch_predict.cc
+++ b/source/dispatch_predict.cc
@@ -124,6 +124,16 @@
   return found == m_activity.end() ? Duration(0) : found->second.overhead;
 }
 
+void TargetSelector::SeedOverhead(std::string_view service,
+                                  std::string_view model,
+                                  Duration overhead) {
+  ModelActivity& activity = m_activity[GroupKey(service, model)];
+  if (activity.measurements == 0 && m_policy.model_smoothing > 0) {
+    activity.overhead = overhead;
+    activity.measurements = static_cast<int>(1 / m_policy.model_smoothing);
+  }
+}
+
 double TargetSelector::Slowness(std::string_view id) const {
   const Entry* entry = Find(id);
   return entry == nullptr ? 1 : entry->slowness;
--- a/source/entry_placement.cc
+++ b/source/entry_placement.cc
@@ -73,21 +73,19 @@
 }
 
 std::string EntryPlacement::PlacerOf(const PoolKey& key) const {
-  const auto found =
-      std::find_if(m_pools.begin(), m_pools.end(),
-                   [&key](const Pool& pool) { return pool.key == key; });
-  return found == m_pools.end() ? std::string() : found->placer;
+  return m_client.PlacerOf(key);
 }
 
 bool EntryPlacement::TryAsk(PlacementAsk ask, OnDecision on_decision) {
   const TimePoint now = MonotonicNow();
   const uint64_t id = ask.id;
-  std::string placer = PlacerOf(ask.pool);
+  const PoolKey pool = ask.pool;
   if (!m_client.TryAsk(std::move(ask), now)) {
-    CountFallback(placer, m_client.PauseCause(placer));
+    const std::string first = FirstOf(pool);
+    CountFallback(first, m_client.PauseCause(first));
     return false;
   }
-  m_pending[id] = {std::move(on_decision), std::move(placer), now};
+  m_pending[id] = {std::move(on_decision), now};
   SchedulePump();
   return true;
 }
@@ -119,7 +117,7 @@
     }
   }
   Refresh(now);
-  if (!m_own_pools.empty()) {
+  if (!m_roles.empty()) {
     m_placer.SetTargets(targets, catalog, now);
     SchedulePump();
   }
@@ -170,8 +168,8 @@
       const auto count = m_target_counts.find(key);
       if (count == m_target_counts.end() ||
           count->second <= kMaxPlacedTargets) {
-        std::string placer = ChoosePlacer(key, candidates);
-        pools.push_back({std::move(key), std::move(placer)});
+        std::vector<std::string> ranking = RankPlacers(key, candidates);
+        pools.push_back({std::move(key), std::move(ranking)});
       }
     }
   }
@@ -182,57 +180,107 @@
   const std::vector<FleetHost> live = m_peers.LiveHosts(now);
   const std::vector<Pool> before = std::exchange(m_pools, ComputePools(live));
   for (const Pool& pool : before) {
-    const std::string placer = PlacerOf(pool.key);
-    if (placer != pool.placer) {
-      m_client.SetPlacer(pool.key, placer, now);
-      if (!pool.placer.empty() && !placer.empty()) {
-        m_host.metrics().OnPlacementHandover();
-      }
+    const std::string first = FirstOf(pool.key);
+    if (first.empty()) {
+      m_client.SetRanking(pool.key, {}, now);
+    } else if (!pool.ranking.empty() && pool.ranking.front() != first) {
+      m_host.metrics().OnPlacementHandover();
     }
   }
   for (const Pool& pool : m_pools) {
-    const bool is_known = std::any_of(
-        before.begin(), before.end(),
-        [&pool](const Pool& known) { return known.key == pool.key; });
-    if (!is_known) {
-      m_client.SetPlacer(pool.key, pool.placer, now);
-    }
+    m_client.SetRanking(pool.key, pool.ranking, now);
   }
   EndStaleFallbacks(now);
-  UpdateRole(live.size(), now);
+  UpdateRole(live, now);
   SchedulePump();
 }
 
-void EntryPlacement::UpdateRole(size_t hosts, TimePoint now) {
-  std::set<PoolKey> own;
+std::string EntryPlacement::FirstOf(const PoolKey& key) const {
+  const auto found =
+      std::find_if(m_pools.begin(), m_pools.end(),
+                   [&key](const Pool& pool) { return pool.key == key; });
+  return found == m_pools.end() || found->ranking.empty()
+             ? std::string()
+             : found->ranking.front();
+}
+
+std::vector<PlacementRole> EntryPlacement::ComputeRoles(TimePoint now) const {
+  std::vector<PlacementRole> roles;
+  // While the whole fleet starts, nobody places requests yet.
+  const bool may_overlap =
+      !m_peers.IsStartingUp(now) || !m_peers.RemoteLoads(now).empty();
   for (const Pool& pool : m_pools) {
-    if (pool.placer == m_name && !m_draining) {
-      own.insert(pool.key);
+    const auto own =
+        std::find(pool.ranking.begin(), pool.ranking.end(), m_name);
+    if (own != pool.ranking.end() && !m_draining) {
+      roles.push_back({pool.key, {pool.ranking.begin(), own}, may_overlap});
     }
   }
-  if (own == m_own_pools) {
+  return roles;
+}
+
+void EntryPlacement::UpdateRole(std::span<const FleetHost> live,
+                                TimePoint now) {
+  std::set<std::string, std::less<>> names;
+  for (const FleetHost& host : Candidates(live)) {
+    names.insert(host.name);
+  }
+  m_placer.SetHosts(std::move(names), now);
+  std::vector<PlacementRole> roles = ComputeRoles(now);
+  const bool is_same = std::equal(
+      roles.begin(), roles.end(), m_roles.begin(), m_roles.end(),
+      [](const PlacementRole& left, const PlacementRole& right) {
+        return left.pool == right.pool && left.before == right.before;
+      });
+  if (is_same) {
     return;
   }
+  std::set<PoolKey> own;
+  for (const PlacementRole& role : roles) {
+    if (role.IsFirst()) {
+      own.insert(role.pool);
+    }
+  }
   for (const PoolKey& pool : m_own_pools) {
     if (!own.contains(pool)) {
-      LogRole(pool, "ended", hosts);
+      LogRole(pool, "ended", live.size());
     }
   }
   for (const PoolKey& pool : own) {
     if (!m_own_pools.contains(pool)) {
-      LogRole(pool, "began", hosts);
+      LogRole(pool, "began", live.size());
       m_unsynced_until = now + kUnsyncedTime;
     }
   }
   m_own_pools = std::move(own);
-  m_placer.SetPools(
-      std::vector<PoolKey>(m_own_pools.begin(), m_own_pools.end()), now);
+  m_roles = std::move(roles);
+  m_placer.SetRoles(m_roles, now);
   m_placer.SetTargets(m_host.Targets(), *m_host.catalog(), now);
   UpdateUnsynced(now);
 }
 
+void EntryPlacement::ExchangeUnresponsive(TimePoint now) {
+  m_placer.SetUnresponsive(m_client.Unresponsive(),
+                           m_client.SilentFor(Placer::kSilence, now), now);
+  for (const std::string& host : m_placer.TakeChecks()) {
+    m_client.Check(host);
+  }
+  if (m_placer.TakeNeedsEstimate()) {
+    m_unsynced_until = now + kUnsyncedTime;
+    UpdateUnsynced(now);
+  }
+  if (m_placer.claims() != m_logged_claims) {
+    m_logged_claims = m_placer.claims();
+    for (const PlacementRole& role : m_roles) {
+      if (m_placer.HasClaimed(role.pool)) {
+        LogRole(role.pool, "claimed", m_peers.LiveHosts(now).size());
+      }
+    }
+  }
+}
+
 void EntryPlacement::UpdateUnsynced(TimePoint now) {
-  if (m_own_pools.empty() || now > m_unsynced_until) {
+  if (m_placer.pools().empty() || now > m_unsynced_until) {
     return;
   }
   FleetGossip::LoadSums loads = m_peers.RemoteLoads(now);
--- a/source/entry_placement_messages.cc
+++ b/source/entry_placement_messages.cc
@@ -37,6 +37,7 @@
 void EntryPlacement::Pump() {
   m_pump_scheduled = false;
   const TimePoint now = MonotonicNow();
+  ExchangeUnresponsive(now);
   for (const auto& [placer, request] : m_client.TakeMessages(now)) {
     Send(placer, request);
   }
@@ -68,7 +69,9 @@
   const TimePoint now = MonotonicNow();
   std::vector<PlacementClient::Decided> expired = m_client.Expire(now);
   for (const Pool& pool : m_pools) {
-    UpdateFallback(pool.placer, now);
+    for (const std::string& host : pool.ranking) {
+      UpdateFallback(host, now);
+    }
   }
   Decide(std::move(expired));
 }
@@ -168,6 +171,7 @@
   PlacementNoticeReply reply;
   std::vector<PlacementClient::Decided> decided =
       m_client.OnNotice(*notice, reply, now);
+  m_placer.OnClaim(*notice, now);
   answer(EncodePlacementNoticeReply(reply));
   Decide(std::move(decided));
   SchedulePump();
@@ -183,10 +187,10 @@
     PendingAsk& ask = pending.mapped();
     m_host.metrics().OnPlacementWait(MonotonicNow() - ask.asked_at);
     if (row.cause != PlacementFallback::kNone) {
-      CountFallback(ask.placer, row.cause);
+      CountFallback(row.placer, row.cause);
     }
     ask.on_decision(
-        {std::move(row.decision), std::move(ask.placer), row.position});
+        {std::move(row.decision), std::move(row.placer), row.position});
   }
 }
 
--- a/source/entry_placement_metrics.cc
+++ b/source/entry_placement_metrics.cc
@@ -44,9 +44,11 @@
 
 void EntryPlacement::EndStaleFallbacks(TimePoint now) {
   std::erase_if(m_fallbacks, [&](const auto& row) {
-    const bool is_stale = std::none_of(
-        m_pools.begin(), m_pools.end(),
-        [&row](const Pool& pool) { return pool.placer == row.first; });
+    const bool is_stale =
+        std::none_of(m_pools.begin(), m_pools.end(), [&row](const Pool& pool) {
+          return std::find(pool.ranking.begin(), pool.ranking.end(),
+                           row.first) != pool.ranking.end();
+        });
     if (is_stale) {
       LogFallbackEnd(row.first, row.second, now);
       m_ask_links.erase(row.first);
--- a/source/placement_client.cc
+++ b/source/placement_client.cc
@@ -29,42 +29,165 @@
 
 void PlacementClient::SetPlacer(const PoolKey& pool,
                                 std::string placer,
-                                TimePoint) {
-  std::string& current = m_placers[pool];
-  if (current == placer) {
+                                TimePoint now) {
+  std::vector<std::string> ranking;
+  if (!placer.empty()) {
+    ranking.push_back(std::move(placer));
+  }
+  SetRanking(pool, std::move(ranking), now);
+}
+
+void PlacementClient::SetRanking(const PoolKey& key,
+                                 std::vector<std::string> ranking,
+                                 TimePoint now) {
+  Pool& pool = m_pools[key];
+  if (pool.ranking == ranking) {
     return;
   }
-  std::erase_if(m_asks, [&](const auto& row) {
-    if (row.second.ask.pool != pool) {
-      return false;
+  const auto before = std::exchange(pool.ranking, std::move(ranking));
+  for (const std::string& host : before) {
+    const bool is_ranked =
+        std::any_of(m_pools.begin(), m_pools.end(), [&host](const auto& row) {
+          const auto& hosts = row.second.ranking;
+          return std::find(hosts.begin(), hosts.end(), host) != hosts.end();
+        });
+    if (!is_ranked) {
+      // If it comes back, it may be another process.
+      Resume(m_links[host]);
     }
-    std::erase(m_links[row.second.placer].asks, row.first);
-    Release(row.second, PlacementFallback::kPlacerChanged, m_decided);
-    return true;
-  });
-  current = std::move(placer);
-  if (!current.empty()) {
-    // The loads of the pool are new to this placer. The sync covers all events
-    // so far; sent after it, they would restore requests that have ended.
-    Link& link = m_links[current];
-    link.needs_sync = true;
-    link.events.clear();
   }
+  EndOldPauses(pool, now);
+  const auto next =
+      std::find_if(pool.ranking.begin(), pool.ranking.end(),
+                   [this](const std::string& host) { return !IsPaused(host); });
+  const bool was_ranked =
+      next != pool.ranking.end() &&
+      std::find(before.begin(), before.end(), *next) != before.end();
+  UpdatePlacer(key, pool, was_ranked, PlacementFallback::kPlacerChanged, now,
+               m_decided);
 }
 
-bool PlacementClient::TryAsk(PlacementAsk ask, TimePoint now) {
-  const auto placer = m_placers.find(ask.pool);
-  if (placer == m_placers.end() || placer->second.empty()) {
-    return false;
+void PlacementClient::Resume(Link& link) {
+  link.pause = Duration(0);
+  link.cause = PlacementFallback::kNone;
+  link.is_replaced = false;
+}
+
+void PlacementClient::EndOldPauses(const Pool& pool, TimePoint now) {
+  const auto placer =
+      std::find(pool.ranking.begin(), pool.ranking.end(), pool.placer);
+  for (auto host = placer; host != pool.ranking.end(); ++host) {
+    Link& link = m_links[*host];
+    if (link.pause > Duration(0) && link.paused_until <= now &&
+        !RanksBeforePlacer(*host)) {
+      Resume(link);
+    }
   }
-  Link& link = m_links[placer->second];
-  if (link.pause > Duration(0)) {
+}
+
+void PlacementClient::UpdatePlacer(const PoolKey& key,
+                                   Pool& pool,
+                                   bool moves_asks,
+                                   PlacementFallback cause,
+                                   TimePoint now,
+                                   std::vector<Decided>& decided) {
+  const auto next =
+      std::find_if(pool.ranking.begin(), pool.ranking.end(),
+                   [this](const std::string& host) { return !IsPaused(host); });
+  const std::string placer = next == pool.ranking.end() ? "" : *next;
+  if (placer == pool.placer) {
+    return;
+  }
+  pool.placer = placer;
+  std::vector<uint64_t> ids;
+  for (const auto& [id, ask] : m_asks) {
+    if (ask.ask.pool == key) {
+      ids.push_back(id);
+    }
+  }
+  for (const uint64_t id : ids) {
+    Ask& ask = m_asks.at(id);
+    std::erase(m_links[ask.placer].asks, id);
+    if (placer.empty() || !moves_asks) {
+      Release(ask, cause, decided);
+      m_asks.erase(id);
+      continue;
+    }
+    ask.placer = placer;
+    ask.asked = now;
+    ask.is_sent = false;
+    ask.position = 0;
+    m_links[placer].asks.push_back(id);
+  }
+  if (placer.empty()) {
+    // Whoever took over does not reply either.
+    for (const std::string& host : pool.ranking) {
+      Link& link = m_links[host];
+      if (std::exchange(link.is_replaced, false)) {
+        link.paused_until = now;
+      }
+    }
+    return;
+  }
+  // The loads of the pool are new to this placer. The sync covers all events so
+  // far; sent after it, they would restore requests that have ended.
+  Link& link = m_links[placer];
+  link.needs_sync = true;
+  link.events.clear();
+  pool.is_moved = true;
+}
+
+void PlacementClient::UpdatePlacers(PlacementFallback cause,
+                                    TimePoint now,
+                                    std::vector<Decided>& decided) {
+  for (auto& [key, pool] : m_pools) {
+    EndOldPauses(pool, now);
+    UpdatePlacer(key, pool, true, cause, now, decided);
+  }
+}
+
+std::string PlacementClient::PlacerOf(const PoolKey& key) const {
+  const auto pool = m_pools.find(key);
+  return pool == m_pools.end() ? std::string() : pool->second.placer;
+}
+
+void PlacementClient::Check(const std::string& host) {
+  Link& link = m_links[host];
+  link.is_checked = link.pause == Duration(0) && !link.in_flight;
+}
+
+std::set<std::string, std::less<>> PlacementClient::Unresponsive() const {
+  std::set<std::string, std::less<>> hosts;
+  for (const auto& [host, link] : m_links) {
+    if (link.pause > Duration(0)) {
+      hosts.insert(host);
+    }
+  }
+  return hosts;
+}
+
+std::set<std::string, std::less<>> PlacementClient::SilentFor(
+    Duration time,
+    TimePoint now) const {
+  std::set<std::string, std::less<>> hosts;
+  for (const auto& [host, link] : m_links) {
+    if (link.in_flight && link.in_flight->sent + time <= now) {
+      hosts.insert(host);
+    }
+  }
+  return hosts;
+}
+
+bool PlacementClient::TryAsk(PlacementAsk ask, TimePoint now) {
+  const auto pool = m_pools.find(ask.pool);
+  if (pool == m_pools.end() || pool->second.placer.empty()) {
     return false;
   }
+  const std::string& placer = pool->second.placer;
   ask.prompt_tokens = ClampTokens(ask.prompt_tokens);
   const uint64_t id = ask.id;
-  link.asks.push_back(id);
-  m_asks[id] = {placer->second, std::move(ask), now};
+  m_links[placer].asks.push_back(id);
+  m_asks[id] = {placer, std::move(ask), now, now};
   return true;
 }
 
@@ -89,27 +212,28 @@
                               PlacementEvent event,
                               TimePoint now) {
   const bool is_known = std::visit(
-      Overloaded{[&](PlacementSent& sent) {
-                   sent.prompt_tokens = ClampTokens(sent.prompt_tokens);
-                   Withdraw(sent.id, now);
-                   m_loads[sent.id] = {
-                       pool, {sent.id, sent.target, sent.prompt_tokens, true}};
-                   return true;
-                 },
-                 [&](const PlacementFirst& first) {
-                   const auto load = m_loads.find(first.id);
-                   if (load != m_loads.end()) {
-                     load->second.load.prompt_pending = false;
-                   }
-                   return load != m_loads.end();
-                 },
-                 [&](const PlacementEnded& ended) {
-                   return m_loads.erase(ended.id) > 0;
-                 },
-                 [&](const PlacementWithdrawn& withdrawn) {
-                   Withdraw(withdrawn.id, now);
-                   return false;
-                 }},
+      Overloaded{
+          [&](PlacementSent& sent) {
+            sent.prompt_tokens = ClampTokens(sent.prompt_tokens);
+            Withdraw(sent.id, now);
+            m_loads[sent.id] = {
+                pool, {sent.id, sent.target, sent.prompt_tokens, true}, now};
+            return true;
+          },
+          [&](const PlacementFirst& first) {
+            const auto load = m_loads.find(first.id);
+            if (load != m_loads.end()) {
+              load->second.load.prompt_pending = false;
+            }
+            return load != m_loads.end();
+          },
+          [&](const PlacementEnded& ended) {
+            return m_loads.erase(ended.id) > 0;
+          },
+          [&](const PlacementWithdrawn& withdrawn) {
+            Withdraw(withdrawn.id, now);
+            return false;
+          }},
       event);
   if (is_known) {
     AddEvent(pool, std::move(event), now);
@@ -119,9 +243,9 @@
 void PlacementClient::AddEvent(const PoolKey& pool,
                                PlacementEvent event,
                                TimePoint now) {
-  const auto placer = m_placers.find(pool);
-  if (placer != m_placers.end() && !placer->second.empty()) {
-    AddEvent(m_links[placer->second], std::move(event), now);
+  const std::string placer = PlacerOf(pool);
+  if (!placer.empty()) {
+    AddEvent(m_links[placer], std::move(event), now);
   }
 }
 
@@ -139,9 +263,17 @@
 }
 
 bool PlacementClient::IsUsed(std::string_view placer) const {
-  return std::any_of(
-      m_placers.begin(), m_placers.end(),
-      [placer](const auto& row) { return row.second == placer; });
+  return std::any_of(m_pools.begin(), m_pools.end(), [placer](const auto& row) {
+    return row.second.placer == placer;
+  });
+}
+
+bool PlacementClient::RanksBeforePlacer(std::string_view host) const {
+  return std::any_of(m_pools.begin(), m_pools.end(), [host](const auto& row) {
+    const auto& [ranking, placer, is_moved, estimate] = row.second;
+    return std::find(ranking.begin(), ranking.end(), host) <
+           std::find(ranking.begin(), ranking.end(), placer);
+  });
 }
 
 bool PlacementClient::HasQueued(std::string_view placer) const {
@@ -152,11 +284,18 @@
 
 std::optional<TimePoint> PlacementClient::SendDue(std::string_view placer,
                                                   const Link& link) const {
-  if (link.in_flight || !IsUsed(placer)) {
+  if (link.in_flight) {
     return std::nullopt;
   }
+  if (link.is_checked) {
+    return kAtOnce;
+  }
   if (link.pause > Duration(0)) {
-    return link.paused_until;
+    const bool is_retried = !link.is_replaced && RanksBeforePlacer(placer);
+    return is_retried ? std::optional(link.paused_until) : std::nullopt;
+  }
+  if (!IsUsed(placer)) {
+    return std::nullopt;
   }
   if (link.needs_sync || !link.asks.empty()) {
     return kAtOnce;
@@ -190,26 +329,31 @@
   request.asker = m_name;
   request.incarnation = m_incarnation;
   request.sequence = ++link.sequence;
-  request.is_sync = link.needs_sync;
+  // A placer that is asked for nothing must keep what it knows: while this host
+  // asks another one, it cannot tell which requests have ended.
+  request.is_sync = link.needs_sync && IsAskedOrAlone(placer);
   if (request.is_sync) {
     for (const auto& [id, load] : m_loads) {
-      const auto found = m_placers.find(load.pool);
-      if (found != m_placers.end() && found->second == placer) {
+      const auto pool = m_pools.find(load.pool);
+      if (pool != m_pools.end() && IsAskedOrAlone(placer, pool->second)) {
         request.loads.push_back(load.load);
+        request.loads.back().age = now - load.since;
       }
     }
+    AddMoved(placer, request);
+    link.needs_sync = false;
   }
   request.events.swap(link.events);
   for (const uint64_t id : link.asks) {
     Ask& ask = m_asks.at(id);
     ask.is_sent = true;
     request.asks.push_back(ask.ask);
-    const Duration waited = now - ask.asked;
+    const Duration waited = now - ask.arrived;
     request.asks.back().time_to_slo -= waited;
     request.asks.back().time_left -= waited;
   }
   link.asks.clear();
-  link.needs_sync = false;
+  link.is_checked = false;
   link.in_flight = InFlight{link.sequence, now};
   link.check_due = now + m_policy.queue_check;
   return request;
@@ -219,7 +363,41 @@
                               PlacementFallback cause,
                               std::vector<Decided>& decided) const {
   decided.push_back(
-      {ask.ask.id, ChooseLocally{ask.ask.id}, ask.position, cause});
+      {ask.ask.id, ChooseLocally{ask.ask.id}, ask.placer, ask.position, cause});
+}
+
+bool PlacementClient::IsAskedOrAlone(std::string_view placer,
+                                     const Pool& pool) {
+  const bool is_ranked = std::find(pool.ranking.begin(), pool.ranking.end(),
+                                   placer) != pool.ranking.end();
+  return pool.placer == placer || (pool.placer.empty() && is_ranked);
+}
+
+bool PlacementClient::IsAskedOrAlone(std::string_view placer) const {
+  return std::any_of(m_pools.begin(), m_pools.end(), [&](const auto& row) {
+    return IsAskedOrAlone(placer, row.second);
+  });
+}
+
+void PlacementClient::AddMoved(std::string_view placer,
+                               PlacementRequest& request) {
+  std::set<std::string> unresponsive;
+  for (auto& [key, pool] : m_pools) {
+    if (pool.placer != placer || !std::exchange(pool.is_moved, false)) {
+      continue;
+    }
+    request.moved.push_back(key);
+    if (pool.estimate) {
+      request.estimates.push_back(*pool.estimate);
+    }
+    for (const std::string& host : pool.ranking) {
+      if (host == placer) {
+        break;
+      }
+      unresponsive.insert(host);
+    }
+  }
+  request.unresponsive.assign(unresponsive.begin(), unresponsive.end());
 }
 
 void PlacementClient::Pause(std::string_view placer,
@@ -227,14 +405,6 @@
                             PlacementFallback cause,
                             TimePoint now,
                             std::vector<Decided>& decided) {
-  std::erase_if(m_asks, [&](const auto& row) {
-    if (row.second.placer != placer) {
-      return false;
-    }
-    Release(row.second, cause, decided);
-    return true;
-  });
-  link.asks.clear();
   link.events.clear();
   link.in_flight.reset();
   link.needs_sync = true;
@@ -243,10 +413,27 @@
                    : m_policy.first_pause;
   link.paused_until = now + link.pause;
   link.cause = cause;
+  link.is_checked = false;
+  for (auto& [key, pool] : m_pools) {
+    // The message may have been lost.
+    pool.is_moved = pool.is_moved || pool.placer == placer;
+  }
+  UpdatePlacers(cause, now, decided);
+}
+
+bool PlacementClient::HasNext(const Ask& ask) const {
+  const auto pool = m_pools.find(ask.ask.pool);
+  return pool != m_pools.end() &&
+         std::any_of(pool->second.ranking.begin(), pool->second.ranking.end(),
+                     [&](const std::string& host) {
+                       return host != ask.placer && !IsPaused(host);
+                     });
 }
 
 bool PlacementClient::Apply(std::string_view placer,
                             const PlacementAnswer& answer,
+                            bool may_move,
+                            TimePoint now,
                             std::vector<Decided>& decided) {
   const uint64_t id = IdOf(answer);
   const auto found = m_asks.find(id);
@@ -264,11 +451,14 @@
     return true;
   }
   if (const auto* grant = std::get_if<PlacementGrant>(&answer)) {
-    m_loads[id] = {ask.ask.pool,
-                   {id, grant->target, ask.ask.prompt_tokens, true}};
-    decided.push_back({id, *grant, ask.position});
+    m_loads[id] = {
+        ask.ask.pool, {id, grant->target, ask.ask.prompt_tokens, true}, now};
+    decided.push_back({id, *grant, ask.placer, ask.position});
   } else if (const auto* refusal = std::get_if<PlacementRefusal>(&answer)) {
-    decided.push_back({id, *refusal, ask.position});
+    decided.push_back({id, *refusal, ask.placer, ask.position});
+  } else if (may_move && HasNext(ask)) {
+    // Goes to the next host with all asks of this placer, see Pause().
+    return true;
   } else {
     Release(ask, PlacementFallback::kDeclined, decided);
   }
@@ -313,17 +503,24 @@
   }
   link.in_flight.reset();
   for (const PlacementAnswer& answer : reply->answers) {
-    if (!Apply(placer, answer, decided)) {
+    if (!Apply(placer, answer, !reply->places, now, decided)) {
       AddEvent(link, PlacementWithdrawn{IdOf(answer)}, now);
     }
   }
+  for (const PlacementEstimate& estimate : reply->estimates) {
+    if (const auto pool = m_pools.find(estimate.pool); pool != m_pools.end()) {
+      pool->second.estimate = estimate;
+    }
+  }
   if (!reply->places) {
     Pause(placer, link, PlacementFallback::kDeclined, now, decided);
     return decided;
   }
   ReleaseForgotten(placer, *reply, decided);
-  link.pause = Duration(0);
-  link.cause = PlacementFallback::kNone;
+  if (link.pause > Duration(0)) {
+    Resume(link);
+    UpdatePlacers(PlacementFallback::kPlacerChanged, now, decided);
+  }
   if (reply->wants_sync) {
     link.needs_sync = true;
     link.events.clear();
@@ -334,16 +531,44 @@
 std::vector<PlacementClient::Decided> PlacementClient::OnNotice(
     const PlacementNotice& notice,
     PlacementNoticeReply& reply,
-    TimePoint) {
+    TimePoint now) {
   std::vector<Decided> decided;
+  bool declines = false;
   for (const PlacementAnswer& answer : notice.answers) {
-    if (!Apply(notice.placer, answer, decided)) {
+    if (!Apply(notice.placer, answer, true, now, decided)) {
       reply.declined.push_back(IdOf(answer));
     }
+    declines = declines || (std::holds_alternative<ChooseLocally>(answer) &&
+                            m_asks.contains(IdOf(answer)));
+  }
+  if (declines) {
+    Pause(notice.placer, m_links[notice.placer], PlacementFallback::kDeclined,
+          now, decided);
+  }
+  for (const std::string& host : notice.replaced) {
+    if (!RanksBefore(host, notice.placer)) {
+      continue;
+    }
+    Link& link = m_links[host];
+    if (link.pause == Duration(0)) {
+      Pause(host, link, PlacementFallback::kNoReply, now, decided);
+    }
+    // Does not hold if the sender is paused as well.
+    link.is_replaced = !IsPaused(notice.placer);
   }
   return decided;
 }
 
+bool PlacementClient::RanksBefore(std::string_view first,
+                                  std::string_view second) const {
+  return std::any_of(m_pools.begin(), m_pools.end(), [&](const auto& row) {
+    const auto& ranking = row.second.ranking;
+    const auto left = std::find(ranking.begin(), ranking.end(), first);
+    const auto right = std::find(ranking.begin(), ranking.end(), second);
+    return left < right && right != ranking.end();
+  });
+}
+
 std::vector<PlacementClient::Decided> PlacementClient::Expire(TimePoint now) {
   std::vector<Decided> decided;
   decided.swap(m_decided);
--- a/source/placement_message.cc
+++ b/source/placement_message.cc
@@ -61,6 +61,10 @@
   return static_cast<Enum>(ReadInteger<int>(value, 0, static_cast<int>(last)));
 }
 
+Json PackName(const std::string& name) {
+  return name;
+}
+
 template <typename Row, typename Pack>
 Json PackRows(const std::vector<Row>& rows, Pack pack) {
   Json packed = Json::array();
@@ -167,12 +171,50 @@
 
 Json PackLoad(const PlacementLoad& load) {
   return Json::array({load.id, load.target, PackTokens(load.prompt_tokens),
-                      load.prompt_pending});
+                      load.prompt_pending, load.age.count()});
 }
 
 PlacementLoad ReadLoad(const Json& row) {
+  // Hosts before version 0.13 do not send the age.
   return {ReadId(row.at(0)), ReadName(row.at(1)), ReadTokens(row.at(2)),
-          row.at(3).get<bool>()};
+          row.at(3).get<bool>(),
+          row.size() > 4 ? ReadDuration(row.at(4)) : Duration(0)};
+}
+
+Json PackPool(const PoolKey& pool) {
+  return Json::array({pool.service, pool.model});
+}
+
+PoolKey ReadPool(const Json& row) {
+  return {ReadName(row.at(0)), row.at(1).get<std::string>()};
+}
+
+Json PackEstimate(const PlacementEstimate& estimate) {
+  return Json::array({estimate.pool.service, estimate.pool.model,
+                      estimate.request_time.count(), estimate.overhead.count(),
+                      estimate.error.count()});
+}
+
+PlacementEstimate ReadEstimate(const Json& row) {
+  return {ReadPool(row), ReadDuration(row.at(2)), ReadDuration(row.at(3)),
+          ReadDuration(row.at(4))};
+}
+
+/// Adds a list that is left out if it is empty.
+template <typename Row, typename Pack>
+void PackOptional(Json& fields,
+                  const char* name,
+                  const std::vector<Row>& rows,
+                  Pack pack) {
+  if (!rows.empty()) {
+    fields[name] = PackRows(rows, pack);
+  }
+}
+
+template <typename Read>
+auto ReadOptional(const Json& fields, const char* name, Read read) {
+  const auto found = fields.find(name);
+  return ReadRows(found == fields.end() ? Json::array() : *found, read);
 }
 
 Json PackAsk(const PlacementAsk& ask) {
@@ -251,28 +293,36 @@
 }
 
 std::string EncodePlacementRequest(const PlacementRequest& request) {
-  return Encode("place", {{"asker", request.asker},
-                          {"inc", request.incarnation},
-                          {"seq", request.sequence},
-                          {"sync", request.is_sync},
-                          {"loads", PackRows(request.loads, PackLoad)},
-                          {"events", PackRows(request.events, PackEvent)},
-                          {"asks", PackRows(request.asks, PackAsk)}});
+  Json fields = {{"asker", request.asker},
+                 {"inc", request.incarnation},
+                 {"seq", request.sequence},
+                 {"sync", request.is_sync},
+                 {"loads", PackRows(request.loads, PackLoad)},
+                 {"events", PackRows(request.events, PackEvent)},
+                 {"asks", PackRows(request.asks, PackAsk)}};
+  PackOptional(fields, "moved", request.moved, PackPool);
+  PackOptional(fields, "unresponsive", request.unresponsive, PackName);
+  PackOptional(fields, "estimates", request.estimates, PackEstimate);
+  return Encode("place", std::move(fields));
 }
 
 std::string EncodePlacementReply(const PlacementReply& reply) {
-  return Encode("placed", {{"placer", reply.placer},
-                           {"inc", reply.incarnation},
-                           {"seq", reply.sequence},
-                           {"places", reply.places},
-                           {"sync", reply.wants_sync},
-                           {"answers", PackRows(reply.answers, PackAnswer)}});
+  Json fields = {{"placer", reply.placer},
+                 {"inc", reply.incarnation},
+                 {"seq", reply.sequence},
+                 {"places", reply.places},
+                 {"sync", reply.wants_sync},
+                 {"answers", PackRows(reply.answers, PackAnswer)}};
+  PackOptional(fields, "estimates", reply.estimates, PackEstimate);
+  return Encode("placed", std::move(fields));
 }
 
 std::string EncodePlacementNotice(const PlacementNotice& notice) {
-  return Encode("notice", {{"placer", notice.placer},
-                           {"inc", notice.incarnation},
-                           {"answers", PackRows(notice.answers, PackAnswer)}});
+  Json fields = {{"placer", notice.placer},
+                 {"inc", notice.incarnation},
+                 {"answers", PackRows(notice.answers, PackAnswer)}};
+  PackOptional(fields, "replaced", notice.replaced, PackName);
+  return Encode("notice", std::move(fields));
 }
 
 std::string EncodePlacementNoticeReply(const PlacementNoticeReply& reply) {
@@ -287,7 +337,10 @@
                             fields.at("sync").get<bool>(),
                             ReadRows(fields.at("loads"), ReadLoad),
                             ReadRows(fields.at("events"), ReadEvent),
-                            ReadRows(fields.at("asks"), ReadAsk)};
+                            ReadRows(fields.at("asks"), ReadAsk),
+                            ReadOptional(fields, "moved", ReadPool),
+                            ReadOptional(fields, "unresponsive", ReadName),
+                            ReadOptional(fields, "estimates", ReadEstimate)};
   });
 }
 
@@ -298,7 +351,8 @@
                           ReadId(fields.at("seq")),
                           fields.at("places").get<bool>(),
                           fields.at("sync").get<bool>(),
-                          ReadRows(fields.at("answers"), ReadAnswer)};
+                          ReadRows(fields.at("answers"), ReadAnswer),
+                          ReadOptional(fields, "estimates", ReadEstimate)};
   });
 }
 
@@ -306,7 +360,8 @@
   return Decode<PlacementNotice>(bytes, "notice", [](const Json& fields) {
     return PlacementNotice{ReadName(fields.at("placer")),
                            ReadId(fields.at("inc")),
-                           ReadRows(fields.at("answers"), ReadAnswer)};
+                           ReadRows(fields.at("answers"), ReadAnswer),
+                           ReadOptional(fields, "replaced", ReadName)};
   });
 }
 
--- a/source/placement_pool.cc
+++ b/source/placement_pool.cc
@@ -23,6 +23,9 @@
 constexpr double kModelSmoothing = 0.02;
 /// Weight of the latest request in the mean time of a request.
 constexpr double kSmoothing = 0.05;
+/// Requests of a confined placer at a target beyond those that its askers
+/// brought. Serves a low load; the earlier placer's bound leaves room for it.
+constexpr int kUnbroughtRequests = 1;
 
 }  // namespace
 
@@ -48,19 +51,59 @@
                                const Catalog& catalog,
                                TimePoint now) {
   std::vector<DispatchTarget> own;
-  m_slots = 0;
   for (const DispatchTarget& target : targets) {
     if (target.service == m_key.service && target.model == m_key.model) {
       own.push_back(target);
-      m_slots += target.evacuated ? 0 : target.slots;
     }
   }
+  for (const DispatchTarget& target : own) {
+    m_bounds.try_emplace(target.id, kUnbroughtRequests);
+  }
   m_selector.SetTargets(std::move(own), catalog, now);
   for (auto& [name, asker] : m_askers) {
     for (auto& [id, load] : asker.loads) {
       CountLoad(load);
     }
   }
+  m_selector.SetRequestBounds(m_is_confined ? &m_bounds : nullptr);
+}
+
+void PlacementPool::SetConfined(bool is_confined) {
+  if (is_confined && !m_is_confined) {
+    for (auto& [target, bound] : m_bounds) {
+      bound = m_selector.CountRequests(target) + kUnbroughtRequests;
+    }
+  }
+  m_is_confined = is_confined;
+  m_selector.SetRequestBounds(is_confined ? &m_bounds : nullptr);
+}
+
+void PlacementPool::ShiftBounds(const Loads& before, const Loads& after) {
+  for (const auto& [id, load] : before) {
+    --m_bounds[load.load.target];
+  }
+  for (const auto& [id, load] : after) {
+    ++m_bounds[load.load.target];
+  }
+  m_selector.SetRequestBounds(&m_bounds);
+}
+
+std::optional<PlacementEstimate> PlacementPool::Estimate() const {
+  if (m_request_time == Duration(0)) {
+    return std::nullopt;
+  }
+  return PlacementEstimate{m_key, m_request_time, Overhead(), m_error};
+}
+
+void PlacementPool::AdoptEstimate(const PlacementEstimate& estimate,
+                                  TimePoint now) {
+  if (m_request_time == Duration(0)) {
+    // Without an ending so far, the targets would seem to have stalled.
+    m_last_end = std::max(m_last_end, now);
+    m_request_time = estimate.request_time;
+    m_error = estimate.error;
+    m_selector.SeedOverhead(m_key.service, m_key.model, estimate.overhead);
+  }
 }
 
 bool PlacementPool::HasTarget(std::string_view id) const {
@@ -88,8 +131,18 @@
   return m_selector.LearnedOverhead(m_key.service, m_key.model);
 }
 
-bool PlacementPool::AreSlotsTaken() const {
-  return static_cast<double>(m_outstanding) >= m_slots * m_policy.taken_share;
+bool PlacementPool::AreSlotsTaken(TimePoint now) const {
+  const auto taken =
+      m_selector.CountTakenSlots(m_key.service, m_key.model, now);
+  return taken.requests >= taken.slots * m_policy.taken_share;
+}
+
+TimePoint PlacementPool::ReadTime(const PlacementLoad& load,
+                                  TimePoint now) const {
+  return now - load.age +
+         std::max(
+             Duration(0),
+             m_selector.Predict(load.target, load.prompt_tokens) - Overhead());
 }
 
 Duration PlacementPool::Margin() const {
@@ -133,7 +186,7 @@
 void PlacementPool::AddLoad(const std::string& name, Load load) {
   Asker& asker = m_askers[name];
   const uint64_t id = load.load.id;
-  if (load.since && load.load.prompt_pending) {
+  if (load.since && load.predicted > Duration(0) && load.load.prompt_pending) {
     if (load.by_profile == Duration(0)) {
       load.by_profile = Scale(load.predicted - Overhead(),
                               1 / m_selector.Slowness(load.load.target));
@@ -261,12 +314,14 @@
 void PlacementPool::Sync(std::string_view asker,
                          uint64_t incarnation,
                          std::span<const PlacementLoad> loads,
-                         TimePoint now) {
+                         TimePoint now,
+                         bool has_moved) {
   for (const uint64_t ticket : m_queue.FindAll(asker)) {
     m_queue.Take(ticket, now);
   }
   Asker& own = m_askers[std::string(asker)];
   // Ids of another process mean other requests.
+  const Loads replaced = own.loads;
   const Loads earlier = own.incarnation == incarnation ? own.loads : Loads();
   while (!own.loads.empty()) {
     RemoveLoad(own, own.loads.begin(), DispatchResult::kAbandoned, now);
@@ -279,10 +334,21 @@
       own_load.is_counted = false;
     }
     own_load.load = load;
+    if (!own_load.since && load.age > Duration(0)) {
+      own_load.since = now - load.age;
+      if (load.prompt_pending) {
+        m_prompt_reads.emplace(ReadTime(load, now),
+                               std::pair(std::string(asker), load.id));
+      }
+    }
     AddLoad(std::string(asker), std::move(own_load));
   }
+  TakePromptsOff(now);
   own.incarnation = incarnation;
   own.is_synced = true;
+  if (m_is_confined && has_moved) {
+    ShiftBounds(replaced, own.loads);
+  }
 }
 
 const PlacementLoad* PlacementPool::FindLoad(std::string_view asker,
--- a/source/placement_pool_serve.cc
+++ b/source/placement_pool_serve.cc
@@ -62,7 +62,7 @@
   query.prompt_tokens = ask.prompt_tokens;
   query.time_to_slo = ask.time_to_slo - waited;
   query.time_left = ask.time_left - waited;
-  if (AreSlotsTaken()) {
+  if (AreSlotsTaken(now)) {
     // Its objective may be longer, so that it finds a place where an urgent
     // request would be late, and places never become free for those.
     if (IsOverServed(ask.priority)) {
@@ -117,7 +117,7 @@
   const auto expected = ExpectedWait(
       ask.priority, m_queue.CountAhead(ask.priority, ask.workspace), now);
   const bool is_over_served =
-      AreSlotsTaken() &&
+      AreSlotsTaken(now) &&
       IsOverServed(ask.priority, m_queue.Count(ask.priority) + 1);
   if (!freed || !expected || *expected > longest || is_over_served) {
     return Refuse(waiting, DispatchDenial::kAllBusy, now);
--- a/source/placement_role.cc
+++ b/source/placement_role.cc
@@ -1,5 +1,6 @@
 #include "filbertrack/placement_role.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "filbertrack/base_hash.h"
@@ -25,4 +26,17 @@
   return best == nullptr ? std::string() : best->name;
 }
 
+std::vector<std::string> RankPlacers(const PoolKey& pool,
+                                     std::span<const FleetHost> live) {
+  std::vector<std::string> ranking;
+  std::vector<FleetHost> left(live.begin(), live.end());
+  while (ranking.size() < kRankedPlacers && !left.empty()) {
+    ranking.push_back(ChoosePlacer(pool, left));
+    std::erase_if(left, [&ranking](const FleetHost& host) {
+      return host.name == ranking.back();
+    });
+  }
+  return ranking;
+}
+
 }  // namespace filbertrack
--- a/tests/placement_pool_test.cc
+++ b/tests/placement_pool_test.cc
@@ -278,6 +278,49 @@
   CHECK(std::get<PlacementGrant>(answers[0]).id == other.id);
 }
 
+TEST_CASE("pool: a confined one grants what its askers brought and one more") {
+  // Guards against two placers that fill the same slots.
+  PoolFixture fixture(1);
+  fixture.pool.SetConfined(true);
+  const std::vector<PlacementLoad> brought = {
+      {1, "t0", 714, false, Milliseconds(100)},
+      {2, "t0", 714, false, Milliseconds(100)}};
+  fixture.pool.Sync("e2", 1, brought, fixture.now, true);
+  CHECK(IsGrant(fixture.Ask(fixture.MakeAsk())));
+  CHECK_FALSE(IsGrant(fixture.Ask(fixture.MakeAsk())));
+  fixture.pool.Report("e2",
+                      PlacementEnded{1, "t0", false, DispatchResult::kAnswered},
+                      fixture.now);
+  CHECK(IsGrant(fixture.Ask(fixture.MakeAsk())));
+  // A sync of an asker that did not move brings nothing.
+  fixture.pool.Sync("e2", 1, brought, fixture.now);
+  CHECK_FALSE(IsGrant(fixture.Ask(fixture.MakeAsk())));
+  fixture.pool.Release();
+  fixture.pool.SetConfined(false);
+  CHECK(IsGrant(fixture.Ask(fixture.MakeAsk())));
+}
+
+TEST_CASE(
+    "pool: another placer's estimates are used until there are own ones") {
+  // Guards against a new placer that lets nobody wait and predicts too early
+  // for as long as a request takes.
+  PoolFixture fixture(1);
+  CHECK_FALSE(fixture.pool.Estimate());
+  fixture.pool.AdoptEstimate(
+      {{"llm", "m"}, Milliseconds(1300), Milliseconds(120), Milliseconds(10)},
+      fixture.now);
+  REQUIRE(fixture.pool.Estimate());
+  CHECK(fixture.pool.Estimate()->overhead == Milliseconds(120));
+  fixture.pool.AdoptEstimate({{"llm", "m"}, Seconds(9), Seconds(1), {}},
+                             fixture.now);
+  CHECK(fixture.pool.Estimate()->request_time == Milliseconds(1300));
+  while (IsGrant(fixture.Ask(fixture.MakeAsk(9, "fill")))) {
+  }
+  auto ask = fixture.MakeAsk();
+  ask.time_to_slo = Seconds(2);
+  CHECK(IsQueued(fixture.Ask(ask)));
+}
+
 TEST_CASE("pool: requests at a target that is learned of later are counted") {
   PoolFixture fixture(1);
   fixture.pool.Sync("e2", 1, std::vector<PlacementLoad>{{1, "t1", 714, false}},
--- a/tests/placement_replay.cc
+++ b/tests/placement_replay.cc
@@ -13,7 +13,8 @@
       m_engines(kTargets),
       m_is_running(kTargets),
       m_is_gone(kTargets),
-      m_under_way(kTargets) {
+      m_under_way(kTargets),
+      m_random(m_scenario.seed) {
   std::vector<double> weights;
   for (size_t i = 0; i < kHosts; ++i) {
     Host host;
@@ -81,7 +82,8 @@
   Request request;
   do {
     request.host = m_draw_host(m_random);
-  } while (!m_hosts[request.host].takes_requests);
+  } while (!m_hosts[request.host].takes_requests ||
+           m_hosts[request.host].is_frozen);
   request.kind = &m_scenario.kinds[m_draw_kind(m_random)];
   request.arrived = m_now;
   Count(request, &ReplayResult::Count::offered);
@@ -251,28 +253,39 @@
   Count(request, at - request.arrived <= request.kind->slo
                      ? &ReplayResult::Count::in_time
                      : &ReplayResult::Count::late);
-  Host& host = m_hosts[request.host];
-  if (!host.is_alive) {
+  RunAt(request.host, [this, number, request, at] {
+    Host& host = m_hosts[request.host];
+    if (!host.is_alive) {
+      return;
+    }
+    const std::string target = TargetName(request.target);
+    host.selector->OnFirstEvent(target, request.kind->prompt_tokens,
+                                request.predicted, at - request.sent);
+    host.client->OnEvent(kPool,
+                         PlacementFirst{static_cast<uint64_t>(number), target,
+                                        at - request.sent},
+                         m_now);
+    Pump(request.host);
+  });
+}
+
+void PlacementReplay::OnEnd(int number, DispatchResult result) {
+  const auto found = m_requests.find(number);
+  if (found == m_requests.end()) {
     return;
   }
-  const std::string target = TargetName(request.target);
-  host.selector->OnFirstEvent(target, request.kind->prompt_tokens,
-                              request.predicted, at - request.sent);
-  host.client->OnEvent(
-      kPool,
-      PlacementFirst{static_cast<uint64_t>(number), target, at - request.sent},
-      m_now);
-  Pump(request.host);
+  --m_under_way[found->second.target];
+  RunAt(found->second.host,
+        [this, number, result] { FinishRequest(number, result); });
 }
 
-void PlacementReplay::OnEnd(int number, DispatchResult result) {
+void PlacementReplay::FinishRequest(int number, DispatchResult result) {
   const auto found = m_requests.find(number);
   if (found == m_requests.end()) {
     return;
   }
   Request& request = found->second;
   const std::string target = TargetName(request.target);
-  --m_under_way[request.target];
   Host& host = m_hosts[request.host];
   const bool may_retry =
       result == DispatchResult::kRefused && request.excluded.size() < 2;
--- a/tests/placement_replay.h
+++ b/tests/placement_replay.h
@@ -29,6 +29,29 @@
   double part;
 };
 
+/// A failure of the host that places at `at` after the start, or of one that
+/// ranks `rank` places behind it at the start.
+struct ReplayFault {
+  enum class Kind {
+    /// Its process ends.
+    kKilled,
+    /// It executes nothing for `length`.
+    kFrozen,
+    /// Messages of every second asker do not reach it for `length`.
+    kNoRequests,
+    /// Its replies do not reach every second asker for `length`.
+    kNoReplies,
+    /// Its process ends, and another one of the same name starts after
+    /// `length`.
+    kRestarted,
+  };
+
+  Kind kind = Kind::kKilled;
+  Duration at{0};
+  Duration length{0};
+  size_t rank = 0;
+};
+
 enum class ReplayScheduler {
   /// Each host chooses by the loads that the others reported.
   kReported,
@@ -53,6 +76,8 @@
   bool stops_hosts = false;
   /// The placer's process ends at 3.5 s.
   bool kills_placer = false;
+  uint64_t seed = 11;
+  std::vector<ReplayFault> faults{};
 };
 
 /// Of the requests that arrive during the burst, from 2 s to 5 s.
@@ -74,6 +99,11 @@
   int most_requests = 0;
   /// Asks that were decided locally.
   int fallbacks = 0;
+  /// Longest time from a fault until no live host asks the failed one; zero
+  /// without faults.
+  Duration moved_after{0};
+  /// Decisions for asks that were decided already or are not known.
+  int stray_decisions = 0;
 };
 
 class PlacementReplay {
@@ -92,6 +122,11 @@
     bool is_alive = true;
     /// It does not drain.
     bool takes_requests = true;
+    bool is_frozen = false;
+    /// It is in the membership of the others.
+    bool is_listed = true;
+    /// What reached it while it was frozen.
+    std::vector<std::function<void()>> inbox;
     TimePoint wake = TimePoint::max();
   };
   struct Request {
@@ -117,6 +152,8 @@
   void Receive(int number);
   void OnFirst(int number, TimePoint at);
   void OnEnd(int number, DispatchResult result);
+  /// The part of OnEnd() that the request's host executes.
+  void FinishRequest(int number, DispatchResult result);
   void Count(const Request& request, int ReplayResult::Count::*counter);
   void RunEngine(size_t target);
 
@@ -132,11 +169,24 @@
   void AgreeOnPlacer(size_t host);
 
   void ReportLoads();
+  TargetLoads ReportedLoads() const;
   void SetTargets(bool all);
   void ScheduleTrouble();
   void LoseTargets();
   void StopHost(size_t host);
   void KillPlacer();
+  void ScheduleFaults();
+  void Fail(size_t host, const ReplayFault& fault);
+  void Thaw(size_t host);
+  void Restart(size_t host);
+  /// Every host learns the live hosts, one after the other from `at`.
+  void ScheduleAgreement(TimePoint at, Duration step);
+  /// Notes when no live host asks the failed one any more.
+  void WatchMove(size_t failed, TimePoint since);
+  /// Whether a message of the exchange between an asker and a placer is lost.
+  bool IsLost(size_t asker, size_t placer, bool is_reply) const;
+  /// Runs `action` at the host, later if it is frozen.
+  void RunAt(size_t host, std::function<void()> action);
 
   /// Time of the first event if the request was sent to the target now.
   TimePoint PredictExactly(const Request& request, size_t target) const;
@@ -157,7 +207,9 @@
   std::deque<int> m_waiting;
   std::deque<Snapshot> m_reports;
   ReplayResult m_result;
-  std::mt19937_64 m_random{11};
+  std::mt19937_64 m_random;
+  /// Hosts whose exchange with every second asker is cut, and how.
+  std::map<size_t, ReplayFault::Kind> m_cuts;
   std::exponential_distribution<double> m_gap{1};
   std::discrete_distribution<size_t> m_draw_host;
   std::discrete_distribution<size_t> m_draw_kind;
--- a/tests/placement_replay_fleet.cc
+++ b/tests/placement_replay_fleet.cc
@@ -9,10 +9,20 @@
 
 void PlacementReplay::Pump(size_t index) {
   Host& host = m_hosts[index];
-  if (!host.is_alive || m_scenario.scheduler != ReplayScheduler::kPlaced) {
+  if (!host.is_alive || host.is_frozen ||
+      m_scenario.scheduler != ReplayScheduler::kPlaced) {
     return;
   }
   Apply(host.client->Expire(m_now));
+  host.placer->SetUnresponsive(host.client->Unresponsive(),
+                               host.client->SilentFor(Placer::kSilence, m_now),
+                               m_now);
+  if (host.placer->TakeNeedsEstimate()) {
+    host.placer->SetUnsynced(ReportedLoads(), kHosts, m_now);
+  }
+  for (const std::string& checked : host.placer->TakeChecks()) {
+    host.client->Check(checked);
+  }
   for (auto& [placer, request] : host.client->TakeMessages(m_now)) {
     SendRequest(index, placer, std::move(request));
   }
@@ -35,17 +45,43 @@
   const Duration delay = from == placer ? Duration(0)
                                         : Delay(m_hosts[from].data_centre,
                                                 m_hosts[placer].data_centre);
-  At(m_now + delay, [this, from, placer, delay, request = std::move(request)] {
+  if (IsLost(from, placer, false)) {
+    return;
+  }
+  const auto receive = [this, from, placer, delay,
+                        request = std::move(request)] {
     if (!m_hosts[placer].is_alive) {
       return;
     }
     const auto reply = m_hosts[placer].placer->OnRequest(request, m_now);
-    At(m_now + delay, [this, from, placer, reply] {
-      Apply(m_hosts[from].client->OnReply(m_hosts[placer].name, &reply, m_now));
-      Pump(from);
-    });
+    if (!IsLost(from, placer, true)) {
+      At(m_now + delay, [this, from, placer, reply] {
+        RunAt(from, [this, from, placer, reply] {
+          Apply(m_hosts[from].client->OnReply(m_hosts[placer].name, &reply,
+                                              m_now));
+          Pump(from);
+        });
+      });
+    }
     Pump(placer);
-  });
+  };
+  At(m_now + delay, [this, placer, receive] { RunAt(placer, receive); });
+}
+
+bool PlacementReplay::IsLost(size_t asker, size_t placer, bool is_reply) const {
+  const auto cut = m_cuts.find(placer);
+  const auto kind =
+      is_reply ? ReplayFault::Kind::kNoReplies : ReplayFault::Kind::kNoRequests;
+  return cut != m_cuts.end() && cut->second == kind && asker % 2 == 1;
+}
+
+void PlacementReplay::RunAt(size_t index, std::function<void()> action) {
+  Host& host = m_hosts[index];
+  if (host.is_frozen) {
+    host.inbox.push_back(std::move(action));
+    return;
+  }
+  action();
 }
 
 void PlacementReplay::SendNotice(size_t from,
@@ -55,25 +91,34 @@
   const Duration delay = from == asker ? Duration(0)
                                        : Delay(m_hosts[from].data_centre,
                                                m_hosts[asker].data_centre);
-  At(m_now + delay, [this, from, asker, delay, notice = std::move(notice)] {
+  const auto receive = [this, from, asker, delay, notice = std::move(notice)] {
     PlacementNoticeReply reply;
     if (m_hosts[asker].is_alive) {
       Apply(m_hosts[asker].client->OnNotice(notice, reply, m_now));
+      m_hosts[asker].placer->OnClaim(notice, m_now);
       Pump(asker);
     }
     At(m_now + delay, [this, from, asker, reply] {
-      m_hosts[from].placer->OnNoticeReply(
-          m_hosts[asker].name, m_hosts[asker].is_alive ? &reply : nullptr,
-          m_now);
-      Pump(from);
+      RunAt(from, [this, from, asker, reply] {
+        m_hosts[from].placer->OnNoticeReply(
+            m_hosts[asker].name, m_hosts[asker].is_alive ? &reply : nullptr,
+            m_now);
+        Pump(from);
+      });
     });
-  });
+  };
+  At(m_now + delay, [this, asker, receive] { RunAt(asker, receive); });
 }
 
 void PlacementReplay::Apply(
     const std::vector<PlacementClient::Decided>& decided) {
   for (const auto& item : decided) {
     const int number = static_cast<int>(item.id);
+    if (!m_requests.contains(number) ||
+        m_requests.at(number).sent > TimePoint{}) {
+      ++m_result.stray_decisions;
+      continue;
+    }
     if (const auto* grant = std::get_if<PlacementGrant>(&item.decision)) {
       Send(number, TargetNumber(grant->target), grant->predicted, true);
     } else if (std::holds_alternative<ChooseLocally>(item.decision)) {
@@ -88,28 +133,44 @@
 void PlacementReplay::AgreeOnPlacer(size_t index) {
   std::vector<FleetHost> live;
   for (const Host& host : m_hosts) {
-    if (host.takes_requests) {
+    if (host.takes_requests && host.is_listed) {
       live.push_back({host.name, host.data_centre, host.capacity, false});
     }
   }
   Host& host = m_hosts[index];
-  const std::string placer = ChoosePlacer(kPool, live);
-  host.client->SetPlacer(kPool, placer, m_now);
-  if (placer == host.name && host.placer->pools().empty()) {
-    host.placer->SetPools(std::vector{kPool}, m_now);
+  const std::vector<std::string> ranking = RankPlacers(kPool, live);
+  const std::string placer = ranking.front();
+  host.client->SetRanking(kPool, ranking, m_now);
+  std::set<std::string, std::less<>> names;
+  for (const FleetHost& each : live) {
+    names.insert(each.name);
+  }
+  host.placer->SetHosts(std::move(names), m_now);
+  const auto own = std::find(ranking.begin(), ranking.end(), host.name);
+  const bool began = placer == host.name && host.placer->pools().empty();
+  if (own != ranking.end()) {
+    const std::vector<PlacementRole> roles = {
+        {kPool, {ranking.begin(), own}, m_now > kStart}};
+    host.placer->SetRoles(roles, m_now);
     SetTargets(std::count(m_is_gone.begin(), m_is_gone.end(), true) == 0);
-    TargetLoads loads;
-    if (!m_reports.empty()) {
-      for (const auto& own : m_reports.front()) {
-        for (const auto& [target, load] : own) {
-          loads[target].requests += load.requests;
-          loads[target].prompt_tokens += load.prompt_tokens;
-        }
+  }
+  if (began) {
+    host.placer->SetUnsynced(ReportedLoads(), kHosts, m_now);
+  }
+  Pump(index);
+}
+
+TargetLoads PlacementReplay::ReportedLoads() const {
+  TargetLoads loads;
+  if (!m_reports.empty()) {
+    for (const auto& own : m_reports.front()) {
+      for (const auto& [target, load] : own) {
+        loads[target].requests += load.requests;
+        loads[target].prompt_tokens += load.prompt_tokens;
       }
     }
-    host.placer->SetUnsynced(loads, kHosts, m_now);
   }
-  Pump(index);
+  return loads;
 }
 
 void PlacementReplay::ReportLoads() {
@@ -189,6 +250,7 @@
   if (m_scenario.kills_placer) {
     At(kStart + Milliseconds(3500), [this] { KillPlacer(); });
   }
+  ScheduleFaults();
 }
 
 void PlacementReplay::LoseTargets() {
--- a/tests/placement_replay_goal.h
+++ b/tests/placement_replay_goal.h
@@ -17,11 +17,12 @@
 inline constexpr int kMaxRequests = 37;
 
 inline void Print(const std::string& name, const ReplayResult& result) {
-  MESSAGE(name << ": of " << result.all.offered << " in time "
-               << result.all.in_time << ", late " << result.all.late
-               << ", refused " << result.all.refused << ", failed "
-               << result.all.failed << ", most requests at a target "
-               << result.most_requests << ", fallbacks " << result.fallbacks);
+  MESSAGE(
+      name << ": of " << result.all.offered << " in time " << result.all.in_time
+           << ", late " << result.all.late << ", refused " << result.all.refused
+           << ", failed " << result.all.failed << ", most requests at a target "
+           << result.most_requests << ", fallbacks " << result.fallbacks
+           << ", moved after " << ToMilliseconds(result.moved_after) << " ms");
 }
 
 struct Compared {
