placement: an ask that is too late for a free place blocks no other

Cause, from counts per 100 ms of grants, endings and the queue: for 150 ms nothing was granted while 15 to 67 slots were free at live targets and 13 to 47 asks waited. The first ask of the queue could no longer be in time, kept its turn until it expired, and those behind it became late as well.

--- a/include/filbertrack/dispatch_selector.h
+++ b/include/filbertrack/dispatch_selector.h
@@ -268,6 +268,10 @@
   TakenSlots CountTakenSlots(std::string_view service,
                              std::string_view model,
                              TimePoint now) const;
+  /// Whether a target that is used may take one more request.
+  bool HasRoom(std::string_view service,
+               std::string_view model,
+               TimePoint now) const;
   /// Requests at a target as far as known; 0 if there is none.
   int CountRequests(std::string_view id) const;
   /// Sets the learned overhead of a model of which nothing was measured yet.
--- a/include/filbertrack/placement_queue.h
+++ b/include/filbertrack/placement_queue.h
@@ -34,6 +34,7 @@
       : m_max_waiting(max_waiting), m_order(max_waiting) {}
 
   bool empty() const { return m_waiting.empty(); }
+  size_t size() const { return m_waiting.size(); }
   bool full() const { return m_waiting.size() >= m_max_waiting; }
   /// An ask of this or a more urgent priority waits.
   bool HasAsUrgent(int priority) const;
--- a/source/dispatch_selector.cc
+++ b/source/dispatch_selector.cc
@@ -495,6 +495,21 @@
   }
 }
 
+bool TargetSelector::HasRoom(std::string_view service,
+                             std::string_view model,
+                             TimePoint now) const {
+  const auto group = m_groups.find(GroupKey(service, model));
+  if (group == m_groups.end()) {
+    return false;
+  }
+  const bool skips_paused = SkipsPaused(group->second.all, now);
+  return std::any_of(group->second.all.begin(), group->second.all.end(),
+                     [&](const Entry* entry) {
+                       return !IsAtLimit(*entry) &&
+                              !(skips_paused && IsPaused(*entry, now));
+                     });
+}
+
 void TargetSelector::SetRequestBounds(
     const std::map<std::string, int, std::less<>>* bounds) {
   for (auto& [id, entry] : m_entries) {
--- a/source/placement_pool_serve.cc
+++ b/source/placement_pool_serve.cc
@@ -188,6 +188,15 @@
     }
     // An ask that may use only some targets must not block the others.
     const bool is_bound = !m_queue.Get(*head).excluded.empty();
+    if (!is_bound && m_queue.size() > 1 &&
+        m_selector.HasRoom(m_key.service, m_key.model, now)) {
+      // It waited too long for the place that is free. To wait on would keep
+      // the place from those behind it that can still be in time.
+      AnswerWaiting(*head,
+                    Refuse(m_queue.Get(*head), DispatchDenial::kAllBusy, now),
+                    now);
+      continue;
+    }
     if (!is_bound || passed_over.size() >= kMaxPassedOver) {
       break;
     }
--- a/tests/placement_pool_test.cc
+++ b/tests/placement_pool_test.cc
@@ -278,6 +278,47 @@
   CHECK(std::get<PlacementGrant>(answers[0]).id == other.id);
 }
 
+TEST_CASE("pool: an ask that waited too long blocks no younger one") {
+  // Guards against places that stay free while all asks behind the first one
+  // wait until they are late as well.
+  PoolFixture fixture(1);
+  fixture.Fill();
+  const auto old = fixture.MakeAsk();
+  REQUIRE(IsQueued(fixture.Ask(old)));
+  // The place becomes free later than expected, before the ask expires.
+  fixture.now = *fixture.pool.NextDue() - Milliseconds(1);
+  const auto young = fixture.MakeAsk();
+  REQUIRE(IsQueued(fixture.Ask(young)));
+  fixture.End(fixture.targets.begin()->first);
+  fixture.End(fixture.targets.begin()->first);
+  // Its prompt must be read first, which takes longer than what is left.
+  fixture.pool.Report("e2", PlacementSent{1, "t0", 1500}, fixture.now);
+  const auto answers = fixture.Serve();
+  REQUIRE(answers.size() == 2);
+  REQUIRE(std::holds_alternative<PlacementRefusal>(answers[0]));
+  CHECK(std::get<PlacementRefusal>(answers[0]).id == old.id);
+  REQUIRE(IsGrant(answers[1]));
+  CHECK(std::get<PlacementGrant>(answers[1]).id == young.id);
+}
+
+TEST_CASE("pool: free slots of targets that fail do not count") {
+  // Guards against late requests that are admitted at full targets because
+  // others, which are gone, seem to have room.
+  PoolFixture fixture(3);
+  fixture.Fill();
+  for (int i = 0; i < 20 && !fixture.targets.empty(); ++i) {
+    const auto lost =
+        std::find_if(fixture.targets.begin(), fixture.targets.end(),
+                     [](const auto& row) { return row.second == "t0"; });
+    if (lost != fixture.targets.end()) {
+      fixture.End(lost->first, DispatchResult::kFailed);
+    }
+  }
+  auto late = fixture.MakeAsk();
+  late.time_to_slo = Milliseconds(1);
+  CHECK(std::holds_alternative<PlacementRefusal>(fixture.Ask(late)));
+}
+
 TEST_CASE("pool: a confined one grants what its askers brought and one more") {
   // Guards against two placers that fill the same slots.
   PoolFixture fixture(1);
