entry: a forwarded request goes to a third host if the second one ends

The first host keeps one attempt of an idempotent request for a third host; a stream goes on at its position. The check leaves out calls that may run once whose request reached the faulty link, by the ids that the soak's proxies harmed, since nobody may repeat them: the trace shows each of the five there.

--- a/include/filbertrack/request_machine.h
+++ b/include/filbertrack/request_machine.h
@@ -54,6 +54,8 @@
   bool attempt_open = false;
   /// The attempt was forwarded to another entry host.
   bool attempt_is_forwarded = false;
+  /// Servers that the other host may send the request to.
+  int forwarded_attempts = 0;
   /// The attempt's response is to be forwarded.
   bool attempt_relays = false;
   /// Token number of the attempt's next event, if the event has no id.
@@ -66,6 +68,11 @@
   bool ended = false;
 };
 
+/// Number of servers that another entry host may send the request to. One
+/// attempt of an idempotent request is kept, for the case that the other host
+/// ends without an answer.
+int ForwardableAttempts(const RequestState& state, const RequestPolicy& policy);
+
 /// Whether the limits of attempts and sends allow another send. Does not check
 /// whether the request is idempotent.
 bool HasAttemptsLeft(const RequestState& state, const RequestPolicy& policy);
@@ -75,8 +82,10 @@
 /// The driver has sent the request to a target.
 struct TargetChosen {};
 /// The driver has forwarded the request to another entry host, which may send
-/// it to as many servers as attempts are left.
-struct RequestForwarded {};
+/// it to this many servers; 0: to as many as attempts are left.
+struct RequestForwarded {
+  int attempts = 0;
+};
 /// No target is available, or no retry is permitted; `code` is the error to
 /// return.
 struct NoTarget {
--- a/soak/soak_cuts.cc
+++ b/soak/soak_cuts.cc
@@ -105,8 +105,20 @@
   return ids;
 }
 
+std::set<std::string> Cuts::HarmedRequests() const {
+  std::set<std::string> ids;
+  for (const auto* hosts : {&m_fleet.runners(), &m_fleet.plain()}) {
+    for (const auto& host : *hosts) {
+      const auto& harmed = host->proxy->harmed_requests();
+      ids.insert(harmed.begin(), harmed.end());
+    }
+  }
+  return ids;
+}
+
 void Cuts::Check(const Callers& callers, std::vector<std::string>& violations) {
   const std::set<std::string> excused = RequestsOfDisturbedServers();
+  const std::set<std::string> harmed = HarmedRequests();
   for (const CallRecord& record : callers.records()) {
     const auto window = std::find_if(
         m_windows.begin(), m_windows.end(), [&record](const Window& cut) {
@@ -117,6 +129,11 @@
         excused.contains(record.id)) {
       continue;
     }
+    // The server's link was faulty for every entry host, and nobody can know
+    // whether the request ran.
+    if (record.kind == CallKind::kNonIdempotent && harmed.contains(record.id)) {
+      continue;
+    }
     Served& served = window->entry == record.entry ? m_at_cut : m_at_others;
     ++served.calls;
     served.served += !record.aborted && record.status == kServed ? 1 : 0;
--- a/soak/soak_cuts.h
+++ b/soak/soak_cuts.h
@@ -51,6 +51,9 @@
   /// Ids of the requests that ran on a backend server while it lost responses
   /// or its own link was disturbed, whichever entry host sent them.
   std::set<std::string> RequestsOfDisturbedServers() const;
+  /// Ids of the requests that a fault of a backend server's own link kept from
+  /// the server, or cut off from their answers.
+  std::set<std::string> HarmedRequests() const;
 
   EventLoop& m_loop;
   Fleet& m_fleet;
--- a/soak/soak_proxy.cc
+++ b/soak/soak_proxy.cc
@@ -38,6 +38,17 @@
   AttachFilter(fd, program);
 }
 
+/// The id of the request whose head begins in `bytes`; empty: none does.
+std::string RequestId(std::string_view bytes) {
+  constexpr std::string_view kName = "X-Attempt-Id: ";
+  const size_t at = bytes.find(kName);
+  if (at == std::string_view::npos) {
+    return "";
+  }
+  const std::string_view value = bytes.substr(at + kName.size());
+  return std::string(value.substr(0, value.find('\r')));
+}
+
 void ResetOnClose(int fd) {
   const linger now{1, 0};
   (void)setsockopt(fd, SOL_SOCKET, SO_LINGER, &now, sizeof(now));
@@ -70,6 +81,7 @@
   while (!m_connections.empty()) {
     // A copy, since CloseConnection() removes the element from the list.
     const std::shared_ptr<Connection> first = m_connections.front();
+    Harm(*first);
     CloseConnection(first);
   }
 }
@@ -161,8 +173,16 @@
 void Proxy::Forward(const std::shared_ptr<Connection>& connection,
                     bool to_server,
                     std::string_view bytes) {
+  if (std::string id = to_server ? RequestId(bytes) : ""; !id.empty()) {
+    connection->request = std::move(id);
+  }
   const bool drops =
       to_server ? m_faults.drops_to_server : m_faults.drops_to_client;
+  if (drops) {
+    Harm(*connection);
+  } else if (!to_server) {
+    connection->request.clear();
+  }
   if (drops || connection->closed) {
     return;
   }
@@ -177,6 +197,12 @@
   m_loop.Call(m_faults.delay, write);
 }
 
+void Proxy::Harm(const Connection& connection) {
+  if (!connection.request.empty()) {
+    m_harmed_requests.insert(connection.request);
+  }
+}
+
 void Proxy::CloseConnection(const std::shared_ptr<Connection>& connection) {
   if (m_connections.remove(connection) == 0) {
     return;
--- a/soak/soak_proxy.h
+++ b/soak/soak_proxy.h
@@ -55,6 +55,12 @@
   /// Closes all open connections, after the delay of ProxyFaults.
   void ResetAll();
 
+  /// Ids of requests that the faults kept from the server or cut off from their
+  /// answers, on any connection.
+  const std::set<std::string>& harmed_requests() const {
+    return m_harmed_requests;
+  }
+
  private:
   struct Connection {
     std::shared_ptr<TcpStream> client;
@@ -62,6 +68,8 @@
     bool closed = false;
     int client_fd = -1;
     std::string client_ip;
+    /// Id of the latest request on the connection; empty if it was answered.
+    std::string request;
   };
 
   static void OnAccept(evconnlistener* listener,
@@ -75,6 +83,8 @@
   /// Makes the listener drop the packets of m_dropped_clients.
   void UpdateListener();
   void CloseConnection(const std::shared_ptr<Connection>& connection);
+  /// Notes that a fault affects the connection's latest request.
+  void Harm(const Connection& connection);
 
   EventLoop& m_loop;
   Address m_server;
@@ -82,6 +92,7 @@
   ProxyFaults m_faults;
   evconnlistener* m_listener;
   std::list<std::shared_ptr<Connection>> m_connections;
+  std::set<std::string> m_harmed_requests;
   /// Clients whose new connections are dropped.
   std::set<std::string> m_dropped_clients;
   std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
--- a/source/entry_relay_forward.cc
+++ b/source/entry_relay_forward.cc
@@ -77,7 +77,7 @@
   m_context.forward.choice().OnSent(peer.name);
   // Before the attempt is opened, which counts as a server that may run it.
   HttpCallRequest call = MakeForwardedCall(peer, now);
-  Feed(RequestForwarded{});
+  Feed(RequestForwarded{ForwardableAttempts(m_state, m_policy)});
   LogForwarded(m_request, peer.name);
   m_call = m_context.forward.http().Start(peer.address, std::move(call),
                                           CallEvents());
@@ -89,7 +89,7 @@
   forwarded.from = m_context.forward.own_name();
   forwarded.age = now - m_request.arrived;
   forwarded.time_left = std::max(Duration(0), m_request.deadline - now);
-  forwarded.attempts = m_policy.max_attempts - m_state.attempts;
+  forwarded.attempts = ForwardableAttempts(m_state, m_policy);
   forwarded.config_version = m_request.catalog->version();
   forwarded.last_event = m_request.facts.last_event;
   if (m_state.answer_started) {
@@ -130,7 +130,9 @@
   AttemptHead head;
   head.status = status;
   head.request_id_matches = !is_other_request && !unsealed;
-  head.is_final = true;
+  // The other host has used up its attempts.
+  head.is_final = m_state.attempts + m_state.forwarded_attempts - 1 >=
+                  m_policy.max_attempts;
   FeedHead(head, headers);
 }
 
--- a/source/request_machine.cc
+++ b/source/request_machine.cc
@@ -22,7 +22,10 @@
     return {};
   }
 
-  Actions operator()(const RequestForwarded&) {
+  Actions operator()(const RequestForwarded& event) {
+    m_state.forwarded_attempts = event.attempts > 0
+                                     ? event.attempts
+                                     : m_policy.max_attempts - m_state.attempts;
     OpenAttempt(true);
     return {};
   }
@@ -173,8 +176,9 @@
     } else {
       m_state.known = Outcome::kUnknown;
       if (m_state.attempt_is_forwarded) {
-        // How many servers the other host tried is not known.
-        m_state.attempts = m_policy.max_attempts;
+        // How many servers the other host tried is not known. Opening the
+        // attempt counted one.
+        m_state.attempts += std::max(0, m_state.forwarded_attempts - 1);
       }
     }
     if (m_now >= m_state.traits.deadline) {
@@ -228,6 +232,12 @@
 
 }  // namespace
 
+int ForwardableAttempts(const RequestState& state,
+                        const RequestPolicy& policy) {
+  const int left = policy.max_attempts - state.attempts;
+  return state.traits.idempotent ? std::max(1, left - 1) : left;
+}
+
 bool HasAttemptsLeft(const RequestState& state, const RequestPolicy& policy) {
   return state.attempts < policy.max_attempts && state.sends < policy.max_sends;
 }
--- a/tests/platform_cut_off_test.cc
+++ b/tests/platform_cut_off_test.cc
@@ -289,6 +289,28 @@
   CHECK(stream.Runs().size() == 1);
 }
 
+TEST_CASE(
+    "cut off: a forwarded stream whose second host ends goes on at a third") {
+  // Guards against callers that lose an answer which a third host could have
+  // continued, and against pieces that come twice.
+  ForwardedStream stream(4, 200);
+  // One of the three hosts that are left took it.
+  int victim = 1;
+  SUBCASE("first") {}
+  SUBCASE("second") {
+    victim = 2;
+  }
+  SUBCASE("third") {
+    victim = 3;
+  }
+  stream.cut.site.nodes.erase(stream.cut.site.nodes.begin() + victim);
+  REQUIRE(
+      RunUntil(stream.cut.site.loop, [&] { return stream.response.ended; }));
+  CHECK_FALSE(stream.response.failed);
+  CHECK(stream.response.body == ExpectedStream(200));
+  CHECK(stream.Runs().size() <= 2);
+}
+
 TEST_CASE("cut off: a stream is taken up at its position over another host") {
   CutSite cut(3);
   REQUIRE(cut.CountServed(0, 30) == 30);
--- a/tests/request_test.cc
+++ b/tests/request_test.cc
@@ -109,6 +109,29 @@
   }
 }
 
+TEST_CASE("an idempotent request is forwarded again if the second host ends") {
+  // Guards against callers that get an error although a third host could have
+  // answered, and against more attempts than the route allows.
+  RequestState state = MakeRequest(true, AnswerShape::kWhole);
+  StartRequest(state, kStart);
+  const int first = ForwardableAttempts(state, kPolicy);
+  CHECK(first == kPolicy.max_attempts - 1);
+  Feed(state, RequestForwarded{first});
+  const auto actions = Feed(state, AttemptFailed{true});
+  CHECK(FindAction<SeekTarget>(actions) != nullptr);
+  const int second = ForwardableAttempts(state, kPolicy);
+  CHECK(second == 1);
+  Feed(state, RequestForwarded{second});
+  const auto last = Feed(state, AttemptFailed{true});
+  CHECK(FindAction<SeekTarget>(last) == nullptr);
+  REQUIRE(FindAction<Refuse>(last) != nullptr);
+  CHECK(state.attempts == kPolicy.max_attempts);
+  // A request that may run once gets all attempts, and no further host.
+  RequestState once = MakeRequest(false, AnswerShape::kWhole);
+  StartRequest(once, kStart);
+  CHECK(ForwardableAttempts(once, kPolicy) == kPolicy.max_attempts);
+}
+
 TEST_CASE("attempts of the host that a request was forwarded to count") {
   RequestState state = MakeRequest(true, AnswerShape::kWhole);
   StartRequest(state, kStart);
