placement: reports about a placer count for a second

They now count for a second. Tests of that, of the claim, of a host that was replaced and of the order in which hosts are asked: placement 57 of 57, placement_failover passes; not run on the code before.

--- a/include/filbertrack/placement_placer.h
+++ b/include/filbertrack/placement_placer.h
@@ -125,8 +125,9 @@
     std::optional<TimePoint> confined_until;
     /// Askers that moved here.
     std::set<std::string, std::less<>> came;
-    /// Those of them that get no reply from the hosts before this one.
-    std::set<std::string, std::less<>> reporters;
+    /// When those of them came that get no reply from the hosts before this
+    /// one; kept for a second.
+    std::map<std::string, TimePoint, std::less<>> reporters;
   };
 
   void SetRole(const PlacementRole& role, TimePoint now);
--- a/source/placement_placer_claims.cc
+++ b/source/placement_placer_claims.cc
@@ -11,6 +11,8 @@
 /// Share of the other live hosts that must have moved here for a claim although
 /// this host reaches the one that they left.
 constexpr double kClaimShare = 0.25;
+/// How long the report of an asker counts.
+constexpr Duration kReportTtl = Seconds(1);
 /// Askers whose reports are believed together with a shorter silence.
 constexpr size_t kManyReports = 3;
 /// Share of the other live hosts whose loads must be known before a placer is
@@ -172,7 +174,7 @@
                                        host) != request.unresponsive.end();
                     });
     if (!part.role.IsFirst() && reports) {
-      part.reporters.insert(request.asker);
+      part.reporters[request.asker] = now;
       m_checks.insert(part.role.before.begin(), part.role.before.end());
     }
   }
@@ -222,6 +224,10 @@
 }
 
 void Placer::UpdateClaim(Part& part, TimePoint now) {
+  // Single messages are lost at any time and must not add up.
+  std::erase_if(part.reporters, [now](const auto& row) {
+    return now - row.second > kReportTtl;
+  });
   if (part.is_claimed || part.role.IsFirst() || part.reporters.empty() ||
       m_drains || IsReplaced() || !MayClaim(part)) {
     return;
--- a/tests/placement_client_test.cc
+++ b/tests/placement_client_test.cc
@@ -48,6 +48,56 @@
   CHECK(exchange.client.IsPaused("p"));
 }
 
+TEST_CASE("client: without a reply the next host in rank is asked") {
+  // Guards against requests that are decided by reported loads, or twice,
+  // although another host could place them.
+  PlacementClient client{"e1", 1};
+  client.SetRanking(kPool, {"p", "q"}, kStart);
+  REQUIRE(client.TryAsk(MakeAsk(1), kStart));
+  const auto first = client.TakeMessages(kStart);
+  REQUIRE(first.size() == 1);
+  CHECK(first[0].first == "p");
+  const TimePoint late = kStart + Milliseconds(30);
+  CHECK(client.Expire(late).empty());
+  CHECK(client.PlacerOf(kPool) == "q");
+  const auto second = client.TakeMessages(late);
+  REQUIRE(second.size() == 1);
+  CHECK(second[0].first == "q");
+  REQUIRE(second[0].second.asks.size() == 1);
+  CHECK(second[0].second.moved == std::vector<PoolKey>{kPool});
+  CHECK(second[0].second.unresponsive == std::vector<std::string>{"p"});
+  // A late grant of the first host is not used.
+  PlacementReply reply;
+  reply.placer = "p";
+  reply.sequence = first[0].second.sequence;
+  reply.places = true;
+  reply.answers = {PlacementGrant{1, "t0", Milliseconds(100), 0}};
+  CHECK(client.OnReply("p", &reply, late).empty());
+  reply.placer = "q";
+  reply.sequence = second[0].second.sequence;
+  CHECK(client.OnReply("q", &reply, late).size() == 1);
+}
+
+TEST_CASE("client: a claim moves asks at once and ends the earlier placer") {
+  // Guards against hosts that try the earlier placer again, one by one.
+  PlacementClient client{"e1", 1};
+  client.SetRanking(kPool, {"p", "q"}, kStart);
+  REQUIRE(client.TryAsk(MakeAsk(1), kStart));
+  REQUIRE(client.TakeMessages(kStart).size() == 1);
+  PlacementNoticeReply reply;
+  CHECK(client.OnNotice({"q", 1, {}, {"p"}}, reply, kStart).empty());
+  const auto messages = client.TakeMessages(kStart);
+  REQUIRE(messages.size() == 1);
+  CHECK(messages[0].first == "q");
+  for (const auto& [host, message] :
+       client.TakeMessages(kStart + Milliseconds(300))) {
+    CHECK(host != "p");
+  }
+  // A claim by a host that ranks lower changes nothing.
+  CHECK(client.OnNotice({"p", 1, {}, {"q"}}, reply, kStart).empty());
+  CHECK(client.PlacerOf(kPool) == "q");
+}
+
 TEST_CASE("client: pauses double to 2 s and end with a sync") {
   // Without the sync the placer would not know what was sent meanwhile.
   Exchange exchange;
--- a/tests/placement_placer_test.cc
+++ b/tests/placement_placer_test.cc
@@ -118,6 +118,82 @@
   CHECK_FALSE(exchange.placer->OnRequest(later, exchange.now).wants_sync);
 }
 
+/// A host that moves from "first" to the placer "second", with one request
+/// under way.
+PlacementRequest MakeMoved(const std::string& asker, uint64_t sequence = 1) {
+  PlacementRequest request;
+  request.asker = asker;
+  request.sequence = sequence;
+  request.is_sync = true;
+  request.moved = {kPool};
+  request.unresponsive = {"first"};
+  return request;
+}
+
+std::unique_ptr<Placer> MakeSecond(size_t hosts) {
+  auto placer =
+      std::make_unique<Placer>("second", 1, PlacementPolicy{}, uint64_t{1});
+  const std::vector<PlacementRole> roles = {{kPool, {"first"}, true}};
+  placer->SetRoles(roles, kStart);
+  placer->SetTargets(MakeTargets(4, "m"), MakeCatalog(), kStart);
+  std::set<std::string, std::less<>> names = {"first", "second"};
+  for (size_t i = 0; i < hosts; ++i) {
+    names.insert("e" + std::to_string(i));
+  }
+  placer->SetHosts(names, kStart);
+  return placer;
+}
+
+TEST_CASE("placer: reports of askers do not add up over time") {
+  // Guards against a claim because each host lost a message once.
+  auto placer = MakeSecond(12);
+  TimePoint now = kStart;
+  for (int i = 0; i < 12; ++i) {
+    placer->OnRequest(MakeMoved("e" + std::to_string(i)), now);
+    CHECK(placer->TakeNotices(now).empty());
+    now += Milliseconds(600);
+  }
+  CHECK(placer->claims() == 0);
+  CHECK(placer->pools().at(kPool)->is_confined());
+}
+
+TEST_CASE("placer: a claim is sent to all hosts and ends when most have come") {
+  // Guards against a second placer that uses slots which it knows nothing of,
+  // and against hosts that go on asking one that is gone.
+  auto placer = MakeSecond(12);
+  placer->OnRequest(MakeMoved("e0"), kStart);
+  CHECK(placer->TakeChecks().contains("first"));
+  CHECK(placer->claims() == 0);
+  placer->SetUnresponsive({"first"}, {}, kStart);
+  CHECK(placer->claims() == 1);
+  // To "first" as well, and not to the one that came.
+  const auto notices = placer->TakeNotices(kStart);
+  CHECK(notices.size() == 12);
+  CHECK(notices.front().second.replaced == std::vector<std::string>{"first"});
+  for (int i = 1; i < 10; ++i) {
+    CHECK(placer->pools().at(kPool)->is_confined());
+    placer->OnRequest(MakeMoved("e" + std::to_string(i)), kStart);
+  }
+  placer->OnRequest(MakeMoved("e10"), kStart);
+  CHECK_FALSE(placer->pools().at(kPool)->is_confined());
+}
+
+TEST_CASE("placer: a host that was replaced declines") {
+  // Guards against two placers after one of them was frozen.
+  Exchange exchange;
+  exchange.placer->SetHosts({"p", "q", "e1"}, exchange.now);
+  exchange.placer->OnClaim({"q", 1, {}, {"p"}}, exchange.now);
+  REQUIRE(exchange.client.TryAsk(MakeAsk(1), exchange.now));
+  const auto declined = exchange.Deliver();
+  REQUIRE(declined.size() == 1);
+  CHECK(IsLocal(declined[0]));
+  // Until the other one is gone.
+  exchange.placer->SetHosts({"p", "e1"}, exchange.now);
+  exchange.now += Milliseconds(250);
+  exchange.Deliver();
+  CHECK_FALSE(exchange.Grant(2).empty());
+}
+
 TEST_CASE("placer: hosts that have not synced count by gossip for 1.5 s") {
   // A new placer that assumed idle targets would fill them twice.
   auto placer = MakePlacer("p", 1, 1);
