entry: server-ended names the parts of prompts

What operators saw: servers that ended one after the other, and for each end a list of digests that never came back.

The header codec reads the ids of the shared parts on demand, only for attempts that broke off. Malformed entries are left out, at most 64 are read.

--- a/include/filbertrack/entry_ports.h
+++ b/include/filbertrack/entry_ports.h
@@ -85,6 +85,12 @@
   virtual ~CallHeaderCodec() = default;
 
   virtual CallFacts ReadCall(const HttpExchange& exchange) const = 0;
+  /// Ids of the parts of the request's prompt that other requests may share, in
+  /// order and without repetitions: lower-case hexadecimal digits without
+  /// leading zeros. The last part of a prompt is its own and not included.
+  /// Entries that are malformed, and those beyond a limit, are left out.
+  virtual std::vector<std::string> ReadSharedParts(
+      const HttpHeaders& headers) const = 0;
   virtual HttpHeaders ForwardHeaders(const HttpExchange& exchange,
                                      const ForwardFacts& facts) const = 0;
   virtual AnswerFacts ReadAnswer(int status,
--- a/include/filbertrack/entry_relay.h
+++ b/include/filbertrack/entry_relay.h
@@ -164,11 +164,13 @@
   }
   /// Description of the current attempt for the poison detection.
   BrokenAttempt CurrentAttempt() const {
-    return {digest(), Progress(), m_sent_at};
+    return {digest(), Progress(), m_sent_at, shared_parts()};
   }
   /// Digest of the request's content, the same for each copy of it. Computed on
   /// first use.
   const RequestDigest& digest() const;
+  /// As CallHeaderCodec::ReadSharedParts(). Read on first use.
+  const std::vector<std::string>& shared_parts() const;
   int sends() const { return m_state.sends; }
   /// Entry host that the request was forwarded to last; empty: none.
   const std::string& last_forwarded_to() const { return m_last_forwarded_to; }
@@ -318,6 +320,7 @@
   std::optional<RequestPlacement> m_placement;
   /// Computed on first use, as most requests never need it.
   mutable RequestDigest m_digest;
+  mutable std::optional<std::vector<std::string>> m_shared_parts;
   /// The current attempt is a trial copy of a blocked request.
   bool m_on_trial = false;
   std::string m_last_target;
--- a/include/filbertrack/entry_server_ends.h
+++ b/include/filbertrack/entry_server_ends.h
@@ -36,6 +36,8 @@
   RequestDigest digest;
   AttemptProgress progress = AttemptProgress::kNoAnswer;
   TimePoint sent;
+  /// As CallHeaderCodec::ReadSharedParts().
+  std::vector<std::string> parts = {};
 };
 
 /// Evidence that a server process has terminated.
--- a/source/entry_poison.cc
+++ b/source/entry_poison.cc
@@ -103,6 +103,7 @@
     }
     requests.push_back({{"digest", attempt.digest},
                         {"progress", AttemptProgressName(attempt.progress)},
+                        {"parts", attempt.parts},
                         {"ends", m_ledger.CountEndsOf(attempt.digest)}});
   }
   Log(LogLevel::kWarning, "server-ended",
--- a/source/entry_relay_poison.cc
+++ b/source/entry_relay_poison.cc
@@ -46,4 +46,11 @@
   return m_digest;
 }
 
+const std::vector<std::string>& EntryRelay::shared_parts() const {
+  if (!m_shared_parts) {
+    m_shared_parts = m_context.header_codec.ReadSharedParts(m_exchange->Headers());
+  }
+  return *m_shared_parts;
+}
+
 }  // namespace filbertrack
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -447,6 +447,32 @@
   }
 }
 
+TEST_CASE("the ids of shared prompt parts are read, whatever a caller sends") {
+  using Parts = std::vector<std::string>;
+  const platform::PlatformHeaderCodec header_codec;
+  const auto read = [&header_codec](const std::string& text) {
+    return header_codec.ReadSharedParts({{"x-prompt-prefix", text}});
+  };
+  CHECK(read("5c1e07a2:800,91bd3f06:410,e4402b7d:250") ==
+        Parts{"5c1e07a2", "91bd3f06"});
+  // The last part is the request's own.
+  CHECK(read("5c1e07a2:800").empty());
+  CHECK(read("").empty());
+  CHECK(header_codec.ReadSharedParts({}).empty());
+  // One id, however it is written, is one part.
+  CHECK(read("00Ab:1, ab ,AB:x,0:1,000:1,c:1") == Parts{"ab", "0"});
+  CHECK(read(",:5,g1:2,-1:3,a b:4,a:1,b:1") == Parts{"a"});
+  CHECK(read(std::string(4096, 'a') + ":1,b:1,c:1") == Parts{"b"});
+  std::string many;
+  for (int i = 0; i < 5000; ++i) {
+    many += std::to_string(i) + ":1,";
+  }
+  CHECK(read(many).size() == 64);
+  CHECK(header_codec.ReadSharedParts(
+            {{"X-Prompt-Prefix", "a:1"}, {"X-Prompt-Prefix", "b:1"}}) ==
+        Parts{"a"});
+}
+
 TEST_CASE(
     "Retry-After is read only from refusals, Server-Leaving from any "
     "response") {
