tests: requests that share a faulty part of their prompts

Three entry hosts, 14 groups, servers that crash on a part as they begin an answer and are replaced after two seconds; no two requests alike, sound ones with the same caller and first part beside.

--- a/standins/platform_runner_standin.cc
+++ b/standins/platform_runner_standin.cc
@@ -296,6 +296,23 @@
   }
 }
 
+bool PlatformRunnerStandin::IsCrashing(HttpExchange& exchange) const {
+  if (!m_options.crash_trigger.empty() &&
+      exchange.body().find(m_options.crash_trigger) != std::string::npos) {
+    return true;
+  }
+  // Only entries that another one follows; each starts the list or follows a
+  // comma.
+  const std::string parts =
+      "," + std::string(exchange.Header("X-Prompt-Prefix"));
+  return std::any_of(m_options.crash_parts.begin(), m_options.crash_parts.end(),
+                     [&parts](const std::string& id) {
+                       const size_t at = parts.find("," + id + ":");
+                       return at != std::string::npos &&
+                              parts.find(',', at + 1) != std::string::npos;
+                     });
+}
+
 void PlatformRunnerStandin::Run(const Exchange& exchange) {
   if (m_full || (!m_options.is_plain && m_state != "open")) {
     Refuse(*exchange);
@@ -310,9 +327,7 @@
   seen.arrived = MonotonicNow();
   m_seen.push_back(seen);
   CheckCold();
-  const bool crashes =
-      !m_options.crash_trigger.empty() &&
-      exchange->body().find(m_options.crash_trigger) != std::string::npos;
+  const bool crashes = IsCrashing(*exchange);
   if (crashes) {
     m_loop.Call(kCrashDelay, [this, alive = m_alive] {
       if (*alive) {
--- a/standins/platform_runner_standin.h
+++ b/standins/platform_runner_standin.h
@@ -51,6 +51,9 @@
   Duration load = Milliseconds(20);
   /// A request whose body contains this crashes the runner; empty: none does.
   std::string crash_trigger;
+  /// Ids of prompt parts. A request whose prompt has one of them, other than as
+  /// its last part, crashes the runner as its answer begins.
+  std::vector<std::string> crash_parts;
   /// A stream that the client has not read for longer is aborted; 0: never.
   Duration unread_timeout{0};
 };
@@ -107,6 +110,10 @@
   void SetCrashTrigger(std::string body) {
     m_options.crash_trigger = std::move(body);
   }
+  /// Sets RunnerStandinOptions::crash_parts.
+  void SetCrashParts(std::vector<std::string> parts) {
+    m_options.crash_parts = std::move(parts);
+  }
   /// Streams pause for `stall` instead of RunnerStandinOptions::pause after
   /// this event.
   void SetStreamStall(int after_event, Duration stall) {
@@ -164,6 +171,8 @@
   void Join(HttpExchange& exchange, const nlohmann::json& order);
   void Close(bool cancel);
   void Run(const Exchange& exchange);
+  /// Whether the request crashes the runner.
+  bool IsCrashing(HttpExchange& exchange) const;
   /// Crashes the runner if it is cold and gets too many requests.
   void CheckCold();
   /// Aborts the stream if it has been unread for longer than the timeout.
--- a/tests/platform_site.h
+++ b/tests/platform_site.h
@@ -225,6 +225,8 @@
   std::string body;
   /// Time left until the deadline, in milliseconds.
   std::string deadline_ms = "8000";
+  /// X-Prompt-Prefix; empty: none.
+  std::string prompt_parts = {};
 };
 
 inline std::unique_ptr<HttpCall> SendRequestTo(
@@ -243,6 +245,9 @@
                      {"X-Token-Usage", "100,50"},
                      {"X-Deadline-Remaining", options.deadline_ms},
                      {"Authorization", "Bearer " + options.key}};
+  if (!options.prompt_parts.empty()) {
+    request.headers.emplace_back("X-Prompt-Prefix", options.prompt_parts);
+  }
   request.body = options.body;
   HttpCallEvents events;
   events.on_head = [&response](int status, const HttpHeaders& headers) {
