--- a/soak/main_soak.cc
+++ b/soak/main_soak.cc
@@ -46,6 +46,7 @@
   int entry_hosts = 3;
   int runners = 8;
   bool poison = false;
+  bool poison_parts = false;
   bool signals = false;
   bool cuts = false;
   std::string placement = "auto";
@@ -165,8 +166,12 @@
   // Entry hosts may still be starting.
   callers.RecordDisruption(MonotonicNow());
   callers.Start(kCallInterval);
-  PoisonCaller poison(loop, fleet, callers, options.seed + 2);
-  if (options.poison) {
+  const bool has_poison = options.poison || options.poison_parts;
+  PoisonCaller poison(loop, fleet, callers,
+                      options.poison_parts ? PoisonKind::kPromptPart
+                                           : PoisonKind::kWholeRequest,
+                      options.seed + 2);
+  if (has_poison) {
     poison.Start(kPoisonInterval);
   }
   Signals signals(loop, fleet, options.seed + 3);
@@ -183,7 +188,7 @@
   signals.Stop();
   cuts.Stop();
   const size_t before = callers.CountAnswered();
-  if (options.poison) {
+  if (has_poison) {
     CheckUnderPoison(loop, fleet, callers, kRecoveryTime);
     poison.Stop();
   } else {
@@ -234,6 +239,10 @@
   app.add_flag(
       "--poison", options.poison,
       "Repeatedly send a request that crashes the servers that run it.");
+  app.add_flag(
+      "--poison-parts", options.poison_parts,
+      "Repeatedly send requests, no two alike, that crash servers by a "
+      "part of their prompts.");
   app.add_flag("--signals", options.signals,
                "Servers send rate limits, Retry-After and leaving signals.");
   app.add_flag(
--- a/soak/soak_callers.cc
+++ b/soak/soak_callers.cc
@@ -50,6 +50,16 @@
   return request;
 }
 
+/// Sets the parts of the prompt: the first one of all streams, `parts`, and a
+/// last one that no other request has.
+void SetPromptParts(HttpCallRequest& request,
+                    const std::string& parts,
+                    uint64_t number) {
+  request.headers.emplace_back("X-Prompt-Prefix",
+                               std::string(kFirstPart) + ":400," + parts + "d" +
+                                   std::to_string(number) + ":9");
+}
+
 }  // namespace
 
 Callers::Callers(EventLoop& loop, Fleet& fleet, uint64_t seed)
@@ -88,10 +98,12 @@
 PoisonCaller::PoisonCaller(EventLoop& loop,
                            Fleet& fleet,
                            Callers& callers,
+                           PoisonKind kind,
                            uint64_t seed)
     : m_loop(loop),
       m_fleet(fleet),
       m_callers(callers),
+      m_kind(kind),
       m_random(seed),
       m_client(loop, kConnectionsPerCaller) {}
 
@@ -109,7 +121,12 @@
   auto& entries = m_fleet.entries();
   const std::string id = "p" + std::to_string(++m_copies);
   HttpCallRequest request = MakeCall(id, CallKind::kStream);
-  request.body = kPoisonBody;
+  if (m_kind == PoisonKind::kWholeRequest) {
+    request.body = kPoisonBody;
+  } else {
+    request.body = "body of " + id;
+    SetPromptParts(request, std::string(kFaultyPart) + ":300,", m_copies);
+  }
   const auto end = [this, id] {
     // The crash of the server also closes streams of other callers.
     m_callers.RecordDisruption(MonotonicNow());
@@ -133,6 +150,10 @@
   record.entry = entry.name;
   record.started_at = MonotonicNow();
   HttpCallRequest request = MakeCall(record.id, record.kind);
+  if (record.kind == CallKind::kStream) {
+    SetPromptParts(request, "c" + std::to_string(m_last_id % 5) + ":200,",
+                   m_last_id);
+  }
   const auto end = [this, &record](bool aborted) {
     record.ended = true;
     record.aborted = aborted;
--- a/soak/soak_callers.h
+++ b/soak/soak_callers.h
@@ -34,11 +34,23 @@
   std::string body;
 };
 
-/// A caller that sends the same request repeatedly, with a new id each time and
-/// to a random entry host, although it crashes the servers that run it.
+/// What the requests that crash servers have in common.
+enum class PoisonKind {
+  /// They are copies of one request.
+  kWholeRequest,
+  /// A part of their prompts; nothing else.
+  kPromptPart,
+};
+
+/// A caller that repeatedly sends requests that crash the servers which run
+/// them, each with a new id and to a random entry host.
 class PoisonCaller {
  public:
-  PoisonCaller(EventLoop& loop, Fleet& fleet, Callers& callers, uint64_t seed);
+  PoisonCaller(EventLoop& loop,
+               Fleet& fleet,
+               Callers& callers,
+               PoisonKind kind,
+               uint64_t seed);
   ~PoisonCaller();
 
   void Start(Duration interval);
@@ -51,6 +63,7 @@
   EventLoop& m_loop;
   Fleet& m_fleet;
   Callers& m_callers;
+  PoisonKind m_kind;
   std::mt19937_64 m_random;
   HttpClient m_client;
   std::unique_ptr<Timer> m_timer;
--- a/soak/soak_fleet.cc
+++ b/soak/soak_fleet.cc
@@ -139,6 +139,7 @@
   options.observer = this;
   options.events = kStreamEvents;
   options.crash_trigger = kPoisonBody;
+  options.crash_parts = {std::string(kFaultyPart)};
   options.domain = "d" + std::to_string(m_next_runner % kDomains);
   options.published = [this, &host](const Address& listening) {
     host->proxy = std::make_unique<Proxy>(m_loop, listening);
--- a/soak/soak_fleet.h
+++ b/soak/soak_fleet.h
@@ -27,6 +27,11 @@
 inline constexpr int kStreamEvents = 25;
 /// A request with this body crashes the backend server that runs it.
 inline constexpr std::string_view kPoisonBody = "ends its server";
+/// Id of the part of a prompt that crashes the servers which begin to answer a
+/// request with it.
+inline constexpr std::string_view kFaultyPart = "5c1e07a2";
+/// First part of the prompts of all streams.
+inline constexpr std::string_view kFirstPart = "aa";
 
 struct FleetOptions {
   /// Path of filbert-entry.
