--- a/tests/poison_parts_fleet_test.cc
+++ b/tests/poison_parts_fleet_test.cc
@@ -477,36 +477,35 @@
   CHECK(run.longest_refusal() <= kMaxRefusal);
 }
 
-TEST_CASE("a faulty part is blocked, and sound requests beside it are not") {
-  // Guards against blocks on parts that sound requests share with the faulty
-  // ones, and against a part that is never blocked because every end is the
-  // first one of its request.
-  for (Scenario& scenario : MakeScenarios()) {
+/// Calls `check` with a finished run of each scenario and seed.
+template <typename Check>
+void CheckAllScenarios(Check check) {
+  for (Scenario scenario : MakeScenarios()) {
     for (uint64_t seed = 1; seed <= CountSeeds(); ++seed) {
       CAPTURE(scenario.name);
       CAPTURE(seed);
       scenario.options.seed = seed;
       PartsSimulation run(scenario.options);
       run.Run();
-      CheckLateAndRefused(run);
+      check(run);
     }
   }
 }
 
+TEST_CASE("a faulty part is blocked, and sound requests beside it are not") {
+  // Guards against blocks on parts that sound requests share with the faulty
+  // ones, and against a part that is never blocked because every end is the
+  // first one of its request.
+  CheckAllScenarios(CheckLateAndRefused);
+}
+
 TEST_CASE("a faulty part ends at most eight servers") {
   // Guards against evidence that spreads more slowly than the requests do.
-  for (Scenario& scenario : MakeScenarios()) {
-    for (uint64_t seed = 1; seed <= CountSeeds(); ++seed) {
-      CAPTURE(scenario.name);
-      CAPTURE(seed);
-      scenario.options.seed = seed;
-      PartsSimulation run(scenario.options);
-      run.Run();
-      for (const int ends : run.ends()) {
-        CHECK(ends <= kMaxEnds);
-      }
+  CheckAllScenarios([](const PartsSimulation& run) {
+    for (const int ends : run.ends()) {
+      CHECK(ends <= kMaxEnds);
     }
-  }
+  });
 }
 
 TEST_CASE("a part that turns faulty is blocked") {
