entry: an unframed stream that is closed before its first event is not complete

What callers would see: 200 with an empty body when a server ends at the beginning of an answer that has neither a length nor chunks and its connection is closed in an orderly way; the answer also cleared the request of suspicion.

Cause: a body without framing is complete at an orderly close, and a stream without a closing event was complete with its body. The attempt fails now and the server is checked as after a broken connection.

platform_unframed: the second case failed before (200 instead of 502, one request instead of two), the other two passed.

--- a/include/filbertrack/entry_relay.h
+++ b/include/filbertrack/entry_relay.h
@@ -315,6 +315,8 @@
   std::string_view m_end_reason;
   SseParser m_splitter;
   int m_attempt_status = 0;
+  /// The response has no framing: it is complete when the connection is closed.
+  bool m_ends_with_connection = false;
   int m_answer_status = 0;
   HttpHeaders m_answer_headers;
   std::string m_answer_body;
--- a/source/entry_relay.cc
+++ b/source/entry_relay.cc
@@ -287,6 +287,7 @@
   m_is_sent = false;
   m_attempt_first_event = false;
   m_survival_reported = 0;
+  m_ends_with_connection = false;
   m_attempt_status = 0;
   m_not_run = false;
   m_backoff.reset();
--- a/source/entry_relay_answer.cc
+++ b/source/entry_relay_answer.cc
@@ -77,6 +77,8 @@
   }
   const bool unsealed = IsSuccess(status) && !facts.sealed;
   m_attempt_status = status;
+  m_ends_with_connection = FindHeader(headers, "Content-Length").empty() &&
+                           FindHeader(headers, "Transfer-Encoding").empty();
   m_end_reason = EndReason(status, m_not_run, is_other_request, unsealed);
   AttemptHead head;
   head.status = status;
@@ -138,8 +140,15 @@
 
 void EntryRelay::OnComplete() {
   m_call.reset();
-  if (m_state.traits.shape == AnswerShape::kTokenStream &&
-      m_splitter.has_partial_event()) {
+  const bool is_stream = m_state.traits.shape == AnswerShape::kTokenStream;
+  // A server that ends at the beginning of an answer may close the connection
+  // in an orderly way.
+  if (is_stream && m_ends_with_connection && !m_attempt_first_event &&
+      !m_splitter.has_partial_event()) {
+    OnFailure(true);
+    return;
+  }
+  if (is_stream && m_splitter.has_partial_event()) {
     m_end_reason = "stream ended within an event";
     Feed(AttemptFailed{true});
     return;
