Add review case 1: a crash in one service breaks up another's group

Groups of two services that serve one model get equal names and epochs, and the directory keeps what it knows of groups under the name alone (TWO).

--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -5,11 +5,11 @@
 folder=$(cd "$(dirname "$0")" && pwd)
 cd "$folder/../.." || exit 2
 program=target/platform/filbert-entry
-driver=target/review/case_entry
+driver=target/review/case_group
 [ -x "$program" ] && [ -x "$driver" ] || exit 2
 scratch=$(mktemp -d) || exit 2
 trap 'rm -rf "$scratch"' EXIT
-timeout -k 5 110 "$driver" recover "$program" "$scratch" "$folder/record.txt"
+timeout -k 5 110 "$driver" "$program" "$scratch" "$folder/record.txt"
 result=$?
 [ "$result" -le 1 ] || exit 2
 exit "$result"
--- a/review/build.sh
+++ b/review/build.sh
@@ -3,9 +3,9 @@
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-for name in entry reset; do
+for name in group entry; do
   g++ -std=c++20 -O1 -Wall -Wextra -Ireview/standins \
     -o "target/review/case_$name" "review/standins/case_$name.cc" \
-    review/standins/http.cc review/standins/store.cc review/standins/fleet.cc \
-    -lpthread
+    review/standins/engine.cc review/standins/fleet.cc \
+    review/standins/http.cc review/standins/store.cc -lpthread
 done
--- a/review/standins/fleet.cc
+++ b/review/standins/fleet.cc
@@ -271,7 +271,8 @@
              const EntryProcess& entry,
              const std::string& method,
              const std::string& path,
-             int deadline_ms) {
+             int deadline_ms,
+             const Headers& more) {
   Outcome outcome;
   outcome.id = NextRequestId();
   outcome.path = path;
@@ -279,11 +280,12 @@
   outcome.sent_ms = NowMs();
   record.Add("sent " + outcome.id + " " + method + " " + path + " to " +
              entry.name());
-  outcome.answer = Send(entry.front(), method, path,
-                        {{"Host", kHostname},
-                         {"X-Attempt-Id", outcome.id},
-                         {"X-Deadline-Remaining", std::to_string(deadline_ms)},
-                         {"Authorization", std::string("Bearer ") + kKey}},
+  Headers headers = {{"Host", kHostname},
+                     {"X-Attempt-Id", outcome.id},
+                     {"X-Deadline-Remaining", std::to_string(deadline_ms)},
+                     {"Authorization", std::string("Bearer ") + kKey}};
+  headers.insert(headers.end(), more.begin(), more.end());
+  outcome.answer = Send(entry.front(), method, path, headers,
                         method == "POST" ? "payment" : "", deadline_ms);
   record.Add("answered " + outcome.id + " " +
              (outcome.answer.status == 0
--- a/review/standins/fleet.h
+++ b/review/standins/fleet.h
@@ -171,12 +171,16 @@
   Answer answer;
 };
 
-/// Sends one request, as a caller does, and records it.
+using Headers = std::vector<std::pair<std::string, std::string>>;
+
+/// Sends one request, as a caller does, and records it. `more` are added to the
+/// headers that all callers send.
 Outcome Call(Record& record,
              const EntryProcess& entry,
              const std::string& method,
              const std::string& path,
-             int deadline_ms);
+             int deadline_ms,
+             const Headers& more = {});
 
 /// Whether the environment asks for the case without its disruption.
 bool HasTrouble();
