--- a/review/standins/case_group.cc
+++ b/review/standins/case_group.cc
@@ -71,7 +71,7 @@
     entries.push_back(std::make_unique<EntryProcess>(
         options, record, "front-" + std::to_string(i),
         std::string("zone-") + "abc"[i], net + std::to_string(11 + i),
-        store.endpoint(i), true));
+        store.endpoint(i)));
     entries.back()->Start();
   }
   for (int i = 0; i < 150 && !HasGroups(engines); ++i) {
--- a/review/standins/fleet.cc
+++ b/review/standins/fleet.cc
@@ -134,31 +134,36 @@
                            const std::string& name,
                            const std::string& zone,
                            const std::string& ip,
-                           const Endpoint& store,
-                           bool first_start)
+                           const Endpoint& store)
     : m_options(options),
       m_record(record),
       m_name(name),
+      m_zone(zone),
       m_settings(options.folder + "/" + name + ".ini"),
       m_log(options.folder + "/" + name + ".log"),
       m_front{ip, FreePort(ip)},
-      m_ready{ip, FreePort(ip)} {
+      m_ready{ip, FreePort(ip)},
+      m_peers{ip, FreePort(ip)},
+      m_forward{ip, FreePort(ip)},
+      m_store(store) {}
+
+void EntryProcess::WriteSettings() const {
   // The layout of deploy/entry.ini, with the values that the platform fills in.
   std::ofstream file(m_settings);
-  file << "[node]\nname = " << name << "\ndata_centre = " << zone
+  file << "[node]\nname = " << m_name << "\ndata_centre = " << m_zone
        << "\nlink_mbps = 200.0\nprocessor_share = 0.5\nmemory_mb = 512\n"
-       << (first_start ? "first_start = yes\n" : "")
+       << (m_is_first_start ? "first_start = yes\n" : "")
        << "regions = zone-a:r,zone-b:r,zone-c:r\n"
-       << (options.watches_evacuations ? "\n[evacuations]\nwatched = yes\n"
-                                       : "")
+       << (m_options.watches_evacuations ? "\n[evacuations]\nwatched = yes\n"
+                                         : "")
        << "\n[log]\nlevel = info\n\n[callers]\nlisten = " << m_front.ToString()
        << "\n\n[ready]\nlisten = " << m_ready.ToString()
-       << "\n\n[peers]\nlisten = " << ip << ":" << FreePort(ip)
-       << "\nforward_port = " << FreePort(ip)
-       << "\n\n[store]\naddress = " << store.ToString()
-       << "\n\n[stop]\ngrace = " << options.bounds.grace_s
-       << "s\n\n[retries]\nratio = 0.2\nslack = " << options.bounds.budget_slack
-       << "\n\n[groups]\nstall = 5000ms\n";
+       << "\n\n[peers]\nlisten = " << m_peers.ToString()
+       << "\nforward_port = " << m_forward.port
+       << "\n\n[store]\naddress = " << m_store.ToString()
+       << "\n\n[stop]\ngrace = " << m_options.bounds.grace_s
+       << "s\n\n[retries]\nratio = 0.2\nslack = "
+       << m_options.bounds.budget_slack << "\n\n[groups]\nstall = 5000ms\n";
 }
 
 EntryProcess::~EntryProcess() {
@@ -167,6 +172,8 @@
 
 void EntryProcess::Start() {
   m_signalled = false;
+  WriteSettings();
+  m_is_first_start = false;
   m_pid = fork();
   if (m_pid != 0) {
     m_record.Add("start " + m_name);
--- a/review/standins/fleet.h
+++ b/review/standins/fleet.h
@@ -118,12 +118,12 @@
                const std::string& name,
                const std::string& zone,
                const std::string& ip,
-               const Endpoint& store,
-               bool first_start);
+               const Endpoint& store);
   ~EntryProcess();
 
   const std::string& name() const { return m_name; }
   const Endpoint& front() const { return m_front; }
+  /// Starts it, for the first time or again.
   void Start();
   void Kill(int signal);
   /// Waits for the end of a process that was killed and starts it again.
@@ -136,13 +136,22 @@
   bool IsReady() const;
 
  private:
+  /// Writes the settings file, as the platform does at each start.
+  void WriteSettings() const;
+
   const EntryOptions& m_options;
   Record& m_record;
   std::string m_name;
+  std::string m_zone;
   std::string m_settings;
   std::string m_log;
   Endpoint m_front;
   Endpoint m_ready;
+  Endpoint m_peers;
+  Endpoint m_forward;
+  Endpoint m_store;
+  /// The whole system starts for the first time.
+  bool m_is_first_start = true;
   pid_t m_pid = -1;
   bool m_signalled = false;
 };
--- a/review/standins/world.h
+++ b/review/standins/world.h
@@ -57,7 +57,7 @@
       entries.push_back(std::make_unique<EntryProcess>(
           options, record, "front-" + std::to_string(i),
           std::string("zone-") + "abc"[i], net + std::to_string(11 + i),
-          store.endpoint(i), true));
+          store.endpoint(i)));
       entries.back()->Start();
     }
   }
