--- a/review/rig-2/cases.cc
+++ b/review/rig-2/cases.cc
@@ -419,6 +419,114 @@
   test.End(broken > 0 ? kBroken : kHeld);
 }
 
+// Case alone: one machine is cut off from the store, and comes back.
+
+constexpr double kDrainS = 2.0;
+constexpr double kCutS = 4.0;
+/// Time for which the runner that leaves goes on serving.
+constexpr double kLeavingS = 4.0;
+constexpr int kCuts = 5;
+/// Pause between two rounds, longer than stableWindowMs.
+constexpr double kCalmS = 3.5;
+
+[[noreturn]] void RunAlone(const Case& test) {
+  Store store(test.record);
+  std::vector<std::unique_ptr<Runner>> runners;
+  for (int i = 0; i < kCuts + 3; ++i) {
+    runners.push_back(
+        std::make_unique<Runner>(test.record, store, "i-" + std::to_string(i),
+                                 "api", "127.0.2." + std::to_string(10 + i)));
+    runners.back()->work_s = 0.06;
+    runners.back()->Register();
+  }
+  store.Put(
+      "config", "main",
+      ConfigOf(
+          7,
+          Json::array({RouteOf("lookup", "/lookup/", "safe", "api", 800, 2)}),
+          Json::array({PlainService("api")}), {"key-1"}));
+  std::vector<std::unique_ptr<Store::Door>> doors;
+  std::vector<std::string> stores;
+  for (int i = 0; i < 3; ++i) {
+    doors.push_back(store.OpenDoor());
+    stores.push_back(doors.back()->server->Address());
+  }
+  const auto hosts = test.StartHosts(stores);
+  Sleep(8);
+  // The machine that is cut off is the first; the clients use the others.
+  std::atomic<bool> stop{false};
+  std::vector<std::thread> threads;
+  for (int i = 0; i < 30; ++i) {
+    threads.emplace_back([&, i] {
+      std::unique_ptr<Client> client;
+      for (int number = 0; !stop; ++number) {
+        const EntryHost& host = *hosts[1 + i % 2];
+        if (client == nullptr) {
+          client = std::make_unique<Client>(host);
+        }
+        Call call;
+        call.method = "GET";
+        call.target = "/lookup/donor";
+        call.id = host.name() + "-" + std::to_string(i) + "-" +
+                  std::to_string(number);
+        client->Send(Head(call) + "\r\n");
+        if (!client->Read(2)) {
+          client.reset();
+        }
+        Sleep(0.005);
+      }
+    });
+  }
+  Sleep(1);
+  Store::Door& door = *doors.front();
+  int late = 0;
+  for (int round = 0; round < kCuts; ++round) {
+    if (test.trouble) {
+      test.record.Line(hosts.front()->name() + " is cut off from the store");
+      door.is_cut = true;
+      Sleep(kCutS);
+      door.is_cut = false;
+      const double healed = Now();
+      test.record.Line("the cut has ended");
+      while (door.servers_listed_at < healed ||
+             door.config_listed_at < healed) {
+        if (Now() > healed + 5) {
+          test.Fail("the machine doesn't read the store again");
+        }
+        Sleep(0.01);
+      }
+      // By now the other machines have heard that the store is back.
+      Sleep(0.2);
+    } else {
+      Sleep(kCutS + 1);
+    }
+    Runner& leaving = *runners[round];
+    const double removed = store.Remove("servers", leaving.id());
+    test.record.Line("runner " + leaving.id() +
+                     " leaves: the store removes its entry");
+    Sleep(kLeavingS);
+    int late_now = 0;
+    double last = 0;
+    for (const auto& [id, runs] : leaving.Runs()) {
+      for (const Runner::Run& run : runs) {
+        late_now += run.at > removed + kDrainS ? 1 : 0;
+        last = std::max(last, run.at);
+      }
+    }
+    late += late_now;
+    test.record.Line("the last request reaches " + leaving.id() + " " +
+                     std::to_string(last - removed) +
+                     " s after the removal; later than drainTimeoutMs: " +
+                     std::to_string(late_now));
+    Sleep(kCalmS);
+  }
+  stop = true;
+  for (std::thread& thread : threads) {
+    thread.join();
+  }
+  test.End(late > 0 ? kBroken : kHeld);
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -426,9 +534,11 @@
       {"order", RunOrder},
       {"memory", RunMemory},
       {"promise", RunPromise},
-      {"silent", RunSilent}};
+      {"silent", RunSilent},
+      {"alone", RunAlone}};
   if (argc != 3 || !cases.contains(argv[1])) {
-    std::fprintf(stderr, "usage: cases order|promise|memory|silent FOLDER\n");
+    std::fprintf(stderr,
+                 "usage: cases order|promise|memory|silent|alone FOLDER\n");
     return kCouldNotRun;
   }
   signal(SIGPIPE, SIG_IGN);
--- a/review/rig-2/rig.h
+++ b/review/rig-2/rig.h
@@ -375,6 +375,47 @@
 
   std::string Address() const { return m_server.Address(); }
 
+  /// A way to the store for one machine alone, which can be cut.
+  struct Door {
+    std::atomic<bool> is_cut{false};
+    /// Times of the last listings of `servers` and `config` that were answered.
+    std::atomic<double> servers_listed_at{-1};
+    std::atomic<double> config_listed_at{-1};
+    std::unique_ptr<Server> server;
+  };
+
+  std::unique_ptr<Door> OpenDoor() {
+    auto door = std::make_unique<Door>();
+    Door* opened = door.get();
+    door->server = std::make_unique<Server>(
+        "127.0.0.1", [this, opened](int fd, const Message& request, double at) {
+          if (opened->is_cut) {
+            return false;
+          }
+          const bool open = Handle(fd, request, at,
+                                   [opened] { return opened->is_cut.load(); });
+          const std::string target = request.Target();
+          if (open && target.starts_with("/objects/servers?after")) {
+            opened->servers_listed_at = Now();
+          } else if (open && target.starts_with("/objects/config?after")) {
+            opened->config_listed_at = Now();
+          }
+          return open;
+        });
+    return door;
+  }
+
+  /// Removes an entry, as the platform does with that of a runner that leaves.
+  double Remove(const std::string& kind, const std::string& name) {
+    const std::lock_guard lock(m_mutex);
+    const auto found = m_objects.find({kind, name});
+    ++m_revision;
+    m_events.push_back({m_revision, kind, found->second, true});
+    m_objects.erase(found);
+    m_changed.notify_all();
+    return Now();
+  }
+
   /// Writes an object, as the operator or a runner does. Returns the time of
   /// the acknowledgement.
   double Put(const std::string& kind, const std::string& name, Json spec) {
@@ -393,6 +434,7 @@
     uint64_t revision;
     std::string kind;
     Json object;
+    bool is_removal = false;
   };
 
   Json PutLocked(const std::string& kind, const std::string& name, Json spec) {
@@ -430,7 +472,12 @@
     return target.substr(from, target.find('&', from) - from);
   }
 
-  bool Handle(int fd, const Message& request, double opened) {
+  /// `is_cut` tells whether the caller is cut off from the store by now.
+  bool Handle(
+      int fd,
+      const Message& request,
+      double opened,
+      const std::function<bool()>& is_cut = [] { return false; }) {
     if (IsSilent(opened)) {
       Sleep(1000);
       return false;
@@ -446,7 +493,7 @@
     Json body;
     if (request.Method() == "GET" && !Parameter(target, "watch").empty()) {
       body = Watch(kind, std::stoull(Parameter(target, "watch")),
-                   std::stod(Parameter(target, "waitMs")) / 1000);
+                   std::stod(Parameter(target, "waitMs")) / 1000, is_cut);
     } else {
       const std::lock_guard lock(m_mutex);
       if (request.Method() == "GET" && name.empty()) {
@@ -465,6 +512,9 @@
         std::tie(status, body) = Write(kind, name, request);
       }
     }
+    if (is_cut()) {
+      return false;
+    }
     if (IsSilent(opened)) {
       Sleep(1000);
       return false;
@@ -495,21 +545,26 @@
                      : std::pair(200, PutLocked(kind, given, object["spec"]));
   }
 
-  Json Watch(const std::string& kind, uint64_t revision, double wait_s) {
+  Json Watch(const std::string& kind,
+             uint64_t revision,
+             double wait_s,
+             const std::function<bool()>& is_cut) {
     const double end = Now() + wait_s;
     std::unique_lock lock(m_mutex);
     while (true) {
       Json events = Json::array();
       for (const Event& event : m_events) {
         if (event.revision > revision && event.kind == kind) {
-          events.push_back({{"object", event.object}, {"deleted", false}});
+          events.push_back(
+              {{"object", event.object}, {"deleted", event.is_removal}});
         }
       }
       const double left = end - Now();
-      if (!events.empty() || left <= 0) {
+      if (!events.empty() || left <= 0 || is_cut()) {
         return {{"events", events}, {"asOf", m_revision}};
       }
-      m_changed.wait_for(lock, std::chrono::duration<double>(left));
+      m_changed.wait_for(lock,
+                         std::chrono::duration<double>(std::min(left, 0.02)));
     }
   }
 
@@ -1010,6 +1065,13 @@
   std::vector<std::unique_ptr<EntryHost>> StartHosts(
       int count,
       const std::string& store) const {
+    return StartHosts(std::vector<std::string>(count, store));
+  }
+
+  /// Starts an entry host for each address of the store.
+  std::vector<std::unique_ptr<EntryHost>> StartHosts(
+      const std::vector<std::string>& stores) const {
+    const int count = static_cast<int>(stores.size());
     std::vector<std::string> ips;
     for (int i = 0; i < count; ++i) {
       ips.push_back("127.0.1." + std::to_string(10 + i));
@@ -1020,7 +1082,7 @@
     for (int i = 0; i < count; ++i) {
       hosts.push_back(std::make_unique<EntryHost>(
           record, folder, "front-zone-a-" + std::to_string(i + 1), ips[i],
-          ports, store));
+          ports, stores[i]));
     }
     for (const auto& host : hosts) {
       if (!host->WaitUntilReady()) {
