entry: log departures of servers, who told of them, and holds

New: server-draining, server-removed (from, held_ms), servers-released, store-return-reported (peer, age_ms), placed.servers_age_ms. No decision changes.

--- a/include/filbertrack/entry_host.h
+++ b/include/filbertrack/entry_host.h
@@ -104,7 +104,7 @@
   void OnPeerEvacuations(const EvacuationUpdate& update);
   const SiteEvacuations& evacuations() const { return m_evacuations; }
   /// A peer reported that the store came back at `returned`.
-  void OnPeerSawStoreReturn(TimePoint returned);
+  void OnPeerSawStoreReturn(std::string_view peer, TimePoint returned);
   /// The active configuration, compressed for peers; empty if there is none.
   const std::string& compressed_catalog();
   const ChangeLog& server_log() const { return m_server_log; }
@@ -215,6 +215,14 @@
   /// restarted server is assumed cold unless its registration says how long it
   /// is.
   bool ApplyRegistration(Registration& registration, TimePoint now);
+  /// Handles a removed registration that `from` reported; true if the server is
+  /// not used any more.
+  bool ApplyRemoval(const RemovedServer& removed,
+                    std::string_view from,
+                    TimePoint now);
+  /// Logs that a server reports that it leaves.
+  void LogDraining(const Registration& registration,
+                   std::string_view from) const;
   /// `before` is the set of data centres that were evacuated until now.
   void OnEvacuationsChanged(const SiteEvacuations::DataCentres& before);
   /// Treats the servers of a data centre whose evacuation has ended as cold:
--- a/include/filbertrack/entry_ports.h
+++ b/include/filbertrack/entry_ports.h
@@ -192,6 +192,8 @@
 
 /// A batch of changes to the registrations.
 struct ServerChanges {
+  /// Name of the entry host that sent the changes; empty: read from the store.
+  std::string from;
   /// `changed` and `unreadable` are a complete listing; other known servers are
   /// gone.
   bool is_complete = false;
--- a/include/filbertrack/entry_relay.h
+++ b/include/filbertrack/entry_relay.h
@@ -93,6 +93,8 @@
   std::string local_data_centre;
   /// Store revision that the target list is based on.
   uint64_t servers_revision = 0;
+  /// When registrations were last received, from the store or a peer.
+  TimePoint servers_at{};
   /// Null: targets are chosen by `selector` only.
   RequestPlacer* placer = nullptr;
 };
--- a/include/filbertrack/server_directory.h
+++ b/include/filbertrack/server_directory.h
@@ -158,6 +158,10 @@
   /// whether there were any.
   bool Expire(TimePoint now);
 
+  /// Until when a server whose registration was removed is kept; nullopt if it
+  /// is not.
+  std::optional<TimePoint> HeldUntil(std::string_view id) const;
+
   /// When Expire() next has a server to remove; nullopt if none is marked.
   std::optional<TimePoint> NextExpiry() const;
 
--- a/source/entry_host.cc
+++ b/source/entry_host.cc
@@ -109,6 +109,7 @@
                 1,
                 {},
                 0,
+                {},
                 nullptr},
       m_random(RendezvousWeight("split", settings.Text("node", "name"))) {
   m_context.times.moves_silent = IsEnabled(settings, "moves_silent");
--- a/source/entry_host_site.cc
+++ b/source/entry_host_site.cc
@@ -50,6 +50,7 @@
     // The same registration arrives from the store and from peers; only a newer
     // version is applied.
     if (m_server_log.Put({id, registration.version, registration.text})) {
+      LogDraining(registration, changes.from);
       changed = ApplyRegistration(registration, now) || changed;
     }
   }
@@ -66,7 +67,7 @@
   }
   for (const RemovedServer& removed : changes.removed) {
     if (m_server_log.Put({removed.id, removed.version, ""})) {
-      changed = m_directory.Remove(removed.id, now) || changed;
+      changed = ApplyRemoval(removed, changes.from, now) || changed;
     }
   }
   if (store_away() && changes.revision > m_server_log.revision()) {
@@ -74,6 +75,7 @@
   }
   m_server_log.AdvanceTo(changes.revision);
   m_context.servers_revision = m_server_log.revision();
+  m_context.servers_at = now;
   m_directory.OnInitialListing(now);
   if (changed) {
     OnSiteChanged();
@@ -96,6 +98,36 @@
   return m_directory.Put(std::move(registration.server), now);
 }
 
+bool EntryHost::ApplyRemoval(const RemovedServer& removed,
+                             std::string_view from,
+                             TimePoint now) {
+  const BackendServer* server = m_directory.Find(removed.id);
+  if (server == nullptr) {
+    return false;
+  }
+  nlohmann::json fields = {{"server", removed.id},
+                           {"version", removed.version},
+                           {"from", from},
+                           {"draining", server->draining}};
+  const bool is_removed = m_directory.Remove(removed.id, now);
+  if (const auto until = m_directory.HeldUntil(removed.id)) {
+    fields["held_ms"] = ToMilliseconds(*until - now);
+  }
+  Log(LogLevel::kInfo, "server-removed", fields);
+  return is_removed;
+}
+
+void EntryHost::LogDraining(const Registration& registration,
+                            std::string_view from) const {
+  const BackendServer* known = m_directory.Find(registration.server.id);
+  if (registration.server.draining && known != nullptr && !known->draining) {
+    Log(LogLevel::kInfo, "server-draining",
+        {{"server", registration.server.id},
+         {"version", registration.version},
+         {"from", from}});
+  }
+}
+
 void EntryHost::OnEvacuations(SiteEvacuations::DataCentres data_centres,
                               uint64_t revision) {
   const SiteEvacuations::DataCentres before = m_evacuations.data_centres();
@@ -160,10 +192,14 @@
   return m_directory.Discard(server.id, now);
 }
 
-void EntryHost::OnPeerSawStoreReturn(TimePoint returned) {
+void EntryHost::OnPeerSawStoreReturn(std::string_view peer,
+                                     TimePoint returned) {
   if (!m_store_returned || returned > *m_store_returned + kSameStoreReturn) {
     m_store_returned = returned;
     m_directory.OnStoreReturned(returned);
+    Log(LogLevel::kInfo, "store-return-reported",
+        {{"peer", peer},
+         {"age_ms", ToMilliseconds(MonotonicNow() - returned)}});
   }
 }
 
@@ -204,7 +240,10 @@
   }
   m_expiry_timer =
       m_loop.After(std::max(Duration(0), *next - MonotonicNow()), [this] {
+        const size_t before = m_directory.servers().size();
         if (m_directory.Expire(MonotonicNow())) {
+          Log(LogLevel::kInfo, "servers-released",
+              {{"count", before - m_directory.servers().size()}});
           OnSiteChanged();
         }
         ScheduleExpiry();
--- a/source/entry_peers.cc
+++ b/source/entry_peers.cc
@@ -502,6 +502,7 @@
     return;
   }
   ServerChanges changes;
+  changes.from = reply.state.node;
   changes.is_complete = reply.servers_complete;
   changes.revision = reply.state.servers_revision;
   for (const LoggedObject& object : reply.servers) {
@@ -528,7 +529,7 @@
   m_gossip.Note(state, now);
   m_host.OnPeerEvacuations(state.evacuations);
   if (state.store_back_for) {
-    m_host.OnPeerSawStoreReturn(now - *state.store_back_for);
+    m_host.OnPeerSawStoreReturn(state.node, now - *state.store_back_for);
   }
 }
 
--- a/source/entry_relay.cc
+++ b/source/entry_relay.cc
@@ -259,6 +259,7 @@
                      m_state.sends,
                      std::nullopt,
                      m_context.servers_revision,
+                     now - m_context.servers_at,
                      m_context.backpressure.LimitOf(choice.target),
                      m_placement};
   if (m_state.answer_started) {
--- a/source/entry_request_log.cc
+++ b/source/entry_request_log.cc
@@ -38,6 +38,7 @@
       {"others", choice.other_requests},
       {"loads_age_ms", ToMilliseconds(choice.loads_age)},
       {"servers", line.servers_revision},
+      {"servers_age_ms", ToMilliseconds(line.servers_age)},
       {"config", line.request.catalog->version()}};
   if (line.resumes_at) {
     fields["resumes_at"] = *line.resumes_at;
--- a/source/entry_request_log.h
+++ b/source/entry_request_log.h
@@ -21,6 +21,8 @@
   /// has received no part of the answer.
   std::optional<uint64_t> resumes_at;
   uint64_t servers_revision = 0;
+  /// Time since registrations were last received.
+  Duration servers_age{0};
   /// Requests a second that the target accepts; nullopt if it sets no limit.
   std::optional<double> rate_limit;
   /// nullopt where placement is off.
--- a/source/server_directory.cc
+++ b/source/server_directory.cc
@@ -309,6 +309,12 @@
   return changed;
 }
 
+std::optional<TimePoint> ServerDirectory::HeldUntil(std::string_view id) const {
+  const auto found = m_pending_removal.find(id);
+  return found == m_pending_removal.end() ? std::nullopt
+                                          : std::optional(found->second);
+}
+
 std::optional<TimePoint> ServerDirectory::NextExpiry() const {
   std::optional<TimePoint> next;
   for (const auto& [id, at] : m_pending_removal) {
