entry: the first answer after a loss decides whether there was an outage

Cause: the return of the store was declared when all watches worked again. The listing of servers is usually answered before that of the configuration, which waits for its own retry; the servers that it lacks were removed at once, 0.4 to 0.7 s before "store-returned". Which of two listings is answered first decided.

Change: any answer of the store that is not from a cache decides, once a loss, before its content is applied. The reporting of the loss (store-lost, store-returned, store_fails) is as before.

Test: platform_return, "servers that lapsed are kept before all watches work again", fails before.

--- a/include/filbertrack/entry_host.h
+++ b/include/filbertrack/entry_host.h
@@ -95,6 +95,7 @@
                      uint64_t revision) override;
   void OnStoreLost(Duration unanswered) override;
   void OnStoreReturned() override;
+  void OnStoreAnswered() override;
 
   /// State for peers: store revisions, evacuations, and this host's own load on
   /// each target.
--- a/include/filbertrack/entry_ports.h
+++ b/include/filbertrack/entry_ports.h
@@ -222,6 +222,8 @@
   /// refused a call or a connection broke off just now.
   virtual void OnStoreLost(Duration unanswered) = 0;
   virtual void OnStoreReturned() = 0;
+  /// The store answered a call that it does not answer from a cache.
+  virtual void OnStoreAnswered() = 0;
 };
 
 /// Watches on the platform's store that notify a SiteListener.
--- a/include/filbertrack/store_absence.h
+++ b/include/filbertrack/store_absence.h
@@ -43,11 +43,23 @@
   /// when the outage began. False if no loss was reported before.
   bool OnReturned(TimePoint now);
 
+  /// The store answered a call of this host that it does not answer from a
+  /// cache. The first answer after a loss decides, as OnReturned() does,
+  /// whether there was an outage; others may follow long before all watches
+  /// work again, and tell of removed registrations. Returns whether this answer
+  /// showed one.
+  bool OnAnswered(TimePoint at);
+
   bool is_unreachable() const { return m_lost.has_value(); }
 
  private:
+  void Decide(TimePoint now);
+
   StoreOutagePolicy m_policy;
   std::optional<TimePoint> m_lost;
+  /// Whether the store was away for all since `m_lost`; nullopt until the first
+  /// answer.
+  std::optional<bool> m_was_outage;
   /// Time of the latest report of newer changes by a peer since the connection
   /// was lost.
   std::optional<TimePoint> m_peers_ahead_at;
--- a/source/entry_host_site.cc
+++ b/source/entry_host_site.cc
@@ -209,16 +209,20 @@
       {{"unanswered_ms", ToMilliseconds(unanswered)}});
 }
 
-void EntryHost::OnStoreReturned() {
-  if (!store_away()) {
-    return;
-  }
+void EntryHost::OnStoreAnswered() {
   const TimePoint now = MonotonicNow();
-  const bool was_outage = m_outage_detector.OnReturned(now);
-  if (was_outage) {
+  if (m_outage_detector.OnAnswered(now)) {
     m_store_returned = now;
     m_directory.OnStoreReturned(now);
   }
+}
+
+void EntryHost::OnStoreReturned() {
+  if (!store_away()) {
+    return;
+  }
+  OnStoreAnswered();
+  const bool was_outage = m_outage_detector.OnReturned(MonotonicNow());
   Log(LogLevel::kInfo, "store-returned", {{"for_all", was_outage}});
 }
 
--- a/source/store_absence.cc
+++ b/source/store_absence.cc
@@ -5,12 +5,13 @@
 void StoreOutageDetector::OnLost(TimePoint since) {
   if (!m_lost) {
     m_lost = since;
+    m_was_outage.reset();
     m_peers_ahead_at.reset();
   }
 }
 
 void StoreOutageDetector::OnPeersAhead(TimePoint now) {
-  if (m_lost) {
+  if (m_lost && !m_was_outage) {
     m_peers_ahead_at = now;
   }
 }
@@ -19,13 +20,26 @@
   if (!m_lost) {
     return false;
   }
-  const TimePoint lost = *m_lost;
+  Decide(now);
   m_lost.reset();
-  if (now - lost < m_policy.min_outage) {
+  return *m_was_outage;
+}
+
+void StoreOutageDetector::Decide(TimePoint now) {
+  if (m_was_outage) {
+    return;
+  }
+  const bool others_had_it = m_peers_ahead_at && *m_peers_ahead_at - *m_lost >=
+                                                     m_policy.propagation_time;
+  m_was_outage = now - *m_lost >= m_policy.min_outage && !others_had_it;
+}
+
+bool StoreOutageDetector::OnAnswered(TimePoint at) {
+  if (!m_lost || m_was_outage) {
     return false;
   }
-  return !m_peers_ahead_at ||
-         *m_peers_ahead_at - lost < m_policy.propagation_time;
+  Decide(at);
+  return *m_was_outage;
 }
 
 }  // namespace filbertrack
--- a/tests/listing_cost.cc
+++ b/tests/listing_cost.cc
@@ -32,6 +32,7 @@
   void OnEvacuations(SiteEvacuations::DataCentres, uint64_t) override {}
   void OnStoreLost(Duration) override {}
   void OnStoreReturned() override {}
+  void OnStoreAnswered() override {}
 
   size_t servers = 0;
 };
--- a/tests/platform_return_test.cc
+++ b/tests/platform_return_test.cc
@@ -48,6 +48,22 @@
   CHECK(site.host.OwnGossipState().store_back_for.has_value());
 }
 
+TEST_CASE("servers that lapsed are kept before all watches work again") {
+  // Guards against live servers that are dropped after an outage, since the
+  // listing of servers is answered before that of the configuration.
+  HostFixture site;
+  site.host.OnStoreLost(Seconds(5));
+  site.host.OnStoreAnswered();
+  ServerChanges lapsed;
+  lapsed.revision = 20;
+  lapsed.removed.push_back({"s1", 20});
+  site.host.OnServers(lapsed);
+  CHECK(site.host.directory().Find("s1") != nullptr);
+  site.host.OnStoreReturned();
+  CHECK(site.host.directory().Find("s1") != nullptr);
+  CHECK(site.host.OwnGossipState().store_back_for.has_value());
+}
+
 TEST_CASE("a watch that breaks off and is back at once is no store outage") {
   // Guards against all hosts that keep sending requests to servers that left,
   // for longer than these serve, since one connection of one host was reset.
--- a/tests/platform_store_fixture.h
+++ b/tests/platform_store_fixture.h
@@ -46,6 +46,7 @@
     last_unanswered = unanswered;
   }
   void OnStoreReturned() override { ++returned; }
+  void OnStoreAnswered() override { ++answered; }
 
   std::vector<uint64_t> versions;
   std::set<std::string> servers;
@@ -59,6 +60,7 @@
   /// Time without an answer when the store was last lost.
   Duration last_unanswered{0};
   int returned = 0;
+  int answered = 0;
 };
 
 inline Json MakePlainSpec() {
