entry: an outage of the store is what no host has seen disproved

Callers: requests reached servers up to 2.4 s after these had left without a report, at hosts whose own watches were well, when another host had been stopped or was cut off from the store alone.

Cause: one host's view is taken for that of the fleet. A host that comes back from a standstill or from a cut of its own reports the store's return, and all others open their holds; the report is an age that the reader dates by its own clock, so that one who reads late moves it to a later time for all, again.

Change: hosts exchange the period in which the store answered any of them (without a gap of over 2.3 s, in which a live server misses two heartbeats at most). An outage that is said to have ended within such a period was none: the report is not believed, and what was kept because of it is dropped at once. Ages of the store are read from replies only, and dated by the time of the question where late dating makes them stronger, by that of the reply otherwise.

Tried and not kept: a bound of 2 s from the removal.

--- a/include/filbertrack/entry_host.h
+++ b/include/filbertrack/entry_host.h
@@ -106,6 +106,8 @@
   const SiteEvacuations& evacuations() const { return m_evacuations; }
   /// A peer reported that the store came back at `returned`.
   void OnPeerSawStoreReturn(std::string_view peer, TimePoint returned);
+  /// A peer reported a period in which the store served some host.
+  void OnPeerStoreService(const StoreService& service);
   /// The active configuration, compressed for peers; empty if there is none.
   const std::string& compressed_catalog();
   const ChangeLog& server_log() const { return m_server_log; }
@@ -243,6 +245,9 @@
   /// restarted.
   void ReportRestart(const EntryRelay& relay);
   void ScheduleExpiry();
+  /// Applies a change of the detector's verdict to the directory. `before` is
+  /// the end of the last outage that was believed until now.
+  void ApplyStoreReturn(const std::optional<TimePoint>& before);
   std::vector<EntryRelay*> OpenRelays() const;
   void CheckSilence();
   /// Enforces the bound on the bytes buffered for callers.
@@ -278,7 +283,6 @@
   /// Registrations since the start that could not be parsed.
   uint64_t m_unreadable = 0;
   StoreOutageDetector m_outage_detector;
-  std::optional<TimePoint> m_store_returned;
   bool m_traffic_seen = false;
   HeldAnswersPolicy m_held_policy;
   HeldAnswersDecision m_held_decision;
--- a/include/filbertrack/entry_peers.h
+++ b/include/filbertrack/entry_peers.h
@@ -257,6 +257,12 @@
   void AddPeer(const FleetHost& host, const std::string& address);
   /// Records the state that a peer sent with a request or a reply.
   void RecordState(const GossipState& state, TimePoint now);
+  /// Records what the reply to a request that was sent at `asked` says of the
+  /// store. Requests of peers are not read for it: they may have waited for as
+  /// long as this process was stopped.
+  void RecordStoreAccess(const GossipState& state,
+                         TimePoint asked,
+                         TimePoint now);
   /// Passes the summed loads of the other hosts to the target selection.
   void UpdateRemoteLoads(TimePoint now);
   /// Starts or stops watching the store if the role of this host has changed.
--- a/include/filbertrack/gossip_message.h
+++ b/include/filbertrack/gossip_message.h
@@ -70,6 +70,13 @@
   /// Time since the store became available again after an outage; nullopt if
   /// there was no recent outage.
   std::optional<Duration> store_back_for;
+  /// Ages of the begin and the end of the latest period in which the store
+  /// answered the sender or a host that it heard of; nullopt if it knows none.
+  struct ServiceAges {
+    Duration since{0};
+    Duration until{0};
+  };
+  std::optional<ServiceAges> store_service;
   uint64_t config_version = 0;
   uint64_t servers_revision = 0;
   /// Loads of the sender or, with `covers_data_centre`, the sum of its data
--- a/include/filbertrack/server_directory.h
+++ b/include/filbertrack/server_directory.h
@@ -154,6 +154,10 @@
   /// The store has just returned from an outage.
   void OnStoreReturned(TimePoint now) { m_store_returned = now; }
 
+  /// There was no outage before the reported return. Removes the servers that
+  /// were kept because of it and returns whether there were any.
+  bool OnReturnDisproved(TimePoint now);
+
   /// Removes registrations that were not renewed after an outage. Returns
   /// whether there were any.
   bool Expire(TimePoint now);
--- a/include/filbertrack/store_absence.h
+++ b/include/filbertrack/store_absence.h
@@ -9,6 +9,11 @@
 /// once, must neither do so nor report an outage to its peers: it would keep a
 /// server that ended without notice in that time, and requests would be sent to
 /// it.
+///
+/// What one host sees of its own connection, or of its own clock after it was
+/// stopped, proves nothing about the others. Hosts therefore exchange the
+/// period in which the store has answered any of them. An end of an outage that
+/// lies within such a period was none, whoever reported it.
 
 #include <optional>
 
@@ -23,6 +28,22 @@
   /// No registration of a live server expires in a shorter outage. Below the
   /// interval of the heartbeats, of which three are missing then.
   Duration min_outage = Milliseconds(1000);
+  /// Longest time between two answers within a period of service. A live server
+  /// misses at most two heartbeats in it, so its registration does not expire
+  /// before the next one.
+  Duration max_answer_gap = Milliseconds(2300);
+  /// Reports of the store's return that are at most this far apart refer to the
+  /// same return.
+  Duration same_return = Milliseconds(2000);
+};
+
+/// A period in which the store has answered one entry host or another, without
+/// a gap longer than StoreOutagePolicy::max_answer_gap.
+struct StoreService {
+  TimePoint since;
+  TimePoint until;
+
+  bool operator==(const StoreService&) const = default;
 };
 
 class StoreOutageDetector {
@@ -46,14 +67,30 @@
   /// The store answered a call of this host that it does not answer from a
   /// cache. The first answer after a loss decides, as OnReturned() does,
   /// whether there was an outage; others may follow long before all watches
-  /// work again, and tell of removed registrations. Returns whether this answer
-  /// showed one.
-  bool OnAnswered(TimePoint at);
+  /// work again, and tell of removed registrations.
+  void OnAnswered(TimePoint at);
+
+  /// A peer knows of this period of service.
+  void OnPeerService(const StoreService& service);
+
+  /// A peer reported that the store came back at `returned`. Returns whether
+  /// the report is believed and new.
+  bool OnPeerSawReturn(TimePoint returned);
 
   bool is_unreachable() const { return m_lost.has_value(); }
 
+  /// End of the last outage for all hosts; nullopt if none is known, or if
+  /// answers to other hosts have shown since that there was none.
+  std::optional<TimePoint> returned() const { return m_returned; }
+
+  /// The latest known period of service, for peers.
+  std::optional<StoreService> service() const { return m_service; }
+
  private:
   void Decide(TimePoint now);
+  /// Whether the store is known to have served some host just before
+  /// `returned`, so that no outage ended then.
+  bool RulesOutReturn(TimePoint returned) const;
 
   StoreOutagePolicy m_policy;
   std::optional<TimePoint> m_lost;
@@ -63,6 +100,8 @@
   /// Time of the latest report of newer changes by a peer since the connection
   /// was lost.
   std::optional<TimePoint> m_peers_ahead_at;
+  std::optional<TimePoint> m_returned;
+  std::optional<StoreService> m_service;
 };
 
 }  // namespace filbertrack
--- a/source/entry_host.cc
+++ b/source/entry_host.cc
@@ -341,9 +341,13 @@
   state.config_version = m_catalog == nullptr ? 0 : m_catalog->version();
   state.servers_revision = m_server_log.revision();
   state.store_fails = store_away();
-  if (m_store_returned &&
-      MonotonicNow() - *m_store_returned < kStoreReturnTtl) {
-    state.store_back_for = MonotonicNow() - *m_store_returned;
+  const TimePoint now = MonotonicNow();
+  const auto returned = m_outage_detector.returned();
+  if (returned && now - *returned < kStoreReturnTtl) {
+    state.store_back_for = now - *returned;
+  }
+  if (const auto service = m_outage_detector.service()) {
+    state.store_service = {now - service->since, now - service->until};
   }
   state.evacuations = m_evacuations.News();
   for (const auto& [id, load] : m_selector.OwnLoads()) {
--- a/source/entry_host_site.cc
+++ b/source/entry_host_site.cc
@@ -12,14 +12,6 @@
 
 namespace filbertrack {
 
-namespace {
-
-/// Reports of the store's return that are at most this far apart refer to the
-/// same return.
-constexpr Duration kSameStoreReturn = Seconds(2);
-
-}  // namespace
-
 void EntryHost::OnCatalog(std::shared_ptr<const Catalog> catalog,
                           std::string text) {
   if (!SupersedesCatalog(m_catalog.get(), *catalog)) {
@@ -194,8 +186,7 @@
 
 void EntryHost::OnPeerSawStoreReturn(std::string_view peer,
                                      TimePoint returned) {
-  if (!m_store_returned || returned > *m_store_returned + kSameStoreReturn) {
-    m_store_returned = returned;
+  if (m_outage_detector.OnPeerSawReturn(returned)) {
     m_directory.OnStoreReturned(returned);
     Log(LogLevel::kInfo, "store-return-reported",
         {{"peer", peer},
@@ -203,26 +194,47 @@
   }
 }
 
-void EntryHost::OnStoreLost(Duration unanswered) {
-  m_outage_detector.OnLost(MonotonicNow() - unanswered);
-  Log(LogLevel::kWarning, "store-lost",
-      {{"unanswered_ms", ToMilliseconds(unanswered)}});
+void EntryHost::OnPeerStoreService(const StoreService& service) {
+  const auto before = m_outage_detector.returned();
+  m_outage_detector.OnPeerService(service);
+  ApplyStoreReturn(before);
 }
 
 void EntryHost::OnStoreAnswered() {
-  const TimePoint now = MonotonicNow();
-  if (m_outage_detector.OnAnswered(now)) {
-    m_store_returned = now;
-    m_directory.OnStoreReturned(now);
+  const auto before = m_outage_detector.returned();
+  m_outage_detector.OnAnswered(MonotonicNow());
+  ApplyStoreReturn(before);
+}
+
+void EntryHost::ApplyStoreReturn(const std::optional<TimePoint>& before) {
+  const auto returned = m_outage_detector.returned();
+  if (returned == before) {
+    return;
   }
+  if (returned) {
+    m_directory.OnStoreReturned(*returned);
+    return;
+  }
+  Log(LogLevel::kInfo, "store-return-disproved", nlohmann::json::object());
+  if (m_directory.OnReturnDisproved(MonotonicNow())) {
+    OnSiteChanged();
+  }
+  ScheduleExpiry();
+}
+
+void EntryHost::OnStoreLost(Duration unanswered) {
+  m_outage_detector.OnLost(MonotonicNow() - unanswered);
+  Log(LogLevel::kWarning, "store-lost",
+      {{"unanswered_ms", ToMilliseconds(unanswered)}});
 }
 
 void EntryHost::OnStoreReturned() {
   if (!store_away()) {
     return;
   }
-  OnStoreAnswered();
+  const auto before = m_outage_detector.returned();
   const bool was_outage = m_outage_detector.OnReturned(MonotonicNow());
+  ApplyStoreReturn(before);
   Log(LogLevel::kInfo, "store-returned", {{"for_all", was_outage}});
 }
 
--- a/source/entry_peers.cc
+++ b/source/entry_peers.cc
@@ -20,6 +20,8 @@
 /// Entry hosts that are asked to probe servers, and the time for their reply.
 constexpr size_t kProbingPeers = 4;
 constexpr Duration kProbeReplyTimeout = Milliseconds(300);
+/// Reports of the store's return in replies that took longer are ignored.
+constexpr Duration kMaxDatingError = Milliseconds(200);
 
 }  // namespace
 
@@ -343,6 +345,7 @@
     return;
   }
   RecordState(reply->state, now);
+  RecordStoreAccess(reply->state, peer->second.last_request, now);
   if (!reply->state.remote_loads.empty()) {
     // A relay's reply holds the newest loads available.
     UpdateRemoteLoads(now);
@@ -528,8 +531,19 @@
 void EntryPeers::RecordState(const GossipState& state, TimePoint now) {
   m_gossip.Note(state, now);
   m_host.OnPeerEvacuations(state.evacuations);
-  if (state.store_back_for) {
-    m_host.OnPeerSawStoreReturn(state.node, now - *state.store_back_for);
+}
+
+void EntryPeers::RecordStoreAccess(const GossipState& state,
+                                   TimePoint asked,
+                                   TimePoint now) {
+  // Ages are as of some time between `asked` and `now`, which are far apart if
+  // this process was stopped. Dated to the end that makes the report weaker.
+  if (state.store_service) {
+    m_host.OnPeerStoreService(
+        {now - state.store_service->since, asked - state.store_service->until});
+  }
+  if (state.store_back_for && now - asked <= kMaxDatingError) {
+    m_host.OnPeerSawStoreReturn(state.node, asked - *state.store_back_for);
   }
 }
 
--- a/source/gossip_message.cc
+++ b/source/gossip_message.cc
@@ -34,6 +34,8 @@
 
 /// Index of the evacuations in the encoded state of a host.
 constexpr size_t kEvacuationsField = 13;
+/// Index of the period in which the store served some host.
+constexpr size_t kServiceField = 14;
 /// Index of the data about poison requests, in requests and replies alike.
 constexpr size_t kPoisonField = 4;
 constexpr size_t kWantsNearField = 5;
@@ -107,10 +109,17 @@
        state.data_centre, state.covers_data_centre, PackHosts(state.hosts),
        state.capacity, std::move(remote_loads)});
   // Usually there are none; omitting the field saves its bytes.
-  if (state.evacuations.revision != 0) {
+  if (state.evacuations.revision != 0 || state.store_service) {
     fields.push_back(Json::array(
         {state.evacuations.revision, state.evacuations.data_centres}));
   }
+  if (state.store_service) {
+    const auto encode = [](Duration age) {
+      return std::min(ToMilliseconds(age), kMaxAgeMs);
+    };
+    fields.push_back(Json::array({encode(state.store_service->since),
+                                  encode(state.store_service->until)}));
+  }
   return fields;
 }
 
@@ -143,6 +152,10 @@
         ReadVersion(evacuations.at(0)),
         evacuations.at(1).get<std::set<std::string, std::less<>>>()};
   }
+  if (value.size() > kServiceField) {
+    const Json& service = value.at(kServiceField);
+    state.store_service = {ReadAge(service.at(0)), ReadAge(service.at(1))};
+  }
   return state;
 }
 
--- a/source/server_directory.cc
+++ b/source/server_directory.cc
@@ -295,6 +295,14 @@
   return true;
 }
 
+bool ServerDirectory::OnReturnDisproved(TimePoint now) {
+  m_store_returned.reset();
+  for (auto& [id, expiry] : m_pending_removal) {
+    expiry = now;
+  }
+  return Expire(now);
+}
+
 bool ServerDirectory::Expire(TimePoint now) {
   bool changed = false;
   for (auto it = m_pending_removal.begin(); it != m_pending_removal.end();) {
--- a/tests/gossip_test.cc
+++ b/tests/gossip_test.cc
@@ -116,6 +116,19 @@
       Milliseconds(1500));
 }
 
+TEST_CASE("a period of service of the store is sent with its ages") {
+  GossipRequest request{MakeState(1, 2)};
+  CHECK_FALSE(
+      DecodeGossipRequest(EncodeGossipRequest(request))->state.store_service);
+  request.state.store_service = {Seconds(30), Milliseconds(20)};
+  const auto decoded = DecodeGossipRequest(EncodeGossipRequest(request));
+  REQUIRE(decoded->state.store_service);
+  CHECK(decoded->state.store_service->since == Seconds(30));
+  CHECK(decoded->state.store_service->until == Milliseconds(20));
+  // The evacuations, which come first, are still none.
+  CHECK(decoded->state.evacuations.revision == 0);
+}
+
 TEST_CASE("all hosts choose the same watchers, and losing one replaces one") {
   REQUIRE(rc::check("watchers", [] {
     const auto count = *rc::gen::inRange(1, 60);
--- a/tests/platform_return_test.cc
+++ b/tests/platform_return_test.cc
@@ -64,6 +64,23 @@
   CHECK(site.host.OwnGossipState().store_back_for.has_value());
 }
 
+TEST_CASE("servers that left are dropped once the outage is disproved") {
+  // Guards against a host that stood still, or alone lost the store, and keeps
+  // servers that left since it takes that for an outage for all.
+  HostFixture site;
+  site.host.OnStoreLost(Seconds(5));
+  site.host.OnStoreAnswered();
+  ServerChanges left;
+  left.revision = 20;
+  left.removed.push_back({"s1", 20});
+  site.host.OnServers(left);
+  CHECK(site.host.directory().Find("s1") != nullptr);
+  const TimePoint now = MonotonicNow();
+  site.host.OnPeerStoreService({now - Seconds(30), now});
+  CHECK(site.host.directory().Find("s1") == nullptr);
+  CHECK_FALSE(site.host.OwnGossipState().store_back_for.has_value());
+}
+
 TEST_CASE("a watch that breaks off and is back at once is no store outage") {
   // Guards against all hosts that keep sending requests to servers that left,
   // for longer than these serve, since one connection of one host was reset.
