http: interim responses without end are a failure

Cause: each interim response counts as a sign of life, and nothing counts them.

Change: more than 16 before the final response fail the attempt as one that may have run, and the connection is closed. net_test, "interim responses without end ...", fails before.

--- a/source/http_client.cc
+++ b/source/http_client.cc
@@ -23,6 +23,9 @@
 /// connection fails.
 constexpr Duration kDeadServerTimeout = Seconds(4);
 constexpr size_t kMaxResponseHeaderBytes = 64 * 1024;
+/// A server that sends more of them before the final response sends no
+/// response.
+constexpr int kMaxInterimResponses = 16;
 constexpr int kFirstFinalStatus = 200;
 
 }  // namespace
@@ -118,6 +121,7 @@
   HttpHead head;
   bool is_head_request = false;
   bool complete = false;
+  int interim_responses = 0;
 
   void Begin(HttpCallRequest&& call) {
     is_head_request = call.method == HttpMethod::kHead ||
@@ -310,7 +314,8 @@
            !call->complete) {
       const size_t taken = connection->parser->Push(bytes);
       bytes.remove_prefix(std::min(taken, bytes.size()));
-      if (connection->parser->fault() != HttpMessageFault::kNone) {
+      if (connection->parser->fault() != HttpMessageFault::kNone ||
+          call->interim_responses > kMaxInterimResponses) {
         call->Fail();
         return;
       }
@@ -357,6 +362,7 @@
     call->head = read;
     const bool has_body = !call->is_head_request;
     if (read.status < kFirstFinalStatus) {
+      ++call->interim_responses;
       return has_body;
     }
     // Calls a copy, as the callback may end the call, which clears `events`.
--- a/tests/net_test.cc
+++ b/tests/net_test.cc
@@ -248,6 +248,39 @@
   CHECK(result.may_have_left);
 }
 
+TEST_CASE("interim responses without end are a failure that may have run") {
+  // Guards against a call that waits for its deadline while the server sends
+  // interim responses only.
+  EventLoop loop;
+  RawServer server(loop, [](const auto& stream, size_t) {
+    for (int i = 0; i < 1000; ++i) {
+      stream->Write("HTTP/1.1 100 Continue\r\n\r\n");
+    }
+  });
+  HttpClient client(loop, 4);
+  CallResult result;
+  const auto call = StartCall(client, server.address, result);
+  REQUIRE(RunUntil(loop, [&] { return result.ended; }));
+  CHECK(result.failed);
+  CHECK(result.may_have_left);
+}
+
+TEST_CASE("a few interim responses precede the final one") {
+  EventLoop loop;
+  RawServer server(loop, [](const auto& stream, size_t) {
+    for (int i = 0; i < 3; ++i) {
+      stream->Write("HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n");
+    }
+    stream->Write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+  });
+  HttpClient client(loop, 4);
+  CallResult result;
+  const auto call = StartCall(client, server.address, result);
+  REQUIRE(RunUntil(loop, [&] { return result.ended; }));
+  CHECK_FALSE(result.failed);
+  CHECK(result.body == "ok");
+}
+
 TEST_CASE("a refused connection is a failure that did not run") {
   // Nothing listens at the address, so no byte can have been sent.
   EventLoop loop;
