--- a/include/filbertrack/entry_host.h
+++ b/include/filbertrack/entry_host.h
@@ -157,6 +157,8 @@
 
   /// Bytes buffered for callers: unread responses and request bodies.
   size_t HeldBytes() const;
+  /// Bytes of responses that are collected before they are passed on.
+  size_t CollectedBytes() const { return m_context.collected.bytes(); }
   /// Connections closed because the caller did not read its response.
   uint64_t dropped_callers() const { return m_caller_server->unread_dropped(); }
 
--- a/include/filbertrack/entry_relay.h
+++ b/include/filbertrack/entry_relay.h
@@ -11,6 +11,7 @@
 #include <span>
 #include <string>
 
+#include "filbertrack/base_shared_budget.h"
 #include "filbertrack/dispatch_selector.h"
 #include "filbertrack/entry_backpressure.h"
 #include "filbertrack/entry_forward.h"
@@ -97,6 +98,8 @@
   TimePoint servers_at{};
   /// Null: targets are chosen by `selector` only.
   RequestPlacer* placer = nullptr;
+  /// Responses that are collected before they are passed on.
+  SharedBudget collected{0};
 };
 
 /// How a request was placed, for the log. Present only where placement is on.
@@ -220,6 +223,7 @@
                                     TimePoint now) const;
   /// Clears what is known of the previous attempt.
   void ResetAttempt(TimePoint now);
+  void DiscardAnswerBody();
   void OnForwardHead(int status, const HttpHeaders& headers);
   void OnForwardRefusal(std::string_view text);
   void EndForward(bool failed);
--- a/source/entry_host.cc
+++ b/source/entry_host.cc
@@ -51,6 +51,11 @@
 constexpr Duration kStoreRetryAfter = Milliseconds(1000);
 constexpr Duration kStoreRetrySpread = Milliseconds(1000);
 
+/// Divides the memory for callers: the bounds of the responses that are
+/// collected before they are passed on and of the bodies of requests. Each may
+/// exceed its bound twofold, and bodies are copied to be sent.
+constexpr size_t kCollectedFraction = 4;
+
 /// Random start of the revision numbers, so that records of an earlier process
 /// of this host are not taken for records of this one. 31 bits take five bytes
 /// in each gossip message, 64 bits would take nine.
@@ -114,6 +119,8 @@
       m_random(RendezvousWeight("split", settings.Text("node", "name"))) {
   m_context.times.moves_silent = IsEnabled(settings, "moves_silent");
   m_held_policy = HeldPolicyOf(settings);
+  const size_t collected = m_held_policy.max_bytes / kCollectedFraction;
+  m_context.collected.SetMax(collected);
   AddGauges();
 }
 
--- a/source/entry_host_probe.cc
+++ b/source/entry_host_probe.cc
@@ -78,6 +78,8 @@
   add_forwarded("filbertrack_forwarded_refused", m_forward.refused);
   m_metrics.AddGauge("filbertrack_held_bytes", "",
                      [this] { return static_cast<double>(HeldBytes()); });
+  m_metrics.AddGauge("filbertrack_collected_bytes", "",
+                     [this] { return static_cast<double>(CollectedBytes()); });
   m_metrics.AddGauge("filbertrack_callers_let_go", "",
                      [this] { return static_cast<double>(dropped_callers()); });
   m_metrics.AddGauge("filbertrack_targets", "", [this] {
--- a/source/entry_relay.cc
+++ b/source/entry_relay.cc
@@ -123,6 +123,7 @@
 EntryRelay::~EntryRelay() {
   *m_alive = false;
   WithdrawAsk();
+  DiscardAnswerBody();
 }
 
 void EntryRelay::Start() {
@@ -294,7 +295,12 @@
   m_backoff.reset();
   m_end_reason = "broke off";
   m_splitter = {};
-  m_answer_body.clear();
+  DiscardAnswerBody();
+}
+
+void EntryRelay::DiscardAnswerBody() {
+  m_context.collected.Remove(m_answer_body.size());
+  m_answer_body = {};
 }
 
 HttpCallRequest EntryRelay::MakeCall(const DispatchChoice& choice,
--- a/source/entry_relay_answer.cc
+++ b/source/entry_relay_answer.cc
@@ -118,7 +118,10 @@
 void EntryRelay::OnBytes(std::string_view bytes) {
   m_last_byte = MonotonicNow();
   if (m_state.traits.shape == AnswerShape::kWhole) {
-    if (m_answer_body.size() + bytes.size() > kMaxAnswerBytes) {
+    if (m_answer_body.size() + bytes.size() > kMaxAnswerBytes ||
+        !m_context.collected.Add(m_answer_body.size(), bytes.size())) {
+      m_end_reason = "response too large";
+      DiscardAnswerBody();
       Feed(AttemptFailed{true});
       return;
     }
--- a/tests/request_test.cc
+++ b/tests/request_test.cc
@@ -3,6 +3,7 @@
 #include <rapidcheck.h>
 
 #include "filbertrack/base_hash.h"
+#include "filbertrack/base_shared_budget.h"
 #include "filbertrack/request_held_answers.h"
 #include "filbertrack/request_intake.h"
 #include "filbertrack/request_machine.h"
@@ -439,5 +440,46 @@
   CHECK(EvaluateHeldAnswers({}, 6'000'000, policy).is_full);
 }
 
+TEST_CASE("responses without end share a bound, and short ones are kept") {
+  // Guards against a process that exceeds its memory, since the limit of each
+  // response does not bound their sum.
+  constexpr size_t kMax = 1 << 20;
+  constexpr size_t kBlock = 16 * 1024;
+  constexpr size_t kEndless = 90;
+  constexpr size_t kShort = 800;
+  SharedBudget collected(kMax);
+  std::vector<size_t> held(kEndless, 0);
+  std::vector<bool> given_up(kEndless, false);
+  for (int round = 0; round < 100; ++round) {
+    for (size_t i = 0; i < kEndless; ++i) {
+      if (given_up[i]) {
+        continue;
+      }
+      if (collected.Add(held[i], kBlock)) {
+        held[i] += kBlock;
+      } else if (i % 2 == 0) {
+        collected.Remove(held[i]);
+        held[i] = 0;
+        given_up[i] = true;
+      }
+      // The others stall and keep what they have.
+      REQUIRE(collected.bytes() <= 2 * kMax);
+      REQUIRE(collected.Add(0, kShort));
+      collected.Remove(kShort);
+    }
+  }
+  CHECK(std::count(given_up.begin(), given_up.end(), true) > 0);
+}
+
+TEST_CASE("the bound of collected responses is free again after they end") {
+  constexpr size_t kMax = 1000;
+  SharedBudget collected(kMax);
+  CHECK(collected.Add(0, kMax));
+  CHECK_FALSE(collected.Add(kMax, 1));
+  collected.Remove(kMax);
+  CHECK(collected.bytes() == 0);
+  CHECK(collected.Add(0, kMax));
+}
+
 }  // namespace
 }  // namespace filbertrack
