http: bodies of requests share a bound while they are received

Cause: the bound of bytes held for callers is checked each 100 ms, for requests that are admitted, and only stops admission; bodies that are still being received have a limit each and none together.

Change: the body of a request counts from its first byte to the end of the request, for callers and forwarded requests together. Short requests are not refused for it.

--- a/include/filbertrack/entry_host.h
+++ b/include/filbertrack/entry_host.h
@@ -287,6 +287,9 @@
   StoreOutageDetector m_outage_detector;
   bool m_traffic_seen = false;
   HeldAnswersPolicy m_held_policy;
+  /// Of the bodies of requests, of callers and forwarded ones alike.
+  std::shared_ptr<SharedBudget> m_request_budget =
+      std::make_shared<SharedBudget>(0);
   HeldAnswersDecision m_held_decision;
 
   HttpClient m_upstream;
--- a/include/filbertrack/http_server.h
+++ b/include/filbertrack/http_server.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "filbertrack/base_held_answer.h"
+#include "filbertrack/base_shared_budget.h"
 #include "filbertrack/event_loop.h"
 #include "filbertrack/http_headers.h"
 #include "filbertrack/settings.h"
@@ -87,6 +88,8 @@
   std::string m_target;
   HttpHeaders m_headers;
   std::string m_body;
+  /// Counts the bytes of `m_body`; null if they are not bounded together.
+  std::shared_ptr<SharedBudget> m_budget;
   bool m_keep_alive;
   bool m_chunked = false;
   bool m_ended = false;
@@ -126,6 +129,11 @@
   /// to connections accepted from now on.
   void SetLimits(const HttpServerLimits& limits);
 
+  /// Bounds the bodies of all requests that are received or processed. A
+  /// request over its share is rejected with status 503 and was not handled.
+  /// For connections accepted from now on.
+  void SetBudget(std::shared_ptr<SharedBudget> budget);
+
   /// From now on every connection is closed after its next response.
   void CloseAfterAnswers();
 
--- a/source/entry_host.cc
+++ b/source/entry_host.cc
@@ -121,6 +121,7 @@
   m_held_policy = HeldPolicyOf(settings);
   const size_t collected = m_held_policy.max_bytes / kCollectedFraction;
   m_context.collected.SetMax(collected);
+  m_request_budget->SetMax(collected);
   AddGauges();
 }
 
@@ -132,6 +133,7 @@
       [this](const std::shared_ptr<HttpExchange>& exchange) {
         OnCaller(exchange);
       });
+  m_caller_server->SetBudget(m_request_budget);
   m_probe_server = std::make_unique<HttpServer>(
       m_loop, HttpServerLimits{},
       [this](const std::shared_ptr<HttpExchange>& exchange) {
--- a/source/entry_host_forward.cc
+++ b/source/entry_host_forward.cc
@@ -43,6 +43,7 @@
     return;
   }
   const CallerLimits& limits = m_catalog->limits();
+  m_forward_server->SetBudget(m_request_budget);
   m_forward_server->SetLimits({limits.max_header_bytes + kForwardedHeaderBytes,
                                limits.max_body_bytes, limits.header_timeout,
                                limits.idle_timeout,
--- a/source/http_server.cc
+++ b/source/http_server.cc
@@ -49,6 +49,7 @@
 constexpr Duration kDeadCallerTimeout = Seconds(10);
 
 constexpr int kBadRequest = 400;
+constexpr int kUnavailable = 503;
 constexpr int kRequestTimeout = 408;
 constexpr int kBodyTooLarge = 413;
 constexpr int kHeaderTooLarge = 431;
@@ -84,6 +85,7 @@
   HttpServerLimits limits;
   HttpServer::Handler handler;
   std::set<std::shared_ptr<HttpConnection>> connections;
+  std::shared_ptr<SharedBudget> budget{};
   bool close_after_answers = false;
   uint64_t unread_dropped = 0;
 };
@@ -270,6 +272,14 @@
       Refuse(kBodyTooLarge);
       return;
     }
+    const std::shared_ptr<SharedBudget>& budget = m_server->budget;
+    if (budget != nullptr &&
+        !budget->Add(m_incoming->m_body.size(), bytes.size())) {
+      m_incoming.reset();
+      Refuse(kUnavailable);
+      return;
+    }
+    m_incoming->m_budget = budget;
     m_incoming->m_body.append(bytes);
   }
 
@@ -285,9 +295,11 @@
   /// Rejects a malformed, oversized or late request and closes the connection,
   /// since the start of the next request is unknown.
   void Refuse(int status) {
-    m_stream->Write("HTTP/1.1 " + std::to_string(status) +
-                    " Refused\r\nConnection: close\r\nContent-Length: "
-                    "0\r\n\r\n");
+    const std::string_view retry_after =
+        status == kUnavailable ? "Retry-After: 1\r\n" : "";
+    m_stream->Write("HTTP/1.1 " + std::to_string(status) + " Refused\r\n" +
+                    std::string(retry_after) +
+                    "Connection: close\r\nContent-Length: 0\r\n\r\n");
     Linger();
   }
 
@@ -329,7 +341,11 @@
       m_headers(std::move(head.headers)),
       m_keep_alive(head.keep_alive) {}
 
-HttpExchange::~HttpExchange() = default;
+HttpExchange::~HttpExchange() {
+  if (m_budget != nullptr) {
+    m_budget->Remove(m_body.size());
+  }
+}
 
 HttpMethod HttpExchange::method() const {
   for (const MethodRow& row : kMethods) {
@@ -476,6 +492,10 @@
       m_shared(std::make_shared<Shared>(
           Shared{loop, limits, std::move(handler), {}})) {}
 
+void HttpServer::SetBudget(std::shared_ptr<SharedBudget> budget) {
+  m_shared->budget = std::move(budget);
+}
+
 HttpServer::~HttpServer() {
   StopListening();
   for (const auto& connection : m_shared->connections) {
--- a/tests/net_test.cc
+++ b/tests/net_test.cc
@@ -177,6 +177,44 @@
   CHECK(fixture.requests.empty());
 }
 
+TEST_CASE("bodies of all requests share a bound, and short ones are kept") {
+  // Guards against a process that exceeds its memory while many large requests
+  // are received at once.
+  EventLoop loop;
+  constexpr size_t kMax = 64 * 1024;
+  constexpr size_t kLarge = 48 * 1024;
+  int handled = 0;
+  std::vector<std::shared_ptr<HttpExchange>> running;
+  HttpServer server(loop, {}, [&](const std::shared_ptr<HttpExchange>& each) {
+    ++handled;
+    running.push_back(each);
+  });
+  const auto budget = std::make_shared<SharedBudget>(kMax);
+  server.SetBudget(budget);
+  const Address address = server.Listen({"127.0.0.1", 0}).value();
+  const auto request = [](size_t bytes) {
+    return "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: " +
+           std::to_string(bytes) + "\r\n\r\n" + std::string(bytes, 'x');
+  };
+  RawCaller first(loop, address);
+  first.stream->Write(request(kLarge));
+  REQUIRE(RunUntil(loop, [&] { return handled == 1; }));
+  RawCaller second(loop, address);
+  second.stream->Write(request(kLarge));
+  REQUIRE(RunUntil(loop, [&] { return !second.received.empty(); }));
+  CHECK(second.received.starts_with("HTTP/1.1 503"));
+  CHECK(second.received.find("Retry-After") != std::string::npos);
+  CHECK(handled == 1);
+  RawCaller small(loop, address);
+  small.stream->Write(request(100));
+  CHECK(RunUntil(loop, [&] { return handled == 2; }));
+  for (const auto& each : running) {
+    each->Reply(200, {}, "");
+  }
+  running.clear();
+  CHECK(budget->bytes() == 0);
+}
+
 TEST_CASE("an unlisted method and a chunked body reach the handler") {
   // The handler gets the original method name and the reassembled body.
   ServerFixture fixture;
