http: a request is charged to the budget that was set when it began

Readability only: the budget was looked up for each part of a body and kept by the first one, so that a change of it in the middle of a request would have freed bytes elsewhere than they were counted. No caller sets a budget twice.

--- a/include/filbertrack/http_server.h
+++ b/include/filbertrack/http_server.h
@@ -131,7 +131,7 @@
 
   /// Bounds the bodies of all requests that are received or processed. A
   /// request over its share is rejected with status 503 and was not handled.
-  /// For connections accepted from now on.
+  /// For requests that begin from now on.
   void SetBudget(std::shared_ptr<SharedBudget> budget);
 
   /// From now on every connection is closed after its next response.
--- a/source/http_server.cc
+++ b/source/http_server.cc
@@ -256,6 +256,7 @@
 
   bool OnHead(const HttpHead& head) {
     m_incoming = std::make_shared<HttpExchange>(weak_from_this(), head);
+    m_incoming->m_budget = m_server->budget;
     if (EqualHeaderNames(FindHeader(head.headers, "Expect"), "100-continue")) {
       m_stream->Write("HTTP/1.1 100 Continue\r\n\r\n");
     }
@@ -272,14 +273,13 @@
       Refuse(kBodyTooLarge);
       return;
     }
-    const std::shared_ptr<SharedBudget>& budget = m_server->budget;
+    SharedBudget* budget = m_incoming->m_budget.get();
     if (budget != nullptr &&
         !budget->Add(m_incoming->m_body.size(), bytes.size())) {
       m_incoming.reset();
       Refuse(kUnavailable);
       return;
     }
-    m_incoming->m_budget = budget;
     m_incoming->m_body.append(bytes);
   }
 
