entry: the directory tells which return of the store is in force

Readability only: what the detector believes was compared with a copy taken before each call; it is compared with what the directory was told. The soak loses a function without callers, the test a text that stood three times.

--- a/include/filbertrack/entry_host.h
+++ b/include/filbertrack/entry_host.h
@@ -247,9 +247,8 @@
   /// restarted.
   void ReportRestart(const EntryRelay& relay);
   void ScheduleExpiry();
-  /// Applies a change of the detector's verdict to the directory. `before` is
-  /// the end of the last outage that was believed until now.
-  void ApplyStoreReturn(const std::optional<TimePoint>& before);
+  /// Applies a change of the detector's verdict to the directory.
+  void ApplyStoreReturn();
   std::vector<EntryRelay*> OpenRelays() const;
   void CheckSilence();
   /// Enforces the bound on the bytes buffered for callers.
--- a/include/filbertrack/server_directory.h
+++ b/include/filbertrack/server_directory.h
@@ -153,6 +153,9 @@
 
   /// The store has just returned from an outage.
   void OnStoreReturned(TimePoint now) { m_store_returned = now; }
+  /// The return that OnStoreReturned() last reported; nullopt if there was none
+  /// or it was disproved.
+  std::optional<TimePoint> store_returned() const { return m_store_returned; }
 
   /// There was no outage before the reported return. Removes the servers that
   /// were kept because of it and returns whether there were any.
--- a/soak/soak_departures.cc
+++ b/soak/soak_departures.cc
@@ -249,7 +249,7 @@
     }
   }
   std::printf(
-      "round %zu, %s, %s: %zu requests before, the last %lld ms after it "
+      "round %zu, %s, %s: %zu requests before, the last %lld ms after they "
       "left\n",
       m_rounds, std::string(NameOf(trouble)).c_str(),
       reports ? "reported" : "unreported", before,
--- a/soak/soak_departures.h
+++ b/soak/soak_departures.h
@@ -42,10 +42,9 @@
   Departures(EventLoop& loop, Fleet& fleet, uint64_t seed);
   ~Departures();
 
-  /// Lets one server leave during the trouble and appends a violation if
-  /// requests reached it too late. Blocks for about 15 s.
+  /// Lets servers leave during the trouble and appends a violation if requests
+  /// reached them too late. Blocks for about 15 s.
   void RunRound(StoreTrouble trouble);
-  size_t rounds() const { return m_rounds; }
 
  private:
   using Servers = std::vector<PlatformRunnerStandin*>;
--- a/source/entry_host_site.cc
+++ b/source/entry_host_site.cc
@@ -187,28 +187,26 @@
 void EntryHost::OnPeerSawStoreReturn(std::string_view peer,
                                      TimePoint returned) {
   if (m_outage_detector.OnPeerSawReturn(returned)) {
-    m_directory.OnStoreReturned(returned);
     Log(LogLevel::kInfo, "store-return-reported",
         {{"peer", peer},
          {"age_ms", ToMilliseconds(MonotonicNow() - returned)}});
+    ApplyStoreReturn();
   }
 }
 
 void EntryHost::OnPeerStoreService(const StoreService& service) {
-  const auto before = m_outage_detector.returned();
   m_outage_detector.OnPeerService(service);
-  ApplyStoreReturn(before);
+  ApplyStoreReturn();
 }
 
 void EntryHost::OnStoreAnswered() {
-  const auto before = m_outage_detector.returned();
   m_outage_detector.OnAnswered(MonotonicNow());
-  ApplyStoreReturn(before);
+  ApplyStoreReturn();
 }
 
-void EntryHost::ApplyStoreReturn(const std::optional<TimePoint>& before) {
+void EntryHost::ApplyStoreReturn() {
   const auto returned = m_outage_detector.returned();
-  if (returned == before) {
+  if (returned == m_directory.store_returned()) {
     return;
   }
   if (returned) {
@@ -232,9 +230,8 @@
   if (!store_away()) {
     return;
   }
-  const auto before = m_outage_detector.returned();
   const bool was_outage = m_outage_detector.OnReturned(MonotonicNow());
-  ApplyStoreReturn(before);
+  ApplyStoreReturn();
   Log(LogLevel::kInfo, "store-returned", {{"for_all", was_outage}});
 }
 
--- a/tests/platform_return_test.cc
+++ b/tests/platform_return_test.cc
@@ -21,6 +21,13 @@
   return changes;
 }
 
+ServerChanges MakeRemoval(const std::string& id, uint64_t revision) {
+  ServerChanges changes;
+  changes.revision = revision;
+  changes.removed.push_back({id, revision});
+  return changes;
+}
+
 struct HostFixture {
   HostFixture()
       : settings(*EntrySchema().ParseText("[node]\nname = e1\ndata_centre = z\n"
@@ -54,10 +61,7 @@
   HostFixture site;
   site.host.OnStoreLost(Seconds(5));
   site.host.OnStoreAnswered();
-  ServerChanges lapsed;
-  lapsed.revision = 20;
-  lapsed.removed.push_back({"s1", 20});
-  site.host.OnServers(lapsed);
+  site.host.OnServers(MakeRemoval("s1", 20));
   CHECK(site.host.directory().Find("s1") != nullptr);
   site.host.OnStoreReturned();
   CHECK(site.host.directory().Find("s1") != nullptr);
@@ -70,10 +74,7 @@
   HostFixture site;
   site.host.OnStoreLost(Seconds(5));
   site.host.OnStoreAnswered();
-  ServerChanges left;
-  left.revision = 20;
-  left.removed.push_back({"s1", 20});
-  site.host.OnServers(left);
+  site.host.OnServers(MakeRemoval("s1", 20));
   CHECK(site.host.directory().Find("s1") != nullptr);
   const TimePoint now = MonotonicNow();
   site.host.OnPeerStoreService({now - Seconds(30), now});
@@ -88,10 +89,7 @@
   site.host.OnStoreLost(Duration(0));
   site.host.OnStoreReturned();
   CHECK_FALSE(site.host.OwnGossipState().store_back_for.has_value());
-  ServerChanges left;
-  left.revision = 20;
-  left.removed.push_back({"s1", 20});
-  site.host.OnServers(left);
+  site.host.OnServers(MakeRemoval("s1", 20));
   CHECK(site.host.directory().Find("s1") == nullptr);
 }
 
