site: registrations are not restored after their removal was compacted

Callers: a server that left can be used again, at every host that then reads an older registration of it, from a stale listing or a peer that was cut off.

Cause: the log of registrations keeps 2,000 removals. Without its removal, a registration of any version counted as new.

Change: an object without a record is taken as known up to the revision to which removals were compacted. A live object that old is in the log already.

Evidence: gossip_test, "a registration is not restored after its removal was compacted", fails before (2 checks of 127).

--- a/source/change_log.cc
+++ b/source/change_log.cc
@@ -20,10 +20,15 @@
 }  // namespace
 
 bool ChangeLog::Put(const LoggedObject& object) {
-  LoggedObject& known = m_objects[object.id];
-  if (known.version >= object.version) {
+  const auto found = m_objects.find(object.id);
+  // An object without a record may have been removed up to the compacted
+  // revision.
+  const uint64_t known_version =
+      found == m_objects.end() ? m_compacted_revision : found->second.version;
+  if (known_version >= object.version) {
     return false;
   }
+  LoggedObject& known = m_objects[object.id];
   EraseEntry(m_by_version, known.version, object.id);
   EraseEntry(m_removed, known.version, object.id);
   known = object;
--- a/tests/gossip_test.cc
+++ b/tests/gossip_test.cc
@@ -87,6 +87,18 @@
   CHECK(reply.servers[0].id == "a");
 }
 
+TEST_CASE("a registration is not restored after its removal was compacted") {
+  // Guards against requests to a server that left, whose registration a stale
+  // listing or a peer that was cut off still has.
+  ChangeLog log(1);
+  log.Put({"a", 1, "one"});
+  log.Put({"a", 2, ""});
+  log.Put({"b", 3, ""});
+  CHECK_FALSE(log.Put({"a", 1, "one"}));
+  CHECK(log.All().empty());
+  CHECK(log.Put({"a", 4, "one"}));
+}
+
 TEST_CASE("messages survive encoding and decoding") {
   const GossipRequest request{MakeState(7, 9)};
   const auto read = DecodeGossipRequest(EncodeGossipRequest(request));
