entry: an outage ended no later than the first answer to any host

Cause: nobody could tell whether there was an outage, so servers that are removed are kept for 2.5 s from its end. That end was the first answer to the host that reported it, 0.5 s after another host had been answered.

Change: the known period of service also corrects the return: it is moved to the begin of the period, and with it the end of what is kept.

Two new cases of site_test fail before. The simulation now tells its directories what EntryHost does: also of a return that has moved.

--- a/include/filbertrack/server_directory.h
+++ b/include/filbertrack/server_directory.h
@@ -151,8 +151,9 @@
   /// started.
   void OnInitialListing(TimePoint now);
 
-  /// The store has just returned from an outage.
-  void OnStoreReturned(TimePoint now) { m_store_returned = now; }
+  /// The store returned from an outage at `returned`, which may be earlier than
+  /// was reported before.
+  void OnStoreReturned(TimePoint returned);
   /// The return that OnStoreReturned() last reported; nullopt if there was none
   /// or it was disproved.
   std::optional<TimePoint> store_returned() const { return m_store_returned; }
--- a/include/filbertrack/store_absence.h
+++ b/include/filbertrack/store_absence.h
@@ -13,7 +13,8 @@
 /// What one host sees of its own connection, or of its own clock after it was
 /// stopped, proves nothing about the others. Hosts therefore exchange the
 /// period in which the store has answered any of them. An end of an outage that
-/// lies within such a period was none, whoever reported it.
+/// lies within such a period was none, whoever reported it; one at the begin of
+/// the period was no later than the first answer to any host.
 
 #include <optional>
 
@@ -80,7 +81,8 @@
   bool is_unreachable() const { return m_lost.has_value(); }
 
   /// End of the last outage for all hosts; nullopt if none is known, or if
-  /// answers to other hosts have shown since that there was none.
+  /// answers to other hosts have shown since that there was none. Moves to an
+  /// earlier time if they show that the store came back earlier.
   std::optional<TimePoint> returned() const { return m_returned; }
 
   /// The latest known period of service, for peers.
@@ -88,6 +90,9 @@
 
  private:
   void Decide(TimePoint now);
+  /// Applies the known period of service to the return: it may disprove it, or
+  /// show that the store came back earlier.
+  void CorrectReturn();
   /// Whether the store is known to have served some host just before
   /// `returned`, so that no outage ended then.
   bool RulesOutReturn(TimePoint returned) const;
--- a/source/entry_host_site.cc
+++ b/source/entry_host_site.cc
@@ -211,6 +211,7 @@
   }
   if (returned) {
     m_directory.OnStoreReturned(*returned);
+    ScheduleExpiry();
     return;
   }
   Log(LogLevel::kInfo, "store-return-disproved", nlohmann::json::object());
--- a/source/server_directory.cc
+++ b/source/server_directory.cc
@@ -295,6 +295,13 @@
   return true;
 }
 
+void ServerDirectory::OnStoreReturned(TimePoint returned) {
+  m_store_returned = returned;
+  for (auto& [id, expiry] : m_pending_removal) {
+    expiry = std::min(expiry, returned + m_policy.expiry_grace);
+  }
+}
+
 bool ServerDirectory::OnReturnDisproved(TimePoint now) {
   m_store_returned.reset();
   for (auto& [id, expiry] : m_pending_removal) {
--- a/source/store_absence.cc
+++ b/source/store_absence.cc
@@ -37,6 +37,7 @@
                  !RulesOutReturn(now);
   if (*m_was_outage) {
     m_returned = now;
+    CorrectReturn();
   }
 }
 
@@ -58,8 +59,18 @@
     m_service->since = std::min(m_service->since, service.since);
     m_service->until = std::max(m_service->until, service.until);
   }
-  if (m_returned && RulesOutReturn(*m_returned)) {
+  CorrectReturn();
+}
+
+void StoreOutageDetector::CorrectReturn() {
+  if (!m_returned) {
+    return;
+  }
+  if (RulesOutReturn(*m_returned)) {
     m_returned.reset();
+  } else if (m_service &&
+             m_service->until >= *m_returned - m_policy.max_answer_gap) {
+    m_returned = std::min(*m_returned, m_service->since);
   }
 }
 
@@ -70,6 +81,7 @@
     return false;
   }
   m_returned = returned;
+  CorrectReturn();
   return true;
 }
 
--- a/tests/site_outage_test.cc
+++ b/tests/site_outage_test.cc
@@ -1,6 +1,7 @@
 #include <algorithm>
 #include <cstdlib>
 #include <deque>
+#include <numeric>
 #include <optional>
 #include <random>
 #include <string>
@@ -217,9 +218,8 @@
     }
     if (host.lost) {
       host.lost = false;
-      if (host.outage.OnReturned(m_now)) {
-        host.directory.OnStoreReturned(m_now);
-      }
+      Update(host,
+             [this](StoreOutageDetector& outage) { outage.OnReturned(m_now); });
       Answered(host);
       Learn(host, CountEvents());
     }
@@ -258,9 +258,14 @@
 
   template <typename Change>
   void Update(Host& host, Change change) {
-    const bool was_outage = host.outage.returned().has_value();
     change(host.outage);
-    if (was_outage && !host.outage.returned()) {
+    const auto returned = host.outage.returned();
+    if (returned == host.directory.store_returned()) {
+      return;
+    }
+    if (returned) {
+      host.directory.OnStoreReturned(*returned);
+    } else {
       host.directory.OnReturnDisproved(m_now);
     }
   }
@@ -347,9 +352,10 @@
         outage.OnPeerService(service);
       });
     }
-    if (reply.returned && error <= kMaxDatingError &&
-        host.outage.OnPeerSawReturn(*reply.returned)) {
-      host.directory.OnStoreReturned(*reply.returned);
+    if (reply.returned && error <= kMaxDatingError) {
+      Update(host, [&reply](StoreOutageDetector& outage) {
+        outage.OnPeerSawReturn(*reply.returned);
+      });
     }
     if (reply.known > host.known) {
       if (host.lost) {
@@ -424,10 +430,14 @@
   // Guards against holds that are begun, or moved, by a host that alone lost
   // the store or stood still; and against live servers that are dropped after
   // an outage.
-  const char* const seeds = std::getenv("OUTAGE_SEEDS");
-  const int count = seeds == nullptr ? 100 : std::atoi(seeds);
-  for (int seed = 1; seed <= count; ++seed) {
-    Fleet fleet(static_cast<uint64_t>(seed));
+  const char* const text = std::getenv("OUTAGE_SEEDS");
+  const int count = text == nullptr ? 100 : std::atoi(text);
+  std::vector<uint64_t> seeds(static_cast<size_t>(count));
+  std::iota(seeds.begin(), seeds.end(), 1);
+  // Failed once: two hosts were cut off and the third one stood still.
+  seeds.push_back(19482);
+  for (const uint64_t seed : seeds) {
+    Fleet fleet(seed);
     fleet.Run();
     const std::string first =
         fleet.failures.empty() ? "" : fleet.failures.front();
--- a/tests/site_test.cc
+++ b/tests/site_test.cc
@@ -249,6 +249,42 @@
   CHECK(returns(std::nullopt, Milliseconds(1000)));
 }
 
+TEST_CASE("an outage ended no later than the first answer to any host") {
+  // Guards against servers that are kept too long after they left, since one of
+  // several hosts that had all lost the store came back to it late.
+  const TimePoint lost{Seconds(100)};
+  const TimePoint first_answer = lost + Milliseconds(3000);
+  const TimePoint returned = first_answer + Milliseconds(500);
+  StoreOutageDetector own;
+  own.OnLost(lost);
+  own.OnAnswered(returned);
+  CHECK(own.returned() == returned);
+  own.OnPeerService({first_answer, returned});
+  CHECK(own.returned() == first_answer);
+  StoreOutageDetector told;
+  told.OnPeerService({first_answer, returned});
+  CHECK(told.OnPeerSawReturn(returned));
+  CHECK(told.returned() == first_answer);
+}
+
+TEST_CASE("servers are kept no longer than the corrected return allows") {
+  const DirectoryPolicy policy;
+  const TimePoint returned{Seconds(100)};
+  ServerDirectory directory(policy);
+  BackendServer server;
+  server.id = "s1";
+  directory.Put(server, returned - Seconds(5));
+  directory.OnStoreReturned(returned);
+  CHECK_FALSE(directory.Remove("s1", returned + Milliseconds(100)));
+  directory.OnStoreReturned(returned - Milliseconds(500));
+  CHECK(directory.NextExpiry() ==
+        returned - Milliseconds(500) + policy.expiry_grace);
+  // Another outage does not keep it longer.
+  directory.OnStoreReturned(returned + Seconds(1));
+  CHECK(directory.NextExpiry() ==
+        returned - Milliseconds(500) + policy.expiry_grace);
+}
+
 BackendServer MakeMember(const std::string& id,
                          int rank,
                          uint64_t process_start_ms) {
