entry: targets are checked when the request is written, not kept for later

Callers: requests could be sent to a server seconds after this host knew that it left.

Cause: a target that was found for the fail-over of a stream stayed set if the request was forwarded to another entry host instead, and was used when that host ended.

Change: the target of a fail-over is used by the attempt that follows at once or not at all. A call asks its owner before the request is written to a new connection; without a target the attempt ends as not sent and another target is chosen, for requests that may run once as well. Idle connections are written to in the turn in which the target was chosen.

--- a/include/filbertrack/entry_relay.h
+++ b/include/filbertrack/entry_relay.h
@@ -235,7 +235,11 @@
   bool has_attempt() const { return m_choice || !m_forwarded_to.empty(); }
   /// Chooses the target of the next attempt by the loads that other entry hosts
   /// reported, and sends the request there.
-  void SeekLocally(bool is_retry, TimePoint now);
+  /// `failover_choice`, if given, is used instead of a new choice.
+  void SeekLocally(
+      bool is_retry,
+      TimePoint now,
+      const std::optional<DispatchChoice>& failover_choice = std::nullopt);
   /// The same after an ask, in which time the request may have been blocked.
   void SeekAgainLocally(bool is_retry);
   /// Asks the placer for a target if placement is on. The request then waits
@@ -328,7 +332,7 @@
   std::string m_answer_body;
   uint64_t m_resume_from = 0;
 
-  /// Target found by CanFailOver(), for the next attempt.
+  /// Target found by CanFailOver(), for the attempt that Seek() makes next.
   std::optional<DispatchChoice> m_failover_choice;
   std::set<std::string, std::less<>> m_tried_targets;
   /// Entry hosts that the request was forwarded to.
--- a/include/filbertrack/http_client.h
+++ b/include/filbertrack/http_client.h
@@ -32,6 +32,9 @@
   std::function<void(bool bytes_may_have_left)> on_failure;
   /// The request was queued for sending on an open connection. Optional.
   std::function<void()> on_sent;
+  /// Asked once a new connection is established. If it returns false, the call
+  /// fails and no byte of the request is sent. Optional.
+  std::function<bool()> may_send;
 };
 
 struct HttpCallRequest {
--- a/source/entry_relay.cc
+++ b/source/entry_relay.cc
@@ -1,6 +1,7 @@
 #include "filbertrack/entry_relay.h"
 
 #include <algorithm>
+#include <utility>
 
 #include <nlohmann/json.hpp>
 
@@ -156,6 +157,8 @@
 
 void EntryRelay::Seek(bool is_retry, uint64_t resume_from) {
   const TimePoint now = MonotonicNow();
+  // Used at once or not at all: by a later attempt the target may have left.
+  const auto failover_choice = std::exchange(m_failover_choice, std::nullopt);
   m_resume_from = resume_from;
   const bool resumes = m_state.answer_started;
   if (resumes && m_request.route->repeat != RepeatRule::kResumable) {
@@ -174,18 +177,20 @@
   if (!resumes && TryPlace(is_retry, now)) {
     return;
   }
-  SeekLocally(is_retry, now);
+  SeekLocally(is_retry, now, failover_choice);
 }
 
-void EntryRelay::SeekLocally(bool is_retry, TimePoint now) {
-  if (NeedsRetry(is_retry) && !m_context.retries.TrySpend(now)) {
+void EntryRelay::SeekLocally(
+    bool is_retry,
+    TimePoint now,
+    const std::optional<DispatchChoice>& failover_choice) {
+  if (NeedsRetry(is_retry) &&
+      !m_context.retries.TrySpend(now)) {
     Feed(NoTarget{ResultCode::kAttemptRefused});
     return;
   }
-  const DispatchDecision decision = m_failover_choice
-                                        ? DispatchDecision(*m_failover_choice)
-                                        : ChooseTarget(now);
-  m_failover_choice.reset();
+  const DispatchDecision decision =
+      failover_choice ? DispatchDecision(*failover_choice) : ChooseTarget(now);
   if (ForwardIfBusy(decision, now)) {
     return;
   }
@@ -236,10 +241,9 @@
     return false;
   }
   const DispatchDecision decision = ChooseTarget(now);
-  if (const auto* choice = std::get_if<DispatchChoice>(&decision)) {
-    m_failover_choice = *choice;
-  }
-  return m_failover_choice.has_value();
+  const auto* choice = std::get_if<DispatchChoice>(&decision);
+  m_failover_choice = choice == nullptr ? std::nullopt : std::optional(*choice);
+  return choice != nullptr;
 }
 
 void EntryRelay::Send(const DispatchChoice& choice) {
@@ -267,8 +271,13 @@
     line.resumes_at = m_resume_from;
   }
   LogPlaced(line);
+  HttpCallEvents events = CallEvents();
+  // The target may leave while the connection is being established.
+  events.may_send = [this] {
+    return m_context.selector.HasTarget(m_choice->target.id);
+  };
   m_call = m_context.http.Start(choice.target.address, MakeCall(choice, now),
-                                CallEvents());
+                                std::move(events));
 }
 
 HttpCallEvents EntryRelay::CallEvents() {
--- a/source/entry_relay_answer.cc
+++ b/source/entry_relay_answer.cc
@@ -161,6 +161,10 @@
 
 void EntryRelay::OnFailure(bool may_have_left) {
   m_end_reason = may_have_left ? "connection broke" : "no connection";
+  if (!may_have_left && m_choice &&
+      !m_context.selector.HasTarget(m_choice->target.id)) {
+    m_end_reason = "left while connecting";
+  }
   m_is_sent = may_have_left;
   if (!m_forwarded_to.empty()) {
     m_context.forward.choice().OnRefused(m_forwarded_to, m_request.service,
--- a/source/http_client.cc
+++ b/source/http_client.cc
@@ -278,7 +278,12 @@
     if (connection == nullptr || connection->call == nullptr) {
       return;
     }
-    connection->call->SendRequest();
+    State* call = connection->call;
+    if (call->events.may_send && !call->events.may_send()) {
+      call->Fail();
+      return;
+    }
+    call->SendRequest();
   }
 
   /// Returns the call that uses the connection. If there is none, discards the
--- a/tests/net_test.cc
+++ b/tests/net_test.cc
@@ -335,6 +335,27 @@
   CHECK_FALSE(result.may_have_left);
 }
 
+TEST_CASE("a call that is withdrawn while connecting sends nothing") {
+  EventLoop loop;
+  size_t received = 0;
+  RawServer server(loop, [&received](const auto&, size_t) { ++received; });
+  HttpClient client(loop, 4);
+  CallResult result;
+  HttpCallEvents events;
+  events.on_failure = [&result](bool may_have_left) {
+    result.ended = true;
+    result.may_have_left = may_have_left;
+  };
+  events.may_send = [] { return false; };
+  const auto call = client.Start(server.address, {}, std::move(events));
+  REQUIRE(RunUntil(loop, [&] { return result.ended; }));
+  CHECK_FALSE(result.may_have_left);
+  REQUIRE(RunUntil(loop, [&] {
+    return !server.streams.empty() && !server.streams[0]->is_open();
+  }));
+  CHECK(received == 0);
+}
+
 TEST_CASE("bytes after a complete response do not reach the next call") {
   // The first response is followed by an unsolicited one. The second call must
   // receive its own response, on a new connection.
--- a/tests/platform_cut_off_test.cc
+++ b/tests/platform_cut_off_test.cc
@@ -24,7 +24,8 @@
 
 /// Entry hosts that connect to each backend server through a proxy of it.
 struct CutSite {
-  explicit CutSite(int entry_hosts) : site(Options(*this, entry_hosts)) {
+  explicit CutSite(int entry_hosts, int stream_attempts = 2)
+      : site(Options(*this, entry_hosts, stream_attempts)) {
     REQUIRE(RunUntil(site.loop, [this] {
       return std::all_of(
           site.nodes.begin(), site.nodes.end(), [](const auto& node) {
@@ -41,8 +42,11 @@
   CutSite(const CutSite&) = delete;
   CutSite& operator=(const CutSite&) = delete;
 
-  static SiteOptions Options(CutSite& self, int entry_hosts) {
+  static SiteOptions Options(CutSite& self,
+                             int entry_hosts,
+                             int stream_attempts) {
     SiteOptions options;
+    options.config["routes"][0]["maxAttempts"] = stream_attempts;
     options.hosts = 4;
     options.entry_hosts = entry_hosts;
     options.published = [&self](const Address& listening) {
@@ -416,5 +420,54 @@
   cut.CheckRuns();
 }
 
+TEST_CASE(
+    "cut off: a target that was found for a fail-over is not used later") {
+  // Guards against requests that reach a server seconds after it left: the
+  // target was kept while the request was forwarded to another host.
+  CutSite cut(2, 6);
+  REQUIRE(cut.CountServed(0, 30) == 30);
+  for (const auto& runner : cut.site.runners) {
+    runner->SetEvents(3000);
+    runner->SetStreamStall(100, Seconds(20));
+  }
+  CallerResponse response;
+  const auto call = SendRequestTo(cut.host(0).caller_address(), cut.client,
+                                  "/s/a", "kept", response);
+  REQUIRE(RunUntil(cut.site.loop, [&] { return !response.body.empty(); }));
+  cut.Cut(0, {.drops_new = true, .drops_open = false});
+  REQUIRE(cut.SendUntil(0, [&] { return !cut.host(0).reach().reachable(); }));
+  // Sends of the request to the server, run or refused.
+  const auto sends = [](const PlatformRunnerStandin& runner) {
+    const auto is_kept = [](const auto& sent) { return sent.id == "kept"; };
+    return std::count_if(runner.seen().begin(), runner.seen().end(), is_kept) +
+           std::count_if(runner.refusals().begin(), runner.refusals().end(),
+                         is_kept);
+  };
+  PlatformRunnerStandin* first = nullptr;
+  PlatformRunnerStandin* other = nullptr;
+  for (const auto& runner : cut.site.runners) {
+    if (runner->is_open()) {
+      (sends(*runner) > 0 ? first : other) = runner.get();
+    }
+  }
+  REQUIRE(first != nullptr);
+  REQUIRE(other != nullptr);
+  // The stream goes silent there and goes on over the other host.
+  REQUIRE(RunUntil(cut.site.loop,
+                   [&] { return sends(*first) + sends(*other) == 2; }));
+  const auto before = sends(*other);
+  other->Register("draining");
+  REQUIRE(RunUntil(cut.site.loop, [&] {
+    const BackendServer* known = cut.host(0).directory().Find(other->id());
+    return known == nullptr || known->draining;
+  }));
+  cut.Heal(0);
+  REQUIRE(
+      RunUntil(cut.site.loop, [&] { return cut.host(0).reach().reachable(); }));
+  cut.site.nodes.pop_back();
+  REQUIRE(RunUntil(cut.site.loop, [&] { return response.ended; }));
+  CHECK(sends(*other) == before);
+}
+
 }  // namespace
 }  // namespace filbertrack
--- a/tests/platform_path_test.cc
+++ b/tests/platform_path_test.cc
@@ -315,5 +315,30 @@
   CHECK(FindHeader(early.headers, "Connection") == "close");
 }
 
+TEST_CASE(
+    "a request is not sent to a server that left while its connection was "
+    "established") {
+  // Guards against requests that reach a server later after its departure than
+  // this host's view of it is old.
+  Site site(0);
+  REQUIRE(RunUntil(site.loop, [&] { return site.CountTargets() == 2; }));
+  HttpClient client(site.loop, 2);
+  CallerResponse response;
+  const auto call = SendRequest(site, client, "/once/x", "id-1", response);
+  // The connection to the chosen server is being established then.
+  REQUIRE(RunUntil(site.loop,
+                   [&] { return !site.host->OwnGossipState().loads.empty(); }));
+  const std::string chosen = site.host->OwnGossipState().loads.front().target;
+  ServerChanges changes;
+  changes.revision = site.host->server_log().revision() + 1;
+  changes.removed.push_back({chosen, changes.revision});
+  site.host->OnServers(changes);
+  REQUIRE(RunUntil(site.loop, [&] { return response.ended; }));
+  CHECK(response.status == 200);
+  for (const auto& server : site.plain) {
+    CHECK(server->seen().size() == (server->id() == chosen ? 0 : 1));
+  }
+}
+
 }  // namespace
 }  // namespace filbertrack
