http: whitespace in the name of a request's field is rejected

Callers: a request with `Content-Length : 3` was read here as one with a body of three bytes and passed on with that line as it was, beside our own field. A server that reads the two differently takes the rest of a body for a request.

Cause: http_parser accepts blanks and tabs in field names.

Change: such requests get 400, as RFC 9112 (5.1) asks; in responses the whitespace before the colon is removed, and any other makes them malformed.

--- a/include/filbertrack/http_message.h
+++ b/include/filbertrack/http_message.h
@@ -1,9 +1,10 @@
 #pragma once
 
 /// Incremental parser for HTTP/1.1 messages, based on the http_parser library.
-/// Messages with ambiguous framing (two Content-Length fields, or
-/// Content-Length together with chunked encoding) are rejected: two hosts could
-/// disagree about where the message ends, which allows request smuggling.
+/// Messages with ambiguous framing (two Content-Length fields, Content-Length
+/// together with chunked encoding, or whitespace in the name of a request's
+/// field) are rejected: two hosts could disagree about where the message ends,
+/// which allows request smuggling.
 
 #include <functional>
 #include <memory>
--- a/source/http_message.cc
+++ b/source/http_message.cc
@@ -1,9 +1,19 @@
 #include "filbertrack/http_message.h"
 
+#include <algorithm>
+
 #include <http_parser.h>
 
 namespace filbertrack {
 
+namespace {
+
+/// Result of a callback that stops the parser with an error. 1 and 2 have other
+/// meanings at the end of the head.
+constexpr int kStop = -1;
+
+}  // namespace
+
 struct HttpMessageParser::State {
   http_parser parser{};
   size_t max_header_bytes = 0;
@@ -81,8 +91,26 @@
     return state.AddHeaderBytes(size);
   }
 
+  /// Whether all field names are free of whitespace. http_parser accepts it,
+  /// but a recipient may read `Content-Length : 5` as another field. Removes it
+  /// before the colon of a response's field, as proxies must.
+  bool CheckFieldNames() {
+    constexpr std::string_view kWhitespace = " \t";
+    return std::all_of(
+        head.headers.begin(), head.headers.end(), [&](auto& field) {
+          std::string& name = field.first;
+          if (parser.type == HTTP_RESPONSE) {
+            name.erase(name.find_last_not_of(kWhitespace) + 1);
+          }
+          return name.find_first_of(kWhitespace) == std::string::npos;
+        });
+  }
+
   static int OnHeadersComplete(http_parser* parser) {
     State& state = FromParser(parser);
+    if (!state.CheckFieldNames()) {
+      return kStop;
+    }
     state.head.method =
         http_method_str(static_cast<http_method>(parser->method));
     state.head.status = static_cast<int>(parser->status_code);
--- a/tests/net_test.cc
+++ b/tests/net_test.cc
@@ -142,6 +142,40 @@
   CHECK(fixture.requests.empty());
 }
 
+TEST_CASE("whitespace before the colon of a request's field is rejected") {
+  // Guards against request smuggling: the next host may read another field, and
+  // another length of the body.
+  for (const char* space : {" ", "\t"}) {
+    ServerFixture fixture;
+    RawCaller caller(fixture.loop, fixture.address);
+    caller.stream->Write("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length" +
+                         std::string(space) + ": 3\r\n\r\nabc");
+    CHECK(RunUntil(fixture.loop, [&] { return caller.ended; }));
+    CHECK(caller.received.starts_with("HTTP/1.1 400"));
+    CHECK(fixture.requests.empty());
+  }
+}
+
+TEST_CASE("whitespace before the colon of a response's field is removed") {
+  EventLoop loop;
+  RawServer server(loop, [](const auto& stream, size_t) {
+    stream->Write(
+        "HTTP/1.1 200 OK\r\nName : v\r\nContent-Length : 2\r\n\r\nok");
+  });
+  HttpClient client(loop, 4);
+  HttpHeaders received;
+  bool ended = false;
+  HttpCallEvents events;
+  events.on_head = [&received](int, const HttpHeaders& headers) {
+    received = headers;
+  };
+  events.on_end = [&ended](int) { ended = true; };
+  const auto call = client.Start(server.address, {}, std::move(events));
+  REQUIRE(RunUntil(loop, [&ended] { return ended; }));
+  CHECK(FindHeader(received, "Name") == "v");
+  CHECK(FindHeader(received, "Content-Length") == "2");
+}
+
 TEST_CASE("pipelined requests are answered in order") {
   // The second request is buffered until the first has been answered, and must
   // not be lost.
