http: a closing connection waits until its last response is sent

Callers: a response on a connection that closes after it, as all do once the process is stopping, was cut 2 s after it was queued, read or not.

Cause: the time for the caller to close its side began when the response was queued instead of when its last byte was sent.

Change: it begins then. A caller that reads nothing is bounded by the timeout for unread responses, as before. The time is a limit of the server, for tests.

The platform's answers have some KB, so nobody saw it there.

--- a/include/filbertrack/http_server.h
+++ b/include/filbertrack/http_server.h
@@ -107,6 +107,10 @@
   /// A connection whose caller accepts no byte of its response for this long is
   /// closed.
   Duration unread_timeout = Seconds(60);
+  /// Time for the caller to close its side after the last response was sent. If
+  /// this side closed first while received bytes are unread, the kernel would
+  /// reset the connection and the caller could lose the response.
+  Duration linger_timeout = Seconds(2);
 };
 
 class HttpServer {
--- a/source/http_server.cc
+++ b/source/http_server.cc
@@ -39,10 +39,6 @@
 constexpr size_t kMaxPipelinedBytes = 64 * 1024;
 /// Interval between checks of the timeouts of all connections.
 constexpr Duration kSweepInterval = Milliseconds(250);
-/// Time for the caller to read the last response and close its side. If this
-/// side closed first while received bytes are unread, the kernel would reset
-/// the connection and the caller could lose the response.
-constexpr Duration kLingerTimeout = Seconds(2);
 constexpr int kListenBacklog = 1024;
 /// Time without an acknowledgement from the caller's host after which its
 /// connection fails.
@@ -134,7 +130,7 @@
   }
 
   /// Closes the sending side once the written bytes are sent, then discards
-  /// input until the caller closes its side or kLingerTimeout passes.
+  /// input until the caller closes its side or `linger_timeout` passes.
   void Linger() {
     m_lingering = true;
     m_idle_since = MonotonicNow();
@@ -177,9 +173,12 @@
       DropSlowReader();
       return;
     }
+    if (m_lingering && m_stream->unsent() > 0) {
+      m_idle_since = now;
+    }
     const Duration idle = now - m_idle_since;
     if (m_lingering) {
-      if (idle > kLingerTimeout) {
+      if (idle > m_server->limits.linger_timeout) {
         OnDisconnected();
       }
       return;
@@ -328,8 +327,8 @@
   uint64_t m_last_sent = 0;
   TimePoint m_last_progress = MonotonicNow();
   /// Start of the idle, header and linger timeouts: the accept, the first byte
-  /// of the current request, the end of the last response or the start of
-  /// lingering.
+  /// of the current request, the end of the last response or, while lingering,
+  /// when its last byte was sent.
   TimePoint m_idle_since;
 };
 
--- a/tests/net_test.cc
+++ b/tests/net_test.cc
@@ -176,6 +176,29 @@
   CHECK(FindHeader(received, "Content-Length") == "2");
 }
 
+TEST_CASE("a closing connection waits for a caller that reads slowly") {
+  // Guards against responses that are cut while they are still being sent.
+  EventLoop loop;
+  HttpServerLimits limits;
+  limits.linger_timeout = Milliseconds(50);
+  const std::string body(32 * 1024 * 1024, 'x');
+  HttpServer server(loop, limits, [&](const auto& exchange) {
+    exchange->Reply(200, {}, body);
+  });
+  RawCaller caller(loop, server.Listen({"127.0.0.1", 0}).value());
+  caller.stream->Write(
+      "GET /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+  REQUIRE(RunUntil(loop, [&] { return !caller.received.empty(); }));
+  caller.stream->SetReading(false);
+  bool continues = false;
+  const auto timer = loop.After(limits.linger_timeout * 20, [&] {
+    caller.stream->SetReading(true);
+    continues = true;
+  });
+  REQUIRE(RunUntil(loop, [&] { return continues && caller.ended; }));
+  CHECK(caller.received.ends_with("\r\n\r\n" + body));
+}
+
 TEST_CASE("pipelined requests are answered in order") {
   // The second request is buffered until the first has been answered, and must
   // not be lost.
