entry: retries are budgeted for each service

Callers: when the servers of a small service refuse or break off requests, each host repeats them with the retries that requests for all services have earned. The allowed number is counted for each service, so a small one could get several times its own.

Change: a budget for each service that had a request, with the slack and the ratio of before. Forwarded requests spend as before where they are sent from.

Evidence: request_test, "requests for one service earn no retries of another"; cannot be built before.

--- a/include/filbertrack/entry_host.h
+++ b/include/filbertrack/entry_host.h
@@ -294,7 +294,7 @@
   HttpClient m_upstream;
   EntryReach m_reach;
   TargetSelector m_selector;
-  RetryBudget m_retries;
+  RetryBudgets m_retries;
   EntryPoison m_poison;
   EntryBackpressure m_backpressure;
   EntryForward m_forward;
--- a/include/filbertrack/entry_relay.h
+++ b/include/filbertrack/entry_relay.h
@@ -81,7 +81,7 @@
   HttpClient& http;
   const CallHeaderCodec& header_codec;
   TargetSelector& selector;
-  RetryBudget& retries;
+  RetryBudgets& retries;
   EntryPoison& poison;
   EntryBackpressure& backpressure;
   EntryForward& forward;
--- a/include/filbertrack/request_retry_budget.h
+++ b/include/filbertrack/request_retry_budget.h
@@ -4,6 +4,10 @@
 /// When many requests fail together, retries remain a small share of the load
 /// and cannot turn a failure into an overload.
 
+#include <map>
+#include <string>
+#include <string_view>
+
 #include "filbertrack/base_time.h"
 
 namespace filbertrack {
@@ -44,4 +48,26 @@
   TimePoint m_updated;
 };
 
+/// A budget for each service, so that the requests for one earn no retries of
+/// another. Budgets are kept for all services that had a request.
+class RetryBudgets {
+ public:
+  explicit RetryBudgets(RetryBudgetPolicy policy) : m_policy(policy) {}
+
+  /// As the members of RetryBudget, for the budget of `service`.
+  void OnRequest(std::string_view service, TimePoint now);
+  bool CanSpend(std::string_view service, TimePoint now);
+  bool TrySpend(std::string_view service, TimePoint now);
+
+  /// As the members of RetryBudget, for all budgets.
+  void SetPolicy(const RetryBudgetPolicy& policy, TimePoint now);
+  void SetMaxSaved(double max_saved);
+
+ private:
+  RetryBudget& Of(std::string_view service, TimePoint now);
+
+  RetryBudgetPolicy m_policy;
+  std::map<std::string, RetryBudget, std::less<>> m_budgets;
+};
+
 }  // namespace filbertrack
--- a/source/entry_host.cc
+++ b/source/entry_host.cc
@@ -95,7 +95,7 @@
                [this](const Address& server) { OnServerUnreachable(server); }}),
       m_selector(DispatchPolicyOf(settings),
                  RendezvousWeight("board", settings.Text("node", "name"))),
-      m_retries(RetryPolicyOf(settings), MonotonicNow()),
+      m_retries(RetryPolicyOf(settings)),
       m_poison(m_directory, engines, MonotonicNow, FirstRevision()),
       m_backpressure(settings.Text("node", "name"), FirstRevision()),
       m_forward(loop,
@@ -245,7 +245,7 @@
   request.arrived = MonotonicNow();
   request.facts = m_header_codec.ReadCall(*exchange);
   if (Admit(exchange, request)) {
-    m_retries.OnRequest(request.arrived);
+    m_retries.OnRequest(request.service, request.arrived);
     StartRelay(std::move(request), exchange);
   }
 }
--- a/source/entry_relay.cc
+++ b/source/entry_relay.cc
@@ -185,7 +185,7 @@
     TimePoint now,
     const std::optional<DispatchChoice>& failover_choice) {
   if (NeedsRetry(is_retry) &&
-      !m_context.retries.TrySpend(now)) {
+      !m_context.retries.TrySpend(m_request.service, now)) {
     Feed(NoTarget{ResultCode::kAttemptRefused});
     return;
   }
@@ -237,7 +237,8 @@
 }
 
 bool EntryRelay::CanFailOver(TimePoint now) {
-  if (!HasAttemptsLeft(m_state, m_policy) || !m_context.retries.CanSpend(now)) {
+  if (!HasAttemptsLeft(m_state, m_policy) ||
+      !m_context.retries.CanSpend(m_request.service, now)) {
     return false;
   }
   const DispatchDecision decision = ChooseTarget(now);
--- a/source/entry_relay_forward.cc
+++ b/source/entry_relay_forward.cc
@@ -43,7 +43,8 @@
     Feed(NoTarget{ResultCode::kServersUnreachable});
     return true;
   }
-  if (NeedsRetry(is_retry) && !m_context.retries.TrySpend(now)) {
+  if (NeedsRetry(is_retry) &&
+      !m_context.retries.TrySpend(m_request.service, now)) {
     Feed(NoTarget{ResultCode::kAttemptRefused});
     return true;
   }
@@ -181,7 +182,7 @@
   // With bytes of the answer here, the open connection works.
   if (m_state.traits.idempotent && m_attempt_status == 0 &&
       HasAttemptsLeft(m_state, m_policy) &&
-      m_context.retries.CanSpend(MonotonicNow())) {
+      m_context.retries.CanSpend(m_request.service, MonotonicNow())) {
     Feed(filbertrack::TargetLost{});
   }
 }
@@ -200,10 +201,11 @@
                           (!m_state.answer_started ||
                            m_request.route->repeat == RepeatRule::kResumable) &&
                           HasAttemptsLeft(m_state, m_policy);
-  const bool has_way = m_request.forwarded
-                           ? !m_state.answer_started
-                           : ChooseForwardPeer(now) != nullptr &&
-                                 m_context.retries.CanSpend(now);
+  const bool has_way =
+      m_request.forwarded
+          ? !m_state.answer_started
+          : ChooseForwardPeer(now) != nullptr &&
+                m_context.retries.CanSpend(m_request.service, now);
   // Otherwise the attempt is left to run, as the connection may work again
   // before the caller gives up.
   if (may_repeat && has_way &&
--- a/source/entry_relay_placement.cc
+++ b/source/entry_relay_placement.cc
@@ -17,7 +17,8 @@
   }
   m_placement->by.clear();
   m_placement->position = 0;
-  if (NeedsRetry(is_retry) && !m_context.retries.CanSpend(now)) {
+  if (NeedsRetry(is_retry) &&
+      !m_context.retries.CanSpend(m_request.service, now)) {
     // SeekLocally() refuses the request.
     return false;
   }
@@ -121,7 +122,8 @@
     Feed(NoTarget{ResultCode::kRequestEndsServers});
     return;
   }
-  if (NeedsRetry(is_retry) && !m_context.retries.TrySpend(now)) {
+  if (NeedsRetry(is_retry) &&
+      !m_context.retries.TrySpend(m_request.service, now)) {
     m_context.placer->Withdraw(grant.id);
     Feed(NoTarget{ResultCode::kAttemptRefused});
     return;
--- a/source/request_retry_budget.cc
+++ b/source/request_retry_budget.cc
@@ -42,4 +42,38 @@
   m_updated = now;
 }
 
+RetryBudget& RetryBudgets::Of(std::string_view service, TimePoint now) {
+  const auto found = m_budgets.find(service);
+  if (found != m_budgets.end()) {
+    return found->second;
+  }
+  return m_budgets.emplace(service, RetryBudget(m_policy, now)).first->second;
+}
+
+void RetryBudgets::OnRequest(std::string_view service, TimePoint now) {
+  Of(service, now).OnRequest(now);
+}
+
+bool RetryBudgets::CanSpend(std::string_view service, TimePoint now) {
+  return Of(service, now).CanSpend(now);
+}
+
+bool RetryBudgets::TrySpend(std::string_view service, TimePoint now) {
+  return Of(service, now).TrySpend(now);
+}
+
+void RetryBudgets::SetPolicy(const RetryBudgetPolicy& policy, TimePoint now) {
+  m_policy = policy;
+  for (auto& [service, budget] : m_budgets) {
+    budget.SetPolicy(policy, now);
+  }
+}
+
+void RetryBudgets::SetMaxSaved(double max_saved) {
+  m_policy.max_saved = max_saved;
+  for (auto& [service, budget] : m_budgets) {
+    budget.SetMaxSaved(max_saved);
+  }
+}
+
 }  // namespace filbertrack
--- a/tests/request_test.cc
+++ b/tests/request_test.cc
@@ -407,6 +407,32 @@
   CHECK(budget.TrySpend(kStart + Seconds(2)));
 }
 
+TEST_CASE("requests for one service earn no retries of another") {
+  // Guards against a small service that gets all retries which a large one has
+  // earned: the allowed number is counted for each service.
+  RetryBudgets budgets({0.5, 10, 0});
+  for (int i = 0; i < 1000; ++i) {
+    budgets.OnRequest("large", kStart);
+  }
+  int spent = 0;
+  while (budgets.TrySpend("small", kStart)) {
+    ++spent;
+  }
+  CHECK(spent == 10);
+  CHECK(budgets.CanSpend("large", kStart));
+  // A reload refills no budget, and the limit holds for later services too.
+  budgets.SetPolicy({0.5, 4, 0}, kStart);
+  CHECK_FALSE(budgets.CanSpend("small", kStart));
+  budgets.SetMaxSaved(2);
+  for (const char* service : {"large", "new"}) {
+    spent = 0;
+    while (budgets.TrySpend(service, kStart)) {
+      ++spent;
+    }
+    CHECK(spent == 2);
+  }
+}
+
 /// Makes `count` responses of 10 KB each, of which nothing was read for
 /// `unread`.
 std::vector<HeldAnswer> MakeHeld(size_t count, Duration unread) {
