request: a status that promises 'not run' needs the server's statement

Callers: a server that ran an unsafe request and then answered 503 without X-Not-Executed had its 503 passed on, with its seal.

Cause: any status was passed on for requests that may run at most once; only the header was used as proof that a request did not run.

--- a/source/request_machine.cc
+++ b/source/request_machine.cc
@@ -1,6 +1,7 @@
 #include "filbertrack/request_machine.h"
 
 #include <algorithm>
+#include <array>
 
 namespace filbertrack {
 
@@ -10,6 +11,14 @@
 
 constexpr int kFirstServerError = 500;
 
+/// Statuses by which callers are told that the request did not run.
+constexpr auto kNotRunStatuses = std::to_array<int>({408, 421, 429, 503});
+
+bool PromisesNotRun(int status) {
+  return std::find(kNotRunStatuses.begin(), kNotRunStatuses.end(), status) !=
+         kNotRunStatuses.end();
+}
+
 /// Handles one event; each overload is one row of the transition table.
 class Transition {
  public:
@@ -45,6 +54,11 @@
     if (event.says_not_run) {
       return EndAttempt(false);
     }
+    if (!m_state.traits.idempotent && PromisesNotRun(event.status)) {
+      // Only the server's statement proves that the request did not run. The
+      // caller would send it again on the promise of the status.
+      return EndAttempt(true);
+    }
     const bool last = m_state.attempts >= m_policy.max_attempts &&
                       m_state.traits.relays_last_error;
     if (!m_state.traits.pass_any_status && !last && !event.is_final &&
--- a/tests/request_test.cc
+++ b/tests/request_test.cc
@@ -217,6 +217,35 @@
   CHECK(FindAction<CloseAttempt>(actions) != nullptr);
 }
 
+TEST_CASE("a status that promises 'not run' is not passed on without proof") {
+  // Guards against a caller that sends a request again which has run, when its
+  // server answered 503 after it had begun.
+  for (const int status : {408, 429, 503}) {
+    for (const bool is_final : {false, true}) {
+      RequestState state = MakeRequest(false, AnswerShape::kWhole);
+      state.traits.pass_any_status = true;
+      StartRequest(state, kStart);
+      Feed(state, TargetChosen{});
+      AttemptHead head;
+      head.status = status;
+      head.is_final = is_final;
+      const auto actions = Feed(state, head);
+      const auto* refusal = FindAction<Refuse>(actions);
+      REQUIRE(refusal != nullptr);
+      CHECK(refusal->outcome == Outcome::kUnknown);
+    }
+  }
+}
+
+TEST_CASE("a server error of a request that may run once is passed on") {
+  RequestState state = MakeRequest(false, AnswerShape::kWhole);
+  state.traits.pass_any_status = true;
+  StartRequest(state, kStart);
+  Feed(state, TargetChosen{});
+  CHECK(Feed(state, AttemptHead{500, true, false}).empty());
+  CHECK(FindAction<ForwardAnswer>(Feed(state, AttemptComplete{})) != nullptr);
+}
+
 /// Generates any event, with token numbers close to the expected ones.
 RequestEvent ArbitraryEvent() {
   switch (*rc::gen::inRange(0, 9)) {
