request: the platform's events may have any text and any increasing ids

Cause: the closing event, the count of tokens and the keep-alives of the engines' protocol were read into the platform's streams.

Change: the two formats are told apart. An event of the platform is a block with an id or data, empty or not; ids increase in any steps; a stream whose last event had no id cannot move to another server. What follows the last event is passed on.

--- a/include/filbertrack/request_machine.h
+++ b/include/filbertrack/request_machine.h
@@ -24,6 +24,15 @@
   kTokenStream,
 };
 
+enum class StreamFormat {
+  /// Ids count the tokens from 0, so that a missing token is noticed. A closing
+  /// event ends the stream.
+  kTokens,
+  /// Ids increase in any steps, and no text has a meaning. The stream is
+  /// complete when its HTTP framing ends.
+  kEvents,
+};
+
 struct RequestTraits {
   /// Whether the request may run more than once.
   bool idempotent = false;
@@ -33,9 +42,7 @@
   TimePoint deadline;
   /// If no attempt is left, a server's error response is forwarded unchanged.
   bool relays_last_error = false;
-  /// A stream is complete when its HTTP framing ends; no closing event is
-  /// expected.
-  bool ends_with_framing = false;
+  StreamFormat stream_format = StreamFormat::kTokens;
 };
 
 struct RequestPolicy {
@@ -58,11 +65,15 @@
   int forwarded_attempts = 0;
   /// The attempt's response is to be forwarded.
   bool attempt_relays = false;
-  /// Token number of the attempt's next event, if the event has no id.
+  /// Position of the attempt's next event, if the event has no id: the number
+  /// of the token, or the lowest id that could follow.
   uint64_t attempt_token = 0;
-  /// Number of the next token to forward to the caller.
+  /// Number of the next token to forward to the caller, or the lowest id that
+  /// the next event may have.
   uint64_t next_token = 0;
   bool answer_started = false;
+  /// The last forwarded event had no id, so no other server can go on after it.
+  bool position_lost = false;
   /// Outcome of the attempts that ended without a response.
   Outcome known = Outcome::kNotRun;
   bool ended = false;
--- a/include/filbertrack/request_sse.h
+++ b/include/filbertrack/request_sse.h
@@ -1,6 +1,6 @@
 #pragma once
 
-/// Incremental parser of server-sent events.
+/// Incremental parser of server-sent events. Lines end with LF or CRLF.
 
 #include <cstdint>
 #include <optional>
@@ -10,11 +10,12 @@
 
 namespace filbertrack {
 
-/// One event. Only the fields that the relay needs are parsed.
+/// One event: a block with an id or data, which may be empty. Only the fields
+/// that the relay needs are parsed.
 struct SseEvent {
   std::optional<uint64_t> id;
   std::string data;
-  bool done = false;  ///< The closing "[DONE]".
+  bool done = false;  ///< The closing "[DONE]" of a stream of tokens.
   /// The event as received, including the blank line that ends it and any
   /// skipped blocks before it.
   std::string raw;
@@ -23,11 +24,15 @@
 class SseParser {
  public:
   /// Consumes the next bytes and returns the events that they complete. An
-  /// unfinished event of more than `kMaxEventBytes` makes the stream invalid.
+  /// unfinished event of more than `kMaxEventBytes`, with the skipped blocks
+  /// before it, makes the stream invalid.
   std::vector<SseEvent> Push(std::string_view bytes);
 
   /// Whether part of an unfinished event is buffered.
-  bool has_partial_event() const { return !m_buffer.empty(); }
+  bool has_partial_event() const;
+
+  /// What was received after the last event, at the end of the stream.
+  std::string Rest() const { return m_skipped + m_buffer; }
 
   bool valid() const { return m_valid; }
 
@@ -35,7 +40,7 @@
 
  private:
   std::string m_buffer;
-  /// Blocks without data since the last event.
+  /// Blocks since the last event that are none, such as comments.
   std::string m_skipped;
   bool m_valid = true;
 };
--- a/source/entry_relay.cc
+++ b/source/entry_relay.cc
@@ -111,14 +111,15 @@
       IsStream(route.repeat) ? AnswerShape::kTokenStream : AnswerShape::kWhole;
   traits.pass_any_status = !traits.idempotent;
   traits.relays_last_error = true;
-  traits.ends_with_framing = true;
+  traits.stream_format = StreamFormat::kEvents;
   traits.deadline = m_request.deadline;
   m_policy.max_attempts =
       std::max(1, m_request.forwarded ? m_request.forwarded->attempts
                                       : route.max_attempts);
   m_policy.max_sends = m_policy.max_attempts + kSendsBeyondAttempts;
-  // Events are numbered from 1.
-  m_state.next_token = m_request.facts.last_event.value_or(0) + 1;
+  if (m_request.facts.last_event) {
+    m_state.next_token = *m_request.facts.last_event + 1;
+  }
 }
 
 EntryRelay::~EntryRelay() {
@@ -237,7 +238,7 @@
 }
 
 bool EntryRelay::CanFailOver(TimePoint now) {
-  if (!HasAttemptsLeft(m_state, m_policy) ||
+  if (!HasAttemptsLeft(m_state, m_policy) || m_state.position_lost ||
       !m_context.retries.CanSpend(m_request.service, now)) {
     return false;
   }
@@ -423,6 +424,7 @@
   if (!m_stream_started) {
     m_exchange->StartStream(m_answer_status, m_answer_headers);
   }
+  m_exchange->Send(m_splitter.Rest());
   m_exchange->End();
   Finish({ResultCode::kOk, Outcome::kRan, m_answer_status});
 }
--- a/source/request_machine.cc
+++ b/source/request_machine.cc
@@ -73,38 +73,19 @@
     if (!m_state.attempt_open || !m_state.attempt_relays) {
       return {};
     }
-    if (event.event.done) {
-      m_state.attempt_open = false;
-      m_state.ended = true;
-      return {CloseAttempt{}, FinishStream{}};
-    }
-    const uint64_t token = event.event.id.value_or(m_state.attempt_token);
-    m_state.attempt_token = token + 1;
-    if (token < m_state.next_token) {
-      // The engine started before the requested resume position; the caller
-      // already has this token.
-      return {};
-    }
-    if (token > m_state.next_token) {
-      // A token is missing; forwarding this one would leave a gap in the text.
-      return EndAttempt(true);
-    }
-    ++m_state.next_token;
-    m_state.answer_started = true;
-    SseEvent forwarded = event.event;
-    forwarded.id = token;
-    return {ForwardToken{std::move(forwarded)}};
+    return m_state.traits.stream_format == StreamFormat::kTokens
+               ? ForwardNextToken(event.event)
+               : ForwardNextEvent(event.event);
   }
 
   Actions operator()(const AttemptComplete&) {
     if (!m_state.attempt_open) {
       return {};
     }
-    if (m_state.traits.ends_with_framing && m_state.attempt_relays &&
+    if (m_state.traits.stream_format == StreamFormat::kEvents &&
+        m_state.attempt_relays &&
         m_state.traits.shape == AnswerShape::kTokenStream) {
-      m_state.attempt_open = false;
-      m_state.ended = true;
-      return {CloseAttempt{}, FinishStream{}};
+      return EndStream();
     }
     if (m_state.traits.shape == AnswerShape::kTokenStream ||
         !m_state.attempt_relays) {
@@ -173,6 +154,51 @@
     m_state.attempt_token = m_state.next_token;
   }
 
+  Actions ForwardNextToken(const SseEvent& event) {
+    if (event.done) {
+      return EndStream();
+    }
+    const uint64_t token = event.id.value_or(m_state.attempt_token);
+    m_state.attempt_token = token + 1;
+    if (token < m_state.next_token) {
+      // The engine started before the requested resume position; the caller
+      // already has this token.
+      return {};
+    }
+    if (token > m_state.next_token) {
+      // A token is missing; forwarding this one would leave a gap in the text.
+      return EndAttempt(true);
+    }
+    ++m_state.next_token;
+    m_state.answer_started = true;
+    SseEvent forwarded = event;
+    forwarded.id = token;
+    return {ForwardToken{std::move(forwarded)}};
+  }
+
+  Actions ForwardNextEvent(const SseEvent& event) {
+    const uint64_t position = event.id.value_or(m_state.attempt_token);
+    if (event.id) {
+      m_state.attempt_token = *event.id + 1;
+    }
+    if (position < m_state.next_token) {
+      // The server started before the requested resume position.
+      return {};
+    }
+    if (event.id) {
+      m_state.next_token = *event.id + 1;
+    }
+    m_state.position_lost = !event.id;
+    m_state.answer_started = true;
+    return {ForwardToken{event}};
+  }
+
+  Actions EndStream() {
+    m_state.attempt_open = false;
+    m_state.ended = true;
+    return {CloseAttempt{}, FinishStream{}};
+  }
+
   void Close(Actions& actions) {
     if (m_state.attempt_open) {
       actions.emplace_back(CloseAttempt{});
@@ -203,6 +229,10 @@
       return Append(std::move(actions),
                     EndRequest(ResultCode::kUpstreamFailed));
     }
+    if (m_state.position_lost) {
+      return Append(std::move(actions),
+                    EndRequest(ResultCode::kStreamInterrupted));
+    }
     if (!HasAttemptsLeft(m_state, m_policy)) {
       return Append(std::move(actions),
                     EndRequest(m_state.known == Outcome::kNotRun
--- a/source/request_sse.cc
+++ b/source/request_sse.cc
@@ -16,15 +16,31 @@
   return value;
 }
 
-void ParseLine(std::string_view line, SseEvent& event) {
+/// Removes the first line from `text` and returns it without its end.
+std::string_view TakeLine(std::string_view& text) {
+  const size_t end = std::min(text.find('\n'), text.size());
+  std::string_view line = text.substr(0, end);
+  text.remove_prefix(std::min(end + 1, text.size()));
   if (line.ends_with('\r')) {
     line.remove_suffix(1);
   }
+  return line;
+}
+
+/// An event while its lines are read.
+struct PartialEvent {
+  std::optional<uint64_t> id;
+  std::optional<std::string> data;
+};
+
+void ParseLine(std::string_view line, PartialEvent& event) {
   if (line.starts_with("data:")) {
-    if (!event.data.empty()) {
-      event.data += '\n';
+    const std::string_view text = FieldValue(line, 5);
+    if (event.data) {
+      event.data->append("\n").append(text);
+    } else {
+      event.data = text;
     }
-    event.data += FieldValue(line, 5);
   } else if (line.starts_with("id:")) {
     const std::string_view text = FieldValue(line, 3);
     uint64_t id = 0;
@@ -36,33 +52,32 @@
   }
 }
 
-/// Position and length of the blank line that ends the first event.
-struct Boundary {
-  size_t start;
-  size_t length;
-};
-
-std::optional<Boundary> FindBoundary(std::string_view text) {
-  const size_t lf = text.find("\n\n");
-  const size_t crlf = text.find("\r\n\r\n");
-  if (lf == std::string_view::npos && crlf == std::string_view::npos) {
-    return std::nullopt;
-  }
-  if (crlf < lf) {
-    return Boundary{crlf, 4};
+/// Size of the first block with the blank line that ends it; nullopt if that
+/// has not arrived.
+std::optional<size_t> BlockSize(std::string_view text) {
+  for (size_t end = text.find('\n'); end != std::string_view::npos;
+       end = text.find('\n', end + 1)) {
+    const std::string_view next = text.substr(end + 1);
+    for (const std::string_view blank : {"\n", "\r\n"}) {
+      if (next.starts_with(blank)) {
+        return end + 1 + blank.size();
+      }
+    }
   }
-  return Boundary{lf, 2};
+  return std::nullopt;
 }
 
-SseEvent ParseEvent(std::string_view block) {
-  SseEvent event;
+/// nullopt if the block has neither an id nor data.
+std::optional<SseEvent> ParseEvent(std::string_view block) {
+  PartialEvent event;
   while (!block.empty()) {
-    const size_t end = std::min(block.find('\n'), block.size());
-    ParseLine(block.substr(0, end), event);
-    block.remove_prefix(std::min(end + 1, block.size()));
+    ParseLine(TakeLine(block), event);
+  }
+  if (!event.id && !event.data) {
+    return std::nullopt;
   }
-  event.done = event.data == kDoneText;
-  return event;
+  const bool is_done = event.data == kDoneText;
+  return SseEvent{event.id, std::move(event.data).value_or(""), is_done, {}};
 }
 
 }  // namespace
@@ -72,24 +87,34 @@
   m_buffer += bytes;
   size_t consumed = 0;
   const std::string_view buffered = m_buffer;
-  while (const auto boundary = FindBoundary(buffered.substr(consumed))) {
-    SseEvent event = ParseEvent(buffered.substr(consumed, boundary->start));
-    m_skipped += buffered.substr(consumed, boundary->start + boundary->length);
-    consumed += boundary->start + boundary->length;
-    // Comments and keep-alives carry no data and are not events. They are
-    // prepended to the next event's raw text, so that forwarding it preserves
-    // them.
-    if (!event.data.empty()) {
-      event.raw = std::move(m_skipped);
+  while (const auto size = BlockSize(buffered.substr(consumed))) {
+    const std::string_view block = buffered.substr(consumed, *size);
+    m_skipped += block;
+    consumed += *size;
+    // Comments and keep-alives are prepended to the next event's raw text, so
+    // that forwarding it preserves them.
+    if (auto event = ParseEvent(block)) {
+      event->raw = std::move(m_skipped);
       m_skipped.clear();
-      events.push_back(std::move(event));
+      events.push_back(std::move(*event));
     }
   }
   m_buffer.erase(0, consumed);
-  m_valid = m_valid && m_buffer.size() <= kMaxEventBytes;
+  m_valid = m_valid && m_buffer.size() + m_skipped.size() <= kMaxEventBytes;
   return events;
 }
 
+bool SseParser::has_partial_event() const {
+  std::string_view rest = m_buffer;
+  while (!rest.empty()) {
+    const std::string_view line = TakeLine(rest);
+    if (!line.empty() && !line.starts_with(':')) {
+      return true;
+    }
+  }
+  return false;
+}
+
 std::string FormatSseEvent(const SseEvent& event) {
   std::string text;
   if (event.id) {
--- a/tests/request_test.cc
+++ b/tests/request_test.cc
@@ -246,6 +246,137 @@
   CHECK(FindAction<ForwardAnswer>(Feed(state, AttemptComplete{})) != nullptr);
 }
 
+/// One block of a stream, as sent by the server.
+struct SentBlock {
+  std::optional<uint64_t> id;
+  std::string raw;
+};
+
+/// Generates a block with an event that the platform's protocol allows.
+SentBlock ArbitraryBlock(std::optional<uint64_t> id) {
+  const std::string end = *rc::gen::element<std::string>("\n", "\r\n");
+  const auto text = *rc::gen::elementOf(std::vector<std::string>{
+      "[DONE]", "", " ", "a", "[DONE] ", "data: x", "id: 1", ":"});
+  std::string raw;
+  if (*rc::gen::inRange(0, 4) == 0) {
+    raw += ": comment" + end + end;
+  }
+  if (*rc::gen::inRange(0, 4) == 0) {
+    raw += "x-weights-versions: 7" + end;
+  }
+  if (id) {
+    raw += "id: " + std::to_string(*id) + end;
+  }
+  const int lines = *rc::gen::inRange(id ? 0 : 1, 3);
+  for (int i = 0; i < lines; ++i) {
+    raw += "data: " + text + end;
+  }
+  if (*rc::gen::inRange(0, 4) == 0) {
+    raw += "retry: 10" + end;
+  }
+  return {id, raw + end};
+}
+
+/// Relays the bytes of one attempt in random pieces and returns what was
+/// forwarded. Sets `last` to the actions of the attempt's end.
+std::string RelayAttempt(RequestState& state,
+                         std::string bytes,
+                         bool breaks_off,
+                         std::vector<RequestAction>& last) {
+  SseParser parser;
+  std::string forwarded;
+  while (!bytes.empty()) {
+    const auto size = *rc::gen::inRange<size_t>(1, bytes.size() + 1);
+    for (SseEvent& event : parser.Push(bytes.substr(0, size))) {
+      const auto actions = Feed(state, AttemptToken{std::move(event)});
+      if (const auto* token = FindAction<ForwardToken>(actions)) {
+        forwarded += token->event.raw;
+      }
+      RC_ASSERT(state.attempt_open);
+    }
+    bytes.erase(0, size);
+  }
+  last = breaks_off || parser.has_partial_event()
+             ? Feed(state, AttemptFailed{true})
+             : Feed(state, AttemptComplete{});
+  if (FindAction<FinishStream>(last) != nullptr) {
+    forwarded += parser.Rest();
+  }
+  return forwarded;
+}
+
+std::string Join(const std::vector<SentBlock>& blocks, size_t first) {
+  std::string all;
+  for (size_t i = first; i < blocks.size(); ++i) {
+    all += blocks[i].raw;
+  }
+  return all;
+}
+
+TEST_CASE("property: a stream of events is forwarded as the servers sent it") {
+  // Guards against texts, ids and comments that have a meaning here only: the
+  // stream ended early, lost events or was broken off.
+  REQUIRE(rc::check("events", [] {
+    RequestState state = MakeRequest(true, AnswerShape::kTokenStream);
+    state.traits.stream_format = StreamFormat::kEvents;
+    StartRequest(state, kStart);
+    std::vector<SentBlock> blocks;
+    uint64_t id = *rc::gen::inRange<uint64_t>(0, 3);
+    const int count = *rc::gen::inRange(1, 12);
+    for (int i = 0; i < count; ++i) {
+      const bool has_id = *rc::gen::inRange(0, 6) != 0;
+      blocks.push_back(
+          ArbitraryBlock(has_id ? std::optional(id) : std::nullopt));
+      id += has_id ? *rc::gen::inRange<uint64_t>(1, 5) : 0;
+    }
+    if (*rc::gen::arbitrary<bool>()) {
+      blocks.push_back({std::nullopt, ": end\n\n"});
+    }
+    const std::string sent = Join(blocks, 0);
+    const auto size = *rc::gen::inRange<size_t>(0, sent.size() + 1);
+    const bool breaks_off = size < sent.size() || *rc::gen::arbitrary<bool>();
+
+    Feed(state, TargetChosen{});
+    Feed(state, AttemptHead{200, true, false});
+    std::vector<RequestAction> last;
+    std::string received =
+        RelayAttempt(state, sent.substr(0, size), breaks_off, last);
+    if (const auto* seek = FindAction<SeekTarget>(last)) {
+      // The next server goes on after the last id, or, if it started earlier,
+      // at any event with an id before.
+      size_t first = 0;
+      if (state.answer_started) {
+        size_t after = 0;
+        for (size_t i = 0; i < blocks.size(); ++i) {
+          after =
+              blocks[i].id && *blocks[i].id < seek->resume_from ? i + 1 : after;
+        }
+        first = *rc::gen::arbitrary<bool>() ? after : after - 1;
+      }
+      Feed(state, TargetChosen{});
+      Feed(state, AttemptHead{200, true, false});
+      received += RelayAttempt(state, Join(blocks, first), false, last);
+    }
+    const bool is_finished = FindAction<FinishStream>(last) != nullptr;
+    const bool is_aborted = FindAction<AbortStream>(last) != nullptr;
+    RC_ASSERT(is_finished || (is_aborted && state.position_lost));
+    if (is_finished) {
+      RC_ASSERT(received == sent);
+    } else {
+      RC_ASSERT(sent.starts_with(received));
+    }
+  }));
+}
+
+TEST_CASE("comments without end make a stream invalid") {
+  // Guards against a process that keeps them all while it waits for an event.
+  SseParser parser;
+  for (int i = 0; i < 10'000 && parser.valid(); ++i) {
+    CHECK(parser.Push(": " + std::string(98, 'x') + "\n\n").empty());
+  }
+  CHECK_FALSE(parser.valid());
+}
+
 /// Generates any event, with token numbers close to the expected ones.
 RequestEvent ArbitraryEvent() {
   switch (*rc::gen::inRange(0, 9)) {
