entry: a host that did not run confirms its view before it uses it

Callers: when an entry host's process is not scheduled for 2 to 3.7 s, requests that waited in its sockets are sent by the view of before: to servers that left over 2 s ago, whether or not these had said so, and by a configuration that is no longer in force. One host, in the first milliseconds, without a line.

Cause: callers' sockets are read before, or together with, the news. No watch ends in that time, so nothing told the host that its view was old.

Change: a process that did not run for over 0.5 s asks its peers, and defers what would use the view until one that was asked after the pause has nothing newer, for 200 ms at most. That covers callers' and forwarded requests, retries, grants and connections that were being established. Without peers, or cut off from them, nothing is refused for it. New lines view-outdated and view-released.

Two cases of site_test.

--- a/include/filbertrack/entry_host.h
+++ b/include/filbertrack/entry_host.h
@@ -19,6 +19,7 @@
 #include "filbertrack/entry_reach.h"
 #include "filbertrack/entry_relay.h"
 #include "filbertrack/entry_targets.h"
+#include "filbertrack/entry_view.h"
 #include "filbertrack/gossip_fleet.h"
 #include "filbertrack/gossip_message.h"
 #include "filbertrack/replica_plan.h"
@@ -139,6 +140,9 @@
             : std::string();
   }
 
+  /// Whether this host's view of the site may be used.
+  EntryView& view() { return m_view; }
+
   const ServerDirectory& directory() const { return m_directory; }
   /// The head of the group confirmed that it has left it.
   void OnHeadLeft(const GroupId& group) { m_directory.OnHeadLeft(group); }
@@ -204,7 +208,8 @@
   }
 
  private:
-  void OnCaller(const std::shared_ptr<HttpExchange>& exchange);
+  void OnCaller(const std::shared_ptr<HttpExchange>& exchange,
+                TimePoint arrived);
   void AddGauges();
   void OnProbe(HttpExchange& exchange);
   /// Fills in `request`; false if it was rejected, with the refusal sent.
@@ -263,7 +268,8 @@
   void OnReachSuspected();
   /// Applies the limits of the configuration to forwarded requests.
   void UpdateForwardLimits();
-  void OnForwarded(const std::shared_ptr<HttpExchange>& exchange);
+  void OnForwarded(const std::shared_ptr<HttpExchange>& exchange,
+                   TimePoint arrived);
   /// Whether this host can serve requests of hosts that reach no server.
   bool AcceptsForwarded() const;
 
@@ -298,6 +304,7 @@
   EntryPoison m_poison;
   EntryBackpressure m_backpressure;
   EntryForward m_forward;
+  EntryView m_view;
   RelayContext m_context;
   EntryMetrics m_metrics;
   std::unordered_map<const EntryRelay*, std::unique_ptr<EntryRelay>> m_relays;
--- a/include/filbertrack/entry_peers.h
+++ b/include/filbertrack/entry_peers.h
@@ -198,6 +198,17 @@
   /// Asks peers in turn, `neighbours` at most, how they take forwarded
   /// requests.
   void AskForForwardOffers(TimePoint now);
+  /// Asks peers for changes that this host missed while it did not run.
+  void ConfirmView(TimePoint now);
+  /// Confirms the view if the peer `name` has nothing newer; otherwise asks it
+  /// again. `state` is its reply to a request sent at `asked`, null if there
+  /// was none.
+  void UpdateView(const std::string& name,
+                  const GossipState* state,
+                  TimePoint asked,
+                  TimePoint now);
+  /// Version of this host's configuration; 0 if it has none.
+  uint64_t ConfigVersion() const;
   /// Sends a request to the next local peers in turn, `neighbours` at most.
   void AskLocalPeers(TimePoint now);
   /// Exchanges loads if that is due: with a relay of the local data centre, or,
--- a/include/filbertrack/entry_relay.h
+++ b/include/filbertrack/entry_relay.h
@@ -19,6 +19,7 @@
 #include "filbertrack/entry_poison.h"
 #include "filbertrack/entry_ports.h"
 #include "filbertrack/entry_reach.h"
+#include "filbertrack/entry_view.h"
 #include "filbertrack/http_client.h"
 #include "filbertrack/http_server.h"
 #include "filbertrack/request_machine.h"
@@ -86,6 +87,7 @@
   EntryBackpressure& backpressure;
   EntryForward& forward;
   const EntryReach& reach;
+  EntryView& view;
   RelayTimes times;
   /// Number of entry hosts that share the connection limits of the backend
   /// servers.
@@ -211,6 +213,9 @@
 
   void Feed(const RequestEvent& event);
   void Seek(bool is_retry, uint64_t resume_from);
+  /// Seeks again once the host's view is confirmed; false if it is not
+  /// outdated.
+  bool DeferIfOutdated(bool is_retry, TimePoint now);
   /// Forwards the request to another entry host, or refuses it, if this host
   /// reaches no server. False: a target is to be chosen here.
   bool ForwardOrRefuse(bool is_retry, TimePoint now);
--- a/soak/main_departures.cc
+++ b/soak/main_departures.cc
@@ -84,7 +84,7 @@
                  "Number of entry host processes.");
   app.add_option("--troubles", options.troubles,
                  "Names of troubles: none, one-cut-off, two-cut-off, stopped, "
-                 "stopped-after-outage, silent, outage.")
+                 "stopped-after-outage, silent, stalled, outage.")
       ->required()
       ->delimiter(',');
   CLI11_PARSE(app, argc, argv);
--- a/soak/soak_departures.cc
+++ b/soak/soak_departures.cc
@@ -26,18 +26,16 @@
 constexpr int kOk = 200;
 constexpr Duration kObservationTime = Seconds(4);
 
-constexpr std::array<std::pair<std::string_view, StoreTrouble>, 7> kTroubles = {
+constexpr std::array<std::pair<std::string_view, StoreTrouble>, 8> kTroubles = {
     {{"none", StoreTrouble::kNone},
      {"one-cut-off", StoreTrouble::kOneCutOff},
      {"two-cut-off", StoreTrouble::kTwoCutOff},
      {"stopped", StoreTrouble::kStopped},
      {"stopped-after-outage", StoreTrouble::kStoppedAfterOutage},
      {"silent", StoreTrouble::kSilent},
+     {"stalled", StoreTrouble::kStalled},
      {"outage", StoreTrouble::kOutage}}};
 
-/// Entry hosts connect to the proxies of the store from this address.
-constexpr const char* kStoreClient = "127.0.0.1";
-
 std::string_view HostOf(std::string_view request) {
   return request.substr(0, request.find('-'));
 }
@@ -184,12 +182,15 @@
   }
 }
 
-void Departures::Leave(PlatformRunnerStandin& server, bool reports) {
-  if (reports) {
-    server.Register("draining");
-  } else {
-    server.ExpireRegistration();
+TimePoint Departures::Leave(const Servers& servers, bool reports) {
+  for (PlatformRunnerStandin* server : servers) {
+    if (reports) {
+      server->Register("draining");
+    } else {
+      server->ExpireRegistration();
+    }
   }
+  return MonotonicNow();
 }
 
 void Departures::RunRound(StoreTrouble trouble) {
@@ -203,14 +204,13 @@
   RunLoop(kSettleTime);
   if (trouble == StoreTrouble::kOutage) {
     RunOutage();
+  } else if (trouble == StoreTrouble::kStalled) {
+    RunStall(leaving, m_random() % 2 == 0);
   } else {
     const bool reports = m_random() % 3 == 0;
     Disturb(trouble);
     RunLoop(Draw(Milliseconds(0), Milliseconds(400)));
-    for (PlatformRunnerStandin* server : leaving) {
-      Leave(*server, reports);
-    }
-    const TimePoint left = MonotonicNow();
+    const TimePoint left = Leave(leaving, reports);
     RunLoop(kObservationTime);
     CheckDeparture(trouble, leaving, reports, left);
   }
@@ -263,6 +263,19 @@
   }
 }
 
+void Departures::RunStall(const Servers& leaving, bool reports) {
+  auto& entries = m_fleet.entries();
+  const EntryProcess& entry = *entries[m_random() % entries.size()];
+  entry.process->Signal(SIGSTOP);
+  RunLoop(Draw(Milliseconds(10), Milliseconds(300)));
+  const TimePoint left = Leave(leaving, reports);
+  // Shorter than the timeout of a watch.
+  RunLoop(Draw(Milliseconds(2050), Milliseconds(3000)));
+  entry.process->Signal(SIGCONT);
+  RunLoop(kObservationTime);
+  CheckDeparture(StoreTrouble::kStalled, leaving, reports, left);
+}
+
 void Departures::RunOutage() {
   StoreStandinFaults& store = m_fleet.store().faults();
   const bool is_silent = m_random() % 2 == 0;
--- a/soak/soak_departures.h
+++ b/soak/soak_departures.h
@@ -29,6 +29,10 @@
   kStoppedAfterOutage,
   /// The open connections to the store go silent; new ones work.
   kSilent,
+  /// One entry host is stopped while the servers leave, and callers continue to
+  /// send to it. Unlike with kStopped, the bound holds as soon as it continues:
+  /// nobody knows of a process that was not scheduled.
+  kStalled,
   /// The store is away for all; a live server's registration lapses.
   kOutage,
 };
@@ -68,12 +72,14 @@
   void MarkDisturbed(const EntryProcess& entry);
   void MarkAllDisturbed();
 
-  void Leave(PlatformRunnerStandin& server, bool reports);
+  /// Lets the servers leave and returns the time.
+  static TimePoint Leave(const Servers& servers, bool reports);
   void CheckDeparture(StoreTrouble trouble,
                       const Servers& servers,
                       bool reports,
                       TimePoint left);
   void RunOutage();
+  void RunStall(const Servers& leaving, bool reports);
 
   EventLoop& m_loop;
   Fleet& m_fleet;
--- a/soak/soak_fleet.h
+++ b/soak/soak_fleet.h
@@ -33,6 +33,9 @@
 /// First part of the prompts of all streams.
 inline constexpr std::string_view kFirstPart = "aa";
 
+/// Entry hosts connect to the proxies of the store from this address.
+inline constexpr const char* kStoreClient = "127.0.0.1";
+
 struct FleetOptions {
   /// Path of filbert-entry.
   std::string program;
--- a/source/entry_host.cc
+++ b/source/entry_host.cc
@@ -101,6 +101,7 @@
       m_forward(loop,
                 settings.Text("node", "name"),
                 settings.Text("node", "data_centre")),
+      m_view(loop),
       m_context{loop,
                 m_upstream,
                 header_codec,
@@ -110,6 +111,7 @@
                 m_backpressure,
                 m_forward,
                 m_reach,
+                m_view,
                 {},
                 1,
                 {},
@@ -131,7 +133,7 @@
   m_caller_server = std::make_unique<HttpServer>(
       m_loop, HttpServerLimits{},
       [this](const std::shared_ptr<HttpExchange>& exchange) {
-        OnCaller(exchange);
+        OnCaller(exchange, MonotonicNow());
       });
   m_caller_server->SetBudget(m_request_budget);
   m_probe_server = std::make_unique<HttpServer>(
@@ -239,10 +241,20 @@
   return true;
 }
 
-void EntryHost::OnCaller(const std::shared_ptr<HttpExchange>& exchange) {
+void EntryHost::OnCaller(const std::shared_ptr<HttpExchange>& exchange,
+                         TimePoint arrived) {
+  const bool is_deferred =
+      m_view.DeferIfOutdated(MonotonicNow(), [this, exchange, arrived] {
+        if (exchange->IsOpen()) {
+          OnCaller(exchange, arrived);
+        }
+      });
+  if (is_deferred) {
+    return;
+  }
   m_traffic_seen = true;
   EntryRequest request;
-  request.arrived = MonotonicNow();
+  request.arrived = arrived;
   request.facts = m_header_codec.ReadCall(*exchange);
   if (Admit(exchange, request)) {
     m_retries.OnRequest(request.service, request.arrived);
@@ -490,7 +502,8 @@
   if (m_forward_server != nullptr) {
     unsent += m_forward_server->HeldAnswers(MonotonicNow()).size();
   }
-  if (!MayStop({since, m_relays.size(), unsent}, kBalancerDelay, grace)) {
+  const size_t requests = m_relays.size() + m_view.deferred();
+  if (!MayStop({since, requests, unsent}, kBalancerDelay, grace)) {
     return;
   }
   Log(LogLevel::kInfo, "stopped",
--- a/source/entry_host_forward.cc
+++ b/source/entry_host_forward.cc
@@ -26,7 +26,7 @@
   m_forward_server = std::make_unique<HttpServer>(
       m_loop, HttpServerLimits{},
       [this](const std::shared_ptr<HttpExchange>& exchange) {
-        OnForwarded(exchange);
+        OnForwarded(exchange, MonotonicNow());
       });
   UpdateForwardLimits();
   Result<Address> bound = m_forward_server->Listen(address);
@@ -110,15 +110,24 @@
   }
 }
 
-void EntryHost::OnForwarded(const std::shared_ptr<HttpExchange>& exchange) {
+void EntryHost::OnForwarded(const std::shared_ptr<HttpExchange>& exchange,
+                            TimePoint arrived) {
+  const bool is_deferred =
+      m_view.DeferIfOutdated(MonotonicNow(), [this, exchange, arrived] {
+        if (exchange->IsOpen()) {
+          OnForwarded(exchange, arrived);
+        }
+      });
+  if (is_deferred) {
+    return;
+  }
   EntryRequest request;
-  const TimePoint now = MonotonicNow();
   request.facts = m_header_codec.ReadCall(*exchange);
   const Result<ForwardedCall> call = DecodeForwardedCall(
       exchange->Header(kForwardedHeader),
       {m_forward.secret(), m_forward.own_token(), exchange->method_text(),
        exchange->target(), request.facts.request_id, exchange->body()});
-  request.arrived = now;
+  request.arrived = arrived;
   request.forwarded = ForwardedFrom{};
   if (!call) {
     Log(LogLevel::kWarning, "forwarded-invalid",
@@ -127,8 +136,8 @@
     return;
   }
   exchange->RemoveHeader(kForwardedHeader);
-  request.arrived = now - call->age;
-  request.deadline = now + call->time_left;
+  request.arrived = arrived - call->age;
+  request.deadline = arrived + call->time_left;
   request.facts.time_left = call->time_left;
   request.facts.last_event = call->last_event;
   request.forwarded = ForwardedFrom{call->from, call->attempts};
--- a/source/entry_peers.cc
+++ b/source/entry_peers.cc
@@ -68,6 +68,7 @@
   Listen(secret);
   m_round_timer = m_loop.Every(m_policy.interval, [this] { RunRound(); });
   m_host.OnForwardOffersNeeded([this] { AskForForwardOffers(MonotonicNow()); });
+  m_host.view().OnNeedsConfirmation([this] { ConfirmView(MonotonicNow()); });
   m_host.poison().set_on_end([this] { ScheduleEndReports(); });
   // The other hosts then fetch the new blocks at once.
   m_host.poison().set_on_block([this] { AskLocalPeers(MonotonicNow()); });
@@ -129,9 +130,12 @@
          m_peers.size() <= m_policy.neighbours;
 }
 
+uint64_t EntryPeers::ConfigVersion() const {
+  return m_host.catalog() == nullptr ? 0 : m_host.catalog()->version();
+}
+
 void EntryPeers::OnLocalChange() {
-  const uint64_t config =
-      m_host.catalog() == nullptr ? 0 : m_host.catalog()->version();
+  const uint64_t config = ConfigVersion();
   const uint64_t servers = m_host.server_log().revision();
   const EvacuationUpdate evacuations = m_host.evacuations().News();
   if (config == m_announced_config && servers == m_announced_servers &&
@@ -152,6 +156,7 @@
 
 void EntryPeers::RunRound() {
   const TimePoint now = MonotonicNow();
+  m_host.view().Tick(now);
   m_gossip.ForgetOld(now);
   UpdateRemoteLoads(now);
   m_host.BlockPoisonRequests();
@@ -269,6 +274,32 @@
   return true;
 }
 
+void EntryPeers::ConfirmView(TimePoint now) {
+  if (m_peers.empty()) {
+    m_host.view().OnConfirmed(now);
+    return;
+  }
+  AskLocalPeers(now);
+}
+
+void EntryPeers::UpdateView(const std::string& name,
+                            const GossipState* state,
+                            TimePoint asked,
+                            TimePoint now) {
+  if (!m_host.view().IsOutdated(now)) {
+    return;
+  }
+  if (state != nullptr && state->config_version <= ConfigVersion() &&
+      state->servers_revision <= m_host.server_log().revision()) {
+    m_host.view().OnConfirmed(asked);
+  }
+  const auto peer = m_peers.find(name);
+  if (m_host.view().IsOutdated(now) && peer != m_peers.end() &&
+      !peer->second.busy()) {
+    Ask(name, peer->second, LoadScope::kOwn, now);
+  }
+}
+
 void EntryPeers::AskForForwardOffers(TimePoint now) {
   // Of all data centres, as the hosts of the local one may all be cut off.
   size_t asked = 0;
@@ -331,11 +362,13 @@
         {{"peer", name}});
   }
   const TimePoint now = MonotonicNow();
+  const TimePoint asked = peer->second.last_request;
   // Regardless of the content: a fetch starts with a request of its own, and
   // each peer has at most one request in flight.
   m_config_fetch.End(name, now);
   m_servers_fetch.End(name, now);
   if (payload == nullptr) {
+    UpdateView(name, nullptr, asked, now);
     return;
   }
   const Result<GossipReply> reply = DecodeGossipReply(*payload);
@@ -345,7 +378,7 @@
     return;
   }
   RecordState(reply->state, now);
-  RecordStoreAccess(reply->state, peer->second.last_request, now);
+  RecordStoreAccess(reply->state, asked, now);
   if (!reply->state.remote_loads.empty()) {
     // A relay's reply holds the newest loads available.
     UpdateRemoteLoads(now);
@@ -359,14 +392,13 @@
   }
   ApplyReply(*reply);
   FetchNewer(name, reply->state);
+  UpdateView(name, &reply->state, asked, now);
 }
 
 void EntryPeers::FetchNewer(const std::string& name, const GossipState& state) {
   const TimePoint now = MonotonicNow();
-  const uint64_t own =
-      m_host.catalog() == nullptr ? 0 : m_host.catalog()->version();
   const bool fetch_config =
-      state.config_version > own && m_config_fetch.MayBegin(now);
+      state.config_version > ConfigVersion() && m_config_fetch.MayBegin(now);
   const bool fetch_servers =
       state.servers_revision > m_host.server_log().revision() &&
       m_servers_fetch.MayBegin(now);
--- a/source/entry_relay.cc
+++ b/source/entry_relay.cc
@@ -161,6 +161,9 @@
   // Used at once or not at all: by a later attempt the target may have left.
   const auto failover_choice = std::exchange(m_failover_choice, std::nullopt);
   m_resume_from = resume_from;
+  if (DeferIfOutdated(is_retry, now)) {
+    return;
+  }
   const bool resumes = m_state.answer_started;
   if (resumes && m_request.route->repeat != RepeatRule::kResumable) {
     Feed(NoTarget{ResultCode::kStreamInterrupted});
@@ -181,6 +184,14 @@
   SeekLocally(is_retry, now, failover_choice);
 }
 
+bool EntryRelay::DeferIfOutdated(bool is_retry, TimePoint now) {
+  return m_context.view.DeferIfOutdated(now, [this, alive = m_alive, is_retry] {
+    if (*alive && !m_finished) {
+      Seek(is_retry, m_resume_from);
+    }
+  });
+}
+
 void EntryRelay::SeekLocally(
     bool is_retry,
     TimePoint now,
@@ -276,7 +287,8 @@
   HttpCallEvents events = CallEvents();
   // The target may leave while the connection is being established.
   events.may_send = [this] {
-    return m_context.selector.HasTarget(m_choice->target.id);
+    return !m_context.view.IsOutdated(MonotonicNow()) &&
+           m_context.selector.HasTarget(m_choice->target.id);
   };
   m_call = m_context.http.Start(choice.target.address, MakeCall(choice, now),
                                 std::move(events));
--- a/source/entry_relay_placement.cc
+++ b/source/entry_relay_placement.cc
@@ -109,7 +109,8 @@
   const DispatchQuery query = MakeQuery(now);
   const auto choice = m_context.selector.ConfirmChoice(
       grant.target, query, grant.predicted, grant.requests, now);
-  if (!choice || !m_context.reach.monitor().reachable()) {
+  if (!choice || !m_context.reach.monitor().reachable() ||
+      m_context.view.IsOutdated(now)) {
     m_context.placer->Withdraw(grant.id);
     m_context.placer->OnGrantUnused();
     m_placement->by.clear();
@@ -141,6 +142,9 @@
     Feed(DeadlinePassed{});
     return;
   }
+  if (DeferIfOutdated(is_retry, now)) {
+    return;
+  }
   if (!CheckAdmission(now)) {
     Feed(NoTarget{ResultCode::kRequestEndsServers});
     return;
--- a/tests/site_test.cc
+++ b/tests/site_test.cc
@@ -7,6 +7,7 @@
 #include "filbertrack/site_catalog.h"
 #include "filbertrack/site_evacuations.h"
 #include "filbertrack/site_regions.h"
+#include "filbertrack/site_view_guard.h"
 #include "filbertrack/store_absence.h"
 
 namespace filbertrack {
@@ -249,6 +250,39 @@
   CHECK(returns(std::nullopt, Milliseconds(1000)));
 }
 
+TEST_CASE(
+    "a view is outdated after a pause until a later question confirms it") {
+  // Guards against requests by a view from before the process stood still, and
+  // against a reply from before it that confirms the view.
+  const ViewGuardPolicy policy;
+  const TimePoint start{Seconds(100)};
+  ViewGuard guard(policy);
+  CHECK_FALSE(guard.IsOutdated(start));
+  guard.OnTick(start);
+  CHECK_FALSE(guard.IsOutdated(start + policy.max_pause));
+  const TimePoint continued = start + Seconds(2);
+  CHECK(guard.IsOutdated(continued));
+  CHECK(guard.last_pause() == Seconds(2));
+  guard.OnConfirmed(start);
+  CHECK(guard.IsOutdated(continued));
+  guard.OnConfirmed(continued);
+  CHECK_FALSE(guard.IsOutdated(continued));
+}
+
+TEST_CASE("an outdated view is used again if no peer answers") {
+  // Guards against a host that refuses all requests while it is cut off.
+  const ViewGuardPolicy policy;
+  const TimePoint start{Seconds(100)};
+  const TimePoint continued = start + Seconds(2);
+  ViewGuard guard(policy);
+  guard.OnTick(start);
+  guard.OnTick(continued);
+  CHECK(guard.IsOutdated(continued + policy.max_wait - Milliseconds(1)));
+  CHECK_FALSE(guard.IsOutdated(continued + policy.max_wait));
+  // Another pause begins anew.
+  CHECK(guard.IsOutdated(continued + Seconds(2)));
+}
+
 TEST_CASE("an outage ended no later than the first answer to any host") {
   // Guards against servers that are kept too long after they left, since one of
   // several hosts that had all lost the store came back to it late.
