--- a/soak/main_soak.cc
+++ b/soak/main_soak.cc
@@ -49,6 +49,7 @@
   bool poison_parts = false;
   bool signals = false;
   bool cuts = false;
+  bool more_kinds = false;
   std::string placement = "auto";
 };
 
@@ -151,6 +152,9 @@
   fleet_options.placement = options.placement;
   fleet_options.entry_hosts = options.entry_hosts;
   fleet_options.runners = options.runners;
+  if (options.more_kinds) {
+    fleet_options.event_texts = {"[DONE]", "", "part", " ", "id: 3"};
+  }
   Fleet fleet(loop, fleet_options);
   if (!fleet.Start()) {
     std::printf("cannot start '%s'\n", options.program.c_str());
@@ -160,9 +164,9 @@
               [&fleet] { return fleet.CountOpenGroups() >= 2; })) {
     fleet.violations().push_back("fewer than two groups opened within 20 s");
   }
-  Callers callers(loop, fleet, options.seed);
+  Callers callers(loop, fleet, options.seed, fleet_options.event_texts);
   const StallDetector stall_detector(loop, fleet, callers);
-  Faults faults(loop, fleet, callers, options.seed + 1);
+  Faults faults(loop, fleet, callers, options.seed + 1, options.more_kinds);
   // Entry hosts may still be starting.
   callers.RecordDisruption(MonotonicNow());
   callers.Start(kCallInterval);
@@ -248,6 +252,9 @@
   app.add_flag(
       "--cuts", options.cuts,
       "Entry hosts are cut off from all servers, one after the other.");
+  app.add_flag("--more-kinds", options.more_kinds,
+               "Also: connections to the store go silent, servers fail after "
+               "they ran a request, events have unusual texts.");
   app.add_option("--placement", options.placement,
                  "Setting [placement] mode of the entry hosts.");
   app.add_option("--runners", options.runners, "Initial number of runners.");
--- a/soak/soak_callers.cc
+++ b/soak/soak_callers.cc
@@ -15,11 +15,12 @@
 /// or started up to this long after it.
 constexpr Duration kDisruptionWindow = Seconds(4);
 
-std::string CompleteStream() {
+std::string CompleteStream(const std::vector<std::string>& event_texts) {
+  RunnerStandinOptions options;
+  options.event_texts = event_texts;
   std::string text;
   for (int i = 1; i <= kStreamEvents; ++i) {
-    text += "id: " + std::to_string(i) + "\ndata: part " + std::to_string(i) +
-            "\n\n";
+    text += FormatStandinEvent(options, i);
   }
   return text;
 }
@@ -62,8 +63,14 @@
 
 }  // namespace
 
-Callers::Callers(EventLoop& loop, Fleet& fleet, uint64_t seed)
-    : m_loop(loop), m_fleet(fleet), m_random(seed) {
+Callers::Callers(EventLoop& loop,
+                 Fleet& fleet,
+                 uint64_t seed,
+                 const std::vector<std::string>& event_texts)
+    : m_loop(loop),
+      m_fleet(fleet),
+      m_random(seed),
+      m_complete_stream(CompleteStream(event_texts)) {
   for (size_t i = 0; i < kCallers; ++i) {
     m_clients.push_back(
         std::make_unique<HttpClient>(loop, kConnectionsPerCaller));
@@ -214,7 +221,7 @@
     return;
   }
   const bool stream = record.kind == CallKind::kStream;
-  const bool complete = stream ? record.body == CompleteStream()
+  const bool complete = stream ? record.body == m_complete_stream
                                : record.body.starts_with("answer of p");
   if (record.response_id != record.id || record.seal.empty() || !complete) {
     violations.push_back(name + ": wrong or incomplete response: id " +
--- a/soak/soak_callers.h
+++ b/soak/soak_callers.h
@@ -73,7 +73,11 @@
 
 class Callers {
  public:
-  Callers(EventLoop& loop, Fleet& fleet, uint64_t seed);
+  /// `event_texts` as RunnerStandinOptions::event_texts of the servers.
+  Callers(EventLoop& loop,
+          Fleet& fleet,
+          uint64_t seed,
+          const std::vector<std::string>& event_texts = {});
   ~Callers();
 
   void Start(Duration interval);
@@ -104,6 +108,7 @@
   EventLoop& m_loop;
   Fleet& m_fleet;
   std::mt19937_64 m_random;
+  std::string m_complete_stream;
   std::unique_ptr<Timer> m_timer;
   /// One client per caller, so that no two callers share a connection.
   std::vector<std::unique_ptr<HttpClient>> m_clients;
--- a/soak/soak_faults.cc
+++ b/soak/soak_faults.cc
@@ -16,8 +16,16 @@
 
 }  // namespace
 
-Faults::Faults(EventLoop& loop, Fleet& fleet, Callers& callers, uint64_t seed)
-    : m_loop(loop), m_fleet(fleet), m_callers(callers), m_random(seed) {}
+Faults::Faults(EventLoop& loop,
+               Fleet& fleet,
+               Callers& callers,
+               uint64_t seed,
+               bool more_kinds)
+    : m_loop(loop),
+      m_fleet(fleet),
+      m_callers(callers),
+      m_random(seed),
+      m_more_kinds(more_kinds) {}
 
 void Faults::Start(Duration interval) {
   m_interval = interval;
@@ -47,15 +55,18 @@
 
 void Faults::InjectFault() {
   using Fault = void (Faults::*)();
-  constexpr std::array<Fault, 12> kFaults = {
+  constexpr size_t kFirstKinds = 12;
+  constexpr std::array<Fault, 14> kFaults = {
       &Faults::PauseEntry,      &Faults::KillEntry,
       &Faults::StopEntry,       &Faults::ReloadEntry,
       &Faults::StoreFault,      &Faults::StoreLinkFault,
       &Faults::RunnerLinkFault, &Faults::KillRunner,
       &Faults::DrainRunner,     &Faults::ExpireRegistration,
-      &Faults::DropResponses,   &Faults::ChangeConfig};
+      &Faults::DropResponses,   &Faults::ChangeConfig,
+      &Faults::FailAfterRun,    &Faults::SilenceStoreConnections};
   ++m_count;
-  (this->*kFaults[m_random() % kFaults.size()])();
+  const size_t kinds = m_more_kinds ? kFaults.size() : kFirstKinds;
+  (this->*kFaults[m_random() % kinds])();
 }
 
 void Faults::UndoWithin(Duration max_delay, std::function<void()> undo) {
@@ -250,4 +261,29 @@
   m_fleet.PutConfig();
 }
 
+void Faults::SilenceStoreConnections() {
+  // Of all entry hosts at once; new connections work.
+  for (const auto& entry : m_fleet.entries()) {
+    entry->store->Cut(kStoreClient, {.drops_new = false});
+  }
+  UndoWithin(kMaxLinkFault, [this] {
+    for (const auto& entry : m_fleet.entries()) {
+      entry->store->Heal(kStoreClient);
+    }
+  });
+}
+
+void Faults::FailAfterRun() {
+  RunnerHost* host = RandomLiveRunner(m_fleet.plain());
+  if (host == nullptr) {
+    return;
+  }
+  host->disruptions.push_back(MonotonicNow());
+  host->standin->SetFailsAfterRun(true);
+  UndoWithin(kMaxLinkFault, [host] {
+    host->disruptions.push_back(MonotonicNow());
+    host->standin->SetFailsAfterRun(false);
+  });
+}
+
 }  // namespace filbertrack::soak
--- a/soak/soak_faults.h
+++ b/soak/soak_faults.h
@@ -13,7 +13,13 @@
 
 class Faults {
  public:
-  Faults(EventLoop& loop, Fleet& fleet, Callers& callers, uint64_t seed);
+  /// With `more_kinds`, also injects faults that runs with earlier seeds do not
+  /// have.
+  Faults(EventLoop& loop,
+         Fleet& fleet,
+         Callers& callers,
+         uint64_t seed,
+         bool more_kinds);
 
   /// Injects faults at random times, one per `interval` on average.
   void Start(Duration interval);
@@ -43,11 +49,15 @@
   void ExpireRegistration();
   void DropResponses();
   void ChangeConfig();
+  // More kinds.
+  void SilenceStoreConnections();
+  void FailAfterRun();
 
   EventLoop& m_loop;
   Fleet& m_fleet;
   Callers& m_callers;
   std::mt19937_64 m_random;
+  bool m_more_kinds;
   Duration m_interval{0};
   bool m_stopped = true;
   int m_count = 0;
--- a/soak/soak_fleet.cc
+++ b/soak/soak_fleet.cc
@@ -138,6 +138,7 @@
   options.is_plain = plain;
   options.observer = this;
   options.events = kStreamEvents;
+  options.event_texts = m_options.event_texts;
   options.crash_trigger = kPoisonBody;
   options.crash_parts = {std::string(kFaultyPart)};
   options.domain = "d" + std::to_string(m_next_runner % kDomains);
--- a/soak/soak_fleet.h
+++ b/soak/soak_fleet.h
@@ -46,6 +46,8 @@
   int plain_servers = 3;
   /// Setting [placement] mode of the entry hosts.
   std::string placement = "auto";
+  /// As RunnerStandinOptions::event_texts.
+  std::vector<std::string> event_texts{};
 };
 
 struct EntryProcess {
--- a/standins/platform_runner_standin.cc
+++ b/standins/platform_runner_standin.cc
@@ -18,9 +18,20 @@
 /// Time from a crash until the registration expires: three heartbeats on the
 /// platform, shortened for tests.
 constexpr Duration kRegistrationTtl = Milliseconds(600);
+constexpr int kOk = 200;
+constexpr int kUnavailable = 503;
 
 }  // namespace
 
+std::string FormatStandinEvent(const RunnerStandinOptions& options, int event) {
+  const auto& texts = options.event_texts;
+  const std::string text =
+      texts.empty() ? "part " + std::to_string(event) +
+                          std::string(options.event_padding, '.')
+                    : texts[static_cast<size_t>(event) % texts.size()];
+  return "id: " + std::to_string(event) + "\ndata: " + text + "\n\n";
+}
+
 PlatformRunnerStandin::PlatformRunnerStandin(EventLoop& loop,
                                              PlatformStoreStandin& store,
                                              RunnerStandinOptions options)
@@ -247,7 +258,7 @@
   if (m_retry_after) {
     headers.emplace_back("Retry-After", Json(ToSeconds(*m_retry_after)).dump());
   }
-  exchange.Reply(503, headers, "");
+  exchange.Reply(kUnavailable, headers, "");
   CheckCold();
 }
 
@@ -344,8 +355,8 @@
       exchange->Abort();
       return;
     }
-    exchange->Reply(200, ResponseHeaders(*exchange),
-                    "answer of " + m_options.id);
+    exchange->Reply(m_fails_after_run ? kUnavailable : kOk,
+                    ResponseHeaders(*exchange), "answer of " + m_options.id);
     return;
   }
   HttpHeaders headers = ResponseHeaders(*exchange);
@@ -390,25 +401,23 @@
                                    size_t number,
                                    int event) {
   const bool stalls = event == m_stall_after_event + 1;
-  m_loop.Call(stalls ? m_stall : m_options.pause, [this, alive = m_alive,
-                                                   exchange, number, event] {
-    if (!*alive || m_dead || !exchange->IsOpen()) {
-      return;
-    }
-    if (AbortIfUnread(exchange, number)) {
-      return;
-    }
-    if (event > m_options.events) {
-      exchange->End();
-      m_seen[number].ended = true;
-      std::erase(m_streams, exchange);
-      return;
-    }
-    exchange->Send("id: " + std::to_string(event) + "\ndata: part " +
-                   std::to_string(event) +
-                   std::string(m_options.event_padding, '.') + "\n\n");
-    Stream(exchange, number, event + 1);
-  });
+  m_loop.Call(stalls ? m_stall : m_options.pause,
+              [this, alive = m_alive, exchange, number, event] {
+                if (!*alive || m_dead || !exchange->IsOpen()) {
+                  return;
+                }
+                if (AbortIfUnread(exchange, number)) {
+                  return;
+                }
+                if (event > m_options.events) {
+                  exchange->End();
+                  m_seen[number].ended = true;
+                  std::erase(m_streams, exchange);
+                  return;
+                }
+                exchange->Send(FormatStandinEvent(m_options, event));
+                Stream(exchange, number, event + 1);
+              });
 }
 
 }  // namespace filbertrack
--- a/standins/platform_runner_standin.h
+++ b/standins/platform_runner_standin.h
@@ -47,6 +47,8 @@
   /// Number of events of a streamed response, and the interval between them.
   int events = 5;
   Duration pause = Milliseconds(10);
+  /// Texts of the events in turn; empty: `part N` and the padding.
+  std::vector<std::string> event_texts;
   /// Time to load a model after a join order.
   Duration load = Milliseconds(20);
   /// A request whose body contains this crashes the runner; empty: none does.
@@ -58,6 +60,9 @@
   Duration unread_timeout{0};
 };
 
+/// The event of a streamed response with this number, from 1 on.
+std::string FormatStandinEvent(const RunnerStandinOptions& options, int event);
+
 /// A cold start, in which a server can handle only few requests.
 struct ColdStart {
   Duration left{0};
@@ -138,6 +143,9 @@
   void SetFull(bool full) { m_full = full; }
   /// Runs plain requests but closes the connection instead of responding.
   void SetDropsResponses(bool drops) { m_drops_responses = drops; }
+  /// Runs plain requests but responds with 503, without the statement that it
+  /// did not.
+  void SetFailsAfterRun(bool fails) { m_fails_after_run = fails; }
   /// Sends this limit, in requests per second, in responses and refusals;
   /// nullopt: none.
   void SetLimit(std::optional<double> per_second) { m_limit = per_second; }
@@ -193,6 +201,7 @@
   bool m_dead = false;
   bool m_full = false;
   bool m_drops_responses = false;
+  bool m_fails_after_run = false;
   bool m_sends_wrong_attempt_id = false;
   std::optional<double> m_limit;
   std::optional<Duration> m_retry_after;
