--- a/tests/site_outage_test.cc
+++ b/tests/site_outage_test.cc
@@ -1,7 +1,6 @@
 #include <algorithm>
 #include <cstdlib>
 #include <deque>
-#include <numeric>
 #include <optional>
 #include <random>
 #include <string>
@@ -27,6 +26,8 @@
 constexpr Duration kRound = Milliseconds(150);
 constexpr Duration kMaxDatingError = Milliseconds(200);
 constexpr Duration kReportTtl = Seconds(5);
+/// Time until silent watches are begun anew.
+constexpr Duration kMaxSilence = Milliseconds(1500);
 /// The platform's bounds.
 constexpr Duration kDrainTimeout = Seconds(2);
 constexpr Duration kStableWindow = Seconds(3);
@@ -42,7 +43,15 @@
 };
 
 struct Trouble {
-  enum class Kind { kOutage, kCut, kStop } kind;
+  enum class Kind {
+    kOutage,
+    kCut,
+    kStop,
+    /// The process ends, and another one begins at the end of the interval.
+    kRestart,
+    /// The watches of all hosts are silent, until they are begun anew.
+    kSilence,
+  } kind;
   size_t host;
   Interval when;
 };
@@ -68,6 +77,7 @@
   ServerDirectory directory{DirectoryPolicy{}};
   bool lost = false;
   bool was_stopped = false;
+  bool has_ended = false;
   TimePoint retry{};
   TimePoint last_answer = kBegin;
   std::vector<TimePoint> watch_ends;
@@ -79,7 +89,9 @@
 
 class Fleet {
  public:
-  explicit Fleet(uint64_t seed) : m_random(seed) {
+  /// With `more_kinds`, days also have kinds of troubles that the seeds of
+  /// earlier failures do not have.
+  explicit Fleet(uint64_t seed, bool more_kinds) : m_random(seed) {
     const size_t count = 3 + m_random() % 4;
     m_hosts.resize(count);
     for (Host& host : m_hosts) {
@@ -89,6 +101,9 @@
       host.outage.OnAnswered(kBegin);
     }
     DrawDay();
+    if (more_kinds) {
+      DrawMoreKinds();
+    }
     for (Host& host : m_hosts) {
       for (const Departure& departure : m_departures) {
         host.directory.Put(Server(departure.server), kBegin);
@@ -152,6 +167,24 @@
               [](const auto& a, const auto& b) { return a.at < b.at; });
   }
 
+  void DrawMoreKinds() {
+    for (Trouble& trouble : m_troubles) {
+      if (trouble.kind == Trouble::Kind::kStop && m_random() % 2 == 0) {
+        trouble.kind = Trouble::Kind::kRestart;
+      }
+    }
+    for (TimePoint at = kBegin + Draw(Seconds(1), Seconds(12));
+         at < kBegin + kDay; at += Draw(Seconds(4), Seconds(20))) {
+      m_troubles.push_back(
+          {Trouble::Kind::kSilence, 0, {at, at + kMaxSilence}});
+      m_departures.push_back({"silent" + std::to_string(m_troubles.size()),
+                              at + Draw(Duration(0), kMaxSilence),
+                              {}});
+    }
+    std::sort(m_departures.begin(), m_departures.end(),
+              [](const auto& a, const auto& b) { return a.at < b.at; });
+  }
+
   bool Is(Trouble::Kind kind, size_t host, TimePoint at) const {
     return std::any_of(
         m_troubles.begin(), m_troubles.end(), [&](const Trouble& trouble) {
@@ -160,7 +193,8 @@
         });
   }
   bool IsStopped(size_t host, TimePoint at) const {
-    return Is(Trouble::Kind::kStop, host, at);
+    return Is(Trouble::Kind::kStop, host, at) ||
+           Is(Trouble::Kind::kRestart, host, at);
   }
   bool IsOutage(TimePoint at) const {
     return Is(Trouble::Kind::kOutage, 0, at);
@@ -183,10 +217,17 @@
 
   void Advance(size_t index) {
     Host& host = m_hosts[index];
+    if (Is(Trouble::Kind::kRestart, index, m_now)) {
+      host.has_ended = true;
+      return;
+    }
     if (IsStopped(index, m_now)) {
       host.was_stopped = true;
       return;
     }
+    if (host.has_ended) {
+      Restart(index);
+    }
     if (host.was_stopped) {
       host.was_stopped = false;
       if (!host.lost && m_now - host.last_answer > kCallTimeout) {
@@ -205,6 +246,21 @@
     host.directory.Expire(m_now);
   }
 
+  /// The new process learns all events anew, from the store or from peers.
+  void Restart(size_t index) {
+    Host& host = m_hosts[index];
+    host = Host();
+    host.watch_ends.assign(3, m_now + kWatchWait);
+    host.last_answer = m_now;
+    for (const Departure& departure : m_departures) {
+      host.directory.Put(Server(departure.server), m_now);
+    }
+    if (Reaches(index)) {
+      Answered(host);
+      Learn(host, CountEvents());
+    }
+  }
+
   void Lose(Host& host, TimePoint since) {
     host.lost = true;
     host.outage.OnLost(since);
@@ -223,13 +279,14 @@
       Answered(host);
       Learn(host, CountEvents());
     }
+    const bool is_silent = Is(Trouble::Kind::kSilence, 0, m_now);
     for (TimePoint& end : host.watch_ends) {
-      if (m_now >= end) {
+      if (m_now >= end && !is_silent) {
         end = m_now + kWatchWait;
         Answered(host);
       }
     }
-    if (m_now >= host.next_batch && CountEvents() > host.known) {
+    if (!is_silent && m_now >= host.next_batch && CountEvents() > host.known) {
       host.next_batch = m_now + kBatchWindow;
       std::fill(host.watch_ends.begin(), host.watch_ends.begin() + 1,
                 m_now + kWatchWait);
@@ -368,7 +425,8 @@
 
   bool IsInTouch(size_t index) const {
     return !WasTroubled(Trouble::Kind::kCut, index, m_now, kStableWindow) &&
-           !WasTroubled(Trouble::Kind::kStop, index, m_now, kStableWindow);
+           !WasTroubled(Trouble::Kind::kStop, index, m_now, kStableWindow) &&
+           !WasTroubled(Trouble::Kind::kRestart, index, m_now, kStableWindow);
   }
 
   void Check() {
@@ -389,6 +447,8 @@
       const bool was_well =
           !WasTroubled(Trouble::Kind::kCut, index, m_now, Seconds(8)) &&
           !WasTroubled(Trouble::Kind::kStop, index, m_now, Seconds(8)) &&
+          !WasTroubled(Trouble::Kind::kRestart, index, m_now, Seconds(8)) &&
+          !WasTroubled(Trouble::Kind::kSilence, 0, m_now, Seconds(8)) &&
           !IsOutage(m_now);
       if (!is_used && was_well) {
         Fail(departure, index, "a live server is not used");
@@ -424,25 +484,40 @@
   TimePoint m_lease_renewed = kBegin;
 };
 
+/// Number of seeds to run: OUTAGE_SEEDS, or few.
+uint64_t CountSeeds() {
+  constexpr uint64_t kDefault = 100;
+  const char* const text = std::getenv("OUTAGE_SEEDS");
+  return text == nullptr ? kDefault : std::strtoull(text, nullptr, 10);
+}
+
+void CheckDay(uint64_t seed, bool more_kinds) {
+  Fleet fleet(seed, more_kinds);
+  fleet.Run();
+  const std::string first =
+      fleet.failures.empty() ? "" : fleet.failures.front();
+  INFO("seed ", seed, ", ", fleet.failures.size(), " failures");
+  CHECK(first == "");
+}
+
 TEST_CASE(
     "a server that left is not used longer than a bounded time, whatever "
     "hosts believe of the store") {
   // Guards against holds that are begun, or moved, by a host that alone lost
   // the store or stood still; and against live servers that are dropped after
   // an outage.
-  const char* const text = std::getenv("OUTAGE_SEEDS");
-  const int count = text == nullptr ? 100 : std::atoi(text);
-  std::vector<uint64_t> seeds(static_cast<size_t>(count));
-  std::iota(seeds.begin(), seeds.end(), 1);
+  for (uint64_t seed = 1; seed <= CountSeeds(); ++seed) {
+    CheckDay(seed, false);
+  }
   // Failed once: two hosts were cut off and the third one stood still.
-  seeds.push_back(19482);
-  for (const uint64_t seed : seeds) {
-    Fleet fleet(seed);
-    fleet.Run();
-    const std::string first =
-        fleet.failures.empty() ? "" : fleet.failures.front();
-    INFO("seed ", seed, ", ", fleet.failures.size(), " failures");
-    CHECK(first == "");
+  CheckDay(19482, false);
+}
+
+TEST_CASE(
+    "a server that left is not used longer than a bounded time, with restarts "
+    "and silent watches") {
+  for (uint64_t seed = 1; seed <= CountSeeds(); ++seed) {
+    CheckDay(seed, true);
   }
 }
 
