--- a/soak/main_soak.cc
+++ b/soak/main_soak.cc
@@ -115,6 +115,20 @@
   }
 }
 
+/// Checks that calls of each kind were answered since `since`.
+void CheckAllKindsAnswered(Fleet& fleet,
+                           const Callers& callers,
+                           TimePoint since) {
+  for (const CallKind kind :
+       {CallKind::kStream, CallKind::kIdempotent, CallKind::kNonIdempotent}) {
+    if (callers.CountAnswered(kind, since) == 0) {
+      fleet.violations().push_back("no call of kind " +
+                                   std::to_string(static_cast<int>(kind)) +
+                                   " was answered after the last fault");
+    }
+  }
+}
+
 /// Checks, while copies of the request that crashes servers still arrive after
 /// the last fault, that it crashes at most kMaxLateCrashes further servers and
 /// that other calls of each kind are answered.
@@ -133,15 +147,7 @@
         " servers crashed on one request after it should be blocked; " +
         std::to_string(before) + " crashed before");
   }
-  for (const CallKind kind :
-       {CallKind::kStream, CallKind::kIdempotent, CallKind::kNonIdempotent}) {
-    if (callers.CountAnswered(kind, since) == 0) {
-      fleet.violations().push_back("calls of kind " +
-                                   std::to_string(static_cast<int>(kind)) +
-                                   " were not answered while a request that "
-                                   "crashes servers was sent");
-    }
-  }
+  CheckAllKindsAnswered(fleet, callers, since);
 }
 
 int Run(const SoakOptions& options) {
@@ -191,15 +197,13 @@
   faults.Stop();
   signals.Stop();
   cuts.Stop();
-  const size_t before = callers.CountAnswered();
   if (has_poison) {
     CheckUnderPoison(loop, fleet, callers, kRecoveryTime);
     poison.Stop();
   } else {
+    const TimePoint since = MonotonicNow();
     RunFor(loop, kRecoveryTime, [] { return false; });
-  }
-  if (callers.CountAnswered() == before) {
-    fleet.violations().push_back("no call was answered after the last fault");
+    CheckAllKindsAnswered(fleet, callers, since);
   }
   callers.Stop();
   RunFor(loop, kDrainTimeout, [&callers] { return callers.idle(); });
