--- a/tests/platform_endless_test.cc
+++ b/tests/platform_endless_test.cc
@@ -72,8 +72,9 @@
 /// A backend server of the form.
 class EndlessServer {
  public:
-  EndlessServer(EventLoop& loop, Form form)
-      : m_loop(loop), m_form(std::move(form)) {
+  /// With `for_all`, also answers probes and orders so, not only requests.
+  EndlessServer(EventLoop& loop, Form form, bool for_all = false)
+      : m_loop(loop), m_form(std::move(form)), m_for_all(for_all) {
     sockaddr_in at{};
     at.sin_family = AF_INET;
     at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
@@ -102,6 +103,7 @@
                {"coldRemainingMs", 0},
                {"seq", 1}});
   }
+  Address address() const { return {"127.0.0.1", m_port}; }
   int requests() const { return m_requests; }
   /// Connections on which it still sends.
   size_t sending() const { return m_sending.size(); }
@@ -123,7 +125,7 @@
 
   void Answer(const std::shared_ptr<TcpStream>& stream,
               std::string_view bytes) {
-    if (!bytes.starts_with("POST ")) {
+    if (!m_for_all && !bytes.starts_with("POST ")) {
       stream->Write(
           "HTTP/1.1 200 OK\r\nX-Runner-Id: endless\r\n"
           "Content-Length: 0\r\n\r\n");
@@ -131,7 +133,10 @@
     }
     ++m_requests;
     const size_t at = bytes.find("X-Attempt-Id: ");
-    const std::string_view id = bytes.substr(at, bytes.find("\r\n", at) - at);
+    const std::string_view id =
+        at == std::string_view::npos
+            ? "X-Runner-Id: endless"
+            : bytes.substr(at, bytes.find("\r\n", at) - at);
     if (m_form.has_head) {
       stream->Write("HTTP/1.1 200 OK\r\n" + std::string(id) +
                     "\r\nX-Runner-Seal: s\r\n" + m_form.begin);
@@ -150,6 +155,7 @@
 
   EventLoop& m_loop;
   Form m_form;
+  bool m_for_all;
   evconnlistener* m_listener = nullptr;
   uint16_t m_port = 0;
   std::vector<std::shared_ptr<TcpStream>> m_streams;
@@ -275,5 +281,28 @@
   CHECK(site.host->CollectedBytes() == 0);
 }
 
+TEST_CASE("a probe and an order that get a response without end do end") {
+  // Guards against a control loop that waits for a server in this state, and
+  // against connections on which it still sends after that.
+  for (const Form& form : BodyForms()) {
+    INFO(form.name);
+    EventLoop loop;
+    EndlessServer server(loop, form, true);
+    platform::PlatformEngineClient engines(loop, "");
+    BackendServer host;
+    host.id = "endless";
+    host.address = server.address();
+    std::optional<ProbeAnswer> probed;
+    engines.Probe(host, Milliseconds(300),
+                  [&probed](const ProbeAnswer& answer) { probed = answer; });
+    CHECK(RunUntil(loop, [&probed] { return probed.has_value(); }));
+    bool is_ended = false;
+    engines.Order(host, {}, [&is_ended](OrderResult) { is_ended = true; });
+    CHECK(RunUntil(loop, [&is_ended] { return is_ended; }));
+    CHECK(server.requests() == 2);
+    CHECK(RunUntil(loop, [&server] { return server.sending() == 0; }));
+  }
+}
+
 }  // namespace
 }  // namespace filbertrack
