--- a/include/filbertrack/event_loop.h
+++ b/include/filbertrack/event_loop.h
@@ -46,6 +46,10 @@
 /// start. Ignoring the signal loses nothing: the settings are read afterwards.
 void IgnoreReloadSignal();
 
+/// Defers SIGTERM and SIGINT until OnStopSignal() is called. The default action
+/// would terminate a process that is told to stop while it starts.
+void DeferStopSignals();
+
 class EventLoop {
  public:
   EventLoop();
@@ -66,7 +70,7 @@
   /// Runs `action` once from the loop, after the current callback returns.
   void Post(std::function<void()> action);
 
-  /// Calls `action` on SIGTERM and SIGINT.
+  /// Calls `action` on SIGTERM and SIGINT, and for those that were deferred.
   void OnStopSignal(std::function<void()> action);
 
   /// Calls `action` on SIGHUP, whose default action terminates the process.
--- a/source/event_loop.cc
+++ b/source/event_loop.cc
@@ -32,6 +32,14 @@
   (*action)();
 }
 
+void MaskStopSignals(int how) {
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGTERM);
+  sigaddset(&signals, SIGINT);
+  pthread_sigmask(how, &signals, nullptr);
+}
+
 }  // namespace
 
 TimePoint MonotonicNow() {
@@ -118,6 +126,11 @@
   m_interrupt = evsignal_new(m_base, SIGINT, run, this);
   event_add(m_terminate, nullptr);
   event_add(m_interrupt, nullptr);
+  MaskStopSignals(SIG_UNBLOCK);
+}
+
+void DeferStopSignals() {
+  MaskStopSignals(SIG_BLOCK);
 }
 
 void IgnoreReloadSignal() {
--- a/tests/net_test.cc
+++ b/tests/net_test.cc
@@ -1,6 +1,8 @@
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
 #include <doctest/doctest.h>
 
+#include <csignal>
+
 #include <netinet/in.h>
 #include <sys/socket.h>
 
@@ -478,6 +480,16 @@
   CHECK(RunUntil(loop, [&] { return !server.streams[1]->is_open(); }));
 }
 
+TEST_CASE("a stop signal that arrives before its handler is handled") {
+  // Guards against a process that is terminated by the signal while it starts.
+  DeferStopSignals();
+  std::raise(SIGTERM);
+  EventLoop loop;
+  bool is_stopping = false;
+  loop.OnStopSignal([&is_stopping] { is_stopping = true; });
+  CHECK(RunUntil(loop, [&is_stopping] { return is_stopping; }));
+}
+
 TEST_CASE("destroying a call closes its connection") {
   // This lets the server stop work whose result is no longer needed.
   EventLoop loop;
