entry: facts in a reply that was read late do not count as news

Callers: after one host stood still for 2 s, all hosts applied a rate limit that its server had replaced, or refused requests whose block an operator had lifted.

Cause: facts travel as ages and were dated by the clock of the reader. A reply that waited in the socket of a host that did not run became newer than what had replaced it, won at that host, and was told to all others as the newest.

Change: a reply that took over 200 ms is dated by its question, which can only make its facts older.

--- a/source/entry_peers.cc
+++ b/source/entry_peers.cc
@@ -20,7 +20,8 @@
 /// Entry hosts that are asked to probe servers, and the time for their reply.
 constexpr size_t kProbingPeers = 4;
 constexpr Duration kProbeReplyTimeout = Milliseconds(300);
-/// Reports of the store's return in replies that took longer are ignored.
+/// Facts in replies that took longer are dated by their question, and reports of
+/// the store's return in them are ignored.
 constexpr Duration kMaxDatingError = Milliseconds(200);
 
 }  // namespace
@@ -383,9 +384,12 @@
     // A relay's reply holds the newest loads available.
     UpdateRemoteLoads(now);
   }
-  RecordPoison(peer->second, reply->poison, now);
+  // A reply that was read late would make old facts newer than those which
+  // replaced them, here and at every host that is told of them.
+  const TimePoint as_of = now - asked <= kMaxDatingError ? now : asked;
+  RecordPoison(peer->second, reply->poison, as_of);
   peer->second.known_limits_revision = reply->limits.revision;
-  m_host.backpressure().OnPeerUpdate(reply->limits, name, now);
+  m_host.backpressure().OnPeerUpdate(reply->limits, name, as_of);
   if (reply->forward_offer) {
     m_host.OnPeerForwardOffer(peer->second.host, reply->state.address,
                               *reply->forward_offer);
