--- a/tests/raw_server.h
+++ b/tests/raw_server.h
@@ -84,13 +84,14 @@
   /// Registers it as a plain server.
   void Register(PlatformStoreStandin& store,
                 const std::string& id,
-                const std::string& service = "plain") const {
+                const std::string& service = "plain",
+                int slots = 4) const {
     store.Put("servers", id,
               {{"service", service},
                {"address", address().ToString()},
                {"zone", "z"},
                {"version", "v1"},
-               {"slots", 4},
+               {"slots", slots},
                {"state", "ready"},
                {"coldRemainingMs", 0},
                {"seq", 1}});
