platform: a server's address names one host and a port

Callers: an entry of another writer at port 0, at 0.0.0.0 or at a multicast address counted as a server and got requests; 0.0.0.0 is this host itself.

Cause: addresses to connect to were checked as addresses to listen at, where both are allowed.

Change: ParseServerAddress() for registrations, entry hosts' records, offers to forward, hosts of a domain and the servers of a configuration.

An address of another server or of an entry host was not drawn.

--- a/include/filbertrack/settings.h
+++ b/include/filbertrack/settings.h
@@ -21,6 +21,10 @@
 /// Parses "IPv4:port"; fails with kSettingsInvalid.
 Result<Address> ParseAddress(std::string_view text);
 
+/// The same for an address to connect to: neither port 0 nor an address that
+/// names no single host. The unspecified one would reach this host itself.
+Result<Address> ParseServerAddress(std::string_view text);
+
 struct IntegerKey {
   int64_t default_value;
   int64_t min_value;
--- a/source/config_resources.cc
+++ b/source/config_resources.cc
@@ -156,7 +156,7 @@
   service.downtime_weight = reader.Number("downtime_weight", 0.5, 0, 1);
   service.max_in_flight = reader.Integer("max_in_flight", 64, 1, 100000);
   for (const std::string& text : reader.Texts("backend_servers")) {
-    const Result<Address> address = ParseAddress(text);
+    const Result<Address> address = ParseServerAddress(text);
     if (!address) {
       reader.SetError("backend_servers", text, "an IP address with a port");
       continue;
--- a/source/entry_host_forward.cc
+++ b/source/entry_host_forward.cc
@@ -66,7 +66,7 @@
 void EntryHost::OnPeerForwardOffer(const FleetHost& peer,
                                    const std::string& peer_address,
                                    const ForwardOffer& offer) {
-  const Result<Address> address = ParseAddress(peer_address);
+  const Result<Address> address = ParseServerAddress(peer_address);
   if (!address) {
     return;
   }
--- a/source/entry_peers.cc
+++ b/source/entry_peers.cc
@@ -98,7 +98,7 @@
 }
 
 void EntryPeers::AddPeer(const FleetHost& host, const std::string& address) {
-  const Result<Address> parsed = ParseAddress(address);
+  const Result<Address> parsed = ParseServerAddress(address);
   if (host.name == m_own.name || !parsed) {
     return;
   }
--- a/source/groups_state.cc
+++ b/source/groups_state.cc
@@ -170,7 +170,7 @@
     list.data_centre = value->at("data_centre");
     for (const Json& row : value->at("hosts")) {
       const Result<Address> address =
-          ParseAddress(row.at("address").get<std::string>());
+          ParseServerAddress(row.at("address").get<std::string>());
       if (!address) {
         return tl::unexpected<Error>(address.error());
       }
--- a/source/settings.cc
+++ b/source/settings.cc
@@ -27,6 +27,9 @@
   Duration size;
 };
 
+/// First address of the ranges for multicast and future use.
+constexpr in_addr_t kFirstMulticast = 0xE0000000;
+
 constexpr auto kDurationUnits = std::to_array<DurationUnit>({
     {"us", Duration(1)},
     {"ms", Milliseconds(1)},
@@ -286,6 +289,23 @@
                  static_cast<uint16_t>(port)};
 }
 
+Result<Address> ParseServerAddress(std::string_view text) {
+  Result<Address> address = ParseAddress(text);
+  if (!address) {
+    return address;
+  }
+  in_addr parsed{};
+  inet_pton(AF_INET, address->host.c_str(), &parsed);
+  const in_addr_t host = ntohl(parsed.s_addr);
+  const bool is_single_host = host != INADDR_ANY && host < kFirstMulticast;
+  if (address->port == 0 || !is_single_host) {
+    return Fail(
+        ResultCode::kSettingsInvalid,
+        "The address '" + std::string(text) + "' is not that of a server.");
+  }
+  return address;
+}
+
 double Settings::Number(std::string_view section, std::string_view key) const {
   return std::get<double>(Find(section, key));
 }
--- a/tests/platform_store_entries_test.cc
+++ b/tests/platform_store_entries_test.cc
@@ -118,6 +118,62 @@
   }
 }
 
+/// Registrations that are sound but for one field.
+std::vector<std::string> OddRegistrations() {
+  std::vector<std::string> addresses;
+  for (const std::string& port :
+       {std::string("70000"), std::string("65536"), std::string("-1"),
+        std::string("0"), std::string(), std::string("18446744073709551617"),
+        std::string("99999999999999999999999"), std::string("8e3"),
+        std::string("0x50"), std::string(" 80"), std::string("80 "),
+        std::string(300000, '9')}) {
+    addresses.push_back("127.0.0.1:" + port);
+  }
+  for (const char* address :
+       {"", ":", "127.0.0.1", "localhost:80", "[::1]:80", "0.0.0.0:80",
+        "224.0.0.1:80", "255.255.255.255:80", "127.1:80", "1.2.3.4.5:80"}) {
+    addresses.emplace_back(address);
+  }
+  std::vector<std::string> entries;
+  for (const std::string& address : addresses) {
+    Json spec = MakePlainSpec();
+    spec["address"] = address;
+    entries.push_back(spec.dump());
+  }
+  for (const char* field : {"slots", "coldRemainingMs", "seq", "born"}) {
+    for (const std::string& number :
+         {std::string(900000, '9'), "1e" + std::string(400000, '9'),
+          "1" + std::string(900000, '0') + ".5", std::string("1e308"),
+          std::string("-1"), std::string("-1e308"), std::string("\"1\"")}) {
+      Json spec = MakePlainSpec();
+      spec[field] = "@";
+      std::string text = spec.dump();
+      entries.push_back(text.replace(text.find("\"@\""), 3, number));
+    }
+  }
+  for (const char* field : {"epoch", "rank"}) {
+    for (const char* number :
+         {"18446744073709551616", "1e308", "-1", "0.5", "\"1\""}) {
+      Json spec = MakePlainSpec();
+      spec["group"] = {
+          {"name", "g"}, {"epoch", 1}, {"rank", 0}, {"state", "open"}};
+      spec["group"][field] = "@";
+      std::string text = spec.dump();
+      entries.push_back(text.replace(text.find("\"@\""), 3, number));
+    }
+  }
+  return entries;
+}
+
+TEST_CASE("a registration with an odd address or number hides no others") {
+  // Guards against hosts that end, stop following the list, or send requests to
+  // an address that no server can have.
+  for (const std::string& entry : OddRegistrations()) {
+    CAPTURE(entry.substr(0, 120));
+    CHECK(CheckOthersHold(entry).size() < 500);
+  }
+}
+
 TEST_CASE("entries that cannot be read hide no change beside them") {
   StoreFixture fixture;
   const std::vector<std::string> entries = InvalidEntries();
