--- a/source/entry_peers.cc
+++ b/source/entry_peers.cc
@@ -20,8 +20,8 @@
 /// Entry hosts that are asked to probe servers, and the time for their reply.
 constexpr size_t kProbingPeers = 4;
 constexpr Duration kProbeReplyTimeout = Milliseconds(300);
-/// Facts in replies that took longer are dated by their question, and reports of
-/// the store's return in them are ignored.
+/// Facts in replies that took longer are dated by their question, and reports
+/// of the store's return in them are ignored.
 constexpr Duration kMaxDatingError = Milliseconds(200);
 
 }  // namespace
