tests: parts of the raw server that no test uses are gone

Found on reading the change again: an end after a pause, a fixed port and a count of connections in tests/raw_server.h, and an unused header in dispatch_failing_test.cc. No assertion changes.

--- a/tests/dispatch_failing_test.cc
+++ b/tests/dispatch_failing_test.cc
@@ -1,5 +1,4 @@
 #include <doctest/doctest.h>
-#include <rapidcheck.h>
 
 #include <map>
 
@@ -81,7 +80,7 @@
     caller.tried.insert(target);
     m_selector.OnSent(target, 0);
     const int running = ++m_running[target];
-    const double queued = std::max(1.0, double{1} * running / kSlots);
+    const double queued = std::max(1.0, static_cast<double>(running) / kSlots);
     caller.until = m_now + (IsFaulty(target) ? kFailure : Scale(kWork, queued));
     m_failed += IsFaulty(target) ? 1 : 0;
   }
--- a/tests/raw_server.h
+++ b/tests/raw_server.h
@@ -28,13 +28,8 @@
 struct CloseOrderly {};
 /// Is reset once the client has had time to read the bytes.
 struct ResetConnection {};
-/// Is closed in an orderly way after a pause.
-struct CloseLater {
-  Duration pause;
-};
 
-using ConnectionEnd =
-    std::variant<KeepOpen, CloseOrderly, ResetConnection, CloseLater>;
+using ConnectionEnd = std::variant<KeepOpen, CloseOrderly, ResetConnection>;
 
 struct RawReply {
   std::string bytes;
@@ -60,12 +55,11 @@
   /// Called once for each request that arrives, with its bytes.
   using Script = std::function<RawReply(std::string_view request)>;
 
-  RawServer(EventLoop& loop, Script script, uint16_t port = 0)
+  RawServer(EventLoop& loop, Script script)
       : m_loop(loop), m_script(std::move(script)) {
     sockaddr_in at{};
     at.sin_family = AF_INET;
     at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    at.sin_port = htons(port);
     m_listener =
         evconnlistener_new_bind(loop.base(), &RawServer::OnAccept, this,
                                 LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, -1,
@@ -80,8 +74,6 @@
   RawServer& operator=(const RawServer&) = delete;
 
   Address address() const { return {"127.0.0.1", m_port}; }
-  /// Connections that were accepted and have not ended.
-  size_t open_connections() const { return m_streams.size(); }
 
   /// Registers it as a plain server.
   void Register(PlatformStoreStandin& store,
@@ -140,9 +132,6 @@
       m_streams.erase(&open);
     });
   }
-  void End(TcpStream& stream, const CloseLater& end) {
-    CallLater(stream, end.pause, [](TcpStream& open) { open.ShutDown(); });
-  }
 
   void CallLater(TcpStream& stream,
                  Duration pause,
