tests: messages with a damaged octet, on each path where they are read

Callers got them as complete responses, with a body that was not the server's.

The tests generate messages: each octet of a sound one removed, exchanged with the next, replaced, or with an octet inserted before it (23 octets). The verdict comes from a reader of RFC 9112 in tests/damaged_message.h that sees the whole message at once: a failure, or exactly what the octets say. http_damaged_octets reads all forms of six responses and three requests with the parser, in blocks of 1, 7 and all octets, with and without an orderly end. platform_broken_answer sends every 13th form on safe, unsafe, streaming and forwarded requests, as reports, as answers to orders, and as the store's answers to reads, listings and watches.

--- /dev/null
+++ b/tests/http_message_test.cc
@@ -0,0 +1,195 @@
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <optional>
+#include <sstream>
+#include <string>
+#include <vector>
+
+#include "damaged_message.h"
+#include "filbertrack/http_message.h"
+
+/// Messages with one octet replaced, inserted or removed, against a reader of
+/// RFC 9112 that sees all octets at once.
+
+namespace filbertrack {
+namespace {
+
+/// What the parser makes of a message.
+struct Parsed {
+  bool is_complete = false;
+  bool is_malformed = false;
+  int status = 0;
+  std::string body;
+  /// Octets up to the end of the message.
+  size_t size = 0;
+};
+
+constexpr size_t kMaxHeadBytes = 64 * 1024;
+
+/// Parses a message that arrives in blocks of `block` octets and, if
+/// `is_closed`, is followed by an orderly end of the connection.
+Parsed Parse(HttpMessageKind kind,
+             std::string_view bytes,
+             size_t block,
+             bool is_closed) {
+  Parsed parsed;
+  bool ends_with_connection = false;
+  HttpMessageParser parser(kind, kMaxHeadBytes,
+                           {[&](const HttpHead& head) {
+                              parsed.status = head.status;
+                              ends_with_connection = head.ends_with_connection;
+                              return true;
+                            },
+                            [&](std::string_view part) { parsed.body += part; },
+                            [&] {
+                              parsed.is_complete =
+                                  kind == HttpMessageKind::kRequest ||
+                                  parsed.status >= kFirstFinalStatus;
+                            }});
+  while (parsed.size < bytes.size() && !parsed.is_complete) {
+    // Part of a block is left after an interim response.
+    std::string_view rest = bytes.substr(parsed.size, block);
+    while (!rest.empty() && !parsed.is_complete) {
+      const size_t taken = parser.Push(rest);
+      parsed.size += taken;
+      rest.remove_prefix(std::min(taken, rest.size()));
+      if (parser.fault() != HttpMessageFault::kNone) {
+        parsed.is_malformed = true;
+        return parsed;
+      }
+    }
+  }
+  if (!parsed.is_complete && is_closed && ends_with_connection) {
+    parser.PushEnd();
+  }
+  return parsed;
+}
+
+std::string WithLength(const std::string& body) {
+  return "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+std::string InOneChunk(const std::string& body) {
+  std::ostringstream size;
+  size << std::hex << body.size();
+  return "Transfer-Encoding: chunked\r\n\r\n" + size.str() + "\r\n" + body +
+         "\r\n0\r\n\r\n";
+}
+
+std::vector<std::string> SoundResponses() {
+  const std::string head =
+      "HTTP/1.1 200 OK\r\nX-Attempt-Id: 7\r\nX-Runner-Seal: s\r\n";
+  // Looks like chunks wherever a chunk could end too early.
+  const std::string body = "0\r\n\r\n1\r\nab1\r\n\r\n00\r\n\r\n";
+  return {
+      head + WithLength(body),
+      head + InOneChunk(body),
+      head + "transfer-encoding:chunked \r\nKeep-Alive: timeout=4\r\n\r\n" +
+          "5;a=b\r\nevent\r\n0a \r\n0123456789\r\n00\r\nX-More: 1\r\n\r\n",
+      "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n" + head + WithLength("body"),
+      "HTTP/1.0 404 Not Found\r\n" + WithLength("body"),
+      "HTTP/1.1 200\r\nConnection: close\r\n\r\nuntil the end"};
+}
+
+std::vector<std::string> SoundRequests() {
+  const std::string head =
+      "POST /safe/x?a=b HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: 7\r\n";
+  const std::string next = "GET /next HTTP/1.1\r\nHost: h\r\n\r\n";
+  const std::string body = "0\r\n\r\n" + next;
+  return {head + WithLength(body) + next, head + InOneChunk(body) + next,
+          head + "\r\n" + next};
+}
+
+const std::vector<size_t> kBlocks = {1, 7, kMaxHeadBytes};
+
+TEST_CASE("a response with a damaged octet is a fault or what its bytes say") {
+  // Guards against an answer whose end or body is not the server's: the parser
+  // and the server would disagree about where it ends.
+  size_t faults = 0;
+  size_t complete = 0;
+  for (const std::string& sound : SoundResponses()) {
+    const ReadMessage whole = ReadResponse(sound, true);
+    REQUIRE(whole.is_complete);
+    for (const std::string& bytes : DamagedForms(sound)) {
+      for (const bool is_closed : {false, true}) {
+        const ReadMessage said = ReadResponse(bytes, is_closed);
+        for (const size_t block : kBlocks) {
+          CAPTURE(bytes);
+          CAPTURE(block);
+          const Parsed parsed =
+              Parse(HttpMessageKind::kResponse, bytes, block, is_closed);
+          if (said.is_malformed) {
+            REQUIRE(parsed.is_malformed);
+          }
+          faults += parsed.is_malformed ? 1 : 0;
+          if (!parsed.is_complete) {
+            continue;
+          }
+          ++complete;
+          REQUIRE(said.is_complete);
+          REQUIRE(parsed.status == said.status);
+          REQUIRE(parsed.body == said.body);
+          REQUIRE(parsed.size == said.size);
+          // A damaged name hides the length of the sound response.
+          if (said.ends_with_connection && !whole.ends_with_connection &&
+              said.status == whole.status) {
+            REQUIRE(said.body == whole.body);
+          }
+        }
+      }
+    }
+  }
+  CHECK(faults > 0);
+  CHECK(complete > 0);
+}
+
+TEST_CASE("a request with a damaged octet is a fault or what its bytes say") {
+  // Guards against a request that the next host finds in the body of another.
+  size_t complete = 0;
+  for (const std::string& sound : SoundRequests()) {
+    REQUIRE(ReadRequest(sound).is_complete);
+    for (const std::string& bytes : DamagedForms(sound)) {
+      const ReadMessage said = ReadRequest(bytes);
+      for (const size_t block : kBlocks) {
+        CAPTURE(bytes);
+        CAPTURE(block);
+        const Parsed parsed =
+            Parse(HttpMessageKind::kRequest, bytes, block, false);
+        if (said.is_malformed) {
+          REQUIRE(parsed.is_malformed);
+        }
+        if (parsed.is_complete) {
+          ++complete;
+          REQUIRE(said.is_complete);
+          REQUIRE(parsed.body == said.body);
+          REQUIRE(parsed.size == said.size);
+        }
+      }
+    }
+  }
+  CHECK(complete > 0);
+}
+
+TEST_CASE("sound messages are read as sent") {
+  for (const std::string& sound : SoundResponses()) {
+    const ReadMessage said = ReadResponse(sound, true);
+    for (const size_t block : kBlocks) {
+      const Parsed parsed =
+          Parse(HttpMessageKind::kResponse, sound, block, true);
+      CHECK(parsed.is_complete);
+      CHECK(parsed.body == said.body);
+    }
+  }
+  for (const std::string& sound : SoundRequests()) {
+    for (const size_t block : kBlocks) {
+      const Parsed parsed =
+          Parse(HttpMessageKind::kRequest, sound, block, false);
+      CHECK(parsed.is_complete);
+      CHECK(parsed.body == ReadRequest(sound).body);
+    }
+  }
+}
+
+}  // namespace
+}  // namespace filbertrack
--- /dev/null
+++ b/tests/platform_broken_answer_test.cc
@@ -0,0 +1,462 @@
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include <doctest/doctest.h>
+
+#include <map>
+
+#include "damaged_message.h"
+#include "platform_site.h"
+#include "platform_store_fixture.h"
+#include "raw_server.h"
+#include "soak_proxy.h"
+
+/// Servers, and a store, whose responses have a damaged octet.
+///
+/// Servers in trouble sent heads whose framing was damaged. Callers received
+/// them as complete responses with bodies that were not the server's.
+
+namespace filbertrack {
+namespace {
+
+constexpr const char* kId = "1000";
+constexpr const char* kSeal = "3e1b.07";
+
+struct Form {
+  std::string name;
+  std::string response;
+};
+
+std::string Head(const std::string& more) {
+  return "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + std::string(kId) +
+         "\r\nX-Runner-Seal: " + kSeal + "\r\n" + more + "\r\n";
+}
+
+std::string Length(const std::string& body) {
+  return "Content-Length: " + std::to_string(body.size()) + "\r\n";
+}
+
+std::string Chunk(const std::string& text) {
+  constexpr size_t kOneDigit = 16;
+  REQUIRE(text.size() < kOneDigit * kOneDigit);
+  constexpr std::string_view kDigits = "0123456789abcdef";
+  return std::string{kDigits[text.size() / kOneDigit],
+                     kDigits[text.size() % kOneDigit]} +
+         "\r\n" + text + "\r\n";
+}
+
+std::vector<Form> PlainForms() {
+  const std::string body = "answer of a server, 1";
+  return {{"a length", Head(Length(body)) + body},
+          {"chunks", Head("Transfer-Encoding: chunked\r\n") + Chunk(body) +
+                         Chunk("0\r\n\r\n") + "0\r\n\r\n"},
+          {"an interim response first",
+           "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + Head(Length(body)) +
+               body}};
+}
+
+std::vector<Form> StreamForms() {
+  const std::string type = "Content-Type: text/event-stream\r\n";
+  const std::string events = ExpectedStream(2);
+  return {{"a length", Head(type + Length(events)) + events},
+          {"chunks", Head(type + "Transfer-Encoding: chunked\r\n") +
+                         Chunk(ExpectedStream(1)) +
+                         Chunk(events.substr(ExpectedStream(1).size())) +
+                         "0\r\n\r\n"}};
+}
+
+/// Every `stride`-th damaged form, which damages each octet in a few ways.
+std::vector<std::string> SomeForms(const std::string& sound, size_t stride) {
+  const std::vector<std::string> all = DamagedForms(sound);
+  std::vector<std::string> some;
+  for (size_t i = 0; i < all.size(); i += stride) {
+    some.push_back(all[i]);
+  }
+  return some;
+}
+
+std::string FieldOf(const ReadMessage& message, const std::string& name) {
+  const auto values = damaged_message::ValuesOf(message, name);
+  return values.empty() ? "" : values.front();
+}
+
+/// Whether the message is a sealed answer to the request of this test.
+bool IsAnswer(const ReadMessage& message) {
+  const std::string id = FieldOf(message, "x-attempt-id");
+  return message.is_complete && message.status >= 200 && message.status < 300 &&
+         !FieldOf(message, "x-runner-seal").empty() &&
+         (id.empty() || id == kId);
+}
+
+/// Entry hosts in front of two servers that answer each request with the form
+/// that its path names.
+struct BrokenSite : Site {
+  explicit BrokenSite(int entry_hosts = 1) : Site(0, entry_hosts) {
+    Json config = MakeConfig(2);
+    config["routes"].push_back(MakeRoute("raw", "/raw/", "streaming", "plain"));
+    config["services"][1]["maxConnections"] = 2 * kBatch;
+    store.Put("config", "main", config);
+    for (const auto& each : plain) {
+      each->Die();
+    }
+    for (const char* id : {"c1", "c2"}) {
+      servers.push_back(std::make_unique<RawServer>(
+          loop, [this](std::string_view request) { return Answer(request); }));
+      proxies.push_back(
+          std::make_unique<soak::Proxy>(loop, servers.back()->address()));
+      RegisterAt(id, proxies.back()->address());
+    }
+    REQUIRE(RunUntil(loop, [this] {
+      return std::all_of(nodes.begin(), nodes.end(), [this](const auto& node) {
+        return node->host.IsReady() && node->host.catalog()->version() == 2 &&
+               node->CountTargets() == servers.size();
+      });
+    }));
+  }
+  ~BrokenSite() {
+    // Their connections are on the site's loop.
+    proxies.clear();
+  }
+
+  void RegisterAt(const std::string& id, const Address& address) {
+    store.Put("servers", id,
+              {{"service", "plain"},
+               {"address", address.ToString()},
+               {"zone", "z"},
+               {"version", "v1"},
+               {"slots", 2 * static_cast<int>(kBatch)},
+               {"state", "ready"},
+               {"coldRemainingMs", 0},
+               {"seq", 1}});
+  }
+
+  RawReply Answer(std::string_view request) {
+    if (!request.starts_with("POST ")) {
+      return {"HTTP/1.1 200 OK\r\nX-Runner-Id: c\r\nContent-Length: 0\r\n\r\n",
+              KeepOpen{}};
+    }
+    const size_t slash = request.find('/', request.find('/') + 1);
+    const size_t index = std::stoul(std::string(request.substr(slash + 1, 6)));
+    ++arrivals[index];
+    return {forms.at(index), end};
+  }
+
+  /// Sends the requests for the forms from `first` on below `last`, all at
+  /// once.
+  std::vector<CallerResponse> Send(const std::string& path,
+                                   size_t first,
+                                   size_t last) {
+    std::vector<CallerResponse> got(last - first);
+    std::vector<std::unique_ptr<HttpCall>> calls;
+    for (size_t i = 0; i < got.size(); ++i) {
+      calls.push_back(SendRequest(
+          *this, client, path + std::to_string(first + i), kId, got[i]));
+    }
+    CHECK(RunUntil(loop, [&got] {
+      return std::all_of(got.begin(), got.end(),
+                         [](const auto& each) { return each.ended; });
+    }));
+    return got;
+  }
+
+  static constexpr size_t kBatch = 200;
+
+  std::vector<std::string> forms;
+  ConnectionEnd end = CloseOrderly{};
+  std::map<size_t, int> arrivals;
+  std::vector<std::unique_ptr<RawServer>> servers;
+  std::vector<std::unique_ptr<soak::Proxy>> proxies;
+  HttpClient client{loop, 4};
+};
+
+/// Checks what the caller got for a response with the octets `bytes`.
+void CheckResponse(const CallerResponse& got,
+                   const ReadMessage& said,
+                   const ReadMessage& sound,
+                   int arrivals) {
+  const bool is_stream =
+      FieldOf(sound, "content-type").starts_with("text/event-stream");
+  const bool is_success = !got.failed && got.status >= 200 && got.status < 300;
+  if (is_success) {
+    REQUIRE(IsAnswer(said));
+    REQUIRE(got.status == said.status);
+    // Damaged events of a stream are not all passed on.
+    if (said.body == sound.body || !is_stream) {
+      REQUIRE(got.body == said.body);
+    }
+    REQUIRE(damaged_message::Trim(FindHeader(got.headers, "X-Runner-Seal")) ==
+            FieldOf(said, "x-runner-seal"));
+  }
+  if (!said.is_malformed) {
+    return;
+  }
+  REQUIRE_FALSE(is_success);
+  // The failure is the entry host's own, and comes before the deadline.
+  REQUIRE(FindHeader(got.headers, "X-Runner-Seal").empty());
+  REQUIRE(got.status != 504);
+  if (arrivals > 0) {
+    for (const int not_run : {408, 421, 429, 503}) {
+      REQUIRE(got.status != not_run);
+    }
+  }
+}
+
+/// Sends a request for each form on a route, and checks the responses. Returns
+/// how many of them were successes.
+int CheckForms(BrokenSite& site,
+               const std::string& path,
+               const ReadMessage& sound) {
+  int successes = 0;
+  const bool is_closed = std::holds_alternative<CloseOrderly>(site.end);
+  site.arrivals.clear();
+  for (size_t first = 0; first < site.forms.size();
+       first += BrokenSite::kBatch) {
+    const size_t last = std::min(site.forms.size(), first + BrokenSite::kBatch);
+    const auto got = site.Send(path, first, last);
+    for (size_t i = first; i < last; ++i) {
+      const std::string& bytes = site.forms[i];
+      CAPTURE(bytes);
+      const ReadMessage said = ReadResponse(bytes, is_closed);
+      CheckResponse(got[i - first], said, sound, site.arrivals[i]);
+      successes += got[i - first].status == 200 ? 1 : 0;
+    }
+  }
+  return successes;
+}
+
+/// The forms whose sender keeps the connection open and that are whole, or that
+/// cannot become whole. For the others, a client waits in vain.
+void KeepDecidedForms(std::vector<std::string>& forms) {
+  std::erase_if(forms, [](const std::string& bytes) {
+    const ReadMessage said = ReadResponse(bytes, false);
+    return !said.is_malformed && !said.is_complete;
+  });
+}
+
+constexpr size_t kStride = 13;
+
+void CheckRoute(BrokenSite& site,
+                const std::vector<Form>& sound_forms,
+                const std::string& path) {
+  for (const Form& form : sound_forms) {
+    for (const ConnectionEnd& end :
+         {ConnectionEnd(CloseOrderly{}), ConnectionEnd(KeepOpen{})}) {
+      INFO(path, " ", form.name);
+      site.end = end;
+      site.forms = SomeForms(form.response, kStride);
+      if (std::holds_alternative<KeepOpen>(end)) {
+        KeepDecidedForms(site.forms);
+      }
+      // The whole response is passed on, after all others as well.
+      site.forms.push_back(form.response);
+      CHECK(CheckForms(site, path, ReadResponse(form.response, false)) > 0);
+      CHECK(std::all_of(site.arrivals.begin(), site.arrivals.end(),
+                        [](const auto& row) { return row.second > 0; }));
+      CHECK(site.Send(path, site.forms.size() - 1, site.forms.size())
+                .front()
+                .status == 200);
+    }
+  }
+}
+
+TEST_CASE("a damaged response is a failure or what its bytes say") {
+  // Guards against an answer with a body that is not the server's, and against
+  // callers that wait for their deadline.
+  for (const char* path : {"/safe/", "/once/"}) {
+    BrokenSite site;
+    CheckRoute(site, PlainForms(), path);
+  }
+}
+
+TEST_CASE("a damaged stream is a failure or what its bytes say") {
+  BrokenSite site;
+  CheckRoute(site, StreamForms(), "/raw/");
+}
+
+TEST_CASE("a damaged response to a forwarded request is a failure as well") {
+  // Guards against the forwarding host that passes on what the other one
+  // rejected.
+  BrokenSite site(2);
+  for (const auto& proxy : site.proxies) {
+    proxy->Cut(site.nodes.front()->settings.Text("servers", "source"), {});
+  }
+  site.forms = {PlainForms().front().response};
+  const auto timer =
+      site.loop.Every(Milliseconds(20), [&site] { site.host->reach(); });
+  REQUIRE(RunUntil(site.loop, [&site] {
+    const auto got = site.Send("/safe/", 0, 1);
+    return !site.host->reach().reachable() && got.front().status == 200;
+  }));
+  CheckRoute(site, {PlainForms()[0], PlainForms()[1]}, "/safe/");
+}
+
+TEST_CASE("a damaged report or answer to an order is no answer") {
+  // Guards against a server that counts as idle, or an order that counts as
+  // begun, by a damaged answer.
+  EventLoop loop;
+  const std::string report = R"({"running":9,"queued":8,"busy":true})";
+  const std::string ok =
+      "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n" + Length(report) +
+      "\r\n" + report;
+  const std::string accepted =
+      "HTTP/1.1 202 Accepted\r\n" + Length("{}") + "\r\n{}";
+  std::string answer_bytes;
+  RawServer server(loop, [&](std::string_view) -> RawReply {
+    return {answer_bytes, CloseOrderly{}};
+  });
+  platform::PlatformEngineClient engines(loop, "");
+  BackendServer host;
+  host.id = "i";
+  host.address = server.address();
+  for (const std::string& bytes : SomeForms(ok, kStride)) {
+    CAPTURE(bytes);
+    answer_bytes = bytes;
+    std::optional<ProbeAnswer> answer;
+    engines.Probe(host, Seconds(2),
+                  [&answer](const ProbeAnswer& probe) { answer = probe; });
+    REQUIRE(RunUntil(loop, [&answer] { return answer.has_value(); }));
+    const ReadMessage said = ReadResponse(bytes, true);
+    if (!said.is_complete) {
+      REQUIRE_FALSE(answer->answered);
+    }
+  }
+  for (const std::string& bytes : SomeForms(accepted, kStride)) {
+    CAPTURE(bytes);
+    answer_bytes = bytes;
+    std::optional<OrderResult> result;
+    engines.Order(host, {}, [&result](OrderResult got) { result = got; });
+    REQUIRE(RunUntil(loop, [&result] { return result.has_value(); }));
+    const ReadMessage said = ReadResponse(bytes, true);
+    if (!said.is_complete) {
+      REQUIRE(*result == OrderResult::kUnknown);
+    }
+  }
+}
+
+std::string JsonResponse(const std::string& status, const Json& body) {
+  return "HTTP/1.1 " + status + "\r\nContent-Type: application/json\r\n" +
+         Length(body.dump()) + "\r\n" + body.dump();
+}
+
+TEST_CASE("a damaged response of the store tells nothing of a record") {
+  // Guards against a record that counts as absent, or as another one.
+  EventLoop loop;
+  std::string answer_bytes;
+  RawServer server(loop, [&answer_bytes](std::string_view) -> RawReply {
+    return {answer_bytes, CloseOrderly{}};
+  });
+  RecordingListener listener;
+  platform::PlatformStore client(loop, server.address(), {}, listener, 1);
+  const Json record = {{"metadata", {{"name", "n"}, {"rev", 7}}},
+                       {"spec", {{"value", "x"}}},
+                       {"status", nullptr}};
+  for (const std::string& sound :
+       {JsonResponse("200 OK", record),
+        JsonResponse("404 Not Found", Json::object())}) {
+    for (const std::string& bytes : SomeForms(sound, kStride)) {
+      CAPTURE(bytes);
+      answer_bytes = bytes;
+      std::optional<StoreStatus> status;
+      client.Read("n",
+                  [&status](const StoreResponse& got) { status = got.status; });
+      REQUIRE(RunUntil(loop, [&status] { return status.has_value(); }));
+      if (!ReadResponse(bytes, true).is_complete) {
+        REQUIRE(*status == StoreStatus::kUnavailable);
+      }
+    }
+  }
+}
+
+Json ListedServer(const std::string& id) {
+  return {{"metadata", {{"name", id}, {"rev", 5}}},
+          {"spec", MakePlainSpec()},
+          {"status", nullptr}};
+}
+
+/// Also keeps the ids of all servers that were ever delivered.
+struct AllServersListener : RecordingListener {
+  void OnServers(ServerChanges changes) override {
+    RecordingListener::OnServers(std::move(changes));
+    ever.insert(servers.begin(), servers.end());
+  }
+
+  std::set<std::string> ever;
+};
+
+/// A store that sends one damaged response, and is sound before and after it.
+struct DamagedStore {
+  DamagedStore(EventLoop& loop, std::string damaged_response, bool of_watch)
+      : damaged(std::move(damaged_response)),
+        damages_watch(of_watch),
+        server(loop,
+               [this](std::string_view request) { return Answer(request); }),
+        client(loop, server.address(), {}, listener, 1) {
+    client.SetWatching(true);
+  }
+
+  RawReply Answer(std::string_view request) {
+    const bool is_watch = request.find("?watch=") != std::string_view::npos;
+    if (request.find("/servers") != std::string_view::npos && !was_damaged &&
+        is_watch == damages_watch) {
+      was_damaged = true;
+      return {damaged, CloseOrderly{}};
+    }
+    if (is_watch) {
+      return {"", KeepOpen{}};
+    }
+    Json items = Json::array();
+    if (request.find("/servers") != std::string_view::npos) {
+      items.push_back(ListedServer("sound"));
+    }
+    return {JsonResponse("200 OK",
+                         {{"items", items}, {"hasMore", false}, {"asOf", 5}}),
+            KeepOpen{}};
+  }
+
+  bool IsDone() const {
+    return was_damaged && listener.servers.contains("sound");
+  }
+
+  std::string damaged;
+  bool damages_watch;
+  bool was_damaged = false;
+  RawServer server;
+  AllServersListener listener;
+  platform::PlatformStore client;
+};
+
+TEST_CASE(
+    "a damaged listing or watch of the store is neither news nor outage") {
+  // Guards against servers that are added or removed by a damaged response, and
+  // against an outage of the store that is declared for one.
+  const std::string listing = JsonResponse(
+      "200 OK",
+      {{"items", {ListedServer("damaged")}}, {"hasMore", false}, {"asOf", 9}});
+  const std::string watch = JsonResponse(
+      "200 OK",
+      {{"events", {{{"object", ListedServer("damaged")}, {"deleted", false}}}},
+       {"asOf", 9}});
+  EventLoop loop;
+  for (const bool of_watch : {false, true}) {
+    const std::string& sound = of_watch ? watch : listing;
+    const std::vector<std::string> forms = SomeForms(sound, kStride);
+    std::vector<std::unique_ptr<DamagedStore>> stores;
+    for (const std::string& bytes : forms) {
+      // Of the others, some are sound.
+      if (!ReadResponse(bytes, true).is_complete) {
+        stores.push_back(std::make_unique<DamagedStore>(loop, bytes, of_watch));
+      }
+    }
+    REQUIRE(!stores.empty());
+    CHECK(RunUntil(loop, [&stores] {
+      return std::all_of(stores.begin(), stores.end(),
+                         [](const auto& each) { return each->IsDone(); });
+    }));
+    for (const auto& each : stores) {
+      CAPTURE(each->damaged);
+      CHECK_FALSE(each->listener.ever.contains("damaged"));
+      CHECK(each->listener.last_unanswered == Duration(0));
+    }
+  }
+}
+
+}  // namespace
+}  // namespace filbertrack
