http: codings that are not understood and lines that are no field are faults

What callers saw: a server sent `Transfer-Encoding: chunkd`, or a lone CR before Content-Length, and closed its connection. They got status 200 with the server's seal and, as the body, the framing of the chunks or the rest of the head. If the connection stayed open, they got nothing until their deadline.

Cause: http_parser (2.9, built without its strict checks) reads a response with an unknown transfer coding to the end of the connection, takes any octet after a CR for the LF, ends lines at a lone LF and joins folded lines. All messages are read by this parser: requests, responses of servers and of other entry hosts, and the store's.

Fix: HttpHeadSyntax checks the octets of the head before http_parser gets them, and finds the end of the head by itself: CR LF only, field lines with a name, a colon and text, no folding. A transfer coding other than a single `chunked`, or any with HTTP/1.0, is a fault (RFC 9112 section 6.1). For requests the same rules prevent that the next host finds another request in the body.

--- a/include/filbertrack/http_message.h
+++ b/include/filbertrack/http_message.h
@@ -1,10 +1,11 @@
 #pragma once
 
 /// Incremental parser for HTTP/1.1 messages, based on the http_parser library.
-/// Messages with ambiguous framing (two Content-Length fields, Content-Length
-/// together with chunked encoding, or whitespace in the name of a request's
-/// field) are rejected: two hosts could disagree about where the message ends,
-/// which allows request smuggling.
+/// Messages with malformed lines or ambiguous framing (two Content-Length
+/// fields, Content-Length together with chunked encoding, or any other transfer
+/// coding) are rejected in both directions: two hosts could disagree about
+/// where the message ends. That allows request smuggling, and makes the framing
+/// of a response part of its body.
 
 #include <functional>
 #include <memory>
--- a/source/http_message.cc
+++ b/source/http_message.cc
@@ -4,6 +4,8 @@
 
 #include <http_parser.h>
 
+#include "http_syntax.h"
+
 namespace filbertrack {
 
 namespace {
@@ -11,11 +13,24 @@
 /// Result of a callback that stops the parser with an error. 1 and 2 have other
 /// meanings at the end of the head.
 constexpr int kStop = -1;
+/// Result at the end of the head of a message that has no body.
+constexpr int kSkipBody = 1;
+
+std::string_view TrimBlanks(std::string_view text) {
+  constexpr std::string_view kBlanks = " \t";
+  const size_t begin = std::min(text.find_first_not_of(kBlanks), text.size());
+  return text.substr(begin, text.find_last_not_of(kBlanks) + 1 - begin);
+}
 
 }  // namespace
 
 struct HttpMessageParser::State {
+  explicit State(HttpMessageKind message_kind)
+      : kind(message_kind), head_syntax(message_kind) {}
+
+  HttpMessageKind kind;
   http_parser parser{};
+  HttpHeadSyntax head_syntax;
   size_t max_header_bytes = 0;
   HttpMessageEvents events;
   HttpMessageFault fault = HttpMessageFault::kNone;
@@ -106,21 +121,38 @@
         });
   }
 
+  /// Whether the recipient knows for sure where the message ends. A transfer
+  /// coding other than chunked is not understood, and a sender of HTTP/1.0
+  /// knows none, RFC 9112 section 6.1.
+  bool CheckFraming() const {
+    const auto is_coding = [](const auto& field) {
+      return EqualHeaderNames(field.first, "Transfer-Encoding");
+    };
+    const auto coding =
+        std::find_if(head.headers.begin(), head.headers.end(), is_coding);
+    if (coding == head.headers.end()) {
+      return true;
+    }
+    return parser.http_minor > 0 && (parser.flags & F_CHUNKED) != 0 &&
+           EqualHeaderNames(TrimBlanks(coding->second), "chunked") &&
+           std::none_of(coding + 1, head.headers.end(), is_coding);
+  }
+
   static int OnHeadersComplete(http_parser* parser) {
     State& state = FromParser(parser);
-    if (!state.CheckFieldNames()) {
-      return kStop;
-    }
     state.head.method =
         http_method_str(static_cast<http_method>(parser->method));
     state.head.status = static_cast<int>(parser->status_code);
     state.head.keep_alive = http_should_keep_alive(parser) != 0;
     state.head.ends_with_connection = EndsWithConnection(*parser);
+    if (!state.CheckFieldNames() || !state.CheckFraming()) {
+      return kStop;
+    }
     // Protocol upgrades are not supported: such a message is parsed like any
     // other.
     parser->upgrade = 0;
     state.head_complete = true;
-    return state.events.on_head(state.head) ? 0 : 1;
+    return state.events.on_head(state.head) ? 0 : kSkipBody;
   }
 
   static int OnBody(http_parser* parser, const char* at, size_t size) {
@@ -131,6 +163,7 @@
   static int OnComplete(http_parser* parser) {
     State& state = FromParser(parser);
     state.at_start = true;
+    state.head_syntax = HttpHeadSyntax(state.kind);
     // Stops before the next message on the connection, which is parsed only
     // after the caller of Push() has handled this one.
     http_parser_pause(parser, 1);
@@ -154,6 +187,28 @@
     return settings;
   }
 
+  size_t Push(std::string_view bytes) {
+    size_t taken = 0;
+    if (!head_syntax.complete()) {
+      const size_t size = head_syntax.Push(bytes);
+      if (head_syntax.malformed()) {
+        fault = HttpMessageFault::kMalformed;
+        return size;
+      }
+      taken = Run(bytes.data(), size);
+      // The head may be the end of the message.
+      if (fault != HttpMessageFault::kNone || !head_syntax.complete()) {
+        return taken;
+      }
+      bytes.remove_prefix(taken);
+    }
+    // http_parser takes an empty input for the end of the connection.
+    if (bytes.empty()) {
+      return taken;
+    }
+    return taken + Run(bytes.data(), bytes.size());
+  }
+
   size_t Run(const char* bytes, size_t size) {
     const size_t taken = http_parser_execute(&parser, &Settings(), bytes, size);
     const auto error = HTTP_PARSER_ERRNO(&parser);
@@ -172,7 +227,7 @@
 HttpMessageParser::HttpMessageParser(HttpMessageKind kind,
                                      size_t max_header_bytes,
                                      HttpMessageEvents events)
-    : m_state(std::make_unique<State>()) {
+    : m_state(std::make_unique<State>(kind)) {
   http_parser_init(&m_state->parser, kind == HttpMessageKind::kRequest
                                          ? HTTP_REQUEST
                                          : HTTP_RESPONSE);
@@ -184,7 +239,7 @@
 HttpMessageParser::~HttpMessageParser() = default;
 
 size_t HttpMessageParser::Push(std::string_view bytes) {
-  return m_state->Run(bytes.data(), bytes.size());
+  return m_state->Push(bytes);
 }
 
 void HttpMessageParser::PushEnd() {
--- a/tests/http_message_test.cc
+++ b/tests/http_message_test.cc
@@ -191,5 +191,63 @@
   }
 }
 
+/// Checks that a head with the lines `fields`, and a body in any framing, is a
+/// fault in both directions.
+void CheckRefused(const std::vector<std::string>& fields) {
+  for (const std::string& field : fields) {
+    CAPTURE(field);
+    const std::string rest =
+        "X-A: 1\r\n" + field + "\r\n\r\n4\r\nbody\r\n0\r\n\r\n";
+    CHECK(Parse(HttpMessageKind::kResponse, "HTTP/1.1 200 OK\r\n" + rest,
+                kMaxHeadBytes, true)
+              .is_malformed);
+    CHECK(Parse(HttpMessageKind::kRequest, "POST /x HTTP/1.1\r\n" + rest,
+                kMaxHeadBytes, false)
+              .is_malformed);
+  }
+}
+
+TEST_CASE("a transfer coding other than chunked is a fault") {
+  // Guards against a body that is read to the end of the connection because its
+  // coding is unknown.
+  CheckRefused({"Transfer-Encoding: chunkd", "Transfer-Encoding: xchunked",
+                "Transfer-Encoding: gzip", "Transfer-Encoding: identity",
+                "Transfer-Encoding: \"chunked\"",
+                "Transfer-Encoding:", "Transfer-Encoding: chunked, gzip",
+                "Transfer-Encoding: gzip, chunked",
+                "Transfer-Encoding: chunked, chunked",
+                "Transfer-Encoding: chunked;q=1",
+                "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked",
+                "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked",
+                "Transfer-Encoding: chunked\r\nContent-Length: 4"});
+  CHECK(Parse(HttpMessageKind::kResponse,
+              "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+              kMaxHeadBytes, true)
+            .is_malformed);
+}
+
+TEST_CASE("a length that is not a number is a fault") {
+  CheckRefused({"Content-Length:", "Content-Length: ", "Content-Length: four",
+                "Content-Length: +4", "Content-Length: -4",
+                "Content-Length: 0x4", "Content-Length: 4 4",
+                "Content-Length: \"4\"", "Content-Length: 4, 4",
+                "Content-Length: 4\r\nContent-Length: 4", "Content-Length: 4.0",
+                "Content-Length: 18446744073709551620", "Content-Length: \v4"});
+}
+
+TEST_CASE("a line of a head that is no field is a fault") {
+  // Guards against a head that ends at another line than its sender meant.
+  CheckRefused({"X-Bad", ": 4", "HTTP/1.1 200 OK", " X-Bad: 1",
+                "\tContent-Length: 4", "\rContent-Length: 4",
+                "\nContent-Length: 4", "X-Bad: 1\nContent-Length: 4",
+                "X-Bad: 1\rContent-Length: 4",
+                "Transfer-Encoding: \x01"
+                "chunked",
+                "X-Bad: a\x01"
+                "b",
+                "X-Bad: a\x7f"
+                "b"});
+}
+
 }  // namespace
 }  // namespace filbertrack
