http: a chunk that does not end where its size says is a fault

What callers could see: a chunked body whose chunk sizes are wrong, taken for complete if the octets around the wrong ends look like sizes. The two octets after the data of a chunk were not looked at.

Cause: http_parser checks the line ends of chunks only if it is built strictly, and the library of the package registry is not.

--- a/source/http_message.cc
+++ b/source/http_message.cc
@@ -1,6 +1,7 @@
 #include "filbertrack/http_message.h"
 
 #include <algorithm>
+#include <optional>
 
 #include <http_parser.h>
 
@@ -31,6 +32,9 @@
   HttpMessageKind kind;
   http_parser parser{};
   HttpHeadSyntax head_syntax;
+  /// Set from the end of the head to the end of the message if the body is in
+  /// the chunked coding.
+  std::optional<HttpChunkSyntax> chunk_syntax;
   size_t max_header_bytes = 0;
   HttpMessageEvents events;
   HttpMessageFault fault = HttpMessageFault::kNone;
@@ -137,7 +141,14 @@
     // other.
     parser->upgrade = 0;
     state.head_complete = true;
-    return state.events.on_head(state.head) ? 0 : kSkipBody;
+    const bool may_have_body = state.events.on_head(state.head);
+    if (!may_have_body) {
+      return kSkipBody;
+    }
+    if ((parser->flags & F_CHUNKED) != 0) {
+      state.chunk_syntax.emplace();
+    }
+    return 0;
   }
 
   static int OnBody(http_parser* parser, const char* at, size_t size) {
@@ -149,6 +160,7 @@
     State& state = FromParser(parser);
     state.at_start = true;
     state.head_syntax = HttpHeadSyntax(state.kind);
+    state.chunk_syntax.reset();
     // Stops before the next message on the connection, which is parsed only
     // after the caller of Push() has handled this one.
     http_parser_pause(parser, 1);
@@ -191,6 +203,13 @@
     if (bytes.empty()) {
       return taken;
     }
+    if (chunk_syntax) {
+      bytes = bytes.substr(0, chunk_syntax->Push(bytes));
+      if (chunk_syntax->malformed()) {
+        fault = HttpMessageFault::kMalformed;
+        return taken + bytes.size();
+      }
+    }
     return taken + Run(bytes.data(), bytes.size());
   }
 
--- a/source/http_syntax.cc
+++ b/source/http_syntax.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <optional>
 
 namespace filbertrack {
 
@@ -10,6 +11,14 @@
 constexpr unsigned char kCr = '\r';
 constexpr unsigned char kLf = '\n';
 
+bool IsDigit(unsigned char octet) {
+  return octet >= '0' && octet <= '9';
+}
+
+bool IsBlank(unsigned char octet) {
+  return octet == ' ' || octet == '\t';
+}
+
 /// Octets of a token, RFC 9110 section 5.6.2.
 constexpr std::array<bool, 256> kTokenOctets = [] {
   std::array<bool, 256> octets{};
@@ -32,12 +41,27 @@
   return IsPrintable(octet) || octet == '\t';
 }
 
+/// The value of a hexadecimal digit.
+std::optional<unsigned> HexValue(unsigned char octet) {
+  constexpr std::string_view kDigits = "0123456789abcdef";
+  constexpr unsigned char kLowerCase = 0x20;
+  const unsigned char digit = IsDigit(octet) ? octet : octet | kLowerCase;
+  const size_t value = kDigits.find(static_cast<char>(digit));
+  return value == std::string_view::npos
+             ? std::nullopt
+             : std::optional(static_cast<unsigned>(value));
+}
+
 }  // namespace
 
 HttpHeadSyntax::HttpHeadSyntax(HttpMessageKind kind)
     : m_state(kind == HttpMessageKind::kRequest ? State::kBeforeRequestLine
                                                 : State::kStatusLine) {}
 
+HttpHeadSyntax HttpHeadSyntax::Trailer() {
+  return {};
+}
+
 size_t HttpHeadSyntax::Push(std::string_view bytes) {
   size_t taken = 0;
   while (taken < bytes.size() && !complete() && !malformed()) {
@@ -88,4 +112,73 @@
   return m_state;
 }
 
+size_t HttpChunkSyntax::Push(std::string_view bytes) {
+  size_t taken = 0;
+  while (taken < bytes.size() && !malformed() && !m_trailer.complete()) {
+    const std::string_view rest = bytes.substr(taken);
+    if (m_state == State::kData) {
+      const auto size = std::min<uint64_t>(m_left, rest.size());
+      m_left -= size;
+      taken += size;
+      m_state = m_left == 0 ? State::kDataCr : State::kData;
+    } else if (m_state == State::kTrailer) {
+      taken += m_trailer.Push(rest);
+      m_state = m_trailer.malformed() ? State::kMalformed : State::kTrailer;
+    } else {
+      m_state = Next(static_cast<unsigned char>(rest.front()));
+      ++taken;
+    }
+  }
+  return taken;
+}
+
+HttpChunkSyntax::State HttpChunkSyntax::Next(unsigned char octet) {
+  const auto expect = [octet](unsigned char expected, State next) {
+    return octet == expected ? next : State::kMalformed;
+  };
+  switch (m_state) {
+    case State::kSize:
+      return NextInSize(octet);
+    case State::kAfterSize:
+      if (octet == kCr) {
+        return State::kSizeLf;
+      }
+      if (octet == ';') {
+        return State::kExtension;
+      }
+      return IsBlank(octet) ? m_state : State::kMalformed;
+    case State::kExtension:
+      if (octet == kCr) {
+        return State::kSizeLf;
+      }
+      return IsText(octet) ? m_state : State::kMalformed;
+    case State::kSizeLf:
+      m_size_digits = 0;
+      return expect(kLf, m_left == 0 ? State::kTrailer : State::kData);
+    case State::kDataCr:
+      return expect(kCr, State::kDataLf);
+    case State::kDataLf:
+      return expect(kLf, State::kSize);
+    case State::kData:
+    case State::kTrailer:
+    case State::kMalformed:
+      break;
+  }
+  return m_state;
+}
+
+HttpChunkSyntax::State HttpChunkSyntax::NextInSize(unsigned char octet) {
+  constexpr int kMaxSizeDigits = 15;
+  constexpr unsigned kBitsPerDigit = 4;
+  if (const auto value = HexValue(octet)) {
+    m_left = (m_left << kBitsPerDigit) | *value;
+    return ++m_size_digits <= kMaxSizeDigits ? m_state : State::kMalformed;
+  }
+  if (m_size_digits == 0) {
+    return State::kMalformed;
+  }
+  m_state = State::kAfterSize;
+  return Next(octet);
+}
+
 }  // namespace filbertrack
--- a/tests/http_message_test.cc
+++ b/tests/http_message_test.cc
@@ -262,5 +262,24 @@
                 "d: 1"});
 }
 
+TEST_CASE("a chunk that does not end where its size says is a fault") {
+  // Guards against a body that includes the framing of its chunks.
+  const std::string head =
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  for (const std::string& chunks : std::vector<std::string>{
+           "4\r\nbodyXX0\r\n\r\n", "4\r\nbody\rX0\r\n\r\n",
+           "4\r\nbodyX\n0\r\n\r\n", "4\rXbody\r\n0\r\n\r\n",
+           "4\nbody\r\n0\r\n\r\n", "8\r\nbody\r\n2\r\n0\r\n\r\n",
+           "3\r\nbody\r\n0\r\n\r\n", "\r\nbody\r\n0\r\n\r\n",
+           "x\r\nbody\r\n0\r\n\r\n", "4 x\r\nbody\r\n0\r\n\r\n",
+           "-4\r\nbody\r\n0\r\n\r\n", "0x4\r\nbody\r\n0\r\n\r\n",
+           "10000000000000004\r\nbody\r\n0\r\n\r\n",
+           "4\r\nbody\r\n0\r\nX-Bad\r\n\r\n", "4\r\nbody\r\n0\r\n\rX"}) {
+    CAPTURE(chunks);
+    CHECK(Parse(HttpMessageKind::kResponse, head + chunks, kMaxHeadBytes, true)
+              .is_malformed);
+  }
+}
+
 }  // namespace
 }  // namespace filbertrack
