http: responses with status 204 and 304 end with their head

What callers could see: nothing, until their deadline, if a server answered 304 or 204 with a Content-Length. The parser waited for a body that such a response never has (RFC 9112 section 6.3), or took the next bytes of the connection for it.

Cause: the end was derived from the length alone.

Fix: the body is skipped for these statuses, as it is for interim responses and for responses to HEAD.

--- a/source/http_message.cc
+++ b/source/http_message.cc
@@ -49,14 +49,18 @@
     return *static_cast<State*>(parser->data);
   }
 
-  static bool EndsWithConnection(const http_parser& parser) {
+  /// Whether the message can have a body, regardless of its headers.
+  static bool HasBody(const http_parser& parser) {
     constexpr unsigned kFirstFinal = 200;
     constexpr unsigned kNoContent = 204;
     constexpr unsigned kNotModified = 304;
-    const bool has_body = parser.status_code >= kFirstFinal &&
-                          parser.status_code != kNoContent &&
-                          parser.status_code != kNotModified;
-    return parser.type == HTTP_RESPONSE && has_body &&
+    return parser.type == HTTP_REQUEST || (parser.status_code >= kFirstFinal &&
+                                           parser.status_code != kNoContent &&
+                                           parser.status_code != kNotModified);
+  }
+
+  static bool EndsWithConnection(const http_parser& parser) {
+    return parser.type == HTTP_RESPONSE && HasBody(parser) &&
            (parser.flags & (F_CHUNKED | F_CONTENTLENGTH)) == 0;
   }
 
@@ -142,7 +146,7 @@
     parser->upgrade = 0;
     state.head_complete = true;
     const bool may_have_body = state.events.on_head(state.head);
-    if (!may_have_body) {
+    if (!may_have_body || !HasBody(*parser)) {
       return kSkipBody;
     }
     if ((parser->flags & F_CHUNKED) != 0) {
--- a/tests/http_message_test.cc
+++ b/tests/http_message_test.cc
@@ -281,5 +281,18 @@
   }
 }
 
+TEST_CASE("a response that has no body ends with its head") {
+  // Guards against a wait for the body whose length such a response may state.
+  for (const char* status : {"204 No Content", "304 Not Modified"}) {
+    CAPTURE(std::string(status));
+    const std::string head =
+        "HTTP/1.1 " + std::string(status) + "\r\nContent-Length: 4\r\n\r\n";
+    const Parsed parsed =
+        Parse(HttpMessageKind::kResponse, head, kMaxHeadBytes, false);
+    CHECK(parsed.is_complete);
+    CHECK(parsed.size == head.size());
+  }
+}
+
 }  // namespace
 }  // namespace filbertrack
