http: a response whose length hides behind a damaged name is a fault

What callers could see: a server sent `Transfer-Encodng: chunked` and closed its connection. The field is a valid one that nobody knows, so the response seemed to end with the connection: status 200, the seal, and the framing of the chunks as the body.

Cause: a recipient cannot tell an unknown field from a damaged one, but a response without any length may end with its connection and has to be passed on.

Fix: only where a response would end with its connection, a field whose name is Content-Length or Transfer-Encoding but for one octet (inserted, removed, replaced or exchanged with the next) is a fault. A name that is damaged in more octets is not recognized, nor is a number that is damaged to another number.

Evidence: 12 of 20 checks of "a damaged name that hides the length of a response is a fault" failed before, none fails now, the eight of names that only resemble these included.

--- a/source/http_message.cc
+++ b/source/http_message.cc
@@ -5,6 +5,7 @@
 
 #include <http_parser.h>
 
+#include "http_framing.h"
 #include "http_syntax.h"
 
 namespace filbertrack {
@@ -124,7 +125,7 @@
     const auto coding =
         std::find_if(head.headers.begin(), head.headers.end(), is_coding);
     if (coding == head.headers.end()) {
-      return true;
+      return !head.ends_with_connection || !HasDamagedLength(head.headers);
     }
     return parser.http_minor > 0 && (parser.flags & F_CHUNKED) != 0 &&
            EqualHeaderNames(TrimBlanks(coding->second), "chunked") &&
--- a/tests/http_message_test.cc
+++ b/tests/http_message_test.cc
@@ -294,5 +294,36 @@
   }
 }
 
+TEST_CASE("a damaged name that hides the length of a response is a fault") {
+  // Guards against chunks that are passed on as the body, to the end of the
+  // connection.
+  const auto parse = [](const std::string& field, const std::string& more) {
+    return Parse(HttpMessageKind::kResponse,
+                 "HTTP/1.1 200 OK\r\n" + field + "\r\n" + more +
+                     "\r\n4\r\nbody\r\n0\r\n\r\n",
+                 kMaxHeadBytes, true);
+  };
+  for (const char* field :
+       {"Transfer-Encodng: chunked", "Transfer-Enccoding: chunked",
+        "Transfer_Encoding: chunked", "Tranfser-Encoding: chunked",
+        "Transfer:-Encoding: chunked", "Transfer-Encodingx: chunked",
+        "ransfer-Encoding: chunked", "xTransfer-Encoding: chunked",
+        "TRANSFER-ENCODIN: chunked", "Content-Lenght: 4", "Content-Length4: 4",
+        "Content:Length: 4"}) {
+    CAPTURE(std::string(field));
+    CHECK(parse(field, "").is_malformed);
+  }
+  for (const char* field :
+       {"Transfer-Encoding-Note: chunked", "Content-Lengths-X: 4",
+        "Content-Type: text/plain", "TE: trailers", "X-Content-Length: 4",
+        "C: 4", "Content-Length-X: a:b"}) {
+    CAPTURE(std::string(field));
+    CHECK(parse(field, "").is_complete);
+  }
+  // The response states its length all the same.
+  CHECK(
+      parse("Transfer_Encoding: chunked", "Content-Length: 4\r\n").is_complete);
+}
+
 }  // namespace
 }  // namespace filbertrack
