http: status lines without a status of three digits from 100 to 599 are faults

What callers saw: a server answered with status 000, 0, 1, 20, 99 or 099 and kept its connection open. They got 504 at their deadline, as the host waited for the final response after what it took for an interim one. Statuses 0200, 600 and 999, and versions HTTP/0.9, 2.0 and 9.9, were passed on as answers with the server's seal.

Cause: http_parser reads a status as a number of any value below 1000 and any version of two digits. Every status below 200 counted as interim.

Fix: HttpHeadSyntax checks the status line octet by octet: HTTP/1 and a minor version, a space, three digits of which the first is 1 to 5, then a space or the line's end (RFC 9112 section 4). A request must be of version 1 too.

--- a/source/http_message.cc
+++ b/source/http_message.cc
@@ -119,6 +119,10 @@
   /// coding other than chunked is not understood, and a sender of HTTP/1.0
   /// knows none, RFC 9112 section 6.1.
   bool CheckFraming() const {
+    constexpr unsigned short kMajorVersion = 1;
+    if (parser.http_major != kMajorVersion) {
+      return false;
+    }
     const auto is_coding = [](const auto& field) {
       return EqualHeaderNames(field.first, "Transfer-Encoding");
     };
--- a/source/http_syntax.cc
+++ b/source/http_syntax.cc
@@ -90,6 +90,8 @@
     case State::kRequestLine:
       return line_of(IsPrintable(octet), m_state);
     case State::kStatusLine:
+      return NextInStatusLine(octet);
+    case State::kReason:
     case State::kValue:
       return line_of(IsText(octet), m_state);
     case State::kLineLf:
@@ -112,6 +114,34 @@
   return m_state;
 }
 
+HttpHeadSyntax::State HttpHeadSyntax::NextInStatusLine(unsigned char octet) {
+  constexpr std::string_view kVersion = "HTTP/1.";
+  constexpr unsigned char kLastStatusClass = '5';
+  const auto expect = [this](bool fits) {
+    return fits ? m_state : State::kMalformed;
+  };
+  const size_t position = m_position++;
+  if (position < kVersion.size()) {
+    return expect(octet == static_cast<unsigned char>(kVersion[position]));
+  }
+  // The minor version, a space, the three digits of the status.
+  switch (position - kVersion.size()) {
+    case 0:
+    case 3:
+    case 4:
+      return expect(IsDigit(octet));
+    case 1:
+      return expect(octet == ' ');
+    case 2:
+      return expect(octet >= '1' && octet <= kLastStatusClass);
+    default:
+      if (octet == kCr) {
+        return State::kLineLf;
+      }
+      return octet == ' ' ? State::kReason : State::kMalformed;
+  }
+}
+
 size_t HttpChunkSyntax::Push(std::string_view bytes) {
   size_t taken = 0;
   while (taken < bytes.size() && !malformed() && !m_trailer.complete()) {
--- a/source/http_syntax.h
+++ b/source/http_syntax.h
@@ -33,6 +33,7 @@
     kBeforeRequestLineLf,
     kRequestLine,
     kStatusLine,
+    kReason,
     kLineLf,
     kLineStart,
     kName,
@@ -44,8 +45,11 @@
 
   HttpHeadSyntax() = default;
   State Next(unsigned char octet);
+  State NextInStatusLine(unsigned char octet);
 
   State m_state = State::kLineStart;
+  /// Octets of the status line so far.
+  size_t m_position = 0;
 };
 
 /// Checks the chunks and the trailer section of a body in the chunked coding.
--- a/tests/http_message_test.cc
+++ b/tests/http_message_test.cc
@@ -325,5 +325,49 @@
       parse("Transfer_Encoding: chunked", "Content-Length: 4\r\n").is_complete);
 }
 
+TEST_CASE("a status line of another form is a fault") {
+  // Guards against a status that no client knows, and against a wait for the
+  // final response after an interim status that is none.
+  for (const char* line : {"HTTP/1.1 000 OK",  "HTTP/1.1 0 OK",
+                           "HTTP/1.1 1 OK",    "HTTP/1.1 20 OK",
+                           "HTTP/1.1 99 OK",   "HTTP/1.1 099 OK",
+                           "HTTP/1.1 0200 OK", "HTTP/1.1 00000200 OK",
+                           "HTTP/1.1 2000 OK", "HTTP/1.1 600 OK",
+                           "HTTP/1.1 999 OK",  "HTTP/1.1 -200 OK",
+                           "HTTP/1.1 +200 OK", "HTTP/1.1 two OK",
+                           "HTTP/1.1  200 OK", "HTTP/1.1 OK",
+                           "HTTP/1.1",         "HTTP/1.1 2 00 OK",
+                           "HTTP/1.1\t200 OK", "HTTP/1.1 200\tOK",
+                           "HTTP/0.9 200 OK",  "HTTP/2.0 200 OK",
+                           "HTTP/9.9 200 OK",  "HTTP/1 200 OK",
+                           "HTTP/01.1 200 OK", "HTTP/1.10 200 OK",
+                           "http/1.1 200 OK",  "ICY 200 OK",
+                           " HTTP/1.1 200 OK", "\r\nHTTP/1.1 200 OK"}) {
+    CAPTURE(std::string(line));
+    CHECK(Parse(HttpMessageKind::kResponse,
+                std::string(line) + "\r\nContent-Length: 0\r\n\r\n",
+                kMaxHeadBytes, true)
+              .is_malformed);
+  }
+  for (const char* line : {"HTTP/1.1 100", "HTTP/1.1 200 ", "HTTP/1.0 599 x y",
+                           "HTTP/1.1 404 \xc3\xa9\t"}) {
+    CAPTURE(std::string(line));
+    CHECK_FALSE(Parse(HttpMessageKind::kResponse,
+                      std::string(line) + "\r\nContent-Length: 0\r\n\r\n",
+                      kMaxHeadBytes, true)
+                    .is_malformed);
+  }
+}
+
+TEST_CASE("a request of another version is a fault") {
+  for (const char* version : {"", " HTTP/0.9", " HTTP/2.0", " HTTP/9.9"}) {
+    CAPTURE(std::string(version));
+    CHECK(Parse(HttpMessageKind::kRequest,
+                "GET /x" + std::string(version) + "\r\nHost: h\r\n\r\n",
+                kMaxHeadBytes, false)
+              .is_malformed);
+  }
+}
+
 }  // namespace
 }  // namespace filbertrack
--- a/tests/platform_broken_answer_test.cc
+++ b/tests/platform_broken_answer_test.cc
@@ -266,25 +266,49 @@
   }
 }
 
+TEST_CASE("a response whose status is none is a failure before the deadline") {
+  // Guards against a status that no caller knows, and against a wait for the
+  // final response after an interim status that is none.
+  for (const char* path : {"/safe/", "/once/", "/raw/"}) {
+    BrokenSite site;
+    const Form sound = PlainForms().front();
+    for (const char* status :
+         {"000", "0", "1", "20", "99", "099", "0200", "600", "999"}) {
+      site.forms.push_back(sound.response);
+      site.forms.back().replace(sound.response.find("200"), 3, status);
+    }
+    for (const ConnectionEnd& end :
+         {ConnectionEnd(CloseOrderly{}), ConnectionEnd(KeepOpen{})}) {
+      site.end = end;
+      CHECK(CheckForms(site, path, ReadResponse(sound.response, false)) == 0);
+    }
+  }
+}
+
 TEST_CASE("a damaged stream is a failure or what its bytes say") {
   BrokenSite site;
   CheckRoute(site, StreamForms(), "/raw/");
 }
 
+/// Two entry hosts of which the first reaches no server and forwards all
+/// requests to the other one.
+struct ForwardingSite : BrokenSite {
+  ForwardingSite() : BrokenSite(2) {
+    for (const auto& proxy : proxies) {
+      proxy->Cut(nodes.front()->settings.Text("servers", "source"), {});
+    }
+    forms = {PlainForms().front().response};
+    REQUIRE(RunUntil(loop, [this] {
+      const auto got = Send("/safe/", 0, 1);
+      return !host->reach().reachable() && got.front().status == 200;
+    }));
+  }
+};
+
 TEST_CASE("a damaged response to a forwarded request is a failure as well") {
   // Guards against the forwarding host that passes on what the other one
   // rejected.
-  BrokenSite site(2);
-  for (const auto& proxy : site.proxies) {
-    proxy->Cut(site.nodes.front()->settings.Text("servers", "source"), {});
-  }
-  site.forms = {PlainForms().front().response};
-  const auto timer =
-      site.loop.Every(Milliseconds(20), [&site] { site.host->reach(); });
-  REQUIRE(RunUntil(site.loop, [&site] {
-    const auto got = site.Send("/safe/", 0, 1);
-    return !site.host->reach().reachable() && got.front().status == 200;
-  }));
+  ForwardingSite site;
   CheckRoute(site, {PlainForms()[0], PlainForms()[1]}, "/safe/");
 }
 
