tests: bytes without end from the store, from peers and on forwarded requests

For servers this held already (platform_endless). Not tried until now were the store's and peers' responses and interim responses to forwarded requests.

It does not happen here: 15 forms of the store's responses (heads, bodies, JSON without end) as a record, as listings; 11 forms of a peer's; 1,000 interim responses to a request that another entry host forwarded. No product code changes.

--- a/tests/platform_broken_answer_test.cc
+++ b/tests/platform_broken_answer_test.cc
@@ -312,6 +312,21 @@
   CheckRoute(site, {PlainForms()[0], PlainForms()[1]}, "/safe/");
 }
 
+TEST_CASE(
+    "interim responses without end to a forwarded request are a failure") {
+  // Guards against two hosts that wait for the final response until the
+  // caller's deadline.
+  ForwardingSite site;
+  std::string interim;
+  for (int i = 0; i < 1000; ++i) {
+    interim += "HTTP/1.1 100 Continue\r\n\r\n";
+  }
+  site.forms = {interim};
+  site.end = KeepOpen{};
+  const auto got = site.Send("/safe/", 0, 1);
+  CHECK(got.front().status == 502);
+}
+
 TEST_CASE("a damaged report or answer to an order is no answer") {
   // Guards against a server that counts as idle, or an order that counts as
   // begun, by a damaged answer.
--- a/tests/platform_endless_test.cc
+++ b/tests/platform_endless_test.cc
@@ -1,13 +1,18 @@
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
 #include <doctest/doctest.h>
 
+#include <fstream>
+
 #include <netinet/in.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 #include <event2/listener.h>
 
 #include "filbertrack/net_stream.h"
+#include "filbertrack/peer_link.h"
 #include "platform_site.h"
+#include "platform_store_fixture.h"
 
 /// Backend servers that send bytes without end, in a head or a body, until the
 /// connection is closed.
@@ -304,5 +309,115 @@
   }
 }
 
+/// Responses of a store that go on without end, also within their JSON.
+std::vector<Form> StoreForms() {
+  const std::string head = "Content-Length: 9999999999\r\n\r\n";
+  const std::string item = Json{
+      {"metadata", {{"name", "s"}, {"rev", 5}}},
+      {"spec", MakePlainSpec()},
+      {"status", nullptr}}.dump();
+  std::vector<Form> forms = BodyForms();
+  forms.push_back(
+      {"an element", head + R"({"items":[{"metadata":")", Repeat("x", kBlock)});
+  forms.push_back({"elements", head + R"({"items":[0)", Repeat(",0", kBlock)});
+  forms.push_back(
+      {"servers", head + R"({"items":[)" + item, Repeat("," + item, kBlock)});
+  forms.push_back({"brackets", head, Repeat("[", kBlock)});
+  return forms;
+}
+
+/// Memory of this process, in bytes.
+size_t ResidentBytes() {
+  std::ifstream file("/proc/self/statm");
+  size_t total = 0;
+  size_t resident = 0;
+  file >> total >> resident;
+  return resident * static_cast<size_t>(sysconf(_SC_PAGESIZE));
+}
+
+/// The part of an entry host's memory of 256 MiB that responses may take.
+constexpr size_t kMaxResponseMemory = size_t{32} * 1024 * 1024;
+
+/// A store client of an endless store.
+struct EndlessStore {
+  EndlessStore(EventLoop& loop, const Form& form)
+      : server(loop, form, true),
+        client(loop, server.address(), {}, listener, 1) {}
+
+  EndlessServer server;
+  RecordingListener listener;
+  platform::PlatformStore client;
+  std::optional<StoreStatus> status;
+};
+
+TEST_CASE("responses of the store without end are given up") {
+  // Guards against an entry host that keeps what a faulty store sends until it
+  // runs out of memory.
+  EventLoop loop;
+  const std::vector<Form> forms = StoreForms();
+  std::vector<std::unique_ptr<EndlessStore>> stores;
+  for (const Form& form : forms) {
+    stores.push_back(std::make_unique<EndlessStore>(loop, form));
+  }
+  const size_t before = ResidentBytes();
+  size_t most = before;
+  const auto run_until = [&loop, &most](const auto& done) {
+    CHECK(RunUntil(loop, [&] {
+      most = std::max(most, ResidentBytes());
+      return done();
+    }));
+  };
+  for (const auto& store : stores) {
+    store->client.Read("n", [&store](const StoreResponse& got) {
+      store->status = got.status;
+    });
+  }
+  run_until([&stores] {
+    return std::all_of(stores.begin(), stores.end(), [](const auto& store) {
+      return store->status.has_value();
+    });
+  });
+  for (const auto& store : stores) {
+    CHECK(*store->status == StoreStatus::kUnavailable);
+    store->client.SetWatching(true);
+  }
+  bool is_over = false;
+  const auto timer = loop.After(Seconds(2), [&is_over] { is_over = true; });
+  run_until([&is_over] { return is_over; });
+  for (size_t i = 0; i < forms.size(); ++i) {
+    CAPTURE(forms[i].name);
+    // The read, and a listing of each kind.
+    CHECK(stores[i]->server.requests() >= 3);
+    CHECK(stores[i]->listener.servers.empty());
+    CHECK(stores[i]->listener.versions.empty());
+  }
+  CHECK(most - before <= kMaxResponseMemory);
+}
+
+TEST_CASE("responses of a peer without end are given up") {
+  for (const Form& form : BodyForms()) {
+    INFO(form.name);
+    EventLoop loop;
+    EndlessServer server(loop, form, true);
+    PeerClient client(loop, "key", server.address());
+    bool is_ended = false;
+    bool is_answered = false;
+    const size_t before = ResidentBytes();
+    size_t most = before;
+    client.Ask("question", Milliseconds(500), [&](const std::string* answer) {
+      is_ended = true;
+      is_answered = answer != nullptr;
+    });
+    CHECK(RunUntil(loop, [&] {
+      most = std::max(most, ResidentBytes());
+      return is_ended;
+    }));
+    CHECK_FALSE(is_answered);
+    CHECK(server.requests() == 1);
+    CHECK(most - before <= kMaxResponseMemory);
+    CHECK(RunUntil(loop, [&server] { return server.sending() == 0; }));
+  }
+}
+
 }  // namespace
 }  // namespace filbertrack
