entry: requests that outlast the grace period are answered before the process exits

Cause: at the end of the grace period the event loop was stopped with the requests still open.

Fix: 0.7 s before that end, each open request ends as if its deadline had passed, with result `draining`: 502 with the outcome `unknown` if a server may have run it, 503 with `not-run` if it was not sent; a stream that has begun is broken off. The process then exits once callers have the answers, 0.3 s later at the latest.

--- a/include/filbertrack/entry_host.h
+++ b/include/filbertrack/entry_host.h
@@ -81,7 +81,8 @@
 
   /// Reports not ready, keeps serving until the platform's load balancer has
   /// noticed and no request is in flight, then stops the event loop. Requests
-  /// still running shortly before the end of the grace period are cut off.
+  /// still running shortly before the end of the grace period are refused, or
+  /// broken off if their answer has begun.
   void Drain();
 
   /// Whether the load balancer should send callers here: the configuration and
@@ -259,6 +260,8 @@
   /// Enforces the bound on the bytes buffered for callers.
   void CheckHeldBytes();
   void CheckDrained();
+  /// Ends all requests because the process is about to exit.
+  void EndRequests();
   /// Addresses of the registered servers that are not draining.
   std::vector<Address> ServerAddresses() const;
   /// Whether enough servers accept connections from this host has changed.
@@ -325,6 +328,8 @@
   std::function<void()> m_on_change;
   bool m_draining = false;
   TimePoint m_drain_began;
+  /// Requests that the end of the grace period ended.
+  size_t m_cut_requests = 0;
 };
 
 }  // namespace filbertrack
--- a/include/filbertrack/entry_relay.h
+++ b/include/filbertrack/entry_relay.h
@@ -140,6 +140,10 @@
   /// answer.
   void OnServerUnreachable(const Address& server);
 
+  /// This host is about to exit. Ends the request: refuses it if its answer has
+  /// not begun, and breaks it off otherwise.
+  void OnHostStops();
+
   /// Refuses the request if it was blocked after it was sent and no part of its
   /// answer has arrived: it may still be queued on a server, and would crash
   /// that server as well. A trial copy is left to run.
--- a/include/filbertrack/request_machine.h
+++ b/include/filbertrack/request_machine.h
@@ -137,6 +137,8 @@
 /// The group that handles the attempt is no longer complete.
 struct TargetLost {};
 struct DeadlinePassed {};
+/// This host is about to exit.
+struct HostStops {};
 struct CallerDisconnected {};
 
 using RequestEvent = std::variant<TargetChosen,
@@ -150,6 +152,7 @@
                                   ForwardRefused,
                                   TargetLost,
                                   DeadlinePassed,
+                                  HostStops,
                                   CallerDisconnected>;
 
 // Actions.
--- a/source/entry_host.cc
+++ b/source/entry_host.cc
@@ -30,9 +30,11 @@
 /// ready: it probes once a second, removes the host after two failed probes,
 /// and may have probed just before the stop signal.
 constexpr Duration kBalancerDelay = Milliseconds(3000);
-/// Part of the grace period that is left when the remaining requests are cut
-/// off, so that buffered responses can still be sent.
+/// Part of the grace period that is left when the remaining requests are ended,
+/// so that their refusals and buffered responses can still be sent.
 constexpr Duration kShutdownMargin = Milliseconds(700);
+/// Part of that margin in which callers may still read what is buffered.
+constexpr Duration kFlushTime = Milliseconds(300);
 /// Time limit for callers that do not send one; the route's timeout may be
 /// shorter.
 constexpr Duration kDefaultTimeout = Seconds(60);
@@ -497,19 +499,29 @@
 
 void EntryHost::CheckDrained() {
   const Duration since = MonotonicNow() - m_drain_began;
-  const Duration grace = m_settings.Time("stop", "grace") - kShutdownMargin;
+  const Duration limit = m_settings.Time("stop", "grace") - kShutdownMargin;
+  if (since >= limit) {
+    EndRequests();
+  }
   size_t unsent = m_caller_server->HeldAnswers(MonotonicNow()).size();
   if (m_forward_server != nullptr) {
     unsent += m_forward_server->HeldAnswers(MonotonicNow()).size();
   }
   const size_t requests = m_relays.size() + m_view.deferred();
-  if (!MayStop({since, requests, unsent}, kBalancerDelay, grace)) {
+  if (!MayStop({since, requests, unsent}, kBalancerDelay, limit + kFlushTime)) {
     return;
   }
   Log(LogLevel::kInfo, "stopped",
-      {{"cut", m_relays.size()},
+      {{"cut", m_cut_requests},
        {"connections", m_caller_server->connections()}});
   m_loop.Stop();
 }
 
+void EntryHost::EndRequests() {
+  m_cut_requests += m_relays.size();
+  for (EntryRelay* relay : OpenRelays()) {
+    relay->OnHostStops();
+  }
+}
+
 }  // namespace filbertrack
--- a/source/entry_relay.cc
+++ b/source/entry_relay.cc
@@ -479,6 +479,11 @@
   }
 }
 
+void EntryRelay::OnHostStops() {
+  m_end_reason = "this entry host stops";
+  Feed(HostStops{});
+}
+
 void EntryRelay::CheckSilence(TimePoint now) {
   const RelayTimes& times = m_context.times;
   if (!m_choice || !m_state.traits.idempotent || !times.moves_silent ||
--- a/source/request_machine.cc
+++ b/source/request_machine.cc
@@ -139,6 +139,10 @@
     return EndRequest(ResultCode::kDeadlinePassed);
   }
 
+  Actions operator()(const HostStops&) {
+    return EndRequest(ResultCode::kDraining);
+  }
+
   Actions operator()(const CallerDisconnected&) {
     Actions actions;
     if (m_state.attempt_open) {
--- a/tests/platform_site.h
+++ b/tests/platform_site.h
@@ -44,6 +44,8 @@
   /// Memory of each entry host, in MiB.
   int entry_memory_mb = 512;
   Duration unread_timeout = Seconds(10);
+  /// Setting [stop] grace.
+  Duration grace = Seconds(8);
   /// Setting [placement] mode.
   std::string placement = "auto";
   /// As RunnerStandinOptions::published, for all backend servers.
@@ -96,6 +98,8 @@
             SourceOf(name) +
             "\n[callers]\nlisten = 127.0.0.1:0\nunread_timeout = " +
             std::to_string(ToMilliseconds(site.unread_timeout)) +
+            "ms\n[stop]\ngrace = " +
+            std::to_string(ToMilliseconds(site.grace)) +
             "ms\n[placement]\nmode = " + placement +
             "\n[ready]\nlisten = 127.0.0.1:0\n[store]\naddress = " +
             store.ToString() + "\n",
