entry: a stopping host refuses requests that would outlast its grace period

Cause: only the time of the signal decided; how long requests take was not known.

Fix: each host keeps a smoothed time of the answered requests of each route. While it stops, a request that would end after the end of the requests (0.7 s before that of the grace period) is refused with 503, `draining`, `not-run` and Retry-After: the caller may repeat it at another host at once. So is one that arrives later than that, which a grace period below 3.7 s allows. Without a known time, requests are taken as before.

The 0.7 s are unchanged: that less is enough was not measured.

--- a/include/filbertrack/entry_host.h
+++ b/include/filbertrack/entry_host.h
@@ -18,6 +18,7 @@
 #include "filbertrack/entry_ports.h"
 #include "filbertrack/entry_reach.h"
 #include "filbertrack/entry_relay.h"
+#include "filbertrack/entry_route_times.h"
 #include "filbertrack/entry_targets.h"
 #include "filbertrack/entry_view.h"
 #include "filbertrack/gossip_fleet.h"
@@ -260,6 +261,11 @@
   /// Enforces the bound on the bytes buffered for callers.
   void CheckHeldBytes();
   void CheckDrained();
+  /// Time from the stop signal to the end of all requests.
+  Duration DrainTime() const;
+  /// Whether a request that arrives while the host stops can be answered before
+  /// it exits, as far as the times of the route's requests tell.
+  bool EndsBeforeStop(const EntryRequest& request) const;
   /// Ends all requests because the process is about to exit.
   void EndRequests();
   /// Addresses of the registered servers that are not draining.
@@ -310,6 +316,7 @@
   EntryView m_view;
   RelayContext m_context;
   EntryMetrics m_metrics;
+  RouteTimes m_route_times;
   std::unordered_map<const EntryRelay*, std::unique_ptr<EntryRelay>> m_relays;
   std::mt19937_64 m_random;
 
--- a/source/entry_host.cc
+++ b/source/entry_host.cc
@@ -216,6 +216,10 @@
     Reject(*exchange, request, ResultCode::kNotFound);
     return false;
   }
+  if (m_draining && !EndsBeforeStop(request)) {
+    Reject(*exchange, request, ResultCode::kDraining);
+    return false;
+  }
   request.priority = request.route->priority;
   if (m_catalog->has_workspaces() && !request.route->is_public) {
     const Workspace* workspace = m_catalog->FindWorkspace(request.facts.key);
@@ -298,6 +302,9 @@
   if (!request.forwarded) {
     m_metrics.OnRequest(request_metrics);
   }
+  if (end.code == ResultCode::kOk) {
+    m_route_times.OnAnswered(request.route->name, request_metrics.total);
+  }
   LogRequest({request, relay.last_forwarded_to(), end, relay.last_target(),
               relay.sends(), first, now - request.arrived,
               relay.longest_pause(), relay.retry_after(),
@@ -499,7 +506,7 @@
 
 void EntryHost::CheckDrained() {
   const Duration since = MonotonicNow() - m_drain_began;
-  const Duration limit = m_settings.Time("stop", "grace") - kShutdownMargin;
+  const Duration limit = DrainTime();
   if (since >= limit) {
     EndRequests();
   }
@@ -517,6 +524,16 @@
   m_loop.Stop();
 }
 
+Duration EntryHost::DrainTime() const {
+  return m_settings.Time("stop", "grace") - kShutdownMargin;
+}
+
+bool EntryHost::EndsBeforeStop(const EntryRequest& request) const {
+  const Duration expected =
+      m_route_times.Expected(request.route->name).value_or(Duration(0));
+  return request.arrived + expected < m_drain_began + DrainTime();
+}
+
 void EntryHost::EndRequests() {
   m_cut_requests += m_relays.size();
   for (EntryRelay* relay : OpenRelays()) {
--- a/source/entry_host_site.cc
+++ b/source/entry_host_site.cc
@@ -26,6 +26,11 @@
                               limits.header_timeout, limits.idle_timeout,
                               m_settings.Time("callers", "unread_timeout")});
   UpdateForwardLimits();
+  std::set<std::string_view> routes;
+  for (const Route& route : m_catalog->routes()) {
+    routes.insert(route.name);
+  }
+  m_route_times.Retain(routes);
   Log(LogLevel::kInfo, "config",
       {{"config", m_catalog->version()}, {"routes", m_catalog->route_count()}});
   OnSiteChanged();
--- a/tests/entry_test.cc
+++ b/tests/entry_test.cc
@@ -261,6 +261,22 @@
                                  "test"));
 }
 
+TEST_CASE("the time of a route's requests is that of the latest ones") {
+  RouteTimes times;
+  CHECK_FALSE(times.Expected("a"));
+  times.OnAnswered("a", Seconds(1));
+  CHECK(times.Expected("a") == Seconds(1));
+  for (int i = 0; i < 50; ++i) {
+    times.OnAnswered("a", Seconds(3));
+  }
+  CHECK(*times.Expected("a") > Milliseconds(2900));
+  CHECK(*times.Expected("a") < Seconds(3));
+  times.OnAnswered("b", Seconds(2));
+  times.Retain({"b", "c"});
+  CHECK_FALSE(times.Expected("a"));
+  CHECK(times.Expected("b") == Seconds(2));
+}
+
 TEST_CASE("a stopping host waits until callers have read their responses") {
   // Guards against truncated responses: the process must not exit while the
   // last bytes of a complete response are still waiting to be written.
--- a/tests/platform_stop_test.cc
+++ b/tests/platform_stop_test.cc
@@ -102,6 +102,35 @@
   CHECK(site.arrivals["once"] == 1);
 }
 
+TEST_CASE("a request that would outlast the grace period is not passed on") {
+  // Guards against callers that wait for the end of the process although the
+  // time of such requests is known.
+  StopSite site;
+  site.delay = Seconds(1);
+  for (int i = 0; i < 5; ++i) {
+    const CallerResponse& before =
+        site.Send("/once/x", "before" + std::to_string(i));
+    REQUIRE(RunUntil(site.loop, [&before] { return before.ended; }));
+    REQUIRE(before.status == 200);
+  }
+  site.host->Drain();
+  const CallerResponse& early = site.Send("/once/x", "early");
+  const auto timer = site.loop.After(Milliseconds(2500), [&site] {
+    site.Send("/once/x", "late");
+    // Nothing is known of the times of this route.
+    site.Send("/safe/x", "other");
+  });
+  site.StopProcess();
+  CHECK(early.status == 200);
+  const CallerResponse& late = site.responses["late"];
+  CHECK(late.status == 503);
+  CHECK(late.body.find("\"outcome\":\"not-run\"") != std::string::npos);
+  CHECK_FALSE(FindHeader(late.headers, "Retry-After").empty());
+  CHECK(site.arrivals["late"] == 0);
+  CHECK(site.responses["other"].status == 502);
+  CHECK(site.arrivals["other"] == 1);
+}
+
 TEST_CASE("a stream that outlasts the grace period does not look complete") {
   StopSite site;
   const CallerResponse& stream = site.Send("/raw/x", "stream");
