http: control octets are no digits of a chunk's size

Found on reading the change again: HexValue() set the bit of lower-case letters in any octet, so that 0x10 to 0x19 counted as 0 to 9. http_parser rejects them, so no message passed; the test holds before and after.

--- a/source/http_syntax.cc
+++ b/source/http_syntax.cc
@@ -43,13 +43,14 @@
 
 /// The value of a hexadecimal digit.
 std::optional<unsigned> HexValue(unsigned char octet) {
-  constexpr std::string_view kDigits = "0123456789abcdef";
-  constexpr unsigned char kLowerCase = 0x20;
-  const unsigned char digit = IsDigit(octet) ? octet : octet | kLowerCase;
-  const size_t value = kDigits.find(static_cast<char>(digit));
-  return value == std::string_view::npos
-             ? std::nullopt
-             : std::optional(static_cast<unsigned>(value));
+  constexpr std::string_view kDigits = "0123456789abcdefABCDEF";
+  constexpr size_t kFirstCapital = 16;
+  constexpr size_t kCapitals = 6;
+  const size_t at = kDigits.find(static_cast<char>(octet));
+  if (at == std::string_view::npos) {
+    return std::nullopt;
+  }
+  return static_cast<unsigned>(at < kFirstCapital ? at : at - kCapitals);
 }
 
 }  // namespace
--- a/tests/http_message_test.cc
+++ b/tests/http_message_test.cc
@@ -271,9 +271,9 @@
            "4\r\nbodyX\n0\r\n\r\n", "4\rXbody\r\n0\r\n\r\n",
            "4\nbody\r\n0\r\n\r\n", "8\r\nbody\r\n2\r\n0\r\n\r\n",
            "3\r\nbody\r\n0\r\n\r\n", "\r\nbody\r\n0\r\n\r\n",
-           "x\r\nbody\r\n0\r\n\r\n", "4 x\r\nbody\r\n0\r\n\r\n",
-           "-4\r\nbody\r\n0\r\n\r\n", "0x4\r\nbody\r\n0\r\n\r\n",
-           "10000000000000004\r\nbody\r\n0\r\n\r\n",
+           "\x14\r\nbody\r\n0\r\n\r\n", "x\r\nbody\r\n0\r\n\r\n",
+           "4 x\r\nbody\r\n0\r\n\r\n", "-4\r\nbody\r\n0\r\n\r\n",
+           "0x4\r\nbody\r\n0\r\n\r\n", "10000000000000004\r\nbody\r\n0\r\n\r\n",
            "4\r\nbody\r\n0\r\nX-Bad\r\n\r\n", "4\r\nbody\r\n0\r\n\rX"}) {
     CAPTURE(chunks);
     CHECK(Parse(HttpMessageKind::kResponse, head + chunks, kMaxHeadBytes, true)
