tests: what a request that a stopping host ends is said to have done

An event of its own in the request's state machine, so a case of its own: not run if it was not sent, unknown if it was, and no answer after that. No product code.

--- a/tests/request_test.cc
+++ b/tests/request_test.cc
@@ -218,6 +218,24 @@
   CHECK(FindAction<CloseAttempt>(actions) != nullptr);
 }
 
+TEST_CASE("a host that stops refuses its requests by what it knows of them") {
+  // Guards against a promise that a request did not run which was sent.
+  RequestState unsent = MakeRequest(false, AnswerShape::kWhole);
+  StartRequest(unsent, kStart);
+  const auto refused = Feed(unsent, HostStops{});
+  REQUIRE(FindAction<Refuse>(refused) != nullptr);
+  CHECK(FindAction<Refuse>(refused)->outcome == Outcome::kNotRun);
+  RequestState sent = MakeRequest(false, AnswerShape::kWhole);
+  StartRequest(sent, kStart);
+  Feed(sent, TargetChosen{});
+  const auto ended = Feed(sent, HostStops{});
+  REQUIRE(FindAction<Refuse>(ended) != nullptr);
+  CHECK(FindAction<Refuse>(ended)->outcome == Outcome::kUnknown);
+  CHECK(FindAction<Refuse>(ended)->code == ResultCode::kDraining);
+  CHECK(FindAction<CloseAttempt>(ended) != nullptr);
+  CHECK(Feed(sent, AttemptComplete{}).empty());
+}
+
 TEST_CASE("a status that promises 'not run' is not passed on without proof") {
   // Guards against a caller that sends a request again which has run, when its
   // server answered 503 after it had begun.
