--- a/tests/damaged_message.h
+++ b/tests/damaged_message.h
@@ -281,4 +281,20 @@
   return forms;
 }
 
+/// A part of these forms that damages each octet in a few ways.
+inline std::vector<std::string> SomeDamagedForms(const std::string& sound) {
+  constexpr size_t kStride = 13;
+  const std::vector<std::string> all = DamagedForms(sound);
+  std::vector<std::string> some;
+  for (size_t i = 0; i < all.size(); i += kStride) {
+    some.push_back(all[i]);
+  }
+  return some;
+}
+
+/// The line of a head that states the length of `body`.
+inline std::string LengthField(const std::string& body) {
+  return "Content-Length: " + std::to_string(body.size()) + "\r\n";
+}
+
 }  // namespace filbertrack
