soak: a violation is printed with the faults of the run and the calls that were not served

Faults, their ends and restarts of entry hosts are recorded with their times and printed after the violations, if there are any; the check of cuts names each call that was not served, when it began, how long it took and its response. No check, bound or draw of the random numbers is changed.

--- a/soak/main_soak.cc
+++ b/soak/main_soak.cc
@@ -106,13 +106,19 @@
   int m_count = 0;
 };
 
-void PrintViolations(const SoakOptions& options,
-                     const std::vector<std::string>& violations) {
-  for (const std::string& violation : violations) {
+/// With the faults of the run, if there are violations.
+void PrintViolations(const SoakOptions& options, Fleet& fleet) {
+  for (const std::string& violation : fleet.violations()) {
     std::printf("seed %llu: %s\n",
                 static_cast<unsigned long long>(options.seed),
                 violation.c_str());
   }
+  if (fleet.violations().empty()) {
+    return;
+  }
+  for (const std::string& fault : fleet.fault_log()) {
+    std::printf("  at %s\n", fault.c_str());
+  }
 }
 
 /// Checks that calls of each kind were answered since `since`.
@@ -210,7 +216,7 @@
   callers.Check(fleet.violations());
   signals.Check(callers, fleet.violations());
   cuts.Check(callers, fleet.violations());
-  PrintViolations(options, fleet.violations());
+  PrintViolations(options, fleet);
   std::printf(
       "%zu calls, %zu answered, %d faults, %zu copies of a request "
       "that crashed %d servers, %zu server signals with %zu requests checked, "
--- a/soak/soak_cuts.cc
+++ b/soak/soak_cuts.cc
@@ -20,6 +20,20 @@
 /// A fault of a backend server lasts no longer.
 constexpr Duration kMaxServerFault = Seconds(3);
 
+/// One line on a call that was not served.
+std::string Describe(const CallRecord& record,
+                     const std::string& cut_entry,
+                     TimePoint cut_began) {
+  constexpr size_t kMaxBody = 160;
+  return record.id + " at " + record.entry + ", kind " +
+         std::to_string(static_cast<int>(record.kind)) + ", " +
+         std::to_string(ToMilliseconds(record.started_at - cut_began)) +
+         " ms after the cut of " + cut_entry + ", ended after " +
+         std::to_string(ToMilliseconds(record.ended_at - record.started_at)) +
+         " ms, " + (record.aborted ? "aborted, " : "") + "status " +
+         std::to_string(record.status) + ": " + record.body.substr(0, kMaxBody);
+}
+
 }  // namespace
 
 Cuts::Cuts(EventLoop& loop, Fleet& fleet, uint64_t seed)
@@ -53,7 +67,9 @@
       LinkCut{true, false, false}, LinkCut{false, true, false}};
   auto& entries = m_fleet.entries();
   m_current = entries[m_random() % entries.size()].get();
-  m_fleet.Cut(*m_current, kKinds[m_random() % kKinds.size()]);
+  const size_t kind = m_random() % kKinds.size();
+  m_fleet.Cut(*m_current, kKinds[kind]);
+  m_fleet.LogFault("cut " + std::to_string(kind) + " of " + m_current->name);
   const TimePoint now = MonotonicNow();
   m_windows.push_back({m_current->name, now, TimePoint::max()});
   std::uniform_int_distribution<int64_t> length(kMinCut.count(),
@@ -71,6 +87,7 @@
     return;
   }
   m_fleet.Heal(*m_current);
+  m_fleet.LogFault("end of the cut of " + m_current->name);
   m_current = nullptr;
   m_windows.back().ended = MonotonicNow();
 }
@@ -119,6 +136,7 @@
 void Cuts::Check(const Callers& callers, std::vector<std::string>& violations) {
   const std::set<std::string> excused = RequestsOfDisturbedServers();
   const std::set<std::string> harmed = HarmedRequests();
+  std::string failures;
   for (const CallRecord& record : callers.records()) {
     const auto window = std::find_if(
         m_windows.begin(), m_windows.end(), [&record](const Window& cut) {
@@ -136,7 +154,11 @@
     }
     Served& served = window->entry == record.entry ? m_at_cut : m_at_others;
     ++served.calls;
-    served.served += !record.aborted && record.status == kServed ? 1 : 0;
+    const bool is_served = !record.aborted && record.status == kServed;
+    served.served += is_served ? 1 : 0;
+    if (!is_served) {
+      failures += "\n  " + Describe(record, window->entry, window->began);
+    }
   }
   const auto share = [](const Served& served) {
     return static_cast<double>(served.served) /
@@ -148,7 +170,7 @@
         std::to_string(m_at_cut.served) + " of " +
         std::to_string(m_at_cut.calls) + " calls, the others " +
         std::to_string(m_at_others.served) + " of " +
-        std::to_string(m_at_others.calls));
+        std::to_string(m_at_others.calls) + "; not served:" + failures);
   }
 }
 
--- a/soak/soak_faults.cc
+++ b/soak/soak_faults.cc
@@ -69,13 +69,17 @@
   (this->*kFaults[m_random() % kinds])();
 }
 
-void Faults::UndoWithin(Duration max_delay, std::function<void()> undo) {
+void Faults::UndoWithin(Duration max_delay,
+                        const std::string& fault,
+                        std::function<void()> undo) {
+  m_fleet.LogFault(fault);
   // Both the timer and Stop() may call `undo`, so it must be idempotent.
   m_undo.push_back(undo);
   const auto wait = Duration(static_cast<int64_t>(
       m_random() % static_cast<uint64_t>(max_delay.count())));
   m_callers.RecordDisruption(MonotonicNow());
-  m_loop.Call(wait, [this, undo = std::move(undo)] {
+  m_loop.Call(wait, [this, fault, undo = std::move(undo)] {
+    m_fleet.LogFault("end of " + fault);
     m_callers.RecordDisruption(MonotonicNow());
     undo();
   });
@@ -102,7 +106,7 @@
   entry.paused = true;
   entry.disruptions.push_back(MonotonicNow());
   entry.process->Signal(SIGSTOP);
-  UndoWithin(kMaxPause, [&entry] {
+  UndoWithin(kMaxPause, "pause " + entry.name, [&entry] {
     entry.paused = false;
     entry.disruptions.push_back(MonotonicNow());
     entry.process->Signal(SIGCONT);
@@ -111,6 +115,7 @@
 
 void Faults::KillEntry() {
   EntryProcess& entry = RandomEntry();
+  m_fleet.LogFault("kill " + entry.name);
   m_callers.RecordDisruption(MonotonicNow());
   entry.end_signalled_at = MonotonicNow();
   entry.killed = true;
@@ -120,6 +125,7 @@
 
 void Faults::StopEntry() {
   EntryProcess& entry = RandomEntry();
+  m_fleet.LogFault("stop " + entry.name);
   if (!entry.end_signalled_at) {
     entry.end_signalled_at = MonotonicNow();
   }
@@ -128,7 +134,9 @@
 }
 
 void Faults::ReloadEntry() {
-  RandomEntry().process->Signal(SIGHUP);
+  const EntryProcess& entry = RandomEntry();
+  m_fleet.LogFault("reload " + entry.name);
+  entry.process->Signal(SIGHUP);
 }
 
 void Faults::StoreFault() {
@@ -136,24 +144,30 @@
   switch (m_random() % 4) {
     case 0:
       faults.refuse_with = 503;
-      UndoWithin(kMaxLinkFault, [&faults] { faults.refuse_with = 0; });
+      UndoWithin(kMaxLinkFault, "refusals of the store",
+                 [&faults] { faults.refuse_with = 0; });
       return;
     case 1:
       faults.silent = true;
-      UndoWithin(kMaxLinkFault, [&faults] { faults.silent = false; });
+      UndoWithin(kMaxLinkFault, "silence of the store",
+                 [&faults] { faults.silent = false; });
       return;
     case 2:
+      m_fleet.LogFault("two lost writes to the store");
       faults.lost_writes += 2;
       return;
     default:
+      m_fleet.LogFault("compaction of the store");
       m_fleet.store().Compact();
   }
 }
 
 void Faults::StoreLinkFault() {
-  Proxy& proxy = *RandomEntry().store;
+  const EntryProcess& entry = RandomEntry();
+  Proxy& proxy = *entry.store;
   ProxyFaults& faults = proxy.faults();
-  switch (m_random() % 4) {
+  const uint64_t kind = m_random() % 4;
+  switch (kind) {
     case 0:
       faults.delay =
           Milliseconds(static_cast<int64_t>(m_random() % kMaxDelayMs));
@@ -168,7 +182,9 @@
       faults.refuses = true;
       proxy.ResetAll();
   }
-  UndoWithin(kMaxLinkFault, [&proxy] {
+  const std::string fault = "fault " + std::to_string(kind) +
+                            " of the link of " + entry.name + " to the store";
+  UndoWithin(kMaxLinkFault, fault, [&proxy] {
     proxy.faults() = {};
     // Connections that lost bytes cannot be continued.
     proxy.ResetAll();
@@ -183,7 +199,8 @@
   }
   Proxy& proxy = *host->proxy;
   host->disruptions.push_back(MonotonicNow());
-  switch (m_random() % 4) {
+  const uint64_t kind = m_random() % 4;
+  switch (kind) {
     case 0:
       proxy.faults().delay =
           Milliseconds(static_cast<int64_t>(m_random() % kMaxDelayMs));
@@ -197,7 +214,9 @@
     default:
       proxy.ResetAll();
   }
-  UndoWithin(kMaxLinkFault, [host, &proxy] {
+  const std::string fault = "fault " + std::to_string(kind) +
+                            " of the link of " + host->standin->id();
+  UndoWithin(kMaxLinkFault, fault, [host, &proxy] {
     host->disruptions.push_back(MonotonicNow());
     proxy.faults() = {};
     proxy.ResetAll();
@@ -212,6 +231,7 @@
   if (host == nullptr || static_cast<size_t>(live) <= kMinRunners) {
     return;
   }
+  m_fleet.LogFault("end of server " + host->standin->id());
   m_callers.RecordDisruption(MonotonicNow());
   host->standin->Die();
   m_fleet.AddRunner();
@@ -224,7 +244,7 @@
   }
   host->standin->Register("draining");
   m_fleet.AddRunner();
-  UndoWithin(Seconds(6), [host] {
+  UndoWithin(Seconds(6), "drain of " + host->standin->id(), [host] {
     if (!host->standin->is_dead()) {
       host->standin->Die();
     }
@@ -237,11 +257,12 @@
     return;
   }
   host->standin->ExpireRegistration();
-  UndoWithin(Seconds(4), [host] {
-    if (!host->standin->is_dead()) {
-      host->standin->Register("ready");
-    }
-  });
+  UndoWithin(Seconds(4), "expired registration of " + host->standin->id(),
+             [host] {
+               if (!host->standin->is_dead()) {
+                 host->standin->Register("ready");
+               }
+             });
 }
 
 void Faults::DropResponses() {
@@ -251,13 +272,14 @@
   }
   host->disruptions.push_back(MonotonicNow());
   host->standin->SetDropsResponses(true);
-  UndoWithin(kMaxLinkFault, [host] {
+  UndoWithin(kMaxLinkFault, "lost responses of " + host->standin->id(), [host] {
     host->disruptions.push_back(MonotonicNow());
     host->standin->SetDropsResponses(false);
   });
 }
 
 void Faults::ChangeConfig() {
+  m_fleet.LogFault("another configuration");
   m_fleet.PutConfig();
 }
 
@@ -266,7 +288,7 @@
   for (const auto& entry : m_fleet.entries()) {
     entry->store->Cut(kStoreClient, {.drops_new = false});
   }
-  UndoWithin(kMaxLinkFault, [this] {
+  UndoWithin(kMaxLinkFault, "silent connections to the store", [this] {
     for (const auto& entry : m_fleet.entries()) {
       entry->store->Heal(kStoreClient);
     }
@@ -280,10 +302,11 @@
   }
   host->disruptions.push_back(MonotonicNow());
   host->standin->SetFailsAfterRun(true);
-  UndoWithin(kMaxLinkFault, [host] {
-    host->disruptions.push_back(MonotonicNow());
-    host->standin->SetFailsAfterRun(false);
-  });
+  UndoWithin(kMaxLinkFault, "failures after runs of " + host->standin->id(),
+             [host] {
+               host->disruptions.push_back(MonotonicNow());
+               host->standin->SetFailsAfterRun(false);
+             });
 }
 
 }  // namespace filbertrack::soak
--- a/soak/soak_faults.h
+++ b/soak/soak_faults.h
@@ -30,8 +30,10 @@
  private:
   void ScheduleNext();
   void InjectFault();
-  /// Calls `undo` after a random time below `max_delay`.
-  void UndoWithin(Duration max_delay, std::function<void()> undo);
+  /// Logs `fault`, and calls `undo` after a random time below `max_delay`.
+  void UndoWithin(Duration max_delay,
+                  const std::string& fault,
+                  std::function<void()> undo);
 
   EntryProcess& RandomEntry();
   /// Null if all of `hosts` are dead.
--- a/soak/soak_fleet.cc
+++ b/soak/soak_fleet.cc
@@ -172,6 +172,12 @@
   }
 }
 
+void Fleet::LogFault(const std::string& what) {
+  m_fault_log.push_back(
+      std::to_string(ToMilliseconds(MonotonicNow() - m_started_at)) + " " +
+      what);
+}
+
 void Fleet::AddRunner() {
   m_runners.push_back(MakeHost("r" + std::to_string(m_next_runner), false));
   ++m_next_runner;
@@ -300,6 +306,8 @@
       entry->killed = false;
       entry->paused = false;
       entry->disruptions.push_back(now);
+      LogFault("restart " + entry->name + " after status " +
+               std::to_string(*end));
       entry->process->Start();
     } else if (entry->end_signalled_at && !entry->killed && !entry->paused &&
                now - *entry->end_signalled_at > kGrace + kGraceMargin) {
--- a/soak/soak_fleet.h
+++ b/soak/soak_fleet.h
@@ -107,6 +107,12 @@
 
   std::vector<std::string>& violations() { return m_violations; }
 
+  /// Adds a line with the current time to fault_log().
+  void LogFault(const std::string& what);
+  /// Faults, their ends, and restarts of entry hosts, with times in
+  /// milliseconds since the start of the fleet.
+  const std::vector<std::string>& fault_log() const { return m_fault_log; }
+
  private:
   std::unique_ptr<RunnerHost> MakeHost(const std::string& id, bool plain);
   PlatformRunnerStandin* FindRunner(std::string_view id);
@@ -125,6 +131,8 @@
   /// Last group that each runner joined.
   std::map<std::string, std::string> m_last_group;
   std::vector<std::string> m_violations;
+  std::vector<std::string> m_fault_log;
+  TimePoint m_started_at = MonotonicNow();
   /// Cuts in force, by source.
   std::map<std::string, LinkCut> m_cuts;
   std::unique_ptr<Timer> m_break_timer;
