entry: a host that found no other host when it started lists again once it is registered

Cause: each host lists the records of the others, then writes its own, and lists again 1.5 s later. If all hosts list before any has written, all of them find nobody. Until the second listing they have no peers: a host that reaches no server cannot forward, and hosts learn of changed registrations from their own watch only, which waits 0.5 s between calls.

Fix: a host whose listings held no other host lists once more when its record is written. Of hosts in this race the last one to write finds all others that had found nobody, and the first one to write is found by every host; gossip requests then introduce them both ways. A host that found others when it started makes no further call, which bounds the cost: one call that may be served from old data, and only for hosts that start into an empty fleet.

--- a/include/filbertrack/entry_roster.h
+++ b/include/filbertrack/entry_roster.h
@@ -59,6 +59,11 @@
   /// writes: a conflicting one and its retry.
   void EnsureRegistered(const StoredObject* known);
   void Register(uint64_t expected_version);
+  /// Lists the records again if no other host was found before. Of hosts that
+  /// start at once and write their records after all of them have listed, the
+  /// last one to write then finds the others, and its gossip requests introduce
+  /// it to them.
+  void OnRegistered();
   std::string OwnRecord() const;
   void List();
   /// True if the listing holds a host that was not known before.
@@ -74,6 +79,8 @@
   std::string m_proposed_secret;
   /// The own record is current or a write of it has been started.
   bool m_registration_begun = false;
+  /// A listing held a record of another host.
+  bool m_found_others = false;
   /// Keys of all records listed so far.
   std::set<std::string, std::less<>> m_known_keys;
   Duration m_start_backoff{0};
--- a/source/entry_roster.cc
+++ b/source/entry_roster.cc
@@ -98,6 +98,7 @@
       std::string(kHostPrefix) + m_own.name, OwnRecord(), expected_version,
       [this](const StoreResponse& answer) {
         if (answer.status == StoreStatus::kOk) {
+          OnRegistered();
           return;
         }
         // On a conflict, an earlier process of this host left a record, which
@@ -109,6 +110,12 @@
       });
 }
 
+void EntryRoster::OnRegistered() {
+  if (!m_found_others) {
+    List();
+  }
+}
+
 void EntryRoster::List() {
   m_records.ReadAll(
       std::string(kHostPrefix),
@@ -129,6 +136,8 @@
   const auto own =
       std::find_if(records.begin(), records.end(),
                    [&own_key](const auto& row) { return row.key == own_key; });
+  m_found_others =
+      m_found_others || records.size() > (own == records.end() ? 0 : 1);
   EnsureRegistered(own == records.end() ? nullptr : &*own);
   bool has_new = false;
   for (const StoredObject& record : records) {
